--- /dev/null
+++ b/granitewell/config.py
@@ -0,0 +1,121 @@
+"""The node's configuration: reads LB_* and the file LB_CONFIG once and turns them into one frozen Config.
+
+It owns the mapping of the deployment's names (classes, tenants, zones, kinds) to the module's indices, next
+to tiderelay.wire.parse_settings, which reads the figures. It must never hold defaults for what the platform
+has to say, open a socket, or change after start. Whatever is wrong is a ConfigError that names the field.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from tiderelay.interface import Effect, Settings
+from tiderelay.wire import WireError, parse_settings
+
+MOST_DESCRIPTORS = 1024  # of the platform's scored limits; a larger allowance is not used
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text is one line that names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the node is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: Mapping[str, Any]  # discovery's form, as last held by this node; may be old
+    settings: Settings
+    class_names: tuple[str, ...]
+    effects: tuple[Effect, ...]
+    tenant_names: tuple[str, ...]
+    zone_names: tuple[str, ...]
+    kind_names: tuple[str, ...]
+    report_names: tuple[str, ...]  # the keys of a load report, in the order of stats.fields
+    dial_timeout_us: int
+    conn_idle_us: int
+    most_held: int
+
+
+def address(text: Any, field: str) -> tuple[str, int]:
+    """host:port, as the platform writes addresses."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ConfigError(f"{field}: {text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def _object(value: Any, field: str) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise ConfigError(f"{field}: missing or not an object")
+    return value
+
+
+def _number(obj: Mapping[str, Any], key: str, field: str, default: float, low: float = 1) -> int:
+    value = obj.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < 1e12:
+        raise ConfigError(f"{field}: {value!r} is not a number from {low:g}")
+    return int(value)
+
+
+def _names(value: Any, field: str) -> tuple[str, ...]:
+    if not isinstance(value, list) or not all(isinstance(x, str) for x in value):
+        raise ConfigError(f"{field}: not a list of names")
+    return tuple(value)
+
+
+def _seed(value: Any) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else int(value)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: {value!r} is neither hexadecimal nor a number") from None
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """The configuration of this process; the variables win over the file."""
+    path = env.get("LB_CONFIG", "")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set")
+    try:
+        text = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"LB_CONFIG: {' '.join(str(error).split())}") from None
+    top = _object(text, "LB_CONFIG")
+    raw = _object(top.get("settings"), "settings")
+    try:
+        settings = parse_settings(json.dumps(raw).encode())
+    except (WireError, ValueError) as error:
+        raise ConfigError(" ".join(str(error).split())) from None
+    limits = _object(top.get("limits", {}), "limits")
+    allowed = _object(raw.get("allowed"), "settings.allowed")
+    # The module counts only tenants that have an allowance: the names must skip the same ones.
+    tenants = [t for t in raw.get("tenants", []) if t.get("allowancePerS") is not None]
+    stats = _object(raw.get("stats", {}), "settings.stats")
+    return Config(
+        name=env.get("LB_NAME") or str(top.get("name", "node")),
+        listen=address(env.get("LB_LISTEN") or top.get("listen"), "listen"),
+        discovery=address(env.get("LB_DISCOVERY") or top.get("discovery"), "discovery"),
+        seed=_seed(top.get("seed", 0)),
+        sockets=min(_number(limits, "sockets", "limits.sockets", MOST_DESCRIPTORS, 64), MOST_DESCRIPTORS),
+        known=_object(top.get("known") or {}, "known"),
+        settings=settings,
+        class_names=_names([c.get("name") for c in raw["classes"]], "settings.classes[].name"),
+        effects=tuple(c.effect for c in settings.classes),
+        tenant_names=_names([t.get("name") for t in tenants], "settings.tenants[].name"),
+        zone_names=_names(raw.get("zones", []), "settings.zones"),
+        kind_names=_names(raw.get("models", []), "settings.models"),
+        report_names=_names(
+            [] if stats.get("how") == "silent" else stats.get("fields", []), "settings.stats.fields"
+        ),
+        dial_timeout_us=1000 * _number(allowed, "dialTimeoutMs", "settings.allowed.dialTimeoutMs", 250),
+        conn_idle_us=1000 * _number(allowed, "connIdleMs", "settings.allowed.connIdleMs", 10000),
+        most_held=_number(allowed, "mostHeld", "settings.allowed.mostHeld", 20000),
+    )
--- /dev/null
+++ b/granitewell/core.py
@@ -0,0 +1,582 @@
+"""The reducer: every change of the node's state happens in Core.handle, events in and effects out.
+
+It owns the request table, the outbound calls, the fleet, the timers, the phase and the Balancer, and it
+guards the platform's rules a second time, whatever the module asks for. It must never do I/O, read a clock,
+know a byte of any protocol (messages and answers pass through as opaque objects), or decide where a request
+goes: that is tiderelay's. Time is whole microseconds, given by the caller; the module's float milliseconds
+exist only at its door (_ask and _act).
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from heapq import heappop, heappush
+from typing import Any, Protocol
+
+from tiderelay import interface as t
+from tiderelay.interface import Effect, Outcome, Scope, State, View
+
+# --- Figures of the node itself, in microseconds ---
+GUARD_US = 25_000  # past a request's due time, when the core itself answers: half of the platform's slack
+DRAIN_MARGIN_US = 100_000  # kept back from the drain limit for what lies between here and the first byte
+LEAST_LEFT_US = 1_000  # a dialed call with less time than this left is not written
+ACCEPT_US = 550_000  # after the stop signal connections still arrive for up to 400 ms
+LONGEST_US = 3_000_000  # the longest deadline that the platform waits out before SIGKILL
+STOP_SPARE_US = 450_000  # of the 700 ms that follow it, what may pass before the node leaves by itself
+FORGET_US = 60_000_000  # how long a gone endpoint stays known
+BEAT_US = 5_000_000  # between two lines of figures
+
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT})
+
+
+class Phase(Enum):
+    """From start to exit; Core.phase is the one object that has it."""
+
+    STARTING = "starting"  # no listener, or no endpoint to send to
+    READY = "ready"
+    DRAINING = "draining"  # asked to stop: takes what still arrives, answers all, closes what it answers
+    STOPPED = "stopped"
+
+
+class Verdict(Enum):
+    """What a final answer says."""
+
+    SERVED = "served"
+    FAIL_FAST = "fail-fast"  # refused: a retry does no harm
+    FAILED = "failed"
+
+
+# --- Events ---
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """An inbound has handed in a whole request; message is the front's own and passes unread."""
+
+    inbound: int
+    class_index: int
+    tenant: int
+    key: int
+    timeout_us: int
+    message: object
+    repeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class InboundGone:
+    """The client has closed: nothing more is owed there."""
+
+    inbound: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallDialed:
+    """A new connection for this call is up; nothing has been written."""
+
+    call: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """An outbound call has ended at the endpoint or on the way there."""
+
+    call: int
+    outcome: Outcome
+    report: tuple[float, ...] = ()
+    answer: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One endpoint as discovery tells it; started_us is on this node's clock, 0 for long ago."""
+
+    id: bytes
+    address: tuple[str, int]
+    zone: int
+    kind: int
+    cell: int
+    state: State
+    scale: float
+    started_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetNews:
+    """A list of endpoints, or what changed in it."""
+
+    view: View
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """Clients can connect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """The time of Core.wake_us has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The platform wants this node to leave."""
+
+
+Event = Arrived | InboundGone | CallDialed | CallEnded | FleetNews | Listening | Woken | StopAsked
+
+
+# --- Effects ---
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """Write the message to the endpoint: at once on an idle connection, else dial and report CallDialed."""
+
+    call: int
+    endpoint: bytes
+    address: tuple[str, int]
+    message: object
+    due_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class WriteCall:
+    """The dialed connection is to be used now."""
+
+    call: int
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonCall:
+    """Nobody waits for this call; its connection must not be used again unless nothing was written."""
+
+    call: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a request."""
+
+    inbound: int
+    verdict: Verdict
+    answer: object = None
+    retry_after_us: int = 0
+    close: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close the idle connections to an endpoint."""
+
+    endpoint: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A log line; topic limits how often such a line is written."""
+
+    topic: str
+    line: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopListening:
+    """Take what has arrived, then no more connections; close each inbound once nothing is owed there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """All is answered, or no time is left: end the process."""
+
+
+Effects = StartCall | WriteCall | AbandonCall | Answer | CloseIdle | Note | StopListening | Leave
+
+
+class Decider(Protocol):
+    """What the core needs of tiderelay.policy.Balancer."""
+
+    def handle(self, now: float, event: t.Event) -> list[t.Action]: ...
+
+
+class _Call:
+    """One outbound call: an attempt of a request."""
+
+    __slots__ = ("at_us", "dialed", "due_us", "endpoint", "id", "number", "outcome", "request")
+
+    def __init__(
+        self, cid: int, request: _Request, number: int, endpoint: _Endpoint, at: int, due: int
+    ) -> None:
+        self.id, self.request, self.number, self.endpoint = cid, request, number, endpoint
+        self.at_us, self.due_us = at, due
+        self.outcome: Outcome | None = None
+        self.dialed = False
+
+
+class _Request:
+    """A request that has been taken; open until its final answer."""
+
+    __slots__ = ("calls", "cls", "due_us", "id", "inbound", "message", "open")
+
+    def __init__(self, rid: int, inbound: int, cls: t.RequestClass, message: object, due: int) -> None:
+        self.id, self.inbound, self.cls, self.message, self.due_us = rid, inbound, cls, message, due
+        self.calls: list[_Call] = []
+        self.open = True
+
+
+class _Endpoint:
+    """What discovery last said of one endpoint."""
+
+    __slots__ = ("member", "told_us")
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.told_us = -1  # since when it is known to drain or be gone; -1: it is ready
+
+
+class Core:
+    """The node's state. handle(now_us, event) gives the effects to run, in order."""
+
+    def __init__(self, settings: t.Settings, balancer: Decider, most_held: int) -> None:
+        self.phase = Phase.STARTING
+        self.stats: Counter[str] = Counter()
+        self._set, self._balancer, self._most_held = settings, balancer, most_held
+        self._now = 0
+        self._out: list[Effects] = []
+        self._work: deque[t.Event] = deque()  # for the module, also what its own actions have brought about
+        self._requests: dict[int, _Request] = {}
+        self._by_inbound: dict[int, _Request] = {}
+        self._calls: dict[int, _Call] = {}
+        self._fleet: dict[bytes, _Endpoint] = {}
+        self._timers: list[tuple[int, int, str, Any]] = []
+        self._last_id = self._seq = 0
+        self._listening = self._beating = False
+        self._module_us = -1  # when the module's timer is due; -1: none
+
+    # --- The only way in --------------------------------------------------------------------------------
+    def handle(self, now_us: int, event: Event) -> list[Effects]:
+        """Apply one event. No exception leaves here: a fault costs its own request, not the process."""
+        self._now = max(now_us, self._now)
+        self._out = []
+        try:
+            self._apply(event)
+        except Exception:
+            self._fault(f"the reducer failed on {type(event).__name__}")
+            broken = event.call if isinstance(event, CallDialed | CallEnded) else -1
+            call = self._calls.get(broken)
+            request = call.request if call else self._by_inbound.get(getattr(event, "inbound", -1))
+            if request is not None and request.open:
+                self._close(request, Verdict.FAILED)
+        self._settle()
+        return self._out
+
+    def _apply(self, event: Event) -> None:
+        if isinstance(event, Arrived):
+            self._arrived(event)
+        elif isinstance(event, CallEnded):
+            call = self._calls.get(event.call)
+            if call is not None:
+                self._end(call, event.outcome, event.report, event.answer)
+        elif isinstance(event, Woken):
+            self._woken()
+        elif isinstance(event, CallDialed):
+            self._dialed(event.call)
+        elif isinstance(event, InboundGone):
+            self._gone(event.inbound)
+        elif isinstance(event, FleetNews):
+            self._news(event)
+        elif isinstance(event, Listening):
+            self._listening = True
+        else:
+            self._stop()
+        self._think()
+
+    @property
+    def wake_us(self) -> int:
+        """When Woken is due; -1 for never."""
+        return self._timers[0][0] if self._timers else -1
+
+    @property
+    def held(self) -> int:
+        """Requests that are owed an answer."""
+        return len(self._requests)
+
+    def _note(self, topic: str, line: str) -> None:
+        self._out.append(Note(topic, line))
+
+    def _fault(self, what: str) -> None:
+        self.stats["faults"] += 1
+        self._note("fault", f"{what}: {' | '.join(traceback.format_exc().strip().splitlines()[-5:])}")
+
+    # --- Timers -----------------------------------------------------------------------------------------
+    def _at(self, when_us: int, what: str, arg: Any = None) -> None:
+        self._seq += 1
+        heappush(self._timers, (when_us, self._seq, what, arg))
+
+    def _woken(self) -> None:
+        """Run what is due. Calls that end with their request are heard of before the module's own timer of
+        the same moment, as on the simulator's wire."""
+        due = []
+        while self._timers and self._timers[0][0] <= self._now:
+            due.append(heappop(self._timers))
+        due.sort(key=lambda x: (x[2] == "module", x[0], x[1]))
+        for when, _, what, arg in due:
+            if what == "call":
+                call = self._calls.get(arg)
+                if call is not None:
+                    self._out.append(AbandonCall(call.id))
+                    self._end(call, Outcome.TIMEOUT)
+            elif what == "module":
+                self._think()
+                if when == self._module_us:
+                    self._module_us = -1
+                    self._ask(t.Timer(arg))
+            elif what == "guard":
+                self._overdue(arg)
+            elif what == "beat":
+                self._beat()
+            elif what == "accepted":
+                self._out.append(StopListening())
+                self._listening = False
+            elif what == "leave" and self.phase is Phase.DRAINING:
+                self._note("phase", f"no time is left: leaving with {len(self._requests)} unanswered")
+                self.phase = Phase.STOPPED
+                self._out.append(Leave())
+
+    def _overdue(self, rid: int) -> None:
+        """Rule 1, against a module that forgets or fails: the core's own last word, inside the slack."""
+        request = self._requests.get(rid)
+        if request is not None:
+            self._note("overdue", f"request {rid} had no answer at its due time: answered as failed")
+            self._close(request, Verdict.FAILED)
+            self._work.append(t.Abandoned(rid))
+
+    def _beat(self) -> None:
+        self._at(self._now + BEAT_US, "beat")
+        ready = sum(e.told_us < 0 for e in self._fleet.values())
+        figures = " ".join(f"{k}={v}" for k, v in sorted(self.stats.items()))
+        self._note("beat", f"held={len(self._requests)} calls={len(self._calls)} endpoints={ready} {figures}")
+
+    # --- Phases -----------------------------------------------------------------------------------------
+    def _settle(self) -> None:
+        """Move on to the phase that the state allows."""
+        able = self._listening and any(e.told_us < 0 for e in self._fleet.values())
+        if self.phase is Phase.STARTING and able:
+            self.phase = Phase.READY
+            self._note("phase", f"ready with {len(self._fleet)} endpoints")
+        if not self._beating and self._listening:
+            self._beating = True
+            self._at(self._now + BEAT_US, "beat")
+        if self.phase is Phase.DRAINING and not self._listening and not self._requests:
+            self._note("phase", "all is answered: leaving")
+            self.phase = Phase.STOPPED
+            self._out.append(Leave())
+
+    def _stop(self) -> None:
+        if self.phase in (Phase.DRAINING, Phase.STOPPED):
+            return
+        self.phase = Phase.DRAINING
+        self._note("phase", f"asked to stop with {len(self._requests)} requests held")
+        longest = max(int(c.deadline_ms * 1000) for c in self._set.classes)
+        self._at(self._now + ACCEPT_US, "accepted")
+        self._at(self._now + min(longest, LONGEST_US) + STOP_SPARE_US, "leave")
+
+    # --- Requests ---------------------------------------------------------------------------------------
+    def _arrived(self, event: Arrived) -> None:
+        self.stats["taken"] += 1
+        closing = self.phase is Phase.DRAINING
+        if len(self._requests) >= self._most_held:
+            self.stats["table_full"] += 1
+            self._note("full", f"the table holds {len(self._requests)} requests: turned away")
+            wait = int(self._set.max_retry_after_ms * 1000) if self._set.retry_after else 0
+            self._out.append(Answer(event.inbound, Verdict.FAIL_FAST, None, wait, closing))
+            return
+        self._last_id += 1
+        cls = self._set.classes[event.class_index]
+        due = self._now + event.timeout_us
+        request = _Request(self._last_id, event.inbound, cls, event.message, due)
+        self._requests[request.id] = self._by_inbound[event.inbound] = request
+        self._at(due + GUARD_US, "guard", request.id)
+        self._work.append(t.Request(
+            request.id, event.class_index, event.tenant, event.key, due / 1000, 0.0, event.repeat
+        ))  # fmt: skip
+
+    def _close(self, request: _Request, verdict: Verdict, answer: object = None, wait_us: int = 0) -> None:
+        """Give the one final answer."""
+        self._forget(request)
+        self.stats[verdict.value] += 1
+        closing = self.phase is Phase.DRAINING
+        self._out.append(Answer(request.inbound, verdict, answer, wait_us, closing))
+
+    def _forget(self, request: _Request) -> None:
+        request.open = False
+        del self._requests[request.id]
+        del self._by_inbound[request.inbound]
+
+    def _gone(self, inbound: int) -> None:
+        request = self._by_inbound.get(inbound)
+        if request is not None:
+            self.stats["abandoned"] += 1
+            self._forget(request)
+            self._work.append(t.Abandoned(request.id))
+
+    # --- Outbound calls ---------------------------------------------------------------------------------
+    def _sendable(self, endpoint: _Endpoint) -> bool:
+        """Rule 3: may a first byte go to this endpoint now?"""
+        grace = int(self._set.drain_grace_ms * 1000) - DRAIN_MARGIN_US
+        return endpoint.told_us < 0 or self._now - endpoint.told_us < grace
+
+    def _repeatable(self, request: _Request, endpoint: _Endpoint) -> bool:
+        """Rule 2: may this request go out (again) to this endpoint, given its earlier calls?"""
+        if len(request.calls) >= self._set.max_attempts:
+            return False
+        ran = [c for c in request.calls if c.outcome not in NEVER_RAN]
+        if not self._set.parallel_tries and any(c.outcome is None for c in ran):
+            return False
+        if not ran or request.cls.effect is Effect.SAFE:
+            return True
+        if request.cls.effect is Effect.UNSAFE or self._now - ran[0].at_us > request.cls.window_ms * 1000:
+            return False
+        was, now = ran[0].endpoint.member, endpoint.member
+        scope = request.cls.scope
+        return scope is Scope.ALL or (was.zone == now.zone if scope is Scope.ZONE else was.cell == now.cell)
+
+    def _send(self, action: t.Send) -> None:
+        """Start a call, or tell the module that it was moot where a rule forbids it."""
+        request, endpoint = self._requests.get(action.id), self._fleet.get(action.host)
+        if request is None or endpoint is None:
+            self._note("guard", f"held back a send: request {action.id} or its endpoint is not known")
+            self.stats["guarded"] += 1
+            return
+        number = len(request.calls)
+        self._last_id += 1
+        due = request.due_us
+        if action.timeout_ms > 0.0:
+            due = min(due, self._now + round(action.timeout_ms * 1000))
+        call = _Call(self._last_id, request, number, endpoint, self._now, due)
+        allowed = self._sendable(endpoint) and self._repeatable(request, endpoint)
+        request.calls.append(call)
+        self._calls[call.id] = call
+        if not allowed:
+            self._note("guard", f"held back a send of request {action.id}: a rule forbids it")
+            self.stats["guarded"] += 1
+            self._end(call, Outcome.MOOT)
+            return
+        self.stats["calls"] += 1
+        self._at(due, "call", call.id)
+        self._out.append(
+            StartCall(call.id, endpoint.member.id, endpoint.member.address, request.message, due)
+        )
+
+    def _dialed(self, cid: int) -> None:
+        """A dial takes time: look again whether the request lives, has time and may still go there."""
+        call = self._calls.get(cid)
+        if call is None:
+            return
+        call.dialed = True
+        self.stats["dialed"] += 1
+        timely = call.due_us - self._now >= LEAST_LEFT_US
+        if not call.request.open or not timely or not self._sendable(call.endpoint):
+            self._out.append(AbandonCall(cid))
+            self._end(call, Outcome.MOOT)
+        else:
+            self._out.append(WriteCall(cid))
+
+    def _end(
+        self, call: _Call, outcome: Outcome, report: tuple[float, ...] = (), answer: object = None
+    ) -> None:
+        """The one ending of a call; the first OK of an open request is its answer."""
+        del self._calls[call.id]
+        call.outcome = outcome
+        self.stats[f"call_{outcome.value}"] += 1
+        request = call.request
+        if outcome is Outcome.OK and request.open:
+            self._close(request, Verdict.SERVED, answer)
+        self._work.append(t.Ended(
+            request.id, call.number, call.endpoint.member.id, outcome, (self._now - call.at_us) / 1000,
+            not request.open, report,
+        ))  # fmt: skip
+
+    # --- Fleet ------------------------------------------------------------------------------------------
+    def _news(self, event: FleetNews) -> None:
+        named = {m.id for m in event.members}
+        if event.view is not View.DELTA:
+            for eid, known in self._fleet.items():
+                if eid not in named:
+                    self._mark(known)
+        for member in event.members:
+            endpoint = self._fleet.get(member.id)
+            if endpoint is None:
+                endpoint = self._fleet[member.id] = _Endpoint(member)
+            else:
+                was, endpoint.member = endpoint.member, member
+                if (was.address, was.started_us) != (member.address, member.started_us):
+                    self._out.append(CloseIdle(member.id))  # another process answers there now
+            if member.state is State.READY:
+                endpoint.told_us = -1
+            else:
+                self._mark(endpoint)
+        old = [k for k, e in self._fleet.items() if 0 <= e.told_us < self._now - FORGET_US and k not in named]
+        for eid in old:
+            del self._fleet[eid]
+        self._work.append(t.Hosts(event.view, tuple(
+            t.Host(m.id, m.zone, m.kind, m.cell, m.state, m.scale, m.started_us / 1000) for m in event.members
+        )))  # fmt: skip
+
+    def _mark(self, endpoint: _Endpoint) -> None:
+        """It drains or is gone: the first such news counts, and what lies idle there is of no more use."""
+        if endpoint.told_us < 0:
+            endpoint.told_us = self._now
+            self._out.append(CloseIdle(endpoint.member.id))
+
+    # --- The module's door ------------------------------------------------------------------------------
+    def _think(self) -> None:
+        while self._work:
+            self._ask(self._work.popleft())
+
+    def _ask(self, event: t.Event) -> None:
+        try:
+            actions: Iterable[t.Action] = self._balancer.handle(self._now / 1000, event)
+        except Exception:
+            actions = ()
+            self._fault(f"the decisions failed on {type(event).__name__}")
+            request = self._requests.get(getattr(event, "id", -1))
+            if request is not None:
+                self._close(request, Verdict.FAILED)
+        for action in actions:
+            self._act(action)
+
+    def _act(self, action: t.Action) -> None:
+        if isinstance(action, t.Send):
+            self._send(action)
+        elif isinstance(action, t.SetTimer):
+            self._module_us = max(int(action.at_ms * 1000) + 1, self._now)  # an early Timer would be ignored
+            self._at(self._module_us, "module", action.mark)
+        elif isinstance(action, t.Refuse | t.Fail):
+            request = self._requests.get(action.id)
+            if request is None:
+                return
+            if isinstance(action, t.Fail) or not self._harmless(request):
+                self._close(request, Verdict.FAILED)
+            else:
+                self._close(request, Verdict.FAIL_FAST, None, max(round(action.retry_after_ms * 1000), 0))
+        elif isinstance(action, t.Cancel):
+            for call in list(self._calls.values()):
+                if call.request.id == action.id and call.number == action.attempt:
+                    self._out.append(AbandonCall(call.id))
+                    self._end(call, Outcome.CANCELLED)
+        elif isinstance(action, t.Close):
+            self._out.append(CloseIdle(action.host))
+        elif isinstance(action, t.Log):
+            self._note("module", action.line)
+        elif not isinstance(action, t.Watch | t.Fetch):  # the watch on discovery never ends by itself
+            self._note("guard", f"{type(action).__name__} is not something that this node does")
+
+    def _harmless(self, request: _Request) -> bool:
+        """Rule 2: a refusal invites a retry, so nothing that must not run twice may have run."""
+        if request.cls.effect is Effect.SAFE or all(c.outcome in NEVER_RAN for c in request.calls):
+            return True
+        self_dropping = request.cls.effect is Effect.KEYED and request.cls.scope is Scope.ALL
+        if not self_dropping:
+            self._note("guard", f"request {request.id} may have run: failed in place of a refusal")
+        return self_dropping
--- /dev/null
+++ b/granitewell/net/http1.py
@@ -0,0 +1,381 @@
+"""The platform's protocol: HTTP/1.1 bytes to and from the core's terms, for clients, endpoints and discovery.
+
+This is the only file that knows header names, paths, status codes and the JSON of discovery, so that another
+front can reach the same core without it. It must never open or touch a socket, read a clock, keep state
+beyond one connection's parsing, or decide what becomes of a request. Parsing itself is httptools'.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+import httptools
+
+from granitewell.config import Config, ConfigError, address
+from granitewell.core import Answer, FleetNews, Member, Verdict
+from tiderelay.interface import Effect, Outcome, State, View
+
+MOST_BODY = 64 * 1024  # bytes, of any body of the protocol
+MOST_HEAD = 16 * 1024  # bytes of request line and headers
+MOST_LIST = 4 * 1024 * 1024  # bytes of a list from discovery
+READY_PATH = b"/-/ready"
+LIST_PATH = "/api/targets"
+_ID = re.compile(rb"[\x21-\x7e]{1,128}\Z")
+_HEX = re.compile(rb"[0-9a-fA-F]{1,16}\Z")
+_MS = re.compile(rb"[0-9]{1,9}\Z")
+_SINGLE = frozenset({b"request-id", b"request-class", b"tenant", b"affinity-key", b"request-timeout-ms",
+                     b"client-retry"})  # fmt: skip
+_PASSED = (b"request-class", b"tenant", b"affinity-key", b"client-retry", b"request-info", b"content-type")
+_STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+_REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
+    503: "Service Unavailable",
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A request as it goes on to an endpoint, byte for byte where the protocol says unchanged."""
+
+    method: bytes
+    target: bytes
+    request_id: bytes
+    passed: bytes  # further header lines, whole
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A whole, valid request."""
+
+    class_index: int
+    tenant: int
+    key: int
+    timeout_ms: int
+    repeat: bool
+    message: Message
+    keep_alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReadyAsk:
+    """Somebody asks whether the node is able to serve."""
+
+    keep_alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Bad:
+    """A request that is answered here and goes nowhere."""
+
+    status: int
+    text: str
+    keep_alive: bool = False
+    header: str = ""
+
+
+Item = Ask | ReadyAsk | Bad
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """The body of an endpoint's 200."""
+
+    body: bytes
+    content_type: bytes = b""
+
+
+class Names:
+    """The deployment's names as they stand in headers, by index."""
+
+    def __init__(self, config: Config) -> None:
+        self.classes = {n.encode(): k for k, n in enumerate(config.class_names)}
+        self.tenants = {n.encode(): k for k, n in enumerate(config.tenant_names)}
+        self.methods = tuple(b"GET" if e is Effect.SAFE else b"POST" for e in config.effects)
+        self.reports = config.report_names
+
+
+# --- Clients ---
+class InboundParser:
+    """One client connection: bytes in, items out. After a Bad without keep_alive nothing more is read."""
+
+    def __init__(self, names: Names) -> None:
+        self._names = names
+        self._parser = httptools.HttpRequestParser(self)
+        self._items: list[Item] = []
+        self.broken = False  # no further request can be told from these bytes
+        self.partial = False  # a request has begun and is not whole
+        self._reset()
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._size = self._head = 0
+        self._in_head, self._twice = True, False
+
+    def feed(self, data: bytes) -> list[Item]:
+        """What these bytes complete, in order."""
+        self._items = []
+        if not self.broken:
+            self._head += len(data) if self._in_head else 0
+            try:
+                self._parser.feed_data(data)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._refuse(400, "malformed HTTP")
+            # a header line that never ends reaches no callback: count what has come in
+            if self._in_head and self._head > MOST_HEAD:
+                self._refuse(431, "headers over 16 KiB")
+        return self._items
+
+    def _refuse(self, status: int, text: str) -> None:
+        if not self.broken:
+            self.broken = True
+            self._items.append(Bad(status, text))
+
+    # httptools calls these
+    def on_message_begin(self) -> None:
+        self._reset()
+        self.partial = True
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        low = name.lower()
+        self._twice = self._twice or (low in _SINGLE and low in self._headers)
+        self._headers[low] = value.strip()
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        if len(self._target) + sum(len(k) + len(v) + 4 for k, v in self._headers.items()) > MOST_HEAD:
+            self._refuse(431, "headers over 16 KiB")
+        length = self._headers.get(b"content-length", b"0")
+        if length.isdigit() and (len(length) > 9 or int(length) > MOST_BODY):
+            self._refuse(413, "body over 64 KiB")
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MOST_BODY:
+            self._refuse(413, "body over 64 KiB")
+        elif not self.broken:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.partial = False
+        if not self.broken:
+            self._items.append(self._judge(self._parser.should_keep_alive()))
+            self._in_head, self._head = True, 0
+
+    def _judge(self, keep: bool) -> Item:
+        names, headers, method = self._names, self._headers, self._parser.get_method()
+        path = self._target.partition(b"?")[0]
+        if path == READY_PATH:
+            return ReadyAsk(keep) if method == b"GET" else Bad(405, "GET only", keep, "Allow: GET\r\n")
+        index = names.classes.get(path.split(b"/")[1]) if path.startswith(b"/") else None
+        if index is None:
+            return Bad(404, "no class has this path", keep)
+        if method != names.methods[index]:
+            allow = names.methods[index].decode()
+            return Bad(405, f"this class takes {allow}", keep, f"Allow: {allow}\r\n")
+        if self._twice:
+            return Bad(400, "a header came twice", keep)
+        request_id = headers.get(b"request-id", b"")
+        if not _ID.match(request_id):
+            return Bad(400, "Request-Id is missing or malformed", keep)
+        if names.classes.get(headers.get(b"request-class", b""), index) != index:
+            return Bad(400, "Request-Class and path differ", keep)
+        timeout = headers.get(b"request-timeout-ms", b"")
+        if not _MS.match(timeout) or int(timeout) == 0:
+            return Bad(400, "Request-Timeout-Ms is missing or malformed", keep)
+        tenant = names.tenants.get(headers.get(b"tenant", b""), len(names.tenants))
+        passed = b"".join(b"%s: %s\r\n" % (k, headers[k]) for k in _PASSED if k in headers)
+        message = Message(method, self._target, request_id, passed, b"".join(self._body))
+        return Ask(
+            index, tenant, _key(headers.get(b"affinity-key", b"")), int(timeout),
+            headers.get(b"client-retry") == b"1", message, keep,
+        )  # fmt: skip
+
+
+def _key(text: bytes) -> int:
+    """The key as a number that is the same at every node; 0 for none."""
+    if not text:
+        return 0
+    return int(text, 16) if _HEX.match(text) else int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
+
+
+def _response(status: int, body: bytes, close: bool, headers: str = "") -> bytes:
+    end = "Connection: close\r\n" if close else ""
+    head = f"HTTP/1.1 {status} {_REASONS[status]}\r\nContent-Length: {len(body)}\r\n{headers}{end}\r\n"
+    return head.encode("latin-1") + body
+
+
+def bad_bytes(bad: Bad) -> bytes:
+    """The answer to a request that goes nowhere."""
+    return _response(bad.status, bad.text.encode() + b"\n", not bad.keep_alive, bad.header)
+
+
+def ready_bytes(ready: bool, close: bool) -> bytes:
+    """The answer of the ready path."""
+    return _response(200 if ready else 503, b"ready\n" if ready else b"not ready\n", close)
+
+
+def answer_bytes(answer: Answer, close: bool) -> bytes:
+    """A final answer. A refusal is a 503, a failure a 502: the protocol reads no more into them."""
+    if answer.verdict is Verdict.SERVED and isinstance(answer.answer, Served):
+        kind = answer.answer.content_type.decode("latin-1")
+        return _response(200, answer.answer.body, close, f"Content-Type: {kind}\r\n" if kind else "")
+    if answer.verdict is Verdict.FAIL_FAST:
+        wait = f"Retry-After: {answer.retry_after_us / 1e6:.3f}\r\n" if answer.retry_after_us else ""
+        return _response(503, b"", close, wait)
+    return _response(502, b"", close)
+
+
+# --- Endpoints ---
+def call_bytes(message: Message, host: tuple[str, int], left_us: int) -> bytes:
+    """The request as an endpoint gets it."""
+    bodied = message.body or message.method != b"GET"
+    length = b"Content-Length: %d\r\n" % len(message.body) if bodied else b""
+    return b"%s %s HTTP/1.1\r\nHost: %s:%d\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n%s%s\r\n%s" % (
+        message.method, message.target, host[0].encode(), host[1], message.request_id,
+        max(left_us // 1000, 1), message.passed, length, message.body,
+    )  # fmt: skip
+
+
+class ResponseParser:
+    """One answer on one connection."""
+
+    def __init__(self, most: int = MOST_BODY) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._most = most
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._in_body = False
+        self.done = False
+        self.reusable = False
+
+    @property
+    def body(self) -> bytes:
+        return b"".join(self._parts)
+
+    def feed(self, data: bytes) -> bool:
+        """True once the answer is whole. ValueError: this is no answer."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.reusable = False
+            if not self.done:
+                raise ValueError(f"no HTTP: {error}") from None
+        if self._size > self._most:
+            raise ValueError("the body is too large")
+        return self.done
+
+    def end(self) -> bool:
+        """The other side has ended the connection: True where that is how its answer ends."""
+        framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
+        self.reusable = False
+        self.done = self.done or (self._in_body and not framed)
+        return self.done
+
+    # httptools calls these
+    def on_message_begin(self) -> None:
+        if self.done:
+            self.reusable = False  # bytes beyond the answer: nothing can be trusted to follow in step
+            return
+        self.headers, self._in_body = {}, False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.done:
+            self.headers[name.lower()] = value.strip()
+
+    def on_headers_complete(self) -> None:
+        if not self.done:
+            self.status = self._parser.get_status_code()
+            self._in_body = self.status >= 200
+
+    def on_body(self, body: bytes) -> None:
+        if not self.done:
+            self._size += len(body)
+            self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        if not self.done and self.status >= 200:  # a 1xx is not yet the answer
+            self.done = True
+            self.reusable = self._parser.should_keep_alive()
+
+
+def outcome(parser: ResponseParser) -> Outcome:
+    """PROTOCOL's table for an answer that came back whole."""
+    if parser.status == 200:
+        return Outcome.OK
+    if parser.status in (503, 504) and parser.headers.get(b"not-started") == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+def served(parser: ResponseParser) -> Served:
+    """What a client gets of a 200."""
+    return Served(parser.body, parser.headers.get(b"content-type", b""))
+
+
+def report(parser: ResponseParser, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """The load report in the order of the settings' fields; absent or malformed is no report."""
+    text = parser.headers.get(b"server-load")
+    if not text or not fields:
+        return ()
+    try:
+        load = json.loads(text)
+        values = tuple(float(load[f]) for f in fields)
+    except (ValueError, TypeError, KeyError, IndexError):
+        return ()
+    return values if all(map(math.isfinite, values)) else ()
+
+
+# --- Discovery ---
+def list_bytes(host: tuple[str, int], after: int | None, wait_ms: int) -> bytes:
+    """The call for the whole list, or the watch for what is newer than a revision."""
+    query = "" if after is None else f"?after={after}&wait_ms={wait_ms}"
+    return f"GET {LIST_PATH}{query} HTTP/1.1\r\nHost: {host[0]}:{host[1]}\r\n\r\n".encode()
+
+
+class FleetReader:
+    """Discovery's JSON to the core's members. Names not in the settings get stable indices behind theirs."""
+
+    def __init__(self, config: Config, unix_less_core_us: int) -> None:
+        self._zones = {n: k for k, n in enumerate(config.zone_names)}
+        self._kinds = {n: k for k, n in enumerate(config.kind_names)}
+        self._offset_us = unix_less_core_us
+
+    def read(self, body: bytes, view: View | None = None) -> tuple[int, FleetNews]:
+        """Revision and news. ValueError: not discovery's form, and the old list must stay."""
+        try:
+            return self.take(json.loads(body), view)
+        except (TypeError, KeyError, AttributeError, ConfigError, OverflowError, RecursionError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+
+    def take(self, top: Mapping[str, Any], view: View | None = None) -> tuple[int, FleetNews]:
+        """The same from parsed JSON."""
+        form = view or (View.FULL if top["complete"] is True else View.DELTA)
+        return int(top["revision"]), FleetNews(form, tuple(self._member(m) for m in top["members"]))
+
+    def _member(self, m: Mapping[str, Any]) -> Member:
+        up_ms, scale = float(m.get("up_since_ms") or 0), float(m.get("size") or 1.0)
+        # One offset for the whole run: a value that jitters would read as a restart. 0 stays 0.
+        started = max(int(up_ms * 1000) - self._offset_us, 1) if up_ms > 0 else 0
+        return Member(
+            str(m["id"]).encode(), address(m["host_port"], "host_port"),
+            self._zones.setdefault(str(m.get("locality")), len(self._zones)),
+            self._kinds.setdefault(str(m.get("flavor")), len(self._kinds)),
+            int(m.get("cell") or 0),
+            _STATES.get(m["phase"], State.DRAINING),  # an unknown phase wants no new work from us
+            scale if math.isfinite(scale) else 1.0, started,
+        )  # fmt: skip
--- /dev/null
+++ b/granitewell/net/loop.py
@@ -0,0 +1,544 @@
+"""Runs the core's effects on real sockets: listener, inbounds, outbound calls and their pool, the watch on
+discovery, the timers and the log.
+
+It owns every descriptor and every task of the process, and the budget for both. It must never change the
+state of a request by itself (it reports events and does what the core's effects say), resend anything, or
+know the protocol's words, which are http1's. All network traffic goes through the loop's sock_* calls. Time
+is whole microseconds on the monotonic clock, read once a turn of the loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import resource
+import socket
+import sys
+import time
+from collections import deque
+from collections.abc import Coroutine
+from typing import Any
+
+from granitewell import core as c
+from granitewell.config import Config, ConfigError
+from granitewell.net import http1
+from tiderelay.interface import Outcome, View
+
+HEAD_START_US = 3_600_000_000  # the core's clock begins at an hour, so that earlier starts of endpoints fit
+RESERVE = 32  # descriptors for the interpreter, the listener, discovery and accidents
+BUFFER = 8 * 1024  # bytes read at a time
+BACKLOG = 1024
+SWEEP_S = 0.5
+IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
+SLOW_US = 10_000_000  # for a client to get a begun request across
+STUCK_S = 5.0  # for a client to take its answer
+LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
+MOST_QUEUED = 16  # requests waiting on one inbound; clients of the protocol send one at a time
+WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
+SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
+BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
+LOG_EVERY_US = 1_000_000  # between two lines of one topic; what is left out is counted
+
+
+class Clock:
+    """Microseconds, read once a turn of the loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._turn = -1
+        self._start = time.monotonic_ns() // 1000 - HEAD_START_US
+        self.unix_offset_us = time.time_ns() // 1000 - self.fresh()
+
+    def fresh(self) -> int:
+        """The time now, for what is measured inside one turn."""
+        return time.monotonic_ns() // 1000 - self._start
+
+    def now(self) -> int:
+        """The time of this turn."""
+        if self._turn < 0:
+            self._turn = self.fresh()
+            self._loop.call_soon(self._next)
+        return self._turn
+
+    def _next(self) -> None:
+        self._turn = -1
+
+
+class Log:
+    """Lines on standard error, at most one a topic and second."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._last: dict[str, tuple[int, int]] = {}  # topic: when written, left out since
+
+    def write(self, now_us: int, topic: str, line: str) -> None:
+        at, left_out = self._last.get(topic, (-LOG_EVERY_US, 0))
+        if now_us - at < LOG_EVERY_US and topic != "phase":
+            self._last[topic] = at, left_out + 1
+            return
+        self._last[topic] = now_us, 0
+        more = f" (and {left_out} more like it)" if left_out else ""
+        seconds = (now_us - HEAD_START_US) / 1e6
+        with contextlib.suppress(OSError, ValueError):  # nobody reads the log: not a reason to stop serving
+            sys.stderr.write(f"granitewell {self._name} {seconds:.3f} {topic}: {line}{more}\n")
+            sys.stderr.flush()
+
+
+class _Inbound:
+    """One client connection."""
+
+    __slots__ = ("at_us", "busy", "closing", "id", "keep", "parser", "queue", "sock")
+
+    def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
+        self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
+        self.queue: deque[http1.Item] = deque()
+        self.busy = self.closing = False
+        self.keep = True
+
+
+class _Conn:
+    """One connection to an endpoint; it carries one call at a time."""
+
+    __slots__ = ("address", "buffer", "endpoint", "idle_us", "sock")
+
+    def __init__(self, endpoint: bytes, address: tuple[str, int], sock: socket.socket) -> None:
+        self.endpoint, self.address, self.sock = endpoint, address, sock
+        self.buffer = bytearray(BUFFER)
+        self.idle_us = 0
+
+
+class _Call:
+    """An outbound call that is under way."""
+
+    __slots__ = ("dialing", "effect", "go", "task")
+
+    def __init__(self, effect: c.StartCall) -> None:
+        self.effect = effect
+        self.dialing = self.go = False
+        self.task: asyncio.Task[None] | None = None
+
+
+class Node:
+    """The running node: feeds the core and does what it asks for."""
+
+    def __init__(self, config: Config, core: c.Core, loop: asyncio.AbstractEventLoop) -> None:
+        self._config, self._core, self._loop = config, core, loop
+        self.clock = Clock(loop)
+        self.log = Log(config.name)
+        self._names = http1.Names(config)
+        self._reader = http1.FleetReader(config, self.clock.unix_offset_us)
+        soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
+        self._most_inbound = (sockets - RESERVE) // 2
+        self._most_outbound = sockets - RESERVE - self._most_inbound
+        self._idle_us = int(config.conn_idle_us * IDLE_PART)
+        self._listener: socket.socket | None = None
+        self._inbounds: dict[int, _Inbound] = {}
+        self._last_inbound = 0
+        self._pool: dict[bytes, list[_Conn]] = {}  # idle connections, the most recently used last
+        self._outbound = 0  # connections to endpoints, idle, busy or being dialed
+        self._calls: dict[int, _Call] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._replies: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_us = -1
+        self._left = asyncio.Event()
+
+    # --- Life -------------------------------------------------------------------------------------------
+    async def run(self) -> None:
+        """Serve until the core says to leave."""
+        family = socket.AF_INET6 if ":" in self._config.listen[0] else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(self._config.listen)
+        listener.listen(BACKLOG)
+        self._listener = listener
+        if self._config.known:
+            try:
+                _, news = self._reader.take(self._config.known, View.CACHED)
+                self.dispatch(news)
+            except (ValueError, TypeError, KeyError, AttributeError, ConfigError) as error:
+                self._say("known", f"the list in the configuration is not usable: {error}")
+        accepting = self._spawn(self._accept(listener))
+        self._spawn(self._discover())
+        self.dispatch(c.Listening())
+        self._loop.call_later(SWEEP_S, self._sweep)
+        await self._left.wait()
+        accepting.cancel()
+        if self._replies:  # the last answers must be out before the process is gone
+            await asyncio.wait(self._replies, timeout=0.2)
+
+    def stop(self) -> None:
+        """The stop signal has come."""
+        self.dispatch(c.StopAsked())
+
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self._loop.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            self._say("fault", f"a task failed: {type(error).__name__}: {error}")
+
+    def _say(self, topic: str, line: str) -> None:
+        self.log.write(self.clock.now(), topic, line)
+
+    # --- Events and effects -----------------------------------------------------------------------------
+    def dispatch(self, event: c.Event) -> None:
+        """Hand an event to the core and run what it asks for."""
+        for effect in self._core.handle(self.clock.now(), event):
+            try:
+                self._run(effect)
+            except Exception as error:  # one effect's fault must not lose those behind it
+                self._say("fault", f"{type(effect).__name__} failed: {type(error).__name__}: {error}")
+        wake = self._core.wake_us
+        if wake >= 0 and (self._timer is None or wake < self._timer_us):
+            self._arm(wake)
+
+    def _arm(self, wake_us: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_us = wake_us
+        wait_us = max(wake_us - self.clock.fresh(), 0)
+        # the loop's timers count in milliseconds: rounded up, since an early one would only spin
+        self._timer = self._loop.call_later(-(-wait_us // 1000) / 1000, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self.dispatch(c.Woken())
+
+    def _run(self, effect: c.Effects) -> None:
+        if isinstance(effect, c.StartCall):
+            call = self._calls[effect.call] = _Call(effect)
+            call.task = self._spawn(self._carry(call))
+        elif isinstance(effect, c.Answer):
+            inbound = self._inbounds.get(effect.inbound)
+            if inbound is not None:
+                close = effect.close or not inbound.keep
+                self._reply(inbound, http1.answer_bytes(effect, close), close)
+        elif isinstance(effect, c.Note):
+            self._say(effect.topic, effect.line)
+        elif isinstance(effect, c.WriteCall):
+            self._calls[effect.call].go = True
+        elif isinstance(effect, c.AbandonCall):
+            self._abandon(effect.call)
+        elif isinstance(effect, c.CloseIdle):
+            for conn in self._pool.pop(effect.endpoint, []):
+                self._close(conn)
+        elif isinstance(effect, c.StopListening):
+            self._stop_listening()
+        else:
+            self._left.set()
+
+    def _sweep(self) -> None:
+        """Close what has been idle, slow or unread for too long."""
+        self._loop.call_later(SWEEP_S, self._sweep)
+        now = self.clock.now()
+        for endpoint, conns in list(self._pool.items()):
+            old = [x for x in conns if now - x.idle_us >= self._idle_us or _readable(x.sock)]
+            for conn in old:
+                conns.remove(conn)
+                self._close(conn)
+            if not conns:
+                del self._pool[endpoint]
+        for inbound in list(self._inbounds.values()):
+            if inbound.closing and now - inbound.at_us >= LINGER_US:
+                self._drop(inbound)
+            elif inbound.parser.partial and not inbound.busy and now - inbound.at_us >= SLOW_US:
+                self._reply(inbound, http1.bad_bytes(http1.Bad(408, "the request did not come whole")), True)
+
+    # --- Inbounds ---------------------------------------------------------------------------------------
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = await self._loop.sock_accept(listener)
+            except OSError as error:
+                # out of descriptors, or a client that left early: neither may stop the listener
+                self._say("accept", f"could not accept: {error}")
+                await asyncio.sleep(0.02)
+                continue
+            self._admit(sock)
+            while len(self._inbounds) >= self._most_inbound and not self._evict():
+                self._say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
+                await asyncio.sleep(0.02)
+
+    def _admit(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._last_inbound += 1
+        inbound = _Inbound(self._last_inbound, sock, http1.InboundParser(self._names), self.clock.now())
+        self._inbounds[inbound.id] = inbound
+        self._spawn(self._listen(inbound))
+
+    def _evict(self) -> bool:
+        """Close the inbound that has been idle longest; False if none is."""
+        idle = [i for i in self._inbounds.values() if _is_idle(i)]
+        if idle:
+            self._drop(min(idle, key=lambda i: i.at_us))
+        return bool(idle)
+
+    async def _listen(self, inbound: _Inbound) -> None:
+        """Read one client until it leaves. It is read while its request is out, too: its leaving is news."""
+        buffer = bytearray(BUFFER)
+        try:
+            while True:
+                n = await self._loop.sock_recv_into(inbound.sock, buffer)
+                if n == 0:
+                    break
+                if inbound.closing:
+                    continue  # only waiting for the client to close
+                inbound.at_us = self.clock.now()
+                inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
+                if len(inbound.queue) > MOST_QUEUED:
+                    self._say("inbound", "a client sent many requests at once: closed")
+                    break
+                self._next(inbound)
+        except OSError:
+            pass
+        finally:
+            self._drop(inbound)
+
+    def _next(self, inbound: _Inbound) -> None:
+        """Begin the next whole request of an inbound that has none out."""
+        if inbound.busy or inbound.closing or not inbound.queue:
+            return
+        item = inbound.queue.popleft()
+        if isinstance(item, http1.Ask):
+            inbound.busy, inbound.keep = True, item.keep_alive
+            self.dispatch(c.Arrived(
+                inbound.id, item.class_index, item.tenant, item.key, item.timeout_ms * 1000, item.message,
+                item.repeat,
+            ))  # fmt: skip
+        elif isinstance(item, http1.ReadyAsk):
+            ready = self._core.phase is c.Phase.READY
+            self._reply(inbound, http1.ready_bytes(ready, not item.keep_alive), not item.keep_alive)
+        else:
+            self._say("bad", f"answered {item.status}: {item.text}")
+            self._reply(inbound, http1.bad_bytes(item), not item.keep_alive)
+
+    def _reply(self, inbound: _Inbound, data: bytes, close: bool) -> None:
+        inbound.busy = True
+        task = self._spawn(self._write(inbound, data, close))
+        self._replies.add(task)
+        task.add_done_callback(self._replies.discard)
+
+    async def _write(self, inbound: _Inbound, data: bytes, close: bool) -> None:
+        try:
+            async with asyncio.timeout(STUCK_S):  # a client that does not read holds nothing for long
+                await self._loop.sock_sendall(inbound.sock, data)
+            inbound.at_us = self.clock.now()
+            inbound.busy = False
+            if close or self._listener is None:
+                # half-closed first: closing with bytes unread would reset the answer away
+                inbound.closing = True
+                inbound.sock.shutdown(socket.SHUT_WR)
+            else:
+                self._next(inbound)
+        except (OSError, TimeoutError):
+            self._drop(inbound)
+
+    def _drop(self, inbound: _Inbound) -> None:
+        if self._inbounds.pop(inbound.id, None) is not None:
+            _end(inbound.sock)
+            self.dispatch(c.InboundGone(inbound.id))
+
+    def _stop_listening(self) -> None:
+        """Take what stands in the backlog, close the listener, and close each inbound without a request."""
+        listener, self._listener = self._listener, None
+        if listener is None:
+            return
+        while len(self._inbounds) < self._most_inbound:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                break
+            self._admit(sock)
+        listener.close()
+        for inbound in list(self._inbounds.values()):
+            # one that has written something is heard first: what it wrote may be a whole request
+            if _is_idle(inbound):
+                self._drop(inbound)
+
+    # --- Outbound calls ---------------------------------------------------------------------------------
+    def _abandon(self, number: int) -> None:
+        call = self._calls.pop(number, None)
+        if call is not None and not call.dialing and call.task is not None:
+            call.task.cancel()  # closes the connection: its answer would be out of step with a later call
+        # a dial goes on: the connection has been paid for and serves a later call
+
+    async def _carry(self, call: _Call) -> None:
+        """One outbound call, from connection to ending. Nothing here is ever sent twice."""
+        effect = call.effect
+        conn = self._take(effect.endpoint, effect.address)
+        if conn is None:
+            call.dialing = True
+            conn = await self._dial(effect.endpoint, effect.address)
+            if conn is None:
+                self._finish(effect.call, Outcome.UNCONNECTED)
+                return
+            self.dispatch(c.CallDialed(effect.call))
+            call.dialing = False
+            if not call.go:
+                self._put(conn)
+                return
+        keep = False
+        try:
+            left_us = effect.due_us - self.clock.now()
+            assert isinstance(effect.message, http1.Message)
+            data = http1.call_bytes(effect.message, conn.address, left_us)
+            try:
+                await self._loop.sock_sendall(conn.sock, data)
+            except OSError:
+                # broken before the last byte was written, so it can't have run, on a reused connection too
+                self._finish(effect.call, Outcome.UNCONNECTED)
+                return
+            parser = http1.ResponseParser()
+            try:
+                while True:
+                    n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
+                    if parser.feed(bytes(conn.buffer[:n])) if n else parser.end():
+                        break
+                    if n == 0:
+                        self._finish(effect.call, Outcome.RESET)
+                        return
+            except (OSError, ValueError):
+                self._finish(effect.call, Outcome.RESET)  # broken after that: it may have run
+                return
+            keep = parser.reusable
+            if keep:
+                self._put(conn)  # first of all, so that what the answer brings about can use it
+            outcome = http1.outcome(parser)
+            answer = http1.served(parser) if outcome is Outcome.OK else None
+            self._finish(effect.call, outcome, http1.report(parser, self._names.reports), answer)
+        finally:
+            if not keep:
+                self._close(conn)
+
+    def _finish(
+        self, number: int, outcome: Outcome, report: tuple[float, ...] = (), answer: object = None
+    ) -> None:
+        if self._calls.pop(number, None) is not None:
+            self.dispatch(c.CallEnded(number, outcome, report, answer))
+
+    def _take(self, endpoint: bytes, address: tuple[str, int]) -> _Conn | None:
+        """The most recently idle connection that is fit for use."""
+        conns = self._pool.get(endpoint, [])
+        now = self.clock.now()
+        while conns:
+            conn = conns.pop()
+            # readable while idle means closed by the far side, or bytes left over: neither is of use
+            if conn.address == address and now - conn.idle_us < self._idle_us and not _readable(conn.sock):
+                return conn
+            self._close(conn)
+        return None
+
+    def _put(self, conn: _Conn) -> None:
+        conn.idle_us = self.clock.now()
+        self._pool.setdefault(conn.endpoint, []).append(conn)
+
+    def _close(self, conn: _Conn) -> None:
+        self._outbound -= 1
+        _end(conn.sock)
+
+    async def _dial(self, endpoint: bytes, address: tuple[str, int]) -> _Conn | None:
+        if self._outbound >= self._most_outbound:
+            idle = [x for conns in self._pool.values() for x in conns]
+            if not idle:
+                self._say("budget", f"{self._outbound} outbound connections, all at work: no new one")
+                return None
+            oldest = min(idle, key=lambda x: x.idle_us)
+            self._pool[oldest.endpoint].remove(oldest)
+            self._close(oldest)
+        self._outbound += 1
+        sock = None
+        try:
+            sock = _tcp(address)
+            async with asyncio.timeout(self._config.dial_timeout_us / 1e6):
+                await self._loop.sock_connect(sock, address)
+            conn = _Conn(endpoint, address, sock)
+            sock = None
+            return conn
+        except (OSError, TimeoutError) as error:
+            self._say("dial", f"{address[0]}:{address[1]} did not come up: {str(error) or 'timed out'}")
+            return None
+        finally:
+            if sock is not None:
+                _end(sock)
+                self._outbound -= 1
+
+    # --- Discovery --------------------------------------------------------------------------------------
+    async def _discover(self) -> None:
+        """Ask for the whole list, then watch; after any failure begin anew, keeping the list."""
+        sock: socket.socket | None = None
+        after: int | None = None
+        backoff = BACKOFF_S[0]
+        while True:
+            try:
+                async with asyncio.timeout(SPARE_S + (0.0 if after is None else WATCH_MS / 1000)):
+                    if sock is None:
+                        sock = _tcp(self._config.discovery)
+                        await self._loop.sock_connect(sock, self._config.discovery)
+                    parser = await self._ask_discovery(sock, after)
+                if parser.status != 200:
+                    raise ValueError(f"status {parser.status}")
+                after, news = self._reader.read(parser.body)
+                if news.members or news.view is View.FULL:
+                    self.dispatch(news)
+                backoff = BACKOFF_S[0]
+                if not parser.reusable:
+                    _end(sock)
+                    sock = None
+                continue
+            except (OSError, ValueError, TimeoutError) as error:
+                why = str(error) or "no answer in time"
+                self._say("discovery", f"call failed, the list stays as it is: {why}")
+            if sock is not None:
+                _end(sock)
+            sock, after = None, None
+            await asyncio.sleep(backoff)
+            backoff = min(backoff * 2, BACKOFF_S[1])
+
+    async def _ask_discovery(self, sock: socket.socket, after: int | None) -> http1.ResponseParser:
+        await self._loop.sock_sendall(sock, http1.list_bytes(self._config.discovery, after, WATCH_MS))
+        parser, buffer = http1.ResponseParser(http1.MOST_LIST), bytearray(BUFFER)
+        while True:
+            n = await self._loop.sock_recv_into(sock, buffer)
+            if parser.feed(bytes(buffer[:n])) if n else parser.end():
+                return parser
+            if n == 0:
+                raise ValueError("the connection ended inside an answer")
+
+
+def _tcp(address: tuple[str, int]) -> socket.socket:
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def _readable(sock: socket.socket) -> bool:
+    """Has the other side sent something, or closed? Looks without taking."""
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
+def _is_idle(inbound: _Inbound) -> bool:
+    """Nothing is owed there, and nothing has come in that could be a request."""
+    return not inbound.busy and not inbound.parser.partial and not _readable(inbound.sock)
+
+
+def _end(sock: socket.socket) -> None:
+    """Close for good. A pending read of uvloop keeps the descriptor open, so the far side is told first."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
