--- a/granitewell/core.py
+++ b/granitewell/core.py
@@ -24,7 +24,8 @@
 GUARD_US = 25_000  # past a request's due time, when the core itself answers: half of the platform's slack
 DRAIN_MARGIN_US = 100_000  # kept back from the drain limit for what lies between here and the first byte
 LEAST_LEFT_US = 1_000  # a dialed call with less time than this left is not written
-ACCEPT_US = 550_000  # after the stop signal connections still arrive for up to 400 ms
+ACCEPT_US = 500_000  # after the stop signal connections still arrive for up to 400 ms
+HEAR_US = 100_000  # after the listener has closed, for requests on connections taken at the last moment
 LONGEST_US = 3_000_000  # the longest deadline that the platform waits out before SIGKILL
 STOP_SPARE_US = 450_000  # of the 700 ms that follow it, what may pass before the node leaves by itself
 FORGET_US = 60_000_000  # how long a gone endpoint stays known
@@ -71,6 +72,13 @@
     inbound: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallDialing:
+    """No idle connection was fit for this call: one is being dialed."""
+
+    call: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallDialed:
     """A new connection for this call is up; nothing has been written."""
@@ -125,7 +133,9 @@
     """The platform wants this node to leave."""
 
 
-Event = Arrived | InboundGone | CallDialed | CallEnded | FleetNews | Listening | Woken | StopAsked
+Event = (
+    Arrived | InboundGone | CallDialing | CallDialed | CallEnded | FleetNews | Listening | Woken | StopAsked
+)
 
 
 # --- Effects ---
@@ -202,7 +212,7 @@
 class _Call:
     """One outbound call: an attempt of a request."""
 
-    __slots__ = ("at_us", "dialed", "due_us", "endpoint", "id", "number", "outcome", "request")
+    __slots__ = ("at_us", "dialing", "due_us", "endpoint", "id", "number", "outcome", "request")
 
     def __init__(
         self, cid: int, request: _Request, number: int, endpoint: _Endpoint, at: int, due: int
@@ -210,7 +220,7 @@
         self.id, self.request, self.number, self.endpoint = cid, request, number, endpoint
         self.at_us, self.due_us = at, due
         self.outcome: Outcome | None = None
-        self.dialed = False
+        self.dialing = False
 
 
 class _Request:
@@ -262,7 +272,7 @@
             self._apply(event)
         except Exception:
             self._fault(f"the reducer failed on {type(event).__name__}")
-            broken = event.call if isinstance(event, CallDialed | CallEnded) else -1
+            broken = event.call if isinstance(event, CallDialing | CallDialed | CallEnded) else -1
             call = self._calls.get(broken)
             request = call.request if call else self._by_inbound.get(getattr(event, "inbound", -1))
             if request is not None and request.open:
@@ -279,6 +289,9 @@
                 self._end(call, event.outcome, event.report, event.answer)
         elif isinstance(event, Woken):
             self._woken()
+        elif isinstance(event, CallDialing):
+            if event.call in self._calls:
+                self._calls[event.call].dialing = True
         elif isinstance(event, CallDialed):
             self._dialed(event.call)
         elif isinstance(event, InboundGone):
@@ -325,7 +338,8 @@
                 call = self._calls.get(arg)
                 if call is not None:
                     self._out.append(AbandonCall(call.id))
-                    self._end(call, Outcome.TIMEOUT)
+                    # nothing has been written to a connection that is not up: this one never ran
+                    self._end(call, Outcome.UNCONNECTED if call.dialing else Outcome.TIMEOUT)
             elif what == "module":
                 self._think()
                 if when == self._module_us:
@@ -337,6 +351,8 @@
                 self._beat()
             elif what == "accepted":
                 self._out.append(StopListening())
+                self._at(self._now + HEAR_US, "heard")
+            elif what == "heard":
                 self._listening = False
             elif what == "leave" and self.phase is Phase.DRAINING:
                 self._note("phase", f"no time is left: leaving with {len(self._requests)} unanswered")
@@ -428,8 +444,6 @@
 
     def _repeatable(self, request: _Request, endpoint: _Endpoint) -> bool:
         """Rule 2: may this request go out (again) to this endpoint, given its earlier calls?"""
-        if len(request.calls) >= self._set.max_attempts:
-            return False
         ran = [c for c in request.calls if c.outcome not in NEVER_RAN]
         if not self._set.parallel_tries and any(c.outcome is None for c in ran):
             return False
@@ -449,6 +463,13 @@
             self.stats["guarded"] += 1
             return
         number = len(request.calls)
+        if number >= self._set.max_attempts:
+            # to call this moot would let a module that sends after every ending do so for ever
+            self._note("guard", f"request {request.id} has had its {number} attempts: answered as failed")
+            self.stats["guarded"] += 1
+            self._close(request, Verdict.FAILED)
+            self._work.append(t.Abandoned(request.id))
+            return
         self._last_id += 1
         due = request.due_us
         if action.timeout_ms > 0.0:
@@ -473,7 +494,7 @@
         call = self._calls.get(cid)
         if call is None:
             return
-        call.dialed = True
+        call.dialing = False
         self.stats["dialed"] += 1
         timely = call.due_us - self._now >= LEAST_LEFT_US
         if not call.request.open or not timely or not self._sendable(call.endpoint):
@@ -489,6 +510,7 @@
         del self._calls[call.id]
         call.outcome = outcome
         self.stats[f"call_{outcome.value}"] += 1
+        self.stats["reports"] += bool(report)
         request = call.request
         if outcome is Outcome.OK and request.open:
             self._close(request, Verdict.SERVED, answer)
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -11,7 +11,7 @@
 import math
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import Any
 
@@ -112,13 +112,14 @@
         self._items: list[Item] = []
         self.broken = False  # no further request can be told from these bytes
         self.partial = False  # a request has begun and is not whole
+        self._head = 0  # bytes of the head so far; begun anew where a request ends
         self._reset()
 
     def _reset(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
-        self._size = self._head = 0
+        self._size = 0
         self._in_head, self._twice = True, False
 
     def feed(self, data: bytes) -> list[Item]:
@@ -128,7 +129,11 @@
             self._head += len(data) if self._in_head else 0
             try:
                 self._parser.feed_data(data)
-            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            except httptools.HttpParserUpgrade:
+                # the offer of another protocol is not taken up: this request is served, nothing behind it
+                self.broken = True
+                self._items[-1] = replace(self._items[-1], keep_alive=False)
+            except httptools.HttpParserError:
                 self._refuse(400, "malformed HTTP")
             # a header line that never ends reaches no callback: count what has come in
             if self._in_head and self._head > MOST_HEAD:
@@ -219,12 +224,12 @@
 
 def bad_bytes(bad: Bad) -> bytes:
     """The answer to a request that goes nowhere."""
-    return _response(bad.status, bad.text.encode() + b"\n", not bad.keep_alive, bad.header)
+    return _response(bad.status, bad.text.encode() + b"\r\n", not bad.keep_alive, bad.header)
 
 
 def ready_bytes(ready: bool, close: bool) -> bytes:
     """The answer of the ready path."""
-    return _response(200 if ready else 503, b"ready\n" if ready else b"not ready\n", close)
+    return _response(200 if ready else 503, b"ready\r\n" if ready else b"not ready\r\n", close)
 
 
 def answer_bytes(answer: Answer, close: bool) -> bytes:
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -33,7 +33,7 @@
 SLOW_US = 10_000_000  # for a client to get a begun request across
 STUCK_S = 5.0  # for a client to take its answer
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
-MOST_QUEUED = 16  # requests waiting on one inbound; clients of the protocol send one at a time
+MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
 SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
 BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
@@ -292,7 +292,8 @@
                     break
                 if inbound.closing:
                     continue  # only waiting for the client to close
-                inbound.at_us = self.clock.now()
+                if not inbound.parser.partial:
+                    inbound.at_us = self.clock.now()  # trickling bytes do not make a slow sender look quick
                 inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
                 if len(inbound.queue) > MOST_QUEUED:
                     self._say("inbound", "a client sent many requests at once: closed")
@@ -377,6 +378,7 @@
         conn = self._take(effect.endpoint, effect.address)
         if conn is None:
             call.dialing = True
+            self.dispatch(c.CallDialing(effect.call))
             conn = await self._dial(effect.endpoint, effect.address)
             if conn is None:
                 self._finish(effect.call, Outcome.UNCONNECTED)
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,266 @@
+"""Plays a recorded exchange (tests/exchanges/*.txt) against the real program and compares what comes back.
+
+A line is a step; what follows `sends: `, `gets: ` or `says: ` are its bytes, with `\\n` for CRLF. In what is
+expected `*` stands for anything up to the line's end; `{X*N}` is X repeated N times.
+Speakers: `client`, or `endpoint a` for the first connection to endpoint a, `endpoint a2` for the second;
+`client2` and so on are further connections. At the end nothing may have come that the exchange does not name.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+LIMIT_S = 20.0  # for any one thing to happen; only a failing exchange waits so long
+FOLDER = Path(__file__).parent / "exchanges"
+
+
+def settings() -> dict[str, Any]:
+    return {
+        "allowed": {"maxAttempts": 5, "parallelTries": True, "cancel": True, "probes": True,
+                    "retryAfter": True, "maxRetryAfterMs": 1200.0, "connIdleMs": 10000.0,
+                    "dialTimeoutMs": 250.0, "mostHeld": 20000},
+        "balancers": 3,
+        "classes": [
+            {"name": "taxi-lookup", "effect": "pure", "aimMs": 500.0, "giveUpMs": 2500.0, "value": 2.0},
+            {"name": "ride-assign", "effect": "side_effect", "aimMs": 600.0, "giveUpMs": 2000.0},
+        ],
+        "contract": {"drainGraceMs": 1000.0, "coldFrom": 0.12, "rampTimeMs": 23000.0, "fallMultiple": 3.0,
+                     "fallMs": 1000.0},
+        "discovery": "pushed",
+        "models": ["standard", "older"],
+        "stats": {"fields": ["failed_ps", "pending"], "how": "piggyback"},
+        "tenants": [{"allowancePerS": 311.0, "name": "merkez-koop", "share": 0.8}],
+        "zones": ["ankara-1", "istanbul-1"],
+    }  # fmt: skip
+
+
+def listen() -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(LIMIT_S)
+    return sock
+
+
+class Player:
+    """The program and everyone it speaks to."""
+
+    def __init__(self, config: dict[str, Any] | None = None) -> None:
+        self.config = config or {}
+        self.servers: dict[str, socket.socket] = {}
+        self.socks: dict[str, socket.socket] = {}
+        self.got: dict[str, bytes] = {}
+        self.revision = 1
+        self.agent = listen()
+        self.watch: socket.socket | None = None
+        with listen() as free:  # a port that was free a moment ago
+            self.address = free.getsockname()
+        self.folder = tempfile.TemporaryDirectory()
+        self.program: subprocess.Popen[bytes] | None = None
+
+    def close(self) -> None:
+        if self.program is not None:
+            self.program.kill()
+            self.program.wait()
+        for sock in [*self.servers.values(), *self.socks.values(), self.agent, self.watch]:
+            if sock is not None:
+                sock.close()
+        self.folder.cleanup()
+
+    def members(self, phases: str) -> list[dict[str, Any]]:
+        """`a=ready b=draining` as discovery writes it; a listener comes with the first mention."""
+        out = []
+        for name, phase in (word.split("=") for word in phases.split()):
+            if name not in self.servers:
+                self.servers[name] = listen()
+            host, port = self.servers[name].getsockname()
+            out.append({"id": f"s-{name}", "host_port": f"{host}:{port}", "locality": "ankara-1",
+                        "cell": 0, "flavor": "standard", "phase": phase, "size": 1.0, "up_since_ms": 0,
+                        "new_key": 1})  # fmt: skip
+        return out
+
+    # --- steps: each takes what follows its name, and its bytes ---
+    def step_start(self, words: str, _: bytes) -> None:
+        """Start the program with these endpoints and wait until it is ready."""
+        changes = json.loads(self.config.pop("settings", "{}"))
+        text = settings()
+        text["allowed"].update(changes)
+        host, port = self.address
+        agent = "%s:%d" % self.agent.getsockname()
+        members = self.members(words)
+        path = Path(self.folder.name, "config.json")
+        path.write_text(json.dumps({
+            "name": "n0", "listen": f"{host}:{port}", "discovery": agent, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128}, "known": {}, "settings": text,
+        }))  # fmt: skip
+        env = os.environ | {"LB_CONFIG": str(path), "LB_NAME": "n0"}
+        self.program = subprocess.Popen([sys.executable, "-m", "granitewell"], env=env)
+        self.watch, _ = self.agent.accept()
+        assert b"GET /api/targets HTTP/1.1" in self.head(self.watch)
+        self.tell(True, members)
+        self.until_ready()
+
+    def until_ready(self) -> None:
+        end = time.monotonic() + LIMIT_S
+        while time.monotonic() < end:
+            try:
+                with socket.create_connection(self.address, LIMIT_S) as sock:
+                    sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n")
+                    if sock.recv(4096).startswith(b"HTTP/1.1 200"):
+                        return
+            except ConnectionError:
+                pass
+            time.sleep(0.01)
+        raise AssertionError("the program never became ready")
+
+    def head(self, sock: socket.socket) -> bytes:
+        sock.settimeout(LIMIT_S)
+        data = b""
+        while not data.endswith(b"\r\n\r\n"):
+            more = sock.recv(4096)
+            assert more, "the program closed its connection to discovery"
+            data += more
+        return data
+
+    def tell(self, complete: bool, members: list[dict[str, Any]]) -> None:
+        """Answer the call that is open, and wait for the watch that must follow: by then it has been read."""
+        self.raw(json.dumps({"revision": self.revision, "complete": complete, "members": members}).encode())
+        assert f"after={self.revision}&".encode() in self.head(self.watch)  # type: ignore[arg-type]
+        self.revision += 1
+
+    def raw(self, body: bytes) -> None:
+        assert self.watch is not None
+        self.watch.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def step_discovery(self, words: str, body: bytes) -> None:
+        """`tells` a change, `lists` the whole list, `says` its bytes and is called anew."""
+        verb, _, rest = words.partition(" ")
+        if verb == "says":
+            self.raw(body)
+            assert self.watch is not None
+            self.watch.close()
+            self.watch, _ = self.agent.accept()
+            assert b"GET /api/targets HTTP/1.1" in self.head(self.watch)
+        else:
+            self.tell(verb == "lists", self.members(rest))
+
+    def step_client(self, words: str, body: bytes, name: str) -> None:
+        if name not in self.socks:
+            self.socks[name] = socket.create_connection(self.address, LIMIT_S)
+        self.speak(name, words, body)
+
+    def step_endpoint(self, words: str, body: bytes) -> None:
+        name, _, verb = words.partition(" ")
+        server = name.rstrip("0123456789")
+        if verb == "refuses":
+            self.servers[server].close()
+            return
+        if name not in self.socks:
+            self.socks[name], _ = self.servers[server].accept()
+        self.speak(name, verb, body)
+
+    def speak(self, name: str, verb: str, body: bytes) -> None:
+        sock = self.socks[name]
+        sock.settimeout(LIMIT_S)
+        if verb == "sends":
+            sock.sendall(body)
+        elif verb == "gets":
+            self.expect(name, body)
+        elif verb == "is closed":
+            try:
+                rest = self.got.get(name, b"") + sock.recv(4096)
+            except ConnectionError:
+                rest = b""
+            assert rest == b"", f"{name} got {rest!r} in place of the end"
+        elif verb in ("closes", "resets"):
+            if verb == "resets":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            self.socks.pop(name).close()
+        else:
+            raise AssertionError(f"no such verb: {verb}")
+
+    def expect(self, name: str, body: bytes) -> None:
+        """Read until the expected bytes are there; whatever differs shows in the message."""
+        pattern = re.compile(re.escape(body).replace(rb"\*", rb"[^\r\n]*"))
+        want = body.count(b"\n")
+        data = self.got.pop(name, b"")
+        while not (pattern.fullmatch(data) or (whole := pattern.match(data))):
+            try:
+                more = self.socks[name].recv(65536)
+            except (TimeoutError, ConnectionError):
+                more = b""
+            assert more, f"{name}: expected {want} lines\n{body!r}\ngot\n{data!r}"
+            data += more
+        whole = pattern.match(data)
+        assert whole is not None
+        self.got[name] = data[whole.end() :]
+
+    def step_signal(self, words: str, _: bytes) -> None:
+        assert self.program is not None
+        self.program.send_signal(signal.Signals[f"SIG{words}"])
+
+    def step_exit(self, words: str, _: bytes) -> None:
+        assert self.program is not None
+        assert self.program.wait(LIMIT_S) == int(words)
+
+    def step_setting(self, words: str, _: bytes) -> None:
+        self.config["settings"] = words
+
+    def nothing_more(self) -> None:
+        """No call, byte or connection that the exchange does not name; and the program still lives."""
+        assert self.program is not None
+        for name, sock in self.socks.items():
+            sock.setblocking(False)
+            try:
+                rest = self.got.get(name, b"") + sock.recv(65536)
+            except (BlockingIOError, ConnectionError):
+                rest = self.got.get(name, b"")
+            assert rest == b"", f"{name} got more: {rest!r}"
+        for name, server in self.servers.items():
+            if server.fileno() >= 0:
+                server.setblocking(False)
+                try:
+                    server.accept()
+                except BlockingIOError:
+                    continue
+                raise AssertionError(f"endpoint {name} got a connection that nobody expects")
+        if self.program.poll() is None:
+            self.until_ready()
+
+
+def play(path: Path) -> None:
+    """One exchange, from start to end."""
+    player = Player()
+    try:
+        for words, body in parse(path.read_text()):
+            verb, _, rest = words.partition(" ")
+            try:
+                if verb.startswith("client"):
+                    player.step_client(rest, body, verb)
+                else:
+                    getattr(player, f"step_{verb}")(rest, body)
+            except Exception as error:
+                raise AssertionError(f"{path.name}: at {words!r}: {type(error).__name__}: {error}") from error
+        player.nothing_more()
+    finally:
+        player.close()
+
+
+def parse(text: str) -> list[tuple[str, bytes]]:
+    """Steps with their bytes; `#` begins a comment."""
+    steps: list[tuple[str, bytes]] = []
+    for line in text.splitlines():
+        if line and not line.startswith("#"):
+            found = re.match(r"(.*?(?:sends|gets|says)): (.*)", line)
+            words, raw = found.groups() if found else (line, "")
+            raw = re.sub(r"\{([^*}]+)\*(\d+)\}", lambda m: m[1] * int(m[2]), raw)
+            steps.append((words, raw.replace("\\n", "\r\n").encode("latin-1")))
+    return steps
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,94 @@
+"""The configuration: what a good one gives, and that a bad one names its field in one line."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from granitewell.config import ConfigError, load
+from granitewell.net.http1 import FleetReader, Names
+from tests.play import settings
+from tiderelay.interface import State, View
+
+
+def write(folder: Path, **changes: Any) -> dict[str, str]:
+    top = {"name": "n1", "listen": "127.0.0.1:9000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+           "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": 4096}, "known": {},
+           "settings": settings(), "a_new_key": 1}  # fmt: skip
+    path = folder / "config.json"
+    path.write_text(json.dumps(top | changes))
+    return {"LB_CONFIG": str(path)}
+
+
+def test_a_good_one(tmp_path: Path) -> None:
+    config = load(write(tmp_path) | {"LB_NAME": "n7", "LB_LISTEN": "127.0.0.2:1"})
+    assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.2", 1), ("127.0.0.1", 8500))
+    assert (config.seed, config.sockets) == (0x8C1F, 1024)
+    assert (config.dial_timeout_us, config.conn_idle_us) == (250_000, 10_000_000)
+    assert config.report_names == ("failed_ps", "pending")
+
+
+def test_tenants_without_an_allowance_do_not_shift_the_others(tmp_path: Path) -> None:
+    """The module leaves such a tenant out of its list, so the index of those behind it would be wrong."""
+    text = settings()
+    text["tenants"].insert(0, {"name": "guest", "share": 0.0, "allowancePerS": None})
+    config = load(write(tmp_path, settings=text))
+    assert Names(config).tenants == {b"merkez-koop": 0} and len(config.settings.tenants) == 1
+
+
+@pytest.mark.parametrize(
+    ("changes", "names"),
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"discovery": None}, "discovery"),
+        ({"seed": "zebra"}, "seed"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"known": [1]}, "known"),
+        ({"settings": None}, "settings"),
+        ({"settings": {}}, "allowed"),
+        ({"settings": settings() | {"balancers": 0}}, "proxies"),
+        ({"settings": settings() | {"zones": [1]}}, "settings.zones"),
+        ({"settings": settings() | {"classes": [{"effect": "pure", "aimMs": 1.0, "giveUpMs": 1.0}]}},
+         "settings.classes"),
+    ],
+)  # fmt: skip
+def test_a_bad_one_names_its_field(tmp_path: Path, changes: dict[str, Any], names: str) -> None:
+    with pytest.raises(ConfigError, match=names) as caught:
+        load(write(tmp_path, **changes))
+    assert "\n" not in str(caught.value)
+
+
+def test_the_program_says_so_and_exits(tmp_path: Path) -> None:
+    wrong = write(tmp_path, listen="x")
+    for told, says in (({}, "LB_CONFIG: not set"), (wrong, "listen: 'x' is not host:port")):
+        env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | told
+        done = subprocess.run([sys.executable, "-m", "granitewell"], env=env, capture_output=True, text=True)
+        assert done.returncode == 2
+        assert says in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_members_of_discovery(tmp_path: Path) -> None:
+    """Start times on one clock with a fixed offset, so that a repeated value never reads as a restart; names
+    that the settings do not have get indices behind theirs; what is not discovery's form is a ValueError."""
+    reader = FleetReader(load(write(tmp_path)), unix_less_core_us=1_000_000)
+    entry = {"id": "s-1", "host_port": "10.1.0.18:9000", "locality": "elsewhere", "flavor": "older",
+             "cell": 3, "phase": "ready", "size": 1.5, "up_since_ms": 2500, "more": []}  # fmt: skip
+    old = entry | {"id": "s-2", "up_since_ms": 0, "phase": "resting", "locality": "istanbul-1"}
+    body = json.dumps({"revision": 4, "complete": False, "members": [entry, old]}).encode()
+    revision, news = reader.read(body)
+    assert (revision, news.view) == (4, View.DELTA)
+    a, b = news.members
+    assert (a.id, a.address, a.zone, a.kind, a.cell) == (b"s-1", ("10.1.0.18", 9000), 2, 1, 3)
+    assert (a.state, a.scale, a.started_us) == (State.READY, 1.5, 1_500_000)
+    assert (b.zone, b.state, b.started_us) == (1, State.DRAINING, 0)
+    assert reader.read(body)[1] == news
+    for garbage in (b"", b"[]", b"{}", b'{"revision":1,"complete":true,"members":[{}]}',
+                    b'{"revision":1,"complete":true,"members":7}', b"[" * 100_000):  # fmt: skip
+        with pytest.raises(ValueError):
+            reader.read(garbage)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,320 @@
+"""The reducer by plain events: no socket, no clock. Each test names what the core guards against."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from granitewell import core as c
+from tests import wirekit as w
+from tiderelay import interface as t
+from tiderelay.interface import Outcome, State, View
+from tiderelay.policy import Balancer
+
+SAFE, UNSAFE, KEYED = 0, 1, 2
+
+
+def member(k: int, state: State = State.READY, port: int = 80, started: int = 0, cell: int = 0) -> c.Member:
+    return c.Member(b"s-%d" % k, ("127.0.0.1", port + k), 0, 0, cell, state, 1.0, started)
+
+
+class Script:
+    """A module that does what it is told: what to do with each kind of event."""
+
+    def __init__(self, **plays: Callable[[Any], list[t.Action]]) -> None:
+        self.plays, self.seen = plays, list[t.Event]()
+
+    def handle(self, now: float, event: t.Event) -> list[t.Action]:
+        self.seen.append(event)
+        return self.plays.get(type(event).__name__, lambda _: [])(event)
+
+
+def send(event: t.Request | t.Ended) -> list[t.Action]:
+    return [t.Send(event.id, b"s-0")]
+
+
+def core(script: c.Decider, most: int = 100, **changes: Any) -> c.Core:
+    node = c.Core(w.settings(parallel_tries=True, may_cancel=True, **changes), script, most)
+    node.handle(0, c.FleetNews(View.FULL, (member(0), member(1, cell=1))))
+    node.handle(0, c.Listening())
+    return node
+
+
+def ask(node: c.Core, now: int, inbound: int, cls: int = UNSAFE, timeout: int = 900_000) -> list[c.Effects]:
+    return node.handle(now, c.Arrived(inbound, cls, 0, 0, timeout, "message"))
+
+
+def calls(effects: list[c.Effects]) -> list[c.StartCall]:
+    return [e for e in effects if isinstance(e, c.StartCall)]
+
+
+def answers(effects: list[c.Effects]) -> list[c.Verdict]:
+    return [e.verdict for e in effects if isinstance(e, c.Answer)]
+
+
+def wake(node: c.Core, until: int) -> list[c.Effects]:
+    out: list[c.Effects] = []
+    while 0 <= node.wake_us <= until:
+        out += node.handle(node.wake_us, c.Woken())
+    return out
+
+
+def test_the_first_ok_is_the_answer_and_a_later_one_is_nobodys() -> None:
+    node = core(Script(Request=lambda e: [*send(e), t.Send(e.id, b"s-1")]))
+    first, second = calls(ask(node, 1, 7, SAFE))
+    (answer,) = node.handle(2, c.CallEnded(second.call, Outcome.OK, (), "body"))
+    assert answer == c.Answer(7, c.Verdict.SERVED, "body")
+    assert node.handle(3, c.CallEnded(first.call, Outcome.OK, (), "late")) == []
+    assert node.handle(4, c.CallEnded(first.call, Outcome.OK, (), "twice")) == []
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_an_unsafe_request_goes_out_again_only_if_it_never_ran(outcome: Outcome) -> None:
+    """Rule 2, against a module that would send again after anything."""
+    script = Script(Request=send, Ended=lambda e: [] if e.final or e.attempt else send(e))
+    node = core(script)
+    (call,) = calls(ask(node, 1, 7))
+    again = calls(node.handle(2, c.CallEnded(call.call, outcome)))
+    assert bool(again) == (outcome in c.NEVER_RAN)
+
+
+def test_a_refusal_of_what_may_have_run_becomes_a_failure() -> None:
+    node = core(Script(Request=send, Ended=lambda e: [t.Refuse(e.id, 100.0)]))
+    (call,) = calls(ask(node, 1, 7))
+    assert answers(node.handle(2, c.CallEnded(call.call, Outcome.RESET))) == [c.Verdict.FAILED]
+    (call,) = calls(ask(node, 3, 8))
+    assert node.handle(4, c.CallEnded(call.call, Outcome.FULL)) == [
+        c.Answer(8, c.Verdict.FAIL_FAST, None, 100_000)
+    ]
+
+
+def test_a_keyed_request_stays_in_its_cell_and_window() -> None:
+    script = Script(Request=send, Ended=lambda e: [t.Send(e.id, b"s-1"), t.Send(e.id, b"s-0")])
+    node = core(script)
+    (call,) = calls(ask(node, 1, 7, KEYED))
+    (again,) = calls(node.handle(2, c.CallEnded(call.call, Outcome.ERROR)))
+    assert again.endpoint == b"s-0"
+    assert not calls(node.handle(500_000, c.CallEnded(again.call, Outcome.ERROR)))  # the window is 400 ms
+
+
+def test_no_more_calls_than_the_site_allows() -> None:
+    node = core(Script(Request=send, Ended=send))
+    effects, sent = ask(node, 1, 7), 0
+    while found := calls(effects):
+        sent += 1
+        effects = node.handle(2, c.CallEnded(found[0].call, Outcome.FULL))
+    assert sent == 4
+
+
+def test_an_endpoint_that_drains_gets_nothing_once_its_grace_ends() -> None:
+    """Rule 3, with the margin for what lies between the core and the first byte."""
+    node = core(Script(Request=send))
+    news = node.handle(1000, c.FleetNews(View.DELTA, (member(0, State.DRAINING),)))
+    assert c.CloseIdle(b"s-0") in news
+    node.handle(300_000, c.FleetNews(View.DELTA, (member(0, State.DRAINING),)))  # the first news counts
+    assert calls(ask(node, 1000 + 399_999, 7))
+    assert not calls(ask(node, 1000 + 400_000, 8))
+    node.handle(500_000, c.FleetNews(View.DELTA, (member(0),)))
+    assert calls(ask(node, 500_001, 9))
+    node.handle(500_002, c.FleetNews(View.FULL, (member(1),)))  # gone by not being listed
+    assert not calls(ask(node, 1_000_000, 10))
+
+
+def test_a_dial_is_looked_at_again_before_the_first_byte() -> None:
+    """A dial takes time, in which the client leaves, the time runs out or the endpoint drains."""
+    script = Script(Request=send, Abandoned=lambda e: [t.Cancel(e.id, 0)])
+    node = core(script)
+
+    def dial(inbound: int, now: int) -> int:
+        (call,) = calls(ask(node, now, inbound))
+        assert node.handle(now, c.CallDialing(call.call)) == []
+        return call.call
+
+    one = dial(1, 0)
+    assert node.handle(9, c.CallDialed(one)) == [c.WriteCall(one)]
+    two = dial(2, 10)
+    assert c.AbandonCall(two) in node.handle(20, c.InboundGone(2))
+    assert node.handle(30, c.CallDialed(two)) == []
+    three = dial(3, 40)
+    assert c.AbandonCall(three) in node.handle(40 + 899_500, c.CallDialed(three))
+    four = dial(4, 900_000)
+    node.handle(900_001, c.FleetNews(View.DELTA, (member(0, State.GONE),)))
+    assert c.AbandonCall(four) in node.handle(900_001 + 400_000, c.CallDialed(four))
+    moot = [e.outcome for e in script.seen if isinstance(e, t.Ended) and e.outcome is Outcome.MOOT]
+    assert len(moot) == 2
+
+
+@pytest.mark.parametrize(("dialing", "says"), [(True, Outcome.UNCONNECTED), (False, Outcome.TIMEOUT)])
+def test_a_call_out_of_time_is_given_up(dialing: bool, says: Outcome) -> None:
+    """One that was still being dialed never ran; any other may have."""
+    script = Script(Request=send)
+    node = core(script)
+    (call,) = calls(ask(node, 1, 7))
+    if dialing:
+        node.handle(1, c.CallDialing(call.call))
+    assert c.AbandonCall(call.call) in wake(node, 900_001)
+    assert [e.outcome for e in script.seen if isinstance(e, t.Ended)] == [says]
+
+
+def test_a_module_that_forgets_a_request_does_not_cost_its_answer() -> None:
+    """Rule 1: the core has the last word, inside the platform's slack of 50 ms."""
+    node = core(Script())
+    ask(node, 0, 7)
+    assert answers(wake(node, 899_999)) == []
+    assert answers(wake(node, 900_000 + 49_000)) == [c.Verdict.FAILED]
+    assert node.held == 0
+
+
+@pytest.mark.parametrize("where", ["Request", "Ended", "Timer", "Hosts"])
+def test_decisions_that_break_cost_their_own_request_only(where: str) -> None:
+    def boom(_: Any) -> list[t.Action]:
+        raise RuntimeError("no such thing")
+
+    script = Script(Request=lambda e: [*send(e), t.SetTimer(0.5, 0)])
+    node = core(script)
+    script.plays[where] = boom
+    effects = ask(node, 1, 7) + wake(node, 1000)
+    for call in calls(effects):
+        effects += node.handle(2, c.CallEnded(call.call, Outcome.ERROR))
+    effects += node.handle(3, c.FleetNews(View.FULL, (member(0),))) + wake(node, 2_000_000)
+    assert answers(effects) == [c.Verdict.FAILED]
+    assert [e for e in effects if isinstance(e, c.Note) and "no such thing" in e.line]
+
+
+def test_a_reducer_that_breaks_answers_the_request_it_broke_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    node = core(Script(Request=send))
+    (call,) = calls(ask(node, 1, 7))
+    monkeypatch.setattr(node, "_end", lambda *_: 1 / 0)
+    assert answers(node.handle(2, c.CallEnded(call.call, Outcome.OK))) == [c.Verdict.FAILED]
+    assert ask(node, 3, 99, cls=77)[0] is not None  # a class that does not exist: no exception leaves
+
+
+def test_a_client_that_leaves_is_owed_nothing() -> None:
+    node = core(Script(Request=send, Abandoned=lambda e: [t.Cancel(e.id, 0)]))
+    (call,) = calls(ask(node, 1, 7))
+    assert node.handle(2, c.InboundGone(7)) == [c.AbandonCall(call.call)]
+    assert node.handle(3, c.InboundGone(7)) == []
+    assert answers(wake(node, 2_000_000)) == []
+
+
+def test_a_full_table_refuses_without_asking_the_module() -> None:
+    script = Script()
+    node = core(script, most=1, retry_after=True, max_retry_after_ms=1200.0)
+    ask(node, 1, 7)
+    effects = ask(node, 2, 8)
+    assert c.Answer(8, c.Verdict.FAIL_FAST, None, 1_200_000) in effects
+    assert sum(isinstance(e, t.Request) for e in script.seen) == 1
+
+
+def test_a_new_process_or_address_makes_idle_connections_useless() -> None:
+    node = core(Script())
+    assert node.handle(1, c.FleetNews(View.DELTA, (member(0),))) == []
+    for changed in (member(0, port=90), member(0, port=90, started=5)):
+        assert node.handle(2, c.FleetNews(View.DELTA, (changed,))) == [c.CloseIdle(b"s-0")]
+
+
+def test_phases_from_start_to_exit() -> None:
+    node = c.Core(w.settings(), Script(Request=send), 100)
+
+    def phase() -> c.Phase:
+        return node.phase
+
+    assert phase() is c.Phase.STARTING
+    node.handle(0, c.Listening())
+    assert phase() is c.Phase.STARTING  # nobody to send to: not able to serve
+    node.handle(0, c.FleetNews(View.CACHED, (member(0),)))
+    assert phase() is c.Phase.READY
+    (call,) = calls(ask(node, 1, 7, timeout=5_000_000))
+    node.handle(2, c.StopAsked())
+    assert phase() is c.Phase.DRAINING
+    assert c.StopListening() in wake(node, 550_000)
+    late = calls(ask(node, 560_000, 8))  # on a connection taken at the last moment
+    assert node.handle(570_000, c.CallEnded(call.call, Outcome.OK, (), "a")) == [
+        c.Answer(7, c.Verdict.SERVED, "a", 0, True)
+    ]
+    assert not [e for e in wake(node, 700_000) if isinstance(e, c.Leave)]
+    last = node.handle(710_000, c.CallEnded(late[0].call, Outcome.OK))
+    assert isinstance(last[-1], c.Leave) and phase() is c.Phase.STOPPED
+
+
+def test_a_stop_leaves_before_the_platform_kills() -> None:
+    node = core(Script())
+    ask(node, 1, 7, timeout=60_000_000)
+    node.handle(2, c.StopAsked())
+    effects = wake(node, 1_000_000 + 700_000)  # the longest deadline is 1 s, and SIGKILL 0.7 s behind it
+    assert any(isinstance(e, c.Leave) for e in effects)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_days_end_each_request_once_and_run_no_ride_twice(seed: int) -> None:
+    """The real module under the core, with endpoints, clients and discovery that do as they like."""
+    rng = random.Random(seed)
+    settings = w.settings(parallel_tries=True, may_cancel=True)
+    node = c.Core(settings, Balancer(settings, seed), 100)
+    node.handle(0, c.FleetNews(View.CACHED, tuple(map(member, range(4)))))
+    node.handle(0, c.Listening())
+    open_calls: dict[int, int] = {}  # call: inbound
+    class_of: dict[int, int] = {}
+    due: dict[int, int] = {}
+    ended, gone, maybe_ran = Counter[int](), set[int](), Counter[int]()
+    inbound_of = {}
+    now = inbound = 0
+
+    def run(effects: list[c.Effects]) -> None:
+        for e in effects:
+            if isinstance(e, c.StartCall):
+                inbound_of[e.call] = int(str(e.message))
+                assert ended[inbound_of[e.call]] == 0 and inbound_of[e.call] not in gone
+                open_calls[e.call] = inbound_of[e.call]
+                maybe_ran[inbound_of[e.call]] += 1
+                assert class_of[inbound_of[e.call]] != UNSAFE or maybe_ran[inbound_of[e.call]] == 1
+            elif isinstance(e, c.AbandonCall):
+                open_calls.pop(e.call, None)
+            elif isinstance(e, c.Answer):
+                ended[e.inbound] += 1
+                assert now <= due[e.inbound] + 50_000
+            elif isinstance(e, c.Note):
+                assert e.topic not in ("fault", "overdue"), e.line
+
+    for _ in range(600):
+        now += rng.randrange(1, 20_000)
+        while 0 <= node.wake_us <= now:
+            at, real = node.wake_us, now
+            now = at
+            run(node.handle(at, c.Woken()))
+            now = real
+        what = rng.random()
+        if what < 0.4:
+            inbound += 1
+            class_of[inbound] = rng.randrange(3)
+            timeout = rng.choice([1_000, 200_000, 900_000])
+            due[inbound] = now + timeout
+            key = rng.randrange(9)
+            run(node.handle(now, c.Arrived(inbound, class_of[inbound], 0, key, timeout, inbound)))
+        elif what < 0.8 and open_calls:
+            call = rng.choice(sorted(open_calls))
+            outcome = rng.choice([o for o in Outcome if o not in (Outcome.CANCELLED, Outcome.TIMEOUT)])
+            asker = open_calls.pop(call)
+            if outcome in c.NEVER_RAN:
+                maybe_ran[asker] -= 1
+            run(node.handle(now, c.CallEnded(call, outcome, (1.0, 2.0), "answer")))
+        elif what < 0.9 and inbound:
+            leaver = rng.randrange(1, inbound + 1)
+            if not ended[leaver]:
+                gone.add(leaver)
+            run(node.handle(now, c.InboundGone(leaver)))
+        else:
+            news = tuple(member(k, rng.choice(list(State))) for k in range(rng.randrange(5)))
+            run(node.handle(now, c.FleetNews(rng.choice([View.FULL, View.DELTA]), news)))
+    now += 2_000_000
+    while 0 <= node.wake_us <= now and node.held:
+        real, now = now, node.wake_us
+        run(node.handle(now, c.Woken()))
+        now = real
+    assert node.held == 0
+    for k in range(1, inbound + 1):
+        assert ended[k] == (k not in gone), k
