--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -263,7 +263,7 @@
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self._parts: list[bytes] = []
-        self._size = 0
+        self._size = self._head = 0
         self._in_body = False
         self.done = False
         self.reusable = False
@@ -274,6 +274,7 @@
 
     def feed(self, data: bytes) -> bool:
         """True once the answer is whole. ValueError: this is no answer."""
+        self._head += 0 if self._in_body else len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -282,6 +283,8 @@
                 raise ValueError(f"no HTTP: {error}") from None
         if self._size > self._most:
             raise ValueError("the body is too large")
+        if not self._in_body and self._head > 2 * MOST_HEAD:
+            raise ValueError("the headers are too large")
         return self.done
 
     def end(self) -> bool:
@@ -340,7 +343,7 @@
     try:
         load = json.loads(text)
         values = tuple(float(load[f]) for f in fields)
-    except (ValueError, TypeError, KeyError, IndexError):
+    except (ValueError, TypeError, KeyError, IndexError, OverflowError, RecursionError):
         return ()
     return values if all(map(math.isfinite, values)) else ()
 
@@ -360,17 +363,21 @@
         self._kinds = {n: k for k, n in enumerate(config.kind_names)}
         self._offset_us = unix_less_core_us
 
-    def read(self, body: bytes, view: View | None = None) -> tuple[int, FleetNews]:
+    def read(self, body: bytes) -> tuple[int, FleetNews]:
         """Revision and news. ValueError: not discovery's form, and the old list must stay."""
         try:
-            return self.take(json.loads(body), view)
-        except (TypeError, KeyError, AttributeError, ConfigError, OverflowError, RecursionError) as error:
-            raise ValueError(f"{type(error).__name__}: {error}") from None
+            top = json.loads(body)
+        except RecursionError:
+            raise ValueError("nested too deep") from None
+        return self.take(top)
 
     def take(self, top: Mapping[str, Any], view: View | None = None) -> tuple[int, FleetNews]:
-        """The same from parsed JSON."""
-        form = view or (View.FULL if top["complete"] is True else View.DELTA)
-        return int(top["revision"]), FleetNews(form, tuple(self._member(m) for m in top["members"]))
+        """The same from parsed JSON; every way in which it can be malformed is a ValueError."""
+        try:
+            form = view or (View.FULL if top["complete"] is True else View.DELTA)
+            return int(top["revision"]), FleetNews(form, tuple(self._member(m) for m in top["members"]))
+        except (TypeError, KeyError, AttributeError, ConfigError, OverflowError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
 
     def _member(self, m: Mapping[str, Any]) -> Member:
         up_ms, scale = float(m.get("up_since_ms") or 0), float(m.get("size") or 1.0)
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -11,16 +11,17 @@
 
 import asyncio
 import contextlib
+import os
 import resource
+import select
 import socket
-import sys
 import time
 from collections import deque
 from collections.abc import Coroutine
 from typing import Any
 
 from granitewell import core as c
-from granitewell.config import Config, ConfigError
+from granitewell.config import Config
 from granitewell.net import http1
 from tiderelay.interface import Outcome, View
 
@@ -37,6 +38,7 @@
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
 SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
 BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
+MOST_LINE = 900  # characters of a log line: what a pipe takes whole as soon as it takes anything
 LOG_EVERY_US = 1_000_000  # between two lines of one topic; what is left out is counted
 
 
@@ -67,8 +69,10 @@
 class Log:
     """Lines on standard error, at most one a topic and second."""
 
-    def __init__(self, name: str) -> None:
-        self._name = name
+    def __init__(self, name: str, descriptor: int = 2) -> None:
+        self._name, self._descriptor = name, descriptor
+        self._ready = select.poll()
+        self._ready.register(descriptor, select.POLLOUT)
         self._last: dict[str, tuple[int, int]] = {}  # topic: when written, left out since
 
     def write(self, now_us: int, topic: str, line: str) -> None:
@@ -76,12 +80,16 @@
         if now_us - at < LOG_EVERY_US and topic != "phase":
             self._last[topic] = at, left_out + 1
             return
+        if not self._ready.poll(0):
+            # nobody takes the log: a write would block, and all requests with it
+            self._last[topic] = at, left_out + 1
+            return
         self._last[topic] = now_us, 0
         more = f" (and {left_out} more like it)" if left_out else ""
         seconds = (now_us - HEAD_START_US) / 1e6
-        with contextlib.suppress(OSError, ValueError):  # nobody reads the log: not a reason to stop serving
-            sys.stderr.write(f"granitewell {self._name} {seconds:.3f} {topic}: {line}{more}\n")
-            sys.stderr.flush()
+        text = f"granitewell {self._name} {seconds:.3f} {topic}: {line[:MOST_LINE]}{more}"
+        with contextlib.suppress(OSError):  # nor is a log that has gone a reason to stop serving
+            os.write(self._descriptor, text.replace("\n", " ").encode(errors="replace") + b"\n")
 
 
 class _Inbound:
@@ -158,7 +166,7 @@
             try:
                 _, news = self._reader.take(self._config.known, View.CACHED)
                 self.dispatch(news)
-            except (ValueError, TypeError, KeyError, AttributeError, ConfigError) as error:
+            except ValueError as error:
                 self._say("known", f"the list in the configuration is not usable: {error}")
         accepting = self._spawn(self._accept(listener))
         self._spawn(self._discover())
@@ -329,6 +337,8 @@
         task.add_done_callback(self._replies.discard)
 
     async def _write(self, inbound: _Inbound, data: bytes, close: bool) -> None:
+        if inbound.id not in self._inbounds:
+            return  # the client has left in this very turn
         try:
             async with asyncio.timeout(STUCK_S):  # a client that does not read holds nothing for long
                 await self._loop.sock_sendall(inbound.sock, data)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,14 +1,92 @@
-"""Every recorded exchange, against the real program on real sockets."""
+"""Every recorded exchange, against the real program on real sockets; and what no such record can show."""
 
 from __future__ import annotations
 
+import os
+import socket
 from pathlib import Path
 
 import pytest
 
-from tests.play import FOLDER, play
+from granitewell.net.http1 import ResponseParser, outcome, report
+from granitewell.net.loop import HEAD_START_US, Log
+from tests.play import FOLDER, LIMIT_S, Player, play
+from tiderelay.interface import Outcome
 
 
 @pytest.mark.parametrize("path", sorted(FOLDER.glob("*.txt")), ids=lambda p: p.stem)
 def test_exchange(path: Path) -> None:
     play(path)
+
+
+def test_more_idle_clients_than_descriptors_leave_room_for_the_next() -> None:
+    """The player allows 128 descriptors, 48 of them for clients: the longest idle has to go."""
+    player = Player()
+    crowd: list[socket.socket] = []
+    try:
+        player.step_start("a=ready", b"")
+        for _ in range(150):
+            crowd.append(socket.create_connection(player.address, LIMIT_S))
+            crowd[-1].sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
+            assert crowd[-1].recv(4096).startswith(b"HTTP/1.1 200")
+        assert crowd[0].recv(4096) == b""
+        assert player.program is not None
+        assert len(os.listdir(f"/proc/{player.program.pid}/fd")) < 128
+        player.until_ready()
+    finally:
+        player.close()
+        for sock in crowd:
+            sock.close()
+
+
+def test_a_log_that_nobody_reads_blocks_nothing() -> None:
+    """A full pipe would hold the only thread, and with it every request."""
+    reader, writer = os.pipe()
+    log = Log("n0", writer)
+    for k in range(3000):  # far more than a pipe holds
+        log.write(HEAD_START_US + k * 2_000_000, "module", "x" * 100)
+    os.set_blocking(reader, False)
+    assert os.read(reader, 60) == b"granitewell n0 0.000 module: " + b"x" * 31
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_of_one_topic_are_counted_when_left_out() -> None:
+    reader, writer = os.pipe()
+    log = Log("n0", writer)
+    for at in (0, 1, 2, 1_000_000):
+        log.write(HEAD_START_US + at, "dial", "a line\nand no second")
+    assert os.read(reader, 999).splitlines() == [
+        b"granitewell n0 0.000 dial: a line and no second",
+        b"granitewell n0 1.000 dial: a line and no second (and 2 more like it)",
+    ]
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.mark.parametrize(
+    ("head", "says", "load"),
+    [
+        (b"200 OK", Outcome.OK, ()),
+        (b"200 OK\r\nServer-Load: {\"pending\":2,\"failed_ps\":0.5,\"x\":1}", Outcome.OK, (0.5, 2.0)),
+        (b"200 OK\r\nServer-Load: {\"pending\":2}", Outcome.OK, ()),
+        (b"200 OK\r\nServer-Load: {\"pending\":2,\"failed_ps\":NaN}", Outcome.OK, ()),
+        (b"200 OK\r\nServer-Load: " + b"[" * 9000, Outcome.OK, ()),
+        (b"500 Oh", Outcome.ERROR, ()),
+        (b"503 No", Outcome.ERROR, ()),
+        (b"503 No\r\nNot-Started: 1\r\nServer-Load: {\"pending\":9,\"failed_ps\":1}", Outcome.FULL, (1, 9)),
+        (b"504 No\r\nNot-Started: 1", Outcome.FULL, ()),
+        (b"500 No\r\nNot-Started: 1", Outcome.ERROR, ()),
+        (b"299 Odd", Outcome.ERROR, ()),
+    ],
+)  # fmt: skip
+def test_outcomes_and_load_reports(head: bytes, says: Outcome, load: tuple[float, ...]) -> None:
+    parser = ResponseParser()
+    assert parser.feed(b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n")
+    assert (outcome(parser), report(parser, ("failed_ps", "pending"))) == (says, load)
+
+
+@pytest.mark.parametrize("head", [b"A: ", b"Content-Length: 70000\r\n\r\n"])
+def test_an_answer_without_end_is_no_answer(head: bytes) -> None:
+    with pytest.raises(ValueError):
+        ResponseParser().feed(b"HTTP/1.1 200 OK\r\n" + head + b"x" * 70_000)
