--- a/granitewell/core.py
+++ b/granitewell/core.py
@@ -483,7 +483,7 @@
             self.stats["guarded"] += 1
             self._end(call, Outcome.MOOT)
             return
-        self.stats["calls"] += 1
+        self.stats["sent"] += 1
         self._at(due, "call", call.id)
         self._out.append(
             StartCall(call.id, endpoint.member.id, endpoint.member.address, request.message, due)
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -258,7 +258,9 @@
             if inbound.closing and now - inbound.at_us >= LINGER_US:
                 self._drop(inbound)
             elif inbound.parser.partial and not inbound.busy and now - inbound.at_us >= SLOW_US:
-                self._reply(inbound, http1.bad_bytes(http1.Bad(408, "the request did not come whole")), True)
+                late = http1.Bad(408, "the request did not come whole")
+                self._say("bad", f"answered {late.status}: {late.text}")
+                self._reply(inbound, http1.bad_bytes(late), True)
 
     # --- Inbounds ---------------------------------------------------------------------------------------
     async def _accept(self, listener: socket.socket) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -241,6 +241,16 @@
     assert isinstance(last[-1], c.Leave) and phase() is c.Phase.STOPPED
 
 
+def test_an_idle_node_hears_the_last_connections_before_it_leaves() -> None:
+    """What was in the backlog when the listener closed may hold a whole request that is not read yet."""
+    node = core(Script(Request=send))
+    node.handle(0, c.StopAsked())
+    assert [type(e) for e in wake(node, 599_000)] == [c.StopListening]
+    (call,) = calls(ask(node, 599_000, 7))
+    assert not [e for e in wake(node, 700_000) if isinstance(e, c.Leave)]
+    assert type(node.handle(700_001, c.CallEnded(call.call, Outcome.OK))[0]) is c.Answer
+
+
 def test_a_stop_leaves_before_the_platform_kills() -> None:
     node = core(Script())
     ask(node, 1, 7, timeout=60_000_000)
