An inbound whose bytes are read but not yet heard of is not idle

Cause found on the way: uvloop takes bytes from the kernel one turn before the reading task resumes; _is_idle saw neither busy nor readable and _evict or _stop_listening closed with a request in hand. A test reproduces it each time on the old code. Now the buffer's first byte tells.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -95,10 +95,11 @@
 class _Inbound:
     """One client connection."""
 
-    __slots__ = ("at_us", "busy", "closing", "id", "keep", "parser", "queue", "sock")
+    __slots__ = ("at_us", "buffer", "busy", "closing", "id", "keep", "parser", "queue", "sock")
 
     def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
         self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
+        self.buffer = bytearray(BUFFER)  # its first byte is 0 until the loop has read something into it
         self.queue: deque[http1.Item] = deque()
         self.busy = self.closing = False
         self.keep = True
@@ -294,9 +295,10 @@
 
     async def _listen(self, inbound: _Inbound) -> None:
         """Read one client until it leaves. It is read while its request is out, too: its leaving is news."""
-        buffer = bytearray(BUFFER)
+        buffer = inbound.buffer
         try:
             while True:
+                buffer[0] = 0
                 n = await self._loop.sock_recv_into(inbound.sock, buffer)
                 if n == 0:
                     break
@@ -547,8 +549,11 @@
 
 
 def _is_idle(inbound: _Inbound) -> bool:
-    """Nothing is owed there, and nothing has come in that could be a request."""
-    return not inbound.busy and not inbound.parser.partial and not _readable(inbound.sock)
+    """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
+    kernel, nor bytes that the loop took from it a turn before the reading task goes on."""
+    if inbound.busy or inbound.parser.partial or inbound.buffer[0]:
+        return False
+    return not _readable(inbound.sock)
 
 
 def _end(sock: socket.socket) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import socket
 from pathlib import Path
 
 import pytest
+import uvloop
 
+from granitewell.config import load
+from granitewell.core import Core
 from granitewell.net.http1 import ResponseParser, outcome, report
-from granitewell.net.loop import HEAD_START_US, Log
+from granitewell.net.loop import HEAD_START_US, Log, Node, _is_idle, _readable
 from tests.play import FOLDER, LIMIT_S, Player, play
+from tests.test_config import write
 from tiderelay.interface import Outcome
+from tiderelay.policy import Balancer
 
 
 @pytest.mark.parametrize("path", sorted(FOLDER.glob("*.txt")), ids=lambda p: p.stem)
@@ -39,6 +45,40 @@
             sock.close()
 
 
+def test_bytes_that_are_read_but_not_yet_heard_of_are_not_idleness(tmp_path: Path) -> None:
+    """The loop takes bytes from the kernel a turn before the reading task goes on. An inbound that was closed
+    in between, to save a descriptor or at a stop, took a whole request with it."""
+    config = load(write(tmp_path))
+    seen: list[tuple[bool, bool]] = []
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        node = Node(config, Core(config.settings, Balancer(config.settings, 1), 9), loop)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            client = socket.create_connection(server.getsockname())
+            ours, _ = server.accept()
+        node._admit(ours)
+        (inbound,) = node._inbounds.values()
+        await asyncio.sleep(0)
+        seen.append((_readable(ours), _is_idle(inbound)))
+        client.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
+
+        def look() -> None:
+            if _readable(ours):
+                loop.call_soon(look)
+            else:
+                seen.append((inbound.busy, _is_idle(inbound)))
+
+        look()
+        while len(seen) < 2:
+            await asyncio.sleep(0)
+        client.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(scenario())
+    assert seen == [(False, True), (False, False)]
+
+
 def test_a_log_that_nobody_reads_blocks_nothing() -> None:
     """A full pipe would hold the only thread, and with it every request."""
     reader, writer = os.pipe()
