--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -32,6 +32,7 @@
 SWEEP_S = 0.5
 IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
 SLOW_US = 10_000_000  # for a client to get a begun request across
+STALL_US = 20_000  # a timer so late is worth a line: answers at the due time have a slack of 50 ms
 STUCK_S = 5.0  # for a client to take its answer
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
 MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
@@ -151,6 +152,7 @@
         self._replies: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_us = -1
+        self._cpu_us = 0  # of this thread, when the timer last came
         self._left = asyncio.Event()
 
     # --- Life -------------------------------------------------------------------------------------------
@@ -218,6 +220,12 @@
         self._timer = self._loop.call_later(-(-wait_us // 1000) / 1000, self._wake)
 
     def _wake(self) -> None:
+        late_us = self.clock.fresh() - self._timer_us
+        cpu_us = time.thread_time_ns() // 1000
+        if late_us >= STALL_US:
+            work_us = cpu_us - self._cpu_us
+            self._say("stall", f"{late_us // 1000} ms late, with {work_us // 1000} ms of own work")
+        self._cpu_us = cpu_us
         self._timer = None
         self.dispatch(c.Woken())
 
