A node under a CPU limit is ready only once its start is paid for

Changed: net/loop.py, start_debt: CPU used over the limit, less the age of the process, put off before Listening; nothing where the limit is a whole core. limits.cores is read and checked.

--- a/granitewell/config.py
+++ b/granitewell/config.py
@@ -31,6 +31,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
+    cores: float
     sockets: int
     known: Mapping[str, Any]  # discovery's form, as last held by this node; may be old
     settings: Settings
@@ -59,11 +60,11 @@
     return value
 
 
-def _number(obj: Mapping[str, Any], key: str, field: str, default: float, low: float = 1) -> int:
+def _number(obj: Mapping[str, Any], key: str, field: str, default: float, low: float = 1) -> float:
     value = obj.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < 1e12:
         raise ConfigError(f"{field}: {value!r} is not a number from {low:g}")
-    return int(value)
+    return float(value)
 
 
 def _names(value: Any, field: str) -> tuple[str, ...]:
@@ -104,7 +105,8 @@
         listen=address(env.get("LB_LISTEN") or top.get("listen"), "listen"),
         discovery=address(env.get("LB_DISCOVERY") or top.get("discovery"), "discovery"),
         seed=_seed(top.get("seed", 0)),
-        sockets=min(_number(limits, "sockets", "limits.sockets", MOST_DESCRIPTORS, 64), MOST_DESCRIPTORS),
+        cores=_number(limits, "cores", "limits.cores", 1.0, 0.01),
+        sockets=min(int(_number(limits, "sockets", "limits.sockets", 1024, 64)), MOST_DESCRIPTORS),
         known=_object(top.get("known") or {}, "known"),
         settings=settings,
         class_names=_names([c.get("name") for c in raw["classes"]], "settings.classes[].name"),
@@ -115,7 +117,7 @@
         report_names=_names(
             [] if stats.get("how") == "silent" else stats.get("fields", []), "settings.stats.fields"
         ),
-        dial_timeout_us=1000 * _number(allowed, "dialTimeoutMs", "settings.allowed.dialTimeoutMs", 250),
-        conn_idle_us=1000 * _number(allowed, "connIdleMs", "settings.allowed.connIdleMs", 10000),
-        most_held=_number(allowed, "mostHeld", "settings.allowed.mostHeld", 20000),
+        dial_timeout_us=int(1000 * _number(allowed, "dialTimeoutMs", "settings.allowed.dialTimeoutMs", 250)),
+        conn_idle_us=int(1000 * _number(allowed, "connIdleMs", "settings.allowed.connIdleMs", 10000)),
+        most_held=int(_number(allowed, "mostHeld", "settings.allowed.mostHeld", 20000)),
     )
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -32,6 +32,7 @@
 SWEEP_S = 0.5
 IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
 SLOW_US = 10_000_000  # for a client to get a begun request across
+MOST_DEBT_S = 2.0  # that a node puts off being ready, whatever its limit says
 STALL_US = 20_000  # a timer so late is worth a line: answers at the due time have a slack of 50 ms
 STUCK_S = 5.0  # for a client to take its answer
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
@@ -173,8 +174,12 @@
                 self._say("known", f"the list in the configuration is not usable: {error}")
         accepting = self._spawn(self._accept(listener))
         self._spawn(self._discover())
-        self.dispatch(c.Listening())
         self._loop.call_later(SWEEP_S, self._sweep)
+        debt_s = start_debt(time.process_time(), _age_s(), self._config.cores)
+        if debt_s > 0.0:
+            self._say("start", f"ready {debt_s * 1000:.0f} ms later: the start is not paid for yet")
+            await asyncio.sleep(debt_s)
+        self.dispatch(c.Listening())
         await self._left.wait()
         accepting.cancel()
         if self._replies:  # the last answers must be out before the process is gone
@@ -538,6 +543,19 @@
                 raise ValueError("the connection ended inside an answer")
 
 
+def start_debt(cpu_s: float, age_s: float, cores: float) -> float:
+    """Seconds until the CPU that starting took is within what a limit under one core gives. A node that is
+    ready before is stopped by that limit while its first requests wait, past the slack of their answers."""
+    return min(max(cpu_s / cores - age_s, 0.0), MOST_DEBT_S) if cores < 1.0 else 0.0
+
+
+def _age_s() -> float:
+    """Seconds since this process began."""
+    with open("/proc/self/stat", "rb") as stat:
+        ticks = int(stat.read().rpartition(b")")[2].split()[19])
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - ticks / os.sysconf("SC_CLK_TCK")
+
+
 def _tcp(address: tuple[str, int]) -> socket.socket:
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -29,7 +29,7 @@
 def test_a_good_one(tmp_path: Path) -> None:
     config = load(write(tmp_path) | {"LB_NAME": "n7", "LB_LISTEN": "127.0.0.2:1"})
     assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.2", 1), ("127.0.0.1", 8500))
-    assert (config.seed, config.sockets) == (0x8C1F, 1024)
+    assert (config.seed, config.sockets, config.cores) == (0x8C1F, 1024, 1.0)
     assert (config.dial_timeout_us, config.conn_idle_us) == (250_000, 10_000_000)
     assert config.report_names == ("failed_ps", "pending")
 
@@ -49,6 +49,7 @@
         ({"discovery": None}, "discovery"),
         ({"seed": "zebra"}, "seed"),
         ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"limits": {"cores": 0}}, "limits.cores"),
         ({"known": [1]}, "known"),
         ({"settings": None}, "settings"),
         ({"settings": {}}, "allowed"),
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,7 +13,7 @@
 from granitewell.config import load
 from granitewell.core import Core
 from granitewell.net.http1 import ResponseParser, outcome, report
-from granitewell.net.loop import HEAD_START_US, Log, Node, _is_idle, _readable
+from granitewell.net.loop import HEAD_START_US, Log, Node, _is_idle, _readable, start_debt
 from tests.play import FOLDER, LIMIT_S, Player, play
 from tests.test_config import write
 from tiderelay.interface import Outcome
@@ -79,6 +79,17 @@
     assert seen == [(False, True), (False, False)]
 
 
+@pytest.mark.parametrize(
+    ("cpu_s", "age_s", "cores", "debt_s"),
+    [(0.12, 0.15, 0.4, 0.15), (0.12, 0.31, 0.4, 0.0), (0.5, 0.1, 1.0, 0.0), (0.5, 0.1, 0.01, 2.0)],
+)
+def test_a_node_is_ready_once_its_start_is_paid_for(
+    cpu_s: float, age_s: float, cores: float, debt_s: float
+) -> None:
+    """With 0.4 core the limit stopped nodes for 250 ms under their first requests: one had no answer."""
+    assert start_debt(cpu_s, age_s, cores) == pytest.approx(debt_s)
+
+
 def test_a_log_that_nobody_reads_blocks_nothing() -> None:
     """A full pipe would hold the only thread, and with it every request."""
     reader, writer = os.pipe()
