A new connection is not idle before its first request

Lines at fault: loop._accept lets _evict choose the connection just admitted, and _stop_listening closes such ones too. Changed: _is_idle is false for a connection without an answer yet, for its first 2 s. With 1,024 descriptors nothing is evicted.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -35,6 +35,7 @@
 MOST_DEBT_S = 2.0  # that a node puts off being ready, whatever its limit says
 STALL_US = 20_000  # a timer so late is worth a line: answers at the due time have a slack of 50 ms
 STUCK_S = 5.0  # for a client to take its answer
+FRESH_US = 2_000_000  # for the first request on a new connection
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
 MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
@@ -97,14 +98,14 @@
 class _Inbound:
     """One client connection."""
 
-    __slots__ = ("at_us", "buffer", "busy", "closing", "id", "keep", "parser", "queue", "sock")
+    __slots__ = ("at_us", "buffer", "busy", "closing", "fresh", "id", "keep", "parser", "queue", "sock")
 
     def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
         self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
         self.buffer = bytearray(BUFFER)  # its first byte is 0 until the loop has read something into it
         self.queue: deque[http1.Item] = deque()
         self.busy = self.closing = False
-        self.keep = True
+        self.keep = self.fresh = True  # fresh: no answer has gone out on it yet
 
 
 class _Conn:
@@ -301,7 +302,8 @@
 
     def _evict(self) -> bool:
         """Close the inbound that has been idle longest; False if none is."""
-        idle = [i for i in self._inbounds.values() if _is_idle(i)]
+        now = self.clock.now()
+        idle = [i for i in self._inbounds.values() if _is_idle(i, now)]
         if idle:
             self._drop(min(idle, key=lambda i: i.at_us))
         return bool(idle)
@@ -360,7 +362,7 @@
             async with asyncio.timeout(STUCK_S):  # a client that does not read holds nothing for long
                 await self._loop.sock_sendall(inbound.sock, data)
             inbound.at_us = self.clock.now()
-            inbound.busy = False
+            inbound.busy = inbound.fresh = False
             if close or self._listener is None:
                 # half-closed first: closing with bytes unread would reset the answer away
                 inbound.closing = True
@@ -389,7 +391,7 @@
         listener.close()
         for inbound in list(self._inbounds.values()):
             # one that has written something is heard first: what it wrote may be a whole request
-            if _is_idle(inbound):
+            if _is_idle(inbound, self.clock.now()):
                 self._drop(inbound)
 
     # --- Outbound calls ---------------------------------------------------------------------------------
@@ -574,9 +576,12 @@
     return True
 
 
-def _is_idle(inbound: _Inbound) -> bool:
+def _is_idle(inbound: _Inbound, now_us: int) -> bool:
     """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
-    kernel, nor bytes that the loop took from it a turn before the reading task goes on."""
+    kernel, nor bytes that the loop took from it a turn before the reading task goes on. A new connection is
+    not idle: its first request is on the way, and only between requests may a node close."""
+    if inbound.fresh and now_us - inbound.at_us < FRESH_US:
+        return False
     if inbound.busy or inbound.parser.partial or inbound.buffer[0]:
         return False
     return not _readable(inbound.sock)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,7 +13,7 @@
 from granitewell.config import load
 from granitewell.core import Core
 from granitewell.net.http1 import ResponseParser, outcome, report
-from granitewell.net.loop import HEAD_START_US, Log, Node, _is_idle, _readable, start_debt
+from granitewell.net.loop import FRESH_US, HEAD_START_US, Log, Node, _is_idle, _readable, start_debt
 from tests.play import FOLDER, LIMIT_S, Player, play
 from tests.test_config import write
 from tiderelay.interface import Outcome
@@ -47,7 +47,8 @@
 
 def test_bytes_that_are_read_but_not_yet_heard_of_are_not_idleness(tmp_path: Path) -> None:
     """The loop takes bytes from the kernel a turn before the reading task goes on. An inbound that was closed
-    in between, to save a descriptor or at a stop, took a whole request with it."""
+    in between, to save a descriptor or at a stop, took a whole request with it; so did one closed before the
+    first request on it had come."""
     config = load(write(tmp_path))
     seen: list[tuple[bool, bool]] = []
 
@@ -60,23 +61,26 @@
         node._admit(ours)
         (inbound,) = node._inbounds.values()
         await asyncio.sleep(0)
-        seen.append((_readable(ours), _is_idle(inbound)))
+        at = inbound.at_us
+        seen.append((_is_idle(inbound, at), _is_idle(inbound, at + FRESH_US)))  # a new one; one left lying
+        inbound.fresh = False
+        seen.append((_readable(ours), _is_idle(inbound, at)))
         client.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
 
         def look() -> None:
             if _readable(ours):
                 loop.call_soon(look)
             else:
-                seen.append((inbound.busy, _is_idle(inbound)))
+                seen.append((inbound.busy, _is_idle(inbound, at)))
 
         look()
-        while len(seen) < 2:
+        while len(seen) < 3:
             await asyncio.sleep(0)
         client.close()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(scenario())
-    assert seen == [(False, True), (False, False)]
+    assert seen == [(False, True), (False, True), (False, False)]
 
 
 @pytest.mark.parametrize(
