SIGHUP reads the file again and moves discovery; it ended the process before

Lines at fault: __main__._serve has handlers for SIGTERM and SIGINT alone, so SIGHUP took its default action. LB_DISCOVERY stays in the environment as it was at the start and config.load lets it win: read the same way, a reload would have gone on asking the old address. On a reload the file alone says where discovery is. Changed: node.reload closes the old watch and asks the new address for the whole list at once; connections, requests and fleet stay. A bad file changes nothing and is one `reload` line. Other fields that differ are named in that line and wait for a restart. SIGHUP before the handler is there is ignored. Checked: exchanges reload and reload_badly, test_config on what wins; all fail without the change.

--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -15,17 +15,26 @@
 
 import uvloop
 
-from granitewell.config import Config, ConfigError, load
+from granitewell.config import Config, ConfigError, load, reload
 from granitewell.core import Core
 from granitewell.net.loop import Node
 from tiderelay.policy import Balancer
 
 
+def _reload(node: Node) -> None:
+    """SIGHUP: the file has been replaced. A bad one changes nothing."""
+    try:
+        node.reload(reload(os.environ))
+    except ConfigError as error:
+        node.say("reload", f"the configuration stays as it is: {error}")
+
+
 async def _serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config, Core(config.settings, Balancer(config.settings, config.seed), config.most_held), loop)
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node)
     # What start-up made lives as long as the process: the collector need not walk it again, and rarely runs.
     gc.collect()
     gc.freeze()
@@ -35,6 +44,7 @@
 
 def main() -> int:
     """Run one node; the exit code says how it ended."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be acted on it must not end the process
     try:
         config = load(os.environ)
     except ConfigError as error:
--- a/granitewell/config.py
+++ b/granitewell/config.py
@@ -1,15 +1,17 @@
-"""The node's configuration: reads LB_* and the file LB_CONFIG once and turns them into one frozen Config.
+"""The node's configuration: reads LB_* and the file LB_CONFIG and turns them into one frozen Config, once at
+the start and once more for each reload.
 
 It owns the mapping of the deployment's names (classes, tenants, zones, kinds) to the module's indices, next
 to tiderelay.wire.parse_settings, which reads the figures. It must never hold defaults for what the platform
-has to say, open a socket, or change after start. Whatever is wrong is a ConfigError that names the field.
+has to say, open a socket, or change a Config that it has given out. Whatever is wrong is a ConfigError that
+names the field.
 """
 
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -121,3 +123,16 @@
         conn_idle_us=int(1000 * _number(allowed, "connIdleMs", "settings.allowed.connIdleMs", 10000)),
         most_held=int(_number(allowed, "mostHeld", "settings.allowed.mostHeld", 20000)),
     )
+
+
+def reload(env: Mapping[str, str]) -> Config:
+    """The configuration as the file has it now. What the variable said of discovery dates from the start and
+    would win over a file that names another address, so it does not count here."""
+    return load({k: v for k, v in env.items() if k != "LB_DISCOVERY"})
+
+
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """The fields that differ and that a running node can't take up. The list as last held and the seed are
+    for the start alone."""
+    names = [f.name for f in fields(Config) if f.name not in ("discovery", "known", "seed")]
+    return [n for n in names if getattr(old, n) != getattr(new, n)]
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -18,10 +18,11 @@
 import time
 from collections import deque
 from collections.abc import Coroutine
+from dataclasses import replace
 from typing import Any
 
 from granitewell import core as c
-from granitewell.config import Config
+from granitewell.config import Config, needs_restart
 from granitewell.net import http1
 from tiderelay.interface import Outcome, View
 
@@ -144,6 +145,7 @@
         self._most_inbound = (sockets - RESERVE) // 2
         self._most_outbound = sockets - RESERVE - self._most_inbound
         self._idle_us = int(config.conn_idle_us * IDLE_PART)
+        self._discovering: asyncio.Task[None] | None = None
         self._listener: socket.socket | None = None
         self._inbounds: dict[int, _Inbound] = {}
         self._last_inbound = 0
@@ -172,13 +174,13 @@
                 _, news = self._reader.take(self._config.known, View.CACHED)
                 self.dispatch(news)
             except ValueError as error:
-                self._say("known", f"the list in the configuration is not usable: {error}")
+                self.say("known", f"the list in the configuration is not usable: {error}")
         accepting = self._spawn(self._accept(listener))
-        self._spawn(self._discover())
+        self._discovering = self._spawn(self._discover(self._config.discovery))
         self._loop.call_later(SWEEP_S, self._sweep)
         debt_s = start_debt(time.process_time(), _age_s(), self._config.cores)
         if debt_s > 0.0:
-            self._say("start", f"ready {debt_s * 1000:.0f} ms later: the start is not paid for yet")
+            self.say("start", f"ready {debt_s * 1000:.0f} ms later: the start is not paid for yet")
             await asyncio.sleep(debt_s)
         self.dispatch(c.Listening())
         await self._left.wait()
@@ -190,6 +192,17 @@
         """The stop signal has come."""
         self.dispatch(c.StopAsked())
 
+    def reload(self, config: Config) -> None:
+        """The configuration has been replaced: discovery is asked for the whole list at the address that it
+        names now, at once. Connections, requests and the list stay."""
+        wait = needs_restart(self._config, config)
+        self._config = replace(self._config, discovery=config.discovery)
+        more = f"; only a restart takes up {', '.join(wait)}" if wait else ""
+        self.say("reload", f"discovery is now {config.discovery[0]}:{config.discovery[1]}{more}")
+        if self._discovering is not None:
+            self._discovering.cancel()
+            self._discovering = self._spawn(self._discover(config.discovery))
+
     def _spawn(self, job: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self._loop.create_task(job)
         self._tasks.add(task)
@@ -200,9 +213,9 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
-            self._say("fault", f"a task failed: {type(error).__name__}: {error}")
+            self.say("fault", f"a task failed: {type(error).__name__}: {error}")
 
-    def _say(self, topic: str, line: str) -> None:
+    def say(self, topic: str, line: str) -> None:
         self.log.write(self.clock.now(), topic, line)
 
     # --- Events and effects -----------------------------------------------------------------------------
@@ -212,7 +225,7 @@
             try:
                 self._run(effect)
             except Exception as error:  # one effect's fault must not lose those behind it
-                self._say("fault", f"{type(effect).__name__} failed: {type(error).__name__}: {error}")
+                self.say("fault", f"{type(effect).__name__} failed: {type(error).__name__}: {error}")
         wake = self._core.wake_us
         if wake >= 0 and (self._timer is None or wake < self._timer_us):
             self._arm(wake)
@@ -230,7 +243,7 @@
         cpu_us = time.thread_time_ns() // 1000
         if late_us >= STALL_US:
             work_us = cpu_us - self._cpu_us
-            self._say("stall", f"{late_us // 1000} ms late, with {work_us // 1000} ms of own work")
+            self.say("stall", f"{late_us // 1000} ms late, with {work_us // 1000} ms of own work")
         self._cpu_us = cpu_us
         self._timer = None
         self.dispatch(c.Woken())
@@ -245,7 +258,7 @@
                 close = effect.close or not inbound.keep
                 self._reply(inbound, http1.answer_bytes(effect, close), close)
         elif isinstance(effect, c.Note):
-            self._say(effect.topic, effect.line)
+            self.say(effect.topic, effect.line)
         elif isinstance(effect, c.WriteCall):
             self._calls[effect.call].go = True
         elif isinstance(effect, c.AbandonCall):
@@ -274,7 +287,7 @@
                 self._drop(inbound)
             elif inbound.parser.partial and not inbound.busy and now - inbound.at_us >= SLOW_US:
                 late = http1.Bad(408, "the request did not come whole")
-                self._say("bad", f"answered {late.status}: {late.text}")
+                self.say("bad", f"answered {late.status}: {late.text}")
                 self._reply(inbound, http1.bad_bytes(late), True)
 
     # --- Inbounds ---------------------------------------------------------------------------------------
@@ -284,12 +297,12 @@
                 sock, _ = await self._loop.sock_accept(listener)
             except OSError as error:
                 # out of descriptors, or a client that left early: neither may stop the listener
-                self._say("accept", f"could not accept: {error}")
+                self.say("accept", f"could not accept: {error}")
                 await asyncio.sleep(0.02)
                 continue
             self._admit(sock)
             while len(self._inbounds) >= self._most_inbound and not self._evict():
-                self._say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
+                self.say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
                 await asyncio.sleep(0.02)
 
     def _admit(self, sock: socket.socket) -> None:
@@ -323,7 +336,7 @@
                     inbound.at_us = self.clock.now()  # trickling bytes do not make a slow sender look quick
                 inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
                 if len(inbound.queue) > MOST_QUEUED:
-                    self._say("inbound", "a client sent many requests at once: closed")
+                    self.say("inbound", "a client sent many requests at once: closed")
                     break
                 self._next(inbound)
         except OSError:
@@ -346,7 +359,7 @@
             ready = self._core.phase is c.Phase.READY
             self._reply(inbound, http1.ready_bytes(ready, not item.keep_alive), not item.keep_alive)
         else:
-            self._say("bad", f"answered {item.status}: {item.text}")
+            self.say("bad", f"answered {item.status}: {item.text}")
             self._reply(inbound, http1.bad_bytes(item), not item.keep_alive)
 
     def _reply(self, inbound: _Inbound, data: bytes, close: bool) -> None:
@@ -480,7 +493,7 @@
         if self._outbound >= self._most_outbound:
             idle = [x for conns in self._pool.values() for x in conns]
             if not idle:
-                self._say("budget", f"{self._outbound} outbound connections, all at work: no new one")
+                self.say("budget", f"{self._outbound} outbound connections, all at work: no new one")
                 return None
             oldest = min(idle, key=lambda x: x.idle_us)
             self._pool[oldest.endpoint].remove(oldest)
@@ -495,7 +508,7 @@
             sock = None
             return conn
         except (OSError, TimeoutError) as error:
-            self._say("dial", f"{address[0]}:{address[1]} did not come up: {str(error) or 'timed out'}")
+            self.say("dial", f"{address[0]}:{address[1]} did not come up: {str(error) or 'timed out'}")
             return None
         finally:
             if sock is not None:
@@ -503,39 +516,43 @@
                 self._outbound -= 1
 
     # --- Discovery --------------------------------------------------------------------------------------
-    async def _discover(self) -> None:
+    async def _discover(self, address: tuple[str, int]) -> None:
         """Ask for the whole list, then watch; after any failure begin anew, keeping the list."""
         sock: socket.socket | None = None
         after: int | None = None
         backoff = BACKOFF_S[0]
-        while True:
-            try:
-                async with asyncio.timeout(SPARE_S + (0.0 if after is None else WATCH_MS / 1000)):
-                    if sock is None:
-                        sock = _tcp(self._config.discovery)
-                        await self._loop.sock_connect(sock, self._config.discovery)
-                    parser = await self._ask_discovery(sock, after)
-                if parser.status != 200:
-                    raise ValueError(f"status {parser.status}")
-                after, news = self._reader.read(parser.body)
-                if news.members or news.view is View.FULL:
-                    self.dispatch(news)
-                backoff = BACKOFF_S[0]
-                if not parser.reusable:
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(SPARE_S + (0.0 if after is None else WATCH_MS / 1000)):
+                        if sock is None:
+                            sock = _tcp(address)
+                            await self._loop.sock_connect(sock, address)
+                        parser = await self._ask_discovery(sock, http1.list_bytes(address, after, WATCH_MS))
+                    if parser.status != 200:
+                        raise ValueError(f"status {parser.status}")
+                    after, news = self._reader.read(parser.body)
+                    if news.members or news.view is View.FULL:
+                        self.dispatch(news)
+                    backoff = BACKOFF_S[0]
+                    if not parser.reusable:
+                        _end(sock)
+                        sock = None
+                    continue
+                except (OSError, ValueError, TimeoutError) as error:
+                    why = str(error) or "no answer in time"
+                    self.say("discovery", f"call failed, the list stays as it is: {why}")
+                if sock is not None:
                     _end(sock)
-                    sock = None
-                continue
-            except (OSError, ValueError, TimeoutError) as error:
-                why = str(error) or "no answer in time"
-                self._say("discovery", f"call failed, the list stays as it is: {why}")
-            if sock is not None:
+                sock, after = None, None
+                await asyncio.sleep(backoff)
+                backoff = min(backoff * 2, BACKOFF_S[1])
+        finally:
+            if sock is not None:  # a reload ends this watch in favour of one at another address
                 _end(sock)
-            sock, after = None, None
-            await asyncio.sleep(backoff)
-            backoff = min(backoff * 2, BACKOFF_S[1])
 
-    async def _ask_discovery(self, sock: socket.socket, after: int | None) -> http1.ResponseParser:
-        await self._loop.sock_sendall(sock, http1.list_bytes(self._config.discovery, after, WATCH_MS))
+    async def _ask_discovery(self, sock: socket.socket, call: bytes) -> http1.ResponseParser:
+        await self._loop.sock_sendall(sock, call)
         parser, buffer = http1.ResponseParser(http1.MOST_LIST), bytearray(BUFFER)
         while True:
             n = await self._loop.sock_recv_into(sock, buffer)
--- a/tests/play.py
+++ b/tests/play.py
@@ -101,7 +101,7 @@
             "name": "n0", "listen": f"{host}:{port}", "discovery": agent, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128}, "known": {}, "settings": text,
         }))  # fmt: skip
-        env = os.environ | {"LB_CONFIG": str(path), "LB_NAME": "n0"}
+        env = os.environ | {"LB_CONFIG": str(path), "LB_NAME": "n0", "LB_DISCOVERY": agent}
         self.program = subprocess.Popen([sys.executable, "-m", "granitewell"], env=env)
         self.watch, _ = self.agent.accept()
         assert b"GET /api/targets HTTP/1.1" in self.head(self.watch)
@@ -207,6 +207,28 @@
         assert self.program is not None
         self.program.send_signal(signal.Signals[f"SIG{words}"])
 
+    def step_reload(self, words: str, _: bytes) -> None:
+        """Another discovery takes over: the file names it, SIGHUP says so, and the whole list is asked of it
+        while the old one is closed. `badly`: the file can't be read; the old discovery is asked on."""
+        assert self.program is not None and self.watch is not None
+        path = Path(self.folder.name, "config.json")
+        if words == "badly":
+            path.write_text("{")
+            self.program.send_signal(signal.SIGHUP)
+            return
+        old, self.agent = self.agent, listen()
+        text = json.loads(path.read_text())
+        text["discovery"] = "%s:%d" % self.agent.getsockname()
+        path.write_text(json.dumps(text))
+        self.program.send_signal(signal.SIGHUP)
+        watch, _ = self.agent.accept()
+        assert b"GET /api/targets HTTP/1.1" in self.head(watch)
+        assert self.watch.recv(4096) == b"", "the watch at the old address goes on"
+        old.close()
+        self.watch.close()
+        self.watch = watch
+        self.tell(True, self.members(words))
+
     def step_exit(self, words: str, _: bytes) -> None:
         assert self.program is not None
         assert self.program.wait(LIMIT_S) == int(words)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from granitewell.config import ConfigError, load
+from granitewell.config import ConfigError, load, needs_restart, reload
 from granitewell.net.http1 import FleetReader, Names
 from tests.play import settings
 from tiderelay.interface import State, View
@@ -42,6 +42,16 @@
     assert Names(config).tenants == {b"merkez-koop": 0} and len(config.settings.tenants) == 1
 
 
+def test_a_reload_reads_discovery_from_the_file_alone(tmp_path: Path) -> None:
+    """LB_DISCOVERY is as old as the process: had it won, the node would go on asking a closed address."""
+    env = write(tmp_path) | {"LB_DISCOVERY": "127.0.0.1:1"}
+    old = load(env)
+    write(tmp_path, discovery="127.0.0.1:2", seed="1", limits={"cores": 0.5, "sockets": 4096})
+    new = reload(env)
+    assert (old.discovery, new.discovery) == (("127.0.0.1", 1), ("127.0.0.1", 2))
+    assert needs_restart(old, new) == ["cores"]
+
+
 @pytest.mark.parametrize(
     ("changes", "names"),
     [
