Silent and half clients make room; spoilt answers end at once; an open id is not served

Lines at fault: loop SLOW_US (10 s), _evict (half and silent clients never go), the half split in Node.__init__; _carry waits for a half answer until the request's due time; http1._judge lets an unknown Request-Class pass as its path's class; nothing looks for an open Request-Id; a 101 ahead of an answer spoils it.

--- a/granitewell/core.py
+++ b/granitewell/core.py
@@ -23,6 +23,7 @@
 # --- Figures of the node itself, in microseconds ---
 GUARD_US = 25_000  # past a request's due time, when the core itself answers: half of the platform's slack
 DRAIN_MARGIN_US = 100_000  # kept back from the drain limit for what lies between here and the first byte
+LEAST_MOST_US = 10_000_000  # what a client may always ask for as its time, whatever its class
 LEAST_LEFT_US = 1_000  # a dialed call with less time than this left is not written
 ACCEPT_US = 500_000  # after the stop signal connections still arrive for up to 400 ms
 HEAR_US = 100_000  # after the listener has closed, for requests on connections taken at the last moment
@@ -49,6 +50,7 @@
     SERVED = "served"
     FAIL_FAST = "fail-fast"  # refused: a retry does no harm
     FAILED = "failed"
+    SAME_ID = "same_id"  # not taken: a request with this id is open
 
 
 # --- Events ---
@@ -63,6 +65,7 @@
     timeout_us: int
     message: object
     repeat: bool = False
+    name: bytes = b""  # the client's id for it; b"" for none
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,10 +229,11 @@
 class _Request:
     """A request that has been taken; open until its final answer."""
 
-    __slots__ = ("calls", "cls", "due_us", "id", "inbound", "message", "open")
+    __slots__ = ("calls", "cls", "due_us", "id", "inbound", "message", "name", "open")
 
-    def __init__(self, rid: int, inbound: int, cls: t.RequestClass, message: object, due: int) -> None:
-        self.id, self.inbound, self.cls, self.message, self.due_us = rid, inbound, cls, message, due
+    def __init__(self, rid: int, event: Arrived, cls: t.RequestClass, due: int) -> None:
+        self.id, self.inbound, self.cls, self.due_us = rid, event.inbound, cls, due
+        self.message, self.name = event.message, event.name
         self.calls: list[_Call] = []
         self.open = True
 
@@ -256,6 +260,7 @@
         self._work: deque[t.Event] = deque()  # for the module, also what its own actions have brought about
         self._requests: dict[int, _Request] = {}
         self._by_inbound: dict[int, _Request] = {}
+        self._names: set[bytes] = set()  # the clients' ids of the requests that are open
         self._calls: dict[int, _Call] = {}
         self._fleet: dict[bytes, _Endpoint] = {}
         self._timers: list[tuple[int, int, str, Any]] = []
@@ -407,10 +412,20 @@
             wait = int(self._set.max_retry_after_ms * 1000) if self._set.retry_after else 0
             self._out.append(Answer(event.inbound, Verdict.FAIL_FAST, None, wait, closing))
             return
+        if event.name in self._names:
+            # whoever sends the id of another's open request must not be served as though its own had run
+            self.stats[Verdict.SAME_ID.value] += 1
+            self._note("same-id", f"a request with the id of request {event.name.decode(errors='replace')}, "
+                       "which is open: not taken")  # fmt: skip
+            self._out.append(Answer(event.inbound, Verdict.SAME_ID, None, 0, closing))
+            return
         self._last_id += 1
         cls = self._set.classes[event.class_index]
-        due = self._now + event.timeout_us
-        request = _Request(self._last_id, event.inbound, cls, event.message, due)
+        # a time without end would hold its place in every table; no client of the class waits longer
+        due = self._now + min(event.timeout_us, max(int(cls.deadline_ms * 1000), LEAST_MOST_US))
+        request = _Request(self._last_id, event, cls, due)
+        if event.name:
+            self._names.add(event.name)
         self._requests[request.id] = self._by_inbound[event.inbound] = request
         self._at(due + GUARD_US, "guard", request.id)
         self._work.append(t.Request(
@@ -426,6 +441,7 @@
 
     def _forget(self, request: _Request) -> None:
         request.open = False
+        self._names.discard(request.name)
         del self._requests[request.id]
         del self._by_inbound[request.inbound]
 
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -35,7 +35,7 @@
 _STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 _REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
+    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
     503: "Service Unavailable",
 }  # fmt: skip
 
@@ -181,6 +181,8 @@
 
     def _judge(self, keep: bool) -> Item:
         names, headers, method = self._names, self._headers, self._parser.get_method()
+        if self._parser.get_http_version() not in ("1.1", "1.0"):
+            return Bad(400, "not HTTP/1.1")
         path = self._target.partition(b"?")[0]
         if path == READY_PATH:
             return ReadyAsk(keep) if method == b"GET" else Bad(405, "GET only", keep, "Allow: GET\r\n")
@@ -195,7 +197,8 @@
         request_id = headers.get(b"request-id", b"")
         if not _ID.match(request_id):
             return Bad(400, "Request-Id is missing or malformed", keep)
-        if names.classes.get(headers.get(b"request-class", b""), index) != index:
+        # a class that does not exist differs, too: served by its path it would look as though it had run
+        if names.classes.get(headers[b"request-class"]) != index if b"request-class" in headers else False:
             return Bad(400, "Request-Class and path differ", keep)
         timeout = headers.get(b"request-timeout-ms", b"")
         if not _MS.match(timeout) or int(timeout) == 0:
@@ -237,6 +240,8 @@
     if answer.verdict is Verdict.SERVED and isinstance(answer.answer, Served):
         kind = answer.answer.content_type.decode("latin-1")
         return _response(200, answer.answer.body, close, f"Content-Type: {kind}\r\n" if kind else "")
+    if answer.verdict is Verdict.SAME_ID:
+        return _response(409, b"", close)
     if answer.verdict is Verdict.FAIL_FAST:
         wait = f"Retry-After: {answer.retry_after_us / 1e6:.3f}\r\n" if answer.retry_after_us else ""
         return _response(503, b"", close, wait)
@@ -275,12 +280,19 @@
     def feed(self, data: bytes) -> bool:
         """True once the answer is whole. ValueError: this is no answer."""
         self._head += 0 if self._in_body else len(data)
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.reusable = False
-            if not self.done:
-                raise ValueError(f"no HTTP: {error}") from None
+        while data:
+            try:
+                self._parser.feed_data(data)
+                break
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+                self.reusable = False
+                if self.done:
+                    break
+                # a 101 that nobody asked for is a 1xx like any other: the answer comes behind its head
+                data = data.partition(b"\r\n\r\n")[2] if self.status == 101 else b""
+                if not data:
+                    raise ValueError(f"no HTTP: {error}") from None
+                self._parser, self.status = httptools.HttpResponseParser(self), 0
         if self._size > self._most:
             raise ValueError("the body is too large")
         if not self._in_body and self._head > 2 * MOST_HEAD:
@@ -309,6 +321,9 @@
         if not self.done:
             self.status = self._parser.get_status_code()
             self._in_body = self.status >= 200
+            length = self.headers.get(b"content-length", b"0")
+            if self._in_body and int(length) > self._most:  # known before a byte of it has come
+                self._size = int(length)
 
     def on_body(self, body: bytes) -> None:
         if not self.done:
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -30,13 +30,20 @@
 RESERVE = 32  # descriptors for the interpreter, the listener, discovery and accidents
 BUFFER = 8 * 1024  # bytes read at a time
 BACKLOG = 1024
-SWEEP_S = 0.5
+SWEEP_S = 0.25
 IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
-SLOW_US = 10_000_000  # for a client to get a begun request across
+# A client that sends nothing of use is owed an error or a close within 3 s of connecting; a usual client's
+# first request is there within milliseconds.
+SLOW_US = 2_200_000  # for a client to get a begun request across; on a new connection, since it came
+HUSH_US = 200_000  # after which a connection that has said nothing goes first where descriptors are short,
+HALF_US = 500_000  # and after which one with half a request goes with those that are idle
+SPENT_US = 3_000_000  # for a client to ask again; some ask once and keep their connection for good
+WHOLE_S = 0.15  # from the first byte of an endpoint's answer to its last: spoilt ones never get there
+SCRAP = bytearray(256 * 1024)  # takes what comes in behind an error, up to 60 MB, in few turns; never read
 MOST_DEBT_S = 2.0  # that a node puts off being ready, whatever its limit says
 STALL_US = 20_000  # a timer so late is worth a line: answers at the due time have a slack of 50 ms
 STUCK_S = 5.0  # for a client to take its answer
-FRESH_US = 2_000_000  # for the first request on a new connection
+FRESH_US = 2_000_000  # for the first byte of the first request on a new connection
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
 MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
@@ -142,8 +149,11 @@
         self._reader = http1.FleetReader(config, self.clock.unix_offset_us)
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
-        self._most_inbound = (sockets - RESERVE) // 2
-        self._most_outbound = sockets - RESERVE - self._most_inbound
+        # One budget. Each side has a part that is its own: a third for endpoints; for clients what the usual
+        # ones can hold, a third too, with room for new ones. Either takes what the other leaves.
+        self._most = sockets - RESERVE
+        self._most_inbound = self._most - self._most // 3
+        self._most_outbound = self._most - min(sockets // 3 + 8, self._most // 2)
         self._idle_us = int(config.conn_idle_us * IDLE_PART)
         self._discovering: asyncio.Task[None] | None = None
         self._listener: socket.socket | None = None
@@ -283,12 +293,18 @@
             if not conns:
                 del self._pool[endpoint]
         for inbound in list(self._inbounds.values()):
-            if inbound.closing and now - inbound.at_us >= LINGER_US:
+            waited = now - inbound.at_us
+            if inbound.closing and waited >= LINGER_US:
+                self._drop(inbound)
+            elif inbound.busy or inbound.closing:
+                continue
+            elif inbound.parser.partial:
+                if waited >= SLOW_US:
+                    late = http1.Bad(408, "the request did not come whole")
+                    self.say("bad", f"answered {late.status}: {late.text}")
+                    self._reply(inbound, http1.bad_bytes(late), True)
+            elif waited >= (FRESH_US if inbound.fresh else SPENT_US) and _is_idle(inbound, now):
                 self._drop(inbound)
-            elif inbound.parser.partial and not inbound.busy and now - inbound.at_us >= SLOW_US:
-                late = http1.Bad(408, "the request did not come whole")
-                self.say("bad", f"answered {late.status}: {late.text}")
-                self._reply(inbound, http1.bad_bytes(late), True)
 
     # --- Inbounds ---------------------------------------------------------------------------------------
     async def _accept(self, listener: socket.socket) -> None:
@@ -301,7 +317,7 @@
                 await asyncio.sleep(0.02)
                 continue
             self._admit(sock)
-            while len(self._inbounds) >= self._most_inbound and not self._evict():
+            while not self._room(self._most_inbound, len(self._inbounds)) and not self._evict():
                 self.say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
                 await asyncio.sleep(0.02)
 
@@ -313,12 +329,30 @@
         self._inbounds[inbound.id] = inbound
         self._spawn(self._listen(inbound))
 
+    def _room(self, most: int, held: int) -> bool:
+        """Is there a descriptor for one more, on a side that holds so many and may hold so many at most?"""
+        return held < most and len(self._inbounds) + self._outbound < self._most
+
     def _evict(self) -> bool:
-        """Close the inbound that has been idle longest; False if none is."""
+        """Make room for a client: close an inbound that has said nothing, has been idle longest or has sent
+        but half a request, or an idle connection to an endpoint where those have more than their own part.
+        False if there is none."""
         now = self.clock.now()
-        idle = [i for i in self._inbounds.values() if _is_idle(i, now)]
+        free = [i for i in self._inbounds.values() if not i.busy]
+        for inbound in sorted(free, key=lambda i: (not i.fresh or i.parser.partial, i.at_us)):
+            spent = (inbound.closing or inbound.parser.partial) and now - inbound.at_us >= HALF_US
+            if spent or _is_idle(inbound, now, HUSH_US):
+                self._drop(inbound)
+                return True
+        return len(self._inbounds) < self._most_inbound and self._shed_idle()
+
+    def _shed_idle(self) -> bool:
+        """Close the connection to an endpoint that has been idle longest; False if none is."""
+        idle = [x for conns in self._pool.values() for x in conns]
         if idle:
-            self._drop(min(idle, key=lambda i: i.at_us))
+            oldest = min(idle, key=lambda x: x.idle_us)
+            self._pool[oldest.endpoint].remove(oldest)
+            self._close(oldest)
         return bool(idle)
 
     async def _listen(self, inbound: _Inbound) -> None:
@@ -327,13 +361,15 @@
         try:
             while True:
                 buffer[0] = 0
-                n = await self._loop.sock_recv_into(inbound.sock, buffer)
+                spent = inbound.closing or inbound.parser.broken  # only waiting for the client to close
+                n = await self._loop.sock_recv_into(inbound.sock, SCRAP if spent else buffer)
                 if n == 0:
                     break
-                if inbound.closing:
-                    continue  # only waiting for the client to close
-                if not inbound.parser.partial:
-                    inbound.at_us = self.clock.now()  # trickling bytes do not make a slow sender look quick
+                if spent or inbound.closing:
+                    continue
+                if not inbound.parser.partial and not inbound.fresh:
+                    # trickling bytes do not make a slow sender look quick, nor do noise and empty lines
+                    inbound.at_us = self.clock.now()
                 inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
                 if len(inbound.queue) > MOST_QUEUED:
                     self.say("inbound", "a client sent many requests at once: closed")
@@ -353,7 +389,7 @@
             inbound.busy, inbound.keep = True, item.keep_alive
             self.dispatch(c.Arrived(
                 inbound.id, item.class_index, item.tenant, item.key, item.timeout_ms * 1000, item.message,
-                item.repeat,
+                item.repeat, item.message.request_id,
             ))  # fmt: skip
         elif isinstance(item, http1.ReadyAsk):
             ready = self._core.phase is c.Phase.READY
@@ -443,15 +479,14 @@
                 return
             parser = http1.ResponseParser()
             try:
-                while True:
-                    n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
-                    if parser.feed(bytes(conn.buffer[:n])) if n else parser.end():
-                        break
-                    if n == 0:
-                        self._finish(effect.call, Outcome.RESET)
-                        return
-            except (OSError, ValueError):
-                self._finish(effect.call, Outcome.RESET)  # broken after that: it may have run
+                n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
+                if not (n and parser.feed(bytes(conn.buffer[:n]))):
+                    await self._rest(conn, parser, n)
+            except (OSError, ValueError) as error:
+                # broken, spoilt or left unfinished after that: it may have run
+                why = str(error) or "not whole in time"
+                self.say("spoilt", f"{conn.address[0]}:{conn.address[1]}: {why}")
+                self._finish(effect.call, Outcome.RESET)
                 return
             keep = parser.reusable
             if keep:
@@ -463,6 +498,16 @@
             if not keep:
                 self._close(conn)
 
+    async def _rest(self, conn: _Conn, parser: http1.ResponseParser, n: int) -> None:
+        """What is still missing of an answer that has begun; OSError or ValueError if it never gets whole."""
+        async with asyncio.timeout(WHOLE_S):
+            while n:
+                n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
+                if n and parser.feed(bytes(conn.buffer[:n])):
+                    return
+        if not parser.end():
+            raise ConnectionError("the connection ended before the answer")
+
     def _finish(
         self, number: int, outcome: Outcome, report: tuple[float, ...] = (), answer: object = None
     ) -> None:
@@ -490,14 +535,11 @@
         _end(conn.sock)
 
     async def _dial(self, endpoint: bytes, address: tuple[str, int]) -> _Conn | None:
-        if self._outbound >= self._most_outbound:
-            idle = [x for conns in self._pool.values() for x in conns]
-            if not idle:
+        if not self._room(self._most_outbound, self._outbound):
+            may_evict = self._outbound < self._most_outbound
+            if not self._shed_idle() and not (may_evict and self._evict()):
                 self.say("budget", f"{self._outbound} outbound connections, all at work: no new one")
                 return None
-            oldest = min(idle, key=lambda x: x.idle_us)
-            self._pool[oldest.endpoint].remove(oldest)
-            self._close(oldest)
         self._outbound += 1
         sock = None
         try:
@@ -593,11 +635,11 @@
     return True
 
 
-def _is_idle(inbound: _Inbound, now_us: int) -> bool:
+def _is_idle(inbound: _Inbound, now_us: int, fresh_us: int = FRESH_US) -> bool:
     """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
     kernel, nor bytes that the loop took from it a turn before the reading task goes on. A new connection is
-    not idle: its first request is on the way, and only between requests may a node close."""
-    if inbound.fresh and now_us - inbound.at_us < FRESH_US:
+    not idle for so long: its first request is on the way, and only between requests may a node close."""
+    if inbound.fresh and now_us - inbound.at_us < fresh_us:
         return False
     if inbound.busy or inbound.parser.partial or inbound.buffer[0]:
         return False
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -210,6 +210,13 @@
     assert sum(isinstance(e, t.Request) for e in script.seen) == 1
 
 
+def test_a_time_without_end_is_cut() -> None:
+    """A client that names eleven days would hold its place in every table for as long."""
+    node = core(Script(Request=send))
+    (call,) = calls(ask(node, 0, 1, timeout=999_999_999_000))
+    assert call.due_us == c.LEAST_MOST_US
+
+
 def test_a_new_process_or_address_makes_idle_connections_useless() -> None:
     node = core(Script())
     assert node.handle(1, c.FleetNews(View.DELTA, (member(0),))) == []
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -12,8 +12,19 @@
 
 from granitewell.config import load
 from granitewell.core import Core
-from granitewell.net.http1 import ResponseParser, outcome, report
-from granitewell.net.loop import FRESH_US, HEAD_START_US, Log, Node, _is_idle, _readable, start_debt
+from granitewell.net.http1 import InboundParser, ResponseParser, outcome, report
+from granitewell.net.loop import (
+    FRESH_US,
+    HALF_US,
+    HEAD_START_US,
+    HUSH_US,
+    Log,
+    Node,
+    _Inbound,
+    _is_idle,
+    _readable,
+    start_debt,
+)  # fmt: skip
 from tests.play import FOLDER, LIMIT_S, Player, play
 from tests.test_config import write
 from tiderelay.interface import Outcome
@@ -26,7 +37,7 @@
 
 
 def test_more_idle_clients_than_descriptors_leave_room_for_the_next() -> None:
-    """The player allows 128 descriptors, 48 of them for clients: the longest idle has to go."""
+    """The player allows 128 descriptors, 64 of them for clients: the longest idle has to go."""
     player = Player()
     crowd: list[socket.socket] = []
     try:
@@ -83,6 +94,38 @@
     assert seen == [(False, True), (False, True), (False, False)]
 
 
+def test_who_makes_room_for_a_new_client(tmp_path: Path) -> None:
+    """Silent and half clients by the hundred held every descriptor for 2 and 10 s, while requests waited in
+    the backlog past their time. The silent go first, then the one left longest; never one at work."""
+    config = load(write(tmp_path))
+    left: list[list[str]] = []
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        node = Node(config, Core(config.settings, Balancer(config.settings, 1), 9), loop)
+        names, ends = {}, []
+        for name in ("new", "busy", "kept", "half", "silent"):
+            ours, theirs = socket.socketpair()
+            ends.append(theirs)
+            ours.setblocking(False)
+            node._last_inbound += 1
+            one = _Inbound(node._last_inbound, ours, InboundParser(node._names), node.clock.now())
+            node._inbounds[one.id] = one
+            names[one.id] = name
+            one.busy, one.fresh = name == "busy", name != "kept"
+            one.at_us -= {"new": 0, "half": HALF_US + 1, "silent": HUSH_US}.get(name, HALF_US)
+            if name == "half":
+                one.parser.feed(b"GET /ta")
+        while node._evict():
+            left.append([names[k] for k in node._inbounds])
+        for end in ends:
+            end.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(scenario())
+    assert left == [["new", "busy", "kept", "half"], ["new", "busy", "kept"], ["new", "busy"]]
+
+
 @pytest.mark.parametrize(
     ("cpu_s", "age_s", "cores", "debt_s"),
     [(0.12, 0.15, 0.4, 0.15), (0.12, 0.31, 0.4, 0.0), (0.5, 0.1, 1.0, 0.0), (0.5, 0.1, 0.01, 2.0)],
@@ -141,6 +184,12 @@
     assert (outcome(parser), report(parser, ("failed_ps", "pending"))) == (says, load)
 
 
+def test_the_claim_of_three_gigabytes_is_no_answer_before_they_come() -> None:
+    """Read to the limit of a body first, each such answer held its request and cost a read of 64 KiB."""
+    with pytest.raises(ValueError, match="too large"):
+        ResponseParser().feed(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx")
+
+
 @pytest.mark.parametrize("head", [b"A: ", b"Content-Length: 70000\r\n\r\n"])
 def test_an_answer_without_end_is_no_answer(head: bytes) -> None:
     with pytest.raises(ValueError):
