Endpoints of the own zone come first; ready only after the start's stall

Under a limit of 0.85 core each node is stopped for 80 to 150 ms at 0.22 s of its life (`stall` lines), its first requests with it. Lines at fault: policy._score knows nothing of zones; loop.start_debt counts the mean since the start, while the limit is kept over shorter stretches: now such a node is ready at 0.6 s of age, and the stall comes before (seen in the logs).

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -40,6 +40,7 @@
 SPENT_US = 3_000_000  # for a client to ask again; some ask once and keep their connection for good
 WHOLE_S = 0.15  # from the first byte of an endpoint's answer to its last: spoilt ones never get there
 SCRAP = bytearray(256 * 1024)  # takes what comes in behind an error, up to 60 MB, in few turns; never read
+LEAST_AGE_S = 0.6  # of a process under a CPU limit below one core before it is ready
 MOST_DEBT_S = 2.0  # that a node puts off being ready, whatever its limit says
 STALL_US = 20_000  # a timer so late is worth a line: answers at the due time have a slack of 50 ms
 STUCK_S = 5.0  # for a client to take its answer
@@ -606,8 +607,9 @@
 
 def start_debt(cpu_s: float, age_s: float, cores: float) -> float:
     """Seconds until the CPU that starting took is within what a limit under one core gives. A node that is
-    ready before is stopped by that limit while its first requests wait, past the slack of their answers."""
-    return min(max(cpu_s / cores - age_s, 0.0), MOST_DEBT_S) if cores < 1.0 else 0.0
+    ready before is stopped by that limit while its first requests wait, past the slack of their answers. The
+    limit is kept over stretches of time, so a young process is stopped although its mean is within it."""
+    return min(max(cpu_s / cores, LEAST_AGE_S) - age_s, MOST_DEBT_S) if cores < 1.0 else 0.0  # under 0: none
 
 
 def _age_s() -> float:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -276,6 +276,30 @@
     assert b._forecast() == pytest.approx(sum(b._bins) / 20 / PERIOD)
 
 
+@pytest.mark.parametrize(("price", "least", "most"), [(0.02, 0.7, 0.98), (0.0, 0.2, 0.55)])
+def test_hosts_of_the_own_zone_come_first_while_they_have_room(
+    price: float, least: float, most: float
+) -> None:
+    """Crossing zones has a price, and two thirds of all requests paid it; but a zone that is full spills."""
+    b = Balancer(w.settings(zone=1, cross_zone_price=price), 5)
+    b.handle(0.0, Hosts(View.FULL, tuple(host(k, zone=k % 3) for k in range(9))))
+    near = total = 0
+    busy: list[tuple[float, Send]] = []
+    for k in range(1500):
+        now = 5.0 * k
+        while busy and busy[0][0] <= now:
+            answer(b, now, busy.pop(0)[1], 20.0)
+        for s in sends(b.handle(now, Timer(0)) + b.handle(now, Request(k, 0, 0, 0, now + 900.0, 0.0))):
+            busy.append((now + 20.0, s))
+            total += 1
+            near += s.host in {host(j).id for j in (1, 4, 7)}
+    assert least < near / total < most
+    for k in range(2000, 2060):  # at once, with none answered
+        b.handle(8000.0, Request(k, 0, 0, 0, 9000.0, 0.0))
+    far = [t.server.zone for (rid, _), t in b._out.items() if rid >= 2000]
+    assert any(z != 1 for z in far)
+
+
 def test_a_hung_host_is_left_alone_but_for_a_few() -> None:
     b = balancer(6, seed=3)
     lost = 0
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -59,6 +59,7 @@
 POINTS = 8  # places of a host on the ring of keys, to even out the arcs
 HOMES = 4  # places on the ring that a key tries in turn
 CROWDED = 2.0  # times a typical host's score from which a key's home is passed over
+FAR_ZONE = 3.0  # times its score that a host of another zone must be better, where crossing has a price
 REPORT_WEIGHT = 0.5  # of a reported service time against one answer: it is a noisy mean of few
 REPORT_TAU = 800.0  # ms in which a load report loses its say
 TOLERATED = 0.1  # share of late answers that asks for no shedding, less where what goes is worth little
@@ -391,6 +392,8 @@
         # others send by speed too: held for even, their load would count speed twice and swamp fast hosts
         queue = s.inflight + fresh * s.load + (1.0 - fresh) * self._others / s.ratio
         score = (1.0 + queue) * s.ratio * self._cost(s) / self._share(s)
+        if s.zone != self._set.zone and self._set.cross_zone_price > 0.0:
+            score *= FAR_ZONE
         if s.inflight and self._latency:
             # hung: it owes answers and gives none. Grows smoothly, so that a short pause costs little
             silent = (self._now - s.quiet) / (SILENT * self._latency * max(s.ratio, 1.0))
