A lost zone's ill endpoints are tried one at a time, not each of them twice a second

Cause: _weigh and _pick (tiderelay/policy.py) let each ill host have a safe request every TRIAL = 500 ms of its own. With eighteen of them that is 36 a second, more than a node gets, and each waits 250 ms for a connection. Checked and ruled out: not the choice by score (the zone's share stayed over ZONE_BAD as failing trials renew it), not shedding (2.5% refused), not connection tables (dials timed out only at hosts of the lost zone). Change: TRIAL counts for the node; the host that was tried longest ago has its turn. Test: test_a_lost_zone_is_found_out_by_one_try_at_a_time (12 to 18 tries; 31 to 43 before).

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -522,3 +522,23 @@
         for s in sends(b.handle(now, Request(k, k % 2, 0, 0, now + 900.0, 0.0))):
             answer(b, now, s, 500.0, Outcome.ERROR)
     assert b._warm_rate > 0.8 * bears
+
+
+def test_a_lost_zone_is_found_out_by_one_try_at_a_time() -> None:
+    """A gateway that tries each of twenty ill hosts twice a second spends its safe requests on them."""
+    b = Balancer(w.settings(parallel_tries=True), 5)
+    b.handle(0.0, Hosts(View.FULL, tuple(host(k, zone=k % 3) for k in range(60))))
+    tries, down = 0, list[tuple[float, Send]]()
+    for k in range(600):
+        now = 20.0 * k
+        while down and down[0][0] <= now:
+            at, s = down.pop(0)
+            answer(b, at, s, 250.0, Outcome.UNCONNECTED)
+        b.handle(now, Timer(0))
+        for s in sends(b.handle(now, Request(k, 0, 0, 0, now + 900.0, 0.0))):
+            if now > 2000.0 and s.host[3] % 3 == 0:
+                down.append((now + 250.0, s))
+                tries += now > 4000.0
+            else:
+                answer(b, now, s, 20.0)
+    assert 4 < tries < 24  # in eight seconds; each host at a time of its own made it 31 to 43
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -51,7 +51,8 @@
 PRIOR = 2.0  # answers' worth of belief in the figure of a host's kind, until it shows its own
 FASTEST, SLOWEST = 0.4, 10.0  # bounds of a host's ratio: latency holds queues too, and odds must not swing
 BEARABLE = 0.2  # part of the aim that a call may be out before its host is suspected, however quick others
-TRIAL = 500.0  # ms, least time between two tries by which a safe request finds out how an ill host does
+TRIAL = 500.0  # ms, least time between two safe requests that find out how an ill host does, whichever host:
+# a lost zone has many, every gateway tries them, and each try waits for a connection that does not come up
 FAIL_COST = 12.0  # a host that always fails looks so many times slower
 SILENT = 2.0  # mean latencies without any answer that make a host look twice as slow
 HEAVY = 3.0  # cost of a host too slow for a heavy request
@@ -171,7 +172,8 @@
         kinds = settings.classes  # what keeps well inside the aim hurts nobody, however quick the others are
         self._health: Health[_Try] = Health((c.effect is Effect.SAFE for c in kinds),
                                             (BEARABLE * c.aim_ms for c in kinds))  # fmt: skip
-        self._ill: list[list[_Server]] = [[] for _ in settings.classes]  # where a safe request may find out
+        self._ill: list[list[_Server]] = [[] for _ in settings.classes]  # where a safe request may find out,
+        self._trial_at = -math.inf  # and from when on the next one may
         self._agenda: list[tuple[float, int, Callable[[Any], None], Any]] = []
         self._seq, self._armed = 0, math.inf
         # rate forecast
@@ -363,8 +365,9 @@
             self._sound[k] = list(accumulate(well))
             self._cum[k] = list(accumulate(map(mul, speeds, well)))
             if self._set.parallel_tries and cls.effect is Effect.SAFE and not self._health.full[k]:
-                self._ill[k] = [s for s, fail in zip(self._order, fails, strict=True)
-                                if fail > SICK and s.pairs[k].tried < self._now - TRIAL]  # fmt: skip
+                ill = [s for s, fail in zip(self._order, fails, strict=True)
+                       if fail > SICK and s.pairs[k].tried < self._now - TRIAL]  # fmt: skip
+                self._ill[k] = sorted(ill, key=lambda s: -s.pairs[k].tried)  # last: the longest ago
         self._worth = list(accumulate(best))
 
     def _draw(self, low: int, high: int, cum: list[float]) -> _Server:
@@ -375,8 +378,9 @@
 
     def _pick(self, req: _Held) -> _Server | None:
         """The better of a few random hosts of the prefix; behind it when those are busy."""
-        if self._ill[req.index] and not req.tries and self._retries >= 1.0:
+        if self._ill[req.index] and self._now >= self._trial_at and not req.tries and self._retries >= 1.0:
             ill = self._ill[req.index].pop()  # one safe request finds out; a second copy soon stands in
+            self._trial_at = self._now + TRIAL
             if not ill.pairs[req.index].inflight and self._may_send(req, ill) and self._cold_room(ill):
                 return ill
         n, best, best_score = self._size, None, math.inf
