Shedding eases by lateness alone: a mean of 100 answers is five seconds old at 40 nodes

Cause: Balancer._control eased quickly only while _latency was under a fifth of the aim, and that is a running mean over 100 answers: five seconds at 22 requests a second, with the queues of the trouble still in it. Change: quick where the late share, halved each 250 ms, is under half of what is borne.

--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -67,8 +67,8 @@
 TOLERATED = 0.1  # share of late answers that asks for no shedding, less where what goes is worth little
 SHED_GAIN = 0.4  # work shed for each late share beyond that, an aim's time: what lateness shows is so old
 SHED_EASE = 0.06  # part of the shedding taken back a period, some four seconds to recover
-EASE_QUICK = 0.25  # the same while answers take so little of the aim that there must be room: what is shed
-QUICK = 0.2  # for nothing comes back as retries
+EASE_QUICK = 0.25  # the same while so little of the late share that is borne is seen that there must be room:
+QUICK = 0.5  # what is shed for nothing comes back as retries. Late shares, as a mean latency is seconds old
 ROOM = 0.4  # part of the aim that requests in flight may fill while shedding; shows sooner than lateness
 MOST_SHED = 0.9  # of any class; the rest shows when there is room again, and starves no class
 ALLOWANCE = 2000.0  # ms of a tenant's allowance that may come at once
@@ -569,7 +569,7 @@
         late = self._share_late = self._late / max(self._judged, 3.0)
         self._late, self._judged = self._late / 2, self._judged / 2
         gain = SHED_GAIN * min(PERIOD / max(min(aims), 1.0), 1.0)
-        quick = late <= TOLERATED * self._margin and self._latency < QUICK * sum(aims) / len(aims)
+        quick = late <= QUICK * TOLERATED * self._margin
         level = self._level * (1 - (EASE_QUICK if quick else SHED_EASE)) - 0.002
         level += gain * max(late - TOLERATED * self._margin, 0.0)
         self._level = min(max(level, 0.0), MOST_SHED)
