--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -19,6 +19,7 @@
 
 from granitewell.config import Config, ConfigError, load, reload
 from granitewell.core import Core
+from granitewell.handover import Handover
 from granitewell.net.loop import Node
 from tiderelay.policy import Balancer
 
@@ -50,7 +51,11 @@
 
 async def _serve(config: Config, live: Live | None) -> None:
     loop = asyncio.get_running_loop()
-    node = Node(config, Core(config.settings, Balancer(config.settings, config.seed), config.most_held), loop)
+    core = Core(config.settings, Balancer(config.settings, config.seed), config.most_held)
+    handover = Handover(os.environ.get("TMPDIR", ""), config.name)
+    node = Node(config, core, loop, handover)
+    if wrong := handover.enter():
+        node.say("handover", wrong)
     if live is not None:
         _take(node, live)
     for sign in (signal.SIGTERM, signal.SIGINT):
@@ -63,6 +68,7 @@
     try:
         await node.run()
     finally:
+        handover.leave()
         if node.door is not None:
             node.door.close()
 
@@ -98,6 +104,9 @@
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_serve(config, live))
+    except ConfigError as error:
+        print(f"granitewell: bad configuration: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"granitewell: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
--- a/granitewell/config.py
+++ b/granitewell/config.py
@@ -46,6 +46,9 @@
     dial_timeout_us: int
     conn_idle_us: int
     most_held: int
+    console: tuple[str, int] | None = None  # where operators call
+    memory_mb: float = 192.0
+    inherited: int = -1  # descriptor of the clients' listening socket, where the platform holds it
 
 
 def address(text: Any, field: str) -> tuple[str, int]:
@@ -82,6 +85,14 @@
         raise ConfigError(f"seed: {value!r} is neither hexadecimal nor a number") from None
 
 
+def _descriptor(text: str) -> int:
+    if not text:
+        return -1
+    if not text.isascii() or not text.isdigit() or not 0 <= int(text) < 1 << 20:
+        raise ConfigError(f"LB_INHERITED_FD: {text!r} is not a descriptor")
+    return int(text)
+
+
 def load(env: Mapping[str, str]) -> Config:
     """The configuration of this process; the variables win over the file."""
     path = env.get("LB_CONFIG", "")
@@ -101,6 +112,7 @@
     allowed = _object(raw.get("allowed"), "settings.allowed")
     # The module counts only tenants that have an allowance: the names must skip the same ones.
     tenants = [t for t in raw.get("tenants", []) if t.get("allowancePerS") is not None]
+    console = env.get("LB_CONSOLE") or top.get("console")
     stats = _object(raw.get("stats", {}), "settings.stats")
     return Config(
         name=env.get("LB_NAME") or str(top.get("name", "node")),
@@ -121,6 +133,9 @@
         ),
         dial_timeout_us=int(1000 * _number(allowed, "dialTimeoutMs", "settings.allowed.dialTimeoutMs", 250)),
         conn_idle_us=int(1000 * _number(allowed, "connIdleMs", "settings.allowed.connIdleMs", 10000)),
+        console=address(console, "console") if console else None,
+        memory_mb=_number(limits, "memory_mb", "limits.memory_mb", 192.0, 16),
+        inherited=_descriptor(env.get("LB_INHERITED_FD", "")),
         most_held=int(_number(allowed, "mostHeld", "settings.allowed.mostHeld", 20000)),
     )
 
--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -20,6 +20,9 @@
     AbandonCall,
     Answer,
     Arrived,
+    BanAsked,
+    BanLifted,
+    BansHeard,
     Begin,
     CallBegan,
     CallDialed,
@@ -32,12 +35,18 @@
     Finish,
     FleetNews,
     InboundGone,
+    KeepBan,
     Leave,
     Listening,
+    Member,
     Note,
     Pass,
     Phase,
+    Ruled,
+    Ruling,
+    Serving,
     StartCall,
+    StopAsked,
     StopListening,
     Verdict,
     Woken,
@@ -52,6 +61,7 @@
 LEAST_MOST_US = 10_000_000  # what a client may always ask for as its time, whatever its class
 LEAST_LEFT_US = 1_000  # a dialed call with less time than this left is not written
 ACCEPT_US = 500_000  # after the stop signal connections still arrive for up to 400 ms
+LAST_US = 700_000  # the same where the listener is shared, for the last requests on connections kept so long
 HEAR_US = 100_000  # after the listener has closed, for requests on connections taken at the last moment
 LONGEST_US = 3_000_000  # the longest deadline that the platform waits out before SIGKILL
 STOP_SPARE_US = 450_000  # of the 700 ms that follow it, what may pass before the node leaves by itself
@@ -62,6 +72,11 @@
 
 
 
+def _text(eid: bytes) -> str:
+    """An endpoint's id for the log."""
+    return eid.decode(errors="replace")
+
+
 class Decider(Protocol):
     """What the core needs of tiderelay.policy.Balancer."""
 
@@ -83,6 +98,9 @@
         self._names: set[bytes] = set()  # the clients' ids of the requests that are open
         self._calls: dict[int, Call] = {}
         self._fleet: dict[bytes, Endpoint] = {}
+        self._bans: set[bytes] = set()  # whatever the list says of them
+        self._back_us: dict[bytes, int] = {}  # when the ban of an endpoint ended
+        self._named: set[bytes] = set()  # endpoints that a list has named at some time
         self._timers: list[tuple[int, int, str, Any]] = []
         self._last_id = self._seq = 0
         self._listening = self._beating = False
@@ -131,8 +149,12 @@
             self._news(event)
         elif isinstance(event, Listening):
             self._listening = True
+        elif isinstance(event, BanAsked | BanLifted):
+            self._ruled(event)
+        elif isinstance(event, BansHeard):
+            self._heard(event)
         else:
-            self._stop()
+            self._stop(event)
         self._think()
 
     @property
@@ -186,7 +208,9 @@
             elif what == "heard":
                 self._listening = False
             elif what == "leave" and self.phase is Phase.DRAINING:
-                self._note("phase", f"no time is left: leaving with {len(self._requests)} unanswered")
+                self._note("phase", f"no time is left: leaving, {len(self._requests)} are answered unserved")
+                for request in list(self._requests.values()):
+                    self._close(request, Verdict.FAIL_FAST if self._harmless(request) else Verdict.FAILED)
                 self.phase = Phase.STOPPED
                 self._out.append(Leave())
 
@@ -210,7 +234,8 @@
         able = self._listening and any(e.told_us < 0 for e in self._fleet.values())
         if self.phase is Phase.STARTING and able:
             self.phase = Phase.READY
-            self._note("phase", f"ready with {len(self._fleet)} endpoints")
+            self._note("phase", f"ready with {len(self._fleet)} endpoints, {len(self._bans)} banned")
+            self._out.append(Serving())
         if not self._beating and self._listening:
             self._beating = True
             self._at(self._now + BEAT_US, "beat")
@@ -219,14 +244,19 @@
             self.phase = Phase.STOPPED
             self._out.append(Leave())
 
-    def _stop(self) -> None:
+    def _stop(self, event: StopAsked) -> None:
         if self.phase in (Phase.DRAINING, Phase.STOPPED):
             return
         self.phase = Phase.DRAINING
         self._note("phase", f"asked to stop with {len(self._requests)} requests held")
         longest = max(int(c.deadline_ms * 1000) for c in self._set.classes)
-        self._at(self._now + ACCEPT_US, "accepted")
-        self._at(self._now + min(longest, LONGEST_US) + STOP_SPARE_US, "leave")
+        end = self._now + min(longest, LONGEST_US) + STOP_SPARE_US
+        if event.shared:  # the other process takes what comes; here clients use up the connections they hold
+            self._out.append(StopListening())
+            self._at(end - LAST_US, "heard")
+        else:
+            self._at(self._now + ACCEPT_US, "accepted")
+        self._at(end, "leave")
 
     # --- Requests ---------------------------------------------------------------------------------------
     def _arrived(self, event: Arrived) -> None:
@@ -287,7 +317,9 @@
 
     # --- Outbound calls ---------------------------------------------------------------------------------
     def _sendable(self, endpoint: Endpoint) -> bool:
-        """Rule 3: may a first byte go to this endpoint now?"""
+        """Rule 3 and the operators' bans: may a first byte go to this endpoint now?"""
+        if endpoint.member.id in self._bans:
+            return False
         grace = int(self._set.drain_grace_ms * 1000) - DRAIN_MARGIN_US
         return endpoint.told_us < 0 or self._now - endpoint.told_us < grace
 
@@ -339,6 +371,11 @@
             StartCall(call.id, to.id, to.address, request.message, due, to.protocol)
         )
 
+    def clear(self, cid: int) -> bool:
+        """The last look before the first byte, where no dial lies between: is this call still to be made?"""
+        call = self._calls.get(cid)
+        return call is not None and self._sendable(call.endpoint)
+
     def _dialed(self, cid: int) -> None:
         """A dial takes time: look again whether the request lives, has time and may still go there."""
         call = self._calls.get(cid)
@@ -413,9 +450,14 @@
         old = [k for k, e in self._fleet.items() if 0 <= e.told_us < self._now - FORGET_US and k not in named]
         for eid in old:
             del self._fleet[eid]
-        self._work.append(t.Hosts(event.view, tuple(
-            t.Host(m.id, m.zone, m.kind, m.cell, m.state, m.scale, m.started_us / 1000) for m in event.members
-        )))  # fmt: skip
+        self._named |= named
+        self._work.append(t.Hosts(event.view, tuple(self._host(m) for m in event.members)))
+
+    def _host(self, m: Member) -> t.Host:
+        """An endpoint as the module sees it: gone while it is banned, and just started when it is back."""
+        state = State.GONE if m.id in self._bans else m.state
+        started = max(m.started_us, self._back_us.get(m.id, 0))
+        return t.Host(m.id, m.zone, m.kind, m.cell, state, m.scale, started / 1000)
 
     def _mark(self, endpoint: Endpoint) -> None:
         """It drains or is gone: the first such news counts, and what lies idle there is of no more use."""
@@ -423,6 +465,58 @@
             endpoint.told_us = self._now
             self._out.append(CloseIdle(endpoint.member.id))
 
+    # --- Bans -------------------------------------------------------------------------------------------
+    @property
+    def bans(self) -> frozenset[bytes]:
+        """The endpoints that the operators have taken out."""
+        return frozenset(self._bans)
+
+    def _ruled(self, event: BanAsked | BanLifted) -> None:
+        """An operator's call. A repeat changes nothing, yet is written down again: that may have failed."""
+        eid, banned = event.endpoint, isinstance(event, BanAsked)
+        if eid not in self._named and eid not in self._bans:
+            self._out.append(Ruled(event.caller, Ruling.UNKNOWN))
+            return
+        was = eid in self._bans
+        if banned:
+            self._ban(eid)
+        elif was:
+            self._unban(eid, self._now)
+        if banned or was:
+            self._out.append(KeepBan(eid, banned))
+        self._out.append(Ruled(event.caller, Ruling.DONE))
+
+    def _heard(self, event: BansHeard) -> None:
+        for eid in event.bans - self._bans:
+            self._ban(eid)
+        for eid in self._bans - event.bans:
+            if eid in event.back_us:  # one that is not written down at all may be a file that can't be read
+                self._unban(eid, event.back_us[eid])
+        self._back_us |= {k: v for k, v in event.back_us.items() if k not in self._bans}
+
+    def _ban(self, eid: bytes) -> None:
+        if eid in self._bans:
+            return
+        self._bans.add(eid)
+        self.stats["bans"] += 1
+        self._note("ban", f"{_text(eid)} is banned: nothing new goes there")
+        self._out.append(CloseIdle(eid))
+        for call in [c for c in self._calls.values() if c.endpoint.member.id == eid and c.dialing]:
+            self._out.append(AbandonCall(call.id))
+            self._end(call, Outcome.MOOT)
+        self._retell(eid)
+
+    def _unban(self, eid: bytes, since_us: int) -> None:
+        self._bans.discard(eid)
+        self._back_us[eid] = min(since_us, self._now)
+        self._note("ban", f"{_text(eid)} is back, held for just started")
+        self._retell(eid)
+
+    def _retell(self, eid: bytes) -> None:
+        endpoint = self._fleet.get(eid)
+        if endpoint is not None:
+            self._work.append(t.Hosts(View.DELTA, (self._host(endpoint.member),)))
+
     # --- The module's door ------------------------------------------------------------------------------
     def _think(self) -> None:
         while self._work:
--- a/granitewell/core/terms.py
+++ b/granitewell/core/terms.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -22,6 +23,13 @@
     STOPPED = "stopped"
 
 
+class Ruling(Enum):
+    """What becomes of an operator's call."""
+
+    DONE = "done"
+    UNKNOWN = "unknown"  # no list has ever named this endpoint
+
+
 class Verdict(Enum):
     """What a final answer says."""
 
@@ -133,12 +141,40 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """The platform wants this node to leave."""
+    """The platform wants this node to leave. shared: another process accepts from the same listener, so that
+    nothing is lost by accepting no more at once."""
+
+    shared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class BanAsked:
+    """An operator wants nothing more sent to an endpoint; caller is the console's own."""
+
+    caller: int
+    endpoint: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BanLifted:
+    """An operator wants an endpoint used again."""
+
+    caller: int
+    endpoint: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BansHeard:
+    """What is written down of bans, by an earlier process of this node or one beside it: those in force, and
+    since when which endpoints are back."""
+
+    bans: frozenset[bytes]
+    back_us: Mapping[bytes, int]
 
 
 Event = (
     Arrived | InboundGone | CallDialing | CallDialed | CallBegan | CallPart | CallEnded | FleetNews
-    | Listening | Woken | StopAsked
+    | Listening | Woken | StopAsked | BanAsked | BanLifted | BansHeard
 )
 
 
@@ -226,6 +262,27 @@
     """Take what has arrived, then no more connections; close each inbound once nothing is owed there."""
 
 
+@dataclass(frozen=True, slots=True)
+class KeepBan:
+    """Write down that an endpoint is banned, or that it is not any more."""
+
+    endpoint: bytes
+    banned: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ruled:
+    """The answer to an operator's call, once what comes before it among the effects is done."""
+
+    caller: int
+    ruling: Ruling
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """Requests would be served from now on."""
+
+
 @dataclass(frozen=True, slots=True)
 class Leave:
     """All is answered, or no time is left: end the process."""
@@ -233,5 +290,5 @@
 
 Effects = (
     StartCall | WriteCall | AbandonCall | Answer | Begin | Pass | Finish | CloseIdle | Note | StopListening
-    | Leave
+    | Leave | KeepBan | Ruled | Serving
 )
--- /dev/null
+++ b/granitewell/handover.py
@@ -0,0 +1,170 @@
+"""What outlives a process of this node while the next one takes over: files in the private temporary folder.
+
+It owns their names, form and checks: one file an endpoint that is banned or has come back from a ban, and one
+a running process, locked for its life. A file is written whole and put in place by rename; one that can't be
+read is told of and passed over, so that nothing found there ever stops a start. It must never decide what a
+ban means or wait for the other process. Without a folder nothing is read or written.
+
+Files of one name belong to one endpoint, and the last call wins: two processes may write at once without
+losing each other's bans. The folder carries the node's name, should several nodes ever share one.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from zlib import crc32
+
+VERSION = 1
+MOST_BYTES = 2048  # of a file of ours
+MOST_FILES = 10_000  # that are looked at
+KEEP_S = 120.0  # for which the end of a ban is worth knowing: longer than any endpoint takes to get warm
+BAN, RUN, NEW = "ban-", "run-", ".new"
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What the files say: the banned, since when (Unix, in microseconds) the others are back, and what is
+    wrong with the files that could not be read."""
+
+    bans: frozenset[bytes]
+    back_us: Mapping[bytes, int]
+    broken: tuple[str, ...]
+
+
+def form(endpoint: bytes, banned: bool, unix_us: int) -> bytes:
+    """A ban's file: one line of JSON, and behind it a check sum by which a cut one is told."""
+    line = json.dumps({"v": VERSION, "id": endpoint.hex(), "banned": banned, "unix_us": unix_us}).encode()
+    return b"%s\n%08x\n" % (line, crc32(line))
+
+
+def read(raw: bytes) -> tuple[bytes, bool, int]:
+    """Endpoint, whether banned, and since when. ValueError: not a whole file of ours."""
+    line, _, rest = raw.partition(b"\n")
+    if rest != b"%08x\n" % crc32(line):
+        raise ValueError("cut off, or not written by this program")
+    top = json.loads(line)
+    if not isinstance(top, dict) or top.get("v") != VERSION:
+        raise ValueError("of another version")
+    eid, banned, unix_us = top.get("id"), top.get("banned"), top.get("unix_us")
+    if not isinstance(eid, str) or not isinstance(banned, bool) or type(unix_us) is not int or unix_us < 0:
+        raise ValueError("a field is missing or of a wrong type")
+    return bytes.fromhex(eid), banned, unix_us
+
+
+class Handover:
+    """The files of one node, as this process sees them."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        safe = "".join(x if x.isalnum() or x in "-_" else "_" for x in name)[:64]
+        self._folder = Path(folder, f"granitewell-{safe}") if folder else None
+        self._lock = -1  # the descriptor that holds our file locked
+        self._seen = -1  # when the folder last changed, as of the last look
+        self._mine = f"{RUN}{os.getpid()}"
+
+    def enter(self) -> str:
+        """Let it be known that this process runs; what is wrong, or nothing."""
+        if self._folder is None:
+            return ""
+        try:
+            self._folder.mkdir(mode=0o700, exist_ok=True)
+            # locked before it has its name: no other process may find it free
+            new = self._folder / f"{self._mine}{NEW}"
+            self._lock = os.open(new, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.rename(new, self._folder / self._mine)
+        except OSError as error:
+            return f"the hand-over folder can't be used: {error.strerror}"
+        return ""
+
+    def leave(self) -> None:
+        """This process runs no more; the end of it says so too, however it comes."""
+        if self._lock >= 0:
+            with contextlib.suppress(OSError):
+                os.unlink(self._folder / self._mine)  # type: ignore[operator]
+            os.close(self._lock)
+            self._lock = -1
+
+    def others(self) -> int:
+        """How many further processes of this node run. Files of those that have ended go."""
+        count = 0
+        for path in self._files(RUN):
+            if path.name == self._mine or path.name.endswith(NEW):
+                continue
+            with contextlib.suppress(OSError):
+                probe = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+                try:
+                    fcntl.flock(probe, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    os.unlink(path)
+                except BlockingIOError:
+                    count += 1
+                finally:
+                    os.close(probe)
+        return count
+
+    def changed(self) -> bool:
+        """Has a file come or gone since the last look? Cheap enough for every sweep."""
+        if self._folder is None:
+            return False
+        try:
+            seen = os.stat(self._folder).st_mtime_ns
+        except OSError:
+            return False
+        was, self._seen = self._seen, seen
+        return seen != was
+
+    def keep(self, endpoint: bytes, banned: bool, unix_us: int) -> str:
+        """Write down a ban or its end; what is wrong, or nothing, as where there is no folder."""
+        if self._folder is None:
+            return ""
+        path = self._folder / f"{BAN}{endpoint.hex()}"
+        new = path.with_name(f"{path.name}.{os.getpid()}{NEW}")
+        try:
+            self._folder.mkdir(mode=0o700, exist_ok=True)
+            new.write_bytes(form(endpoint, banned, unix_us))
+            os.rename(new, path)
+        except OSError as error:
+            with contextlib.suppress(OSError):
+                new.unlink(missing_ok=True)
+            return f"the ban could not be written down: {error.strerror}"
+        return ""
+
+    def kept(self, unix_us: int) -> Kept:
+        """What is written down of bans; ends of bans that are too old to matter go."""
+        bans, back, broken = set(), {}, []
+        for path in self._files(BAN):
+            if path.name.endswith(NEW):
+                continue  # being written, or left behind by one that was killed
+            try:
+                with path.open("rb") as file:
+                    eid, banned, since = read(file.read(MOST_BYTES))
+                if path.name != f"{BAN}{eid.hex()}":
+                    raise ValueError("its name is another endpoint's")
+            except FileNotFoundError:
+                continue
+            except (OSError, ValueError, RecursionError) as error:
+                broken.append(f"{path.name[:80]}: {getattr(error, 'strerror', None) or error}")
+                continue
+            if banned:
+                bans.add(eid)
+            elif unix_us - since > KEEP_S * 1e6:
+                with contextlib.suppress(OSError):
+                    path.unlink()
+            else:
+                back[eid] = since
+        return Kept(frozenset(bans), back, tuple(broken))
+
+    def _files(self, prefix: str) -> list[Path]:
+        if self._folder is None:
+            return []
+        try:
+            with os.scandir(self._folder) as found:
+                names = [x.name for _, x in zip(range(MOST_FILES), found, strict=False)]
+        except OSError:
+            return []
+        return [self._folder / name for name in sorted(names) if name.startswith(prefix)]
--- a/granitewell/lab/sim/node.py
+++ b/granitewell/lab/sim/node.py
@@ -50,6 +50,7 @@
             c.StartCall: self.out.start, c.Answer: self._answer, c.WriteCall: self.out.go,
             c.AbandonCall: self.out.abandon, c.CloseIdle: self.out.close_idle, c.Note: self._note,
             c.StopListening: self._stop_listening, c.Leave: self._leave,
+            c.Serving: lambda _: None,
         }  # fmt: skip
 
     # --- CPU and stalls ---------------------------------------------------------------------------------
--- a/granitewell/net/logs.py
+++ b/granitewell/net/logs.py
@@ -30,8 +30,8 @@
 Target = Literal["stderr", "stdout"]
 LEVELS: tuple[Level, ...] = ("info", "warning", "error")  # each stands for itself and those behind it
 TOPICS: dict[str, Level] = {
-    "phase": "info", "reload": "info", "beat": "info", "module": "info", "start": "info",
-    "discovery": "warning", "known": "warning", "dial": "warning", "budget": "warning",
+    "phase": "info", "reload": "info", "beat": "info", "module": "info", "ban": "info", "start": "info",
+    "discovery": "warning", "known": "warning", "handover": "warning", "dial": "warning", "budget": "warning",
     "accept": "warning", "stall": "warning", "full": "warning", "bad": "warning", "same-id": "warning",
     "spoilt": "warning", "inbound": "warning",
     "guard": "error", "overdue": "error", "fault": "error",
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -21,8 +21,10 @@
 from typing import TYPE_CHECKING, Any
 
 from granitewell import core as c
-from granitewell.config import Config, needs_restart
+from granitewell.config import Config, ConfigError, needs_restart
+from granitewell.handover import Handover
 from granitewell.net import http1
+from granitewell.net.console import SEATS, Console
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
 from tiderelay.interface import Outcome, View
@@ -125,7 +127,9 @@
 class Node:
     """The running node: feeds the core and does what it asks for."""
 
-    def __init__(self, config: Config, core: c.Core, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, core: c.Core, loop: asyncio.AbstractEventLoop, handover: Handover | None = None
+    ) -> None:
         self._config, self._core, self._loop = config, core, loop
         self.clock = Clock(loop)
         self.log = Log(config.name)
@@ -133,11 +137,8 @@
         self._reader = http1.FleetReader(config, self.clock.unix_offset_us)
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
-        # One budget. Each side has a part that is its own: a third for endpoints; for clients what the usual
-        # ones can hold, a third too, with room for new ones. Either takes what the other leaves.
-        self._most = sockets - RESERVE
-        self._most_inbound = self._most - self._most // 3
-        self._most_outbound = self._most - min(sockets // 3 + 8, self._most // 2)
+        self._sockets = sockets
+        self._divide(0)
         self._idle_us = int(config.conn_idle_us * IDLE_PART)
         self._discovering: asyncio.Task[None] | None = None
         self._listener: socket.socket | None = None
@@ -154,25 +155,41 @@
         self._left = asyncio.Event()
         self.heard_us = self.news_us = -1  # when discovery last answered well, and last told anything
         self.failure = (-1, "")  # when a call to it last failed, and why
+        self._handover = handover
+        self._others = 0  # further processes of this node, as of the last look
+        self._accepting: asyncio.Task[None] | None = None
+        self.console: Console | None = None  # where operators call, where the configuration names an address
         self.door: Door | None = None  # the status, where an operator file asks for it
 
+    def _divide(self, others: int) -> None:
+        """One budget of descriptors for this process and those beside it. Each side has a part that is its
+        own: a third for endpoints; for clients what the usual ones can hold, a third too, with room for new
+        ones. Either takes what the other leaves."""
+        self._others = others
+        sockets = self._sockets // (1 + others)
+        self._most = max(sockets - RESERVE - (SEATS if self._config.console else 0), 8)
+        self._most_inbound = self._most - self._most // 3
+        self._most_outbound = self._most - min(sockets // 3 + 8, self._most // 2)
+
     # --- Life -------------------------------------------------------------------------------------------
     async def run(self) -> None:
         """Serve until the core says to leave."""
-        family = socket.AF_INET6 if ":" in self._config.listen[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(self._config.listen)
-        listener.listen(BACKLOG)
-        self._listener = listener
+        listener = self._listener = listening(self._config)
+        if self._config.console is not None:
+            try:
+                self.console = Console(self, self._config.console, self._loop)
+            except OSError as error:
+                host, port = self._config.console
+                raise OSError(f"console {host}:{port}: {error.strerror or error}") from None
+        self._look()
         if self._config.known:
             try:
                 _, news = self._reader.take(self._config.known, View.CACHED)
                 self.dispatch(news)
             except ValueError as error:
                 self.say("known", f"the list in the configuration is not usable: {error}")
-        accepting = self._spawn(self._accept(listener))
+        if not self._shared:  # what another process can accept is left to it until this one can serve
+            self._accepting = self._spawn(self._accept(listener))
         self._discovering = self._spawn(self._discover(self._config.discovery))
         self._loop.call_later(SWEEP_S, self._sweep)
         debt_s = start_debt(time.process_time(), _age_s(), self._config.cores)
@@ -181,13 +198,56 @@
             await asyncio.sleep(debt_s)
         self.dispatch(c.Listening())
         await self._left.wait()
-        accepting.cancel()
+        if self._accepting is not None:
+            self._accepting.cancel()
+        if self.console is not None:
+            self.console.close()
         if self._replies:  # the last answers must be out before the process is gone
             await asyncio.wait(self._replies, timeout=0.2)
 
     def stop(self) -> None:
         """The stop signal has come."""
-        self.dispatch(c.StopAsked())
+        self.dispatch(c.StopAsked(self._shared))
+
+    @property
+    def _shared(self) -> bool:
+        """Does the platform hold the clients' listener, so that another process may accept from it?"""
+        return self._config.inherited >= 0
+
+    @property
+    def phase(self) -> c.Phase:
+        """Where the node is between start and exit."""
+        return self._core.phase
+
+    def _look(self) -> None:
+        """What has changed in the hand-over folder: bans called at a process beside this one, and whether
+        there is one."""
+        if self._handover is None:
+            return
+        if not self._handover.changed():
+            if self._others:  # one that is killed leaves the folder as it is
+                self._beside(self._handover.others())
+            return
+        kept = self._handover.kept(self.clock.fresh() + self.clock.unix_offset_us)
+        for broken in kept.broken:
+            self.say("handover", f"passed over: {broken}")
+        back = {k: v - self.clock.unix_offset_us for k, v in kept.back_us.items()}
+        self.dispatch(c.BansHeard(kept.bans, back))
+        self._beside(self._handover.others())
+
+    def _beside(self, others: int) -> None:
+        if others != self._others:
+            self.say("handover", f"{others} further processes of this node run: descriptors are divided")
+            self._divide(others)
+
+    def _keep_ban(self, effect: c.KeepBan) -> None:
+        if self._handover is not None:
+            unix_us = self.clock.now() + self.clock.unix_offset_us
+            wrong = self._handover.keep(effect.endpoint, effect.banned, unix_us)
+            if wrong:
+                self.say("handover", wrong)
+                if self.console is not None:
+                    self.console.unkept = wrong
 
     def reload(self, config: Config) -> None:
         """The configuration has been replaced: discovery is asked for the whole list at the address that it
@@ -265,12 +325,21 @@
                 self._close(conn)
         elif isinstance(effect, c.StopListening):
             self._stop_listening()
+        elif isinstance(effect, c.KeepBan):
+            self._keep_ban(effect)
+        elif isinstance(effect, c.Ruled):
+            if self.console is not None:
+                self.console.ruled(effect)
+        elif isinstance(effect, c.Serving):
+            if self._accepting is None and self._listener is not None:
+                self._accepting = self._spawn(self._accept(self._listener))
         else:
             self._left.set()
 
     def _sweep(self) -> None:
         """Close what has been idle, slow or unread for too long."""
         self._loop.call_later(SWEEP_S, self._sweep)
+        self._look()
         now = self.clock.now()
         for endpoint, conns in list(self._pool.items()):
             old = [x for x in conns if now - x.idle_us >= self._idle_us or _readable(x.sock)]
@@ -292,6 +361,8 @@
                     late = http1.Bad(408, "the request did not come whole")
                     self.say("bad", f"answered {late.status}: {late.text}")
                     self._reply(inbound, http1.bad_bytes(late), True)
+            elif self._listener is None and self._shared:
+                continue  # until the process leaves: what a client writes there now must not be turned back
             elif waited >= (FRESH_US if inbound.fresh else patience) and _is_idle(inbound, now):
                 self._drop(inbound)
 
@@ -437,6 +508,9 @@
         listener, self._listener = self._listener, None
         if listener is None:
             return
+        if self._shared:
+            self._release(listener)
+            return
         while len(self._inbounds) < self._most_inbound:
             try:
                 sock, _ = listener.accept()
@@ -449,6 +523,15 @@
             if _is_idle(inbound, self.clock.now()):
                 self._drop(inbound)
 
+    def _release(self, listener: socket.socket) -> None:
+        """Leave the shared listener to the others. It must be out of the loop's poll before it is closed: the
+        open socket lives on in the others, and would go on waking this process."""
+        if self._accepting is None:
+            listener.close()
+            return
+        self._accepting.add_done_callback(lambda _: listener.close())
+        self._accepting.cancel()
+
     # --- Outbound calls ---------------------------------------------------------------------------------
     def _abandon(self, number: int) -> None:
         call = self._calls.pop(number, None)
@@ -472,6 +555,10 @@
             if not call.go:
                 self._put(conn)
                 return
+        elif not self._core.clear(effect.call):
+            self._put(conn)
+            self._finish(effect.call, Outcome.MOOT)
+            return
         keep = False
         try:
             left_us = effect.due_us - self.clock.now()
@@ -613,6 +700,32 @@
                 raise ValueError("the connection ended inside an answer")
 
 
+def listening(config: Config) -> socket.socket:
+    """The clients' listener: bound here, or the platform's own. ConfigError: the descriptor is none."""
+    if config.inherited < 0:
+        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(config.listen)
+        listener.listen(BACKLOG)
+        return listener
+    field = f"LB_INHERITED_FD: descriptor {config.inherited}"
+    try:
+        listener = socket.socket(fileno=config.inherited)
+    except OSError as error:
+        raise ConfigError(f"{field} is no socket: {error.strerror}") from None
+    if listener.type != socket.SOCK_STREAM or listener.family not in (socket.AF_INET, socket.AF_INET6):
+        raise ConfigError(f"{field} is no TCP socket")
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise ConfigError(f"{field} does not listen")
+    if listener.getsockname()[:2] != config.listen:
+        host, port = listener.getsockname()[:2]
+        raise ConfigError(f"{field} listens at {host}:{port}, not at {config.listen[0]}:{config.listen[1]}")
+    listener.setblocking(False)
+    return listener
+
+
 def start_debt(cpu_s: float, age_s: float, cores: float) -> float:
     """Seconds until the CPU that starting took is within what a limit under one core gives. A node that is
     ready before is stopped by that limit while its first requests wait, past the slack of their answers. The
--- a/granitewell/operator/platform.py
+++ b/granitewell/operator/platform.py
@@ -30,7 +30,7 @@
     """What one node may use."""
 
     cores: Annotated[float, Meta(ge=0.01, le=1e12)] = 1.0
-    memory_mb: Annotated[float, Meta(gt=0)] = field(name="memory_mb", default=192.0)
+    memory_mb: Annotated[float, Meta(ge=16, le=1e12)] = field(name="memory_mb", default=192.0)
     sockets: Annotated[float, Meta(ge=64, le=1e12)] = 1024.0
 
 
@@ -167,6 +167,7 @@
     seed: str | int = 0
     limits: Limits = Limits()
     known: Known | None = None
+    console: Address | None = None
 
 
 def _once(key: str, names: Sequence[str]) -> Iterator[Problem]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -49,7 +49,7 @@
     write(tmp_path, discovery="127.0.0.1:2", seed="1", limits={"cores": 0.5, "sockets": 4096})
     new = reload(env)
     assert (old.discovery, new.discovery) == (("127.0.0.1", 1), ("127.0.0.1", 2))
-    assert needs_restart(old, new) == ["cores"]
+    assert needs_restart(old, new) == ["cores", "memory_mb"]
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,133 @@
+"""The operators' address: its parser by bytes, and the calls against the real program on real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from granitewell.net.console import MOST_BODY, MOST_HEAD, SEATS, CallParser, No
+from tests.play import LIMIT_S, Player
+
+
+def call(parser: CallParser, raw: bytes, step: int) -> bool:
+    """The call in pieces of so many bytes; whether it was whole at the end."""
+    done = False
+    for at in range(0, len(raw), step):
+        done = parser.feed(raw[at : at + step])
+    return done
+
+
+@pytest.mark.parametrize("step", [1, 7, 4096])
+@pytest.mark.parametrize(
+    "body",
+    [b"Content-Length: 7\r\n\r\n s-a7\r\n",
+     b"Transfer-Encoding: chunked\r\n\r\n2;x=1\r\ns-\r\n2\r\na7\r\n0\r\n\r\n",
+     b"expect: 100-Continue\r\nCONTENT-LENGTH: 4\r\n\r\ns-a7"],
+)  # fmt: skip
+def test_the_id_however_it_is_framed(body: bytes, step: int) -> None:
+    """Staff call with whatever tool is at hand: the id may come in pieces, chunked, with blanks round it."""
+    parser = CallParser()
+    assert call(parser, b"POST /dispatch-servers/disable HTTP/1.1\r\nHost: n\r\n" + body, step)
+    assert parser.endpoint() == b"s-a7" and parser.path == b"/dispatch-servers/disable"
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"GET /status HTTP/1.1\r\n\r\n", 404),
+        (b"POST /ready HTTP/1.1\r\n\r\n", 405),
+        (b"GET /dispatch-servers/enable HTTP/1.1\r\n\r\n", 405),
+        (b"POST /dispatch-servers/enable HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MOST_BODY + 1), 413),
+        (b"\x16\x03\x01 no http\r\n\r\n", 400),
+        (b"GET /ready HTTP/1.1\r\nX: " + b"x" * MOST_HEAD, 431),
+    ],
+)
+def test_what_is_no_call_gets_its_error(raw: bytes, status: int) -> None:
+    with pytest.raises(No) as error:
+        call(CallParser(), raw, 512)
+    assert error.value.status == status and "\n" not in error.value.text
+
+
+@pytest.mark.parametrize("body", [b"", b" \r\n", b"two ids", b"\xff", b"x" * 300])
+def test_a_body_that_is_no_id_is_refused(body: bytes) -> None:
+    parser = CallParser()
+    head = b"POST /dispatch-servers/disable HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+    assert call(parser, head + body, 4096)
+    with pytest.raises(No) as error:
+        parser.endpoint()
+    assert error.value.status == 400
+
+
+class Staff(Player):
+    """The player with a console, and a private folder for what outlives the process."""
+
+    def __init__(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.console = free.getsockname()
+        super().__init__()
+        self.env = {"LB_CONSOLE": "%s:%d" % self.console, "TMPDIR": self.folder.name}
+
+    def ask(self, method: str, path: str, body: str = "") -> tuple[int, str]:
+        with socket.create_connection(self.console, LIMIT_S) as sock:
+            head = f"{method} {path} HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+            sock.sendall(head.encode())
+            raw = b""
+            while more := sock.recv(4096):
+                raw += more
+        return int(raw.split()[1]), raw.partition(b"\r\n\r\n")[2].decode().strip()
+
+
+@pytest.fixture
+def staff() -> Iterator[Staff]:
+    player = Staff()
+    try:
+        with contextlib.ExitStack() as undo:
+            for key, value in player.env.items():
+                undo.callback(os.environ.pop, key, None)
+                os.environ[key] = value
+            player.step_start("a=ready b=ready", b"")
+        yield player
+    finally:
+        player.close()
+
+
+def test_calls_of_the_staff(staff: Staff) -> None:
+    assert staff.ask("GET", "/ready") == (200, "ready")
+    assert staff.ask("POST", "/dispatch-servers/disable", "s-nobody") == (404, "s-nobody was never listed")
+    assert staff.ask("POST", "/dispatch-servers/enable", "s-b") == (200, "s-b is enabled")
+    for _ in range(2):
+        assert staff.ask("POST", "/dispatch-servers/disable", " s-a\n") == (200, "s-a is disabled")
+    assert staff.ask("POST", "/dispatch-servers/disable", "s-b")[0] == 200
+    with socket.create_connection(staff.address, LIMIT_S) as client:  # all are banned: refused at once
+        client.sendall(b"GET /taxi-lookup/1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout-Ms: 2500\r\n\r\n")
+        assert client.recv(4096).startswith(b"HTTP/1.1 503")
+    assert staff.ask("POST", "/dispatch-servers/enable", "s-a") == (200, "s-a is enabled")
+
+
+def test_callers_that_say_nothing_keep_nobody_out(staff: Staff) -> None:
+    """Three times the seats are taken by callers with half a call: the oldest make room for the next."""
+    crowd = []
+    try:
+        for _ in range(3 * SEATS):
+            crowd.append(socket.create_connection(staff.console, LIMIT_S))
+            crowd[-1].sendall(b"GET /rea")
+        assert staff.ask("GET", "/ready") == (200, "ready")
+    finally:
+        for sock in crowd:
+            sock.close()
+
+
+def test_a_ban_that_cannot_be_written_down_is_no_yes(staff: Staff) -> None:
+    """The caller would take the endpoint's machine down, and the next version would send to it."""
+    (folder,) = (x.path for x in os.scandir(staff.folder.name) if x.name.startswith("granitewell-"))
+    for entry in os.scandir(folder):
+        os.unlink(entry.path)
+    os.rmdir(folder)
+    with open(folder, "w"):
+        pass  # a file stands where the folder should be
+    status, text = staff.ask("POST", "/dispatch-servers/disable", "s-a")
+    assert status == 500 and "could not be written down" in text
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -402,3 +402,71 @@
     node = core(Script(Request=send))
     node.handle(0, c.FleetNews(View.FULL, (replace(member(0), protocol="h3"),)))
     assert calls(ask(node, 0, 1, SAFE))[0].protocol == "h3"
+
+
+def told(script: Script) -> dict[bytes, tuple[State, float]]:
+    """What the module was last told of each endpoint: its state and its start."""
+    hosts = [h for e in script.seen if isinstance(e, t.Hosts) for h in e.hosts]
+    return {h.id: (h.state, h.started_ms) for h in hosts}
+
+
+def test_a_ban_outlives_the_list_and_ends_with_one_call() -> None:
+    """The list says `ready` of a process that runs; the operators' word stands against it, however often the
+    list comes, and one call back ends it however often it was called out. What is back is taken for cold."""
+    script = Script()
+    node = core(script)
+    for now in (10, 20):
+        effects = node.handle(now, c.BanAsked(1, b"s-0"))
+        assert effects[-2:] == [c.KeepBan(b"s-0", True), c.Ruled(1, c.Ruling.DONE)]
+    assert told(script)[b"s-0"] == (State.GONE, 0.0)
+    node.handle(30, c.FleetNews(View.DELTA, (member(0, State.GONE),)))
+    node.handle(40, c.FleetNews(View.FULL, (member(0, port=90, started=35), member(1))))
+    assert told(script)[b"s-0"][0] is State.GONE and node.bans == {b"s-0"}
+    effects = node.handle(5_000, c.BanLifted(2, b"s-0"))
+    assert effects[-2:] == [c.KeepBan(b"s-0", False), c.Ruled(2, c.Ruling.DONE)]
+    node.handle(6_000, c.FleetNews(View.FULL, (member(0, started=35), member(1))))
+    assert told(script)[b"s-0"] == (State.READY, 5.0) and not node.bans
+    node.handle(9_000, c.FleetNews(View.DELTA, (member(0, started=8_000),)))
+    assert told(script)[b"s-0"] == (State.READY, 8.0)
+
+
+def test_an_endpoint_that_no_list_has_named_is_owed_a_no() -> None:
+    node = core(Script())
+    assert node.handle(1, c.BanAsked(1, b"s-9")) == [c.Ruled(1, c.Ruling.UNKNOWN)]
+    node.handle(2, c.FleetNews(View.FULL, (member(1),)))
+    assert node.handle(3, c.BanAsked(1, b"s-0"))[-1] == c.Ruled(1, c.Ruling.DONE)  # gone, yet once listed
+
+
+def test_nothing_is_sent_to_a_banned_endpoint_whatever_the_module_says() -> None:
+    """A dial that is under way when the ban comes must not end in a first byte, nor a call that is about to
+    use an idle connection."""
+    script = Script(Request=send)
+    node = core(script)
+    (dialed,) = calls(ask(node, 1, 1))
+    node.handle(2, c.CallDialing(dialed.call))
+    (pooled,) = calls(ask(node, 3, 2))
+    assert node.clear(pooled.call)
+    effects = node.handle(4, c.BanAsked(1, b"s-0"))
+    assert c.AbandonCall(dialed.call) in effects and c.CloseIdle(b"s-0") in effects
+    assert not node.clear(pooled.call)
+    assert not calls(ask(node, 5, 3)) and node.stats["guarded"] == 1
+
+
+def test_bans_of_the_process_beside_this_one_bind_here() -> None:
+    script = Script()
+    node = core(script)
+    node.handle(10, c.BansHeard(frozenset({b"s-0", b"s-7"}), {b"s-1": 4}))
+    assert node.bans == {b"s-0", b"s-7"} and told(script)[b"s-0"][0] is State.GONE
+    node.handle(20, c.BansHeard(frozenset(), {b"s-0": 15}))
+    assert node.bans == {b"s-7"}  # nothing is said of it any more: a file that can't be read is no call back
+    assert told(script)[b"s-0"] == (State.READY, 0.015)
+
+
+def test_a_stop_beside_another_process_leaves_the_listener_at_once_and_its_clients_late() -> None:
+    """What a client writes to a connection that it holds is turned back where that is closed; the listener is
+    the other process's too, so that nothing is lost there."""
+    node = core(Script())
+    assert c.StopListening() in node.handle(1, c.StopAsked(shared=True))
+    assert not any(isinstance(e, c.Leave) for e in wake(node, 600_000))
+    ask(node, 600_001, 5)
+    assert any(isinstance(e, c.Leave) for e in wake(node, 4_000_000)) and node.held == 0
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,66 @@
+"""What outlives a process: the files of bans and of who runs, whole, cut, foreign and unwritable."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+from granitewell.handover import KEEP_S, Handover, form
+
+NOW = 1_800_000_000_000_000
+
+
+def test_bans_and_their_ends_are_read_back(tmp_path: Path) -> None:
+    one, two = Handover(str(tmp_path), "n1"), Handover(str(tmp_path), "n1")
+    assert one.enter() == ""
+    assert one.keep(b"s-a", True, NOW) == one.keep(b"../s b", True, NOW) == two.keep(b"s-c", True, NOW) == ""
+    assert two.keep(b"s-a", False, NOW + 5) == ""
+    kept = one.kept(NOW + 10)
+    assert kept.bans == {b"../s b", b"s-c"} and kept.back_us == {b"s-a": NOW + 5} and not kept.broken
+    assert one.kept(NOW + int((KEEP_S + 1) * 1e6)).back_us == {}
+    assert Handover(str(tmp_path), "n2").kept(NOW).bans == frozenset()  # another node's
+
+
+def test_a_file_cut_at_any_length_or_with_a_flipped_byte_is_told_of_and_passed_over(tmp_path: Path) -> None:
+    """A write that was cut short by a kill or a full folder must neither stop a start nor count as a ban."""
+    files = Handover(str(tmp_path), "n1")
+    files.keep(b"s-a", True, NOW)
+    path, whole = tmp_path / "granitewell-n1" / f"ban-{b's-a'.hex()}", form(b"s-a", True, NOW)
+    assert path.read_bytes() == whole
+    for cut in range(len(whole)):
+        path.write_bytes(whole[:cut])
+        kept = files.kept(NOW)
+        assert not kept.bans and len(kept.broken) == 1 and path.name in kept.broken[0]
+        flipped = bytearray(whole)
+        flipped[cut] ^= 0x10
+        path.write_bytes(flipped)
+        assert not files.kept(NOW).bans
+    path.rename(path.with_name("ban-00"))
+    path.with_name("ban-00").write_bytes(whole)
+    assert not files.kept(NOW).bans
+
+
+def test_who_else_runs_is_known_by_lock_also_after_a_kill(tmp_path: Path) -> None:
+    """A pid in a file would count a killed process for ever, and half of the descriptors with it."""
+    mine = Handover(str(tmp_path), "n1")
+    assert mine.enter() == "" and mine.others() == 0
+    source = "import sys; from granitewell.handover import Handover; Handover(sys.argv[1], 'n1').enter(); "
+    child = subprocess.Popen(
+        [sys.executable, "-c", source + "print(1, flush=True); sys.stdin.read()", str(tmp_path)],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+    )  # fmt: skip
+    try:
+        assert child.stdout is not None and child.stdout.readline() == b"1\n"
+        assert mine.changed() and mine.others() == 1
+    finally:
+        child.kill()
+        child.communicate()
+    assert mine.others() == 0 and len(os.listdir(tmp_path / "granitewell-n1")) == 1
+
+
+def test_without_a_folder_nothing_is_written() -> None:
+    files = Handover("", "n1")
+    assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == 0
+    assert not files.kept(NOW).bans and not files.changed()
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -34,6 +34,7 @@
     "granitewell.lab.cluster": "lab cluster",
     "granitewell.lab.cluster.hunt": "lab",
     "granitewell.machine": "machine",  # the terms between pure machines and their shells
+    "granitewell.handover": "files",  # of the private temporary folder
     "granitewell.net": "net",
     "granitewell.net.logs": "logs",
     "granitewell.net.http1": "protocols",
@@ -56,8 +57,8 @@
     "lab model": {"lab base"},
     "lab judge": {"lab base"},
     "lab base": set(),
-    "start": {"net", "operator", "config", "core", "tiderelay"},
-    "net": {"logs", "subject", "machine", "protocols", "config", "core", "tiderelay"},
+    "start": {"net", "files", "operator", "config", "core", "tiderelay"},
+    "net": {"logs", "files", "subject", "machine", "protocols", "config", "core", "tiderelay"},
     "protocols": {"config", "core", "tiderelay"},
     "operator": {"logs", "subject", "config", "core", "tiderelay"},
     "config": {"tiderelay"},
@@ -65,6 +66,7 @@
     "machine": set(),
     "core": {"tiderelay"},
     "logs": set(),
+    "files": set(),
     "tiderelay": set(),
 }
 
@@ -74,7 +76,7 @@
     "cli": {"click", "rich", "msgspec"},
     "lab": {"msgspec", "numpy", "hdrh", "matplotlib", *NODE},
     "start": {"uvloop"},
-    "net": {"uvloop"},
+    "net": {"uvloop", "httptools"},
     "protocols": {"httptools", "msgspec"},
     "operator": {"msgspec"},
 }
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,221 @@
+"""Two processes on one inherited listening socket: the start of the next, the stop of the old, and bans
+between them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.play import LIMIT_S, Player, settings
+
+ASK = b"GET /taxi-lookup/1 HTTP/1.1\r\nHost: n\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: 2500\r\n\r\n"
+
+
+def answered(sock: socket.socket, rid: bytes) -> bytes:
+    """What comes back for one request on this connection."""
+    sock.settimeout(LIMIT_S)
+    sock.sendall(ASK % rid)
+    return sock.recv(4096)
+
+
+class Agent:
+    """Discovery and one endpoint, served by threads for as many processes as come."""
+
+    def __init__(self) -> None:
+        self.discovery, self.endpoint = (socket.create_server(("127.0.0.1", 0)) for _ in range(2))
+        self.asked: list[int] = []  # ports from which requests have come
+        for server, serve in ((self.discovery, self._list), (self.endpoint, self._serve)):
+            threading.Thread(target=self._accept, args=(server, serve), daemon=True).start()
+
+    def _accept(self, server: socket.socket, serve: Any) -> None:
+        while True:
+            try:
+                sock, _ = server.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+    def _list(self, sock: socket.socket) -> None:
+        host, port = self.endpoint.getsockname()
+        entry = {"id": "s-a", "host_port": f"{host}:{port}", "locality": "ankara-1", "cell": 0,
+                 "flavor": "standard", "phase": "ready", "size": 1.0, "up_since_ms": 0}  # fmt: skip
+        while (head := self._head(sock)) is not None:
+            watch = b"after=" in head
+            if watch:
+                time.sleep(0.3)
+            body = json.dumps({"revision": 1, "complete": not watch, "members": [] if watch else [entry]})
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body.encode()))
+
+    def _serve(self, sock: socket.socket) -> None:
+        while self._head(sock) is not None:
+            self.asked.append(sock.getpeername()[1])
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    def _head(self, sock: socket.socket) -> bytes | None:
+        data = b""
+        try:
+            while not data.endswith(b"\r\n\r\n"):
+                more = sock.recv(4096)
+                if not more:
+                    return None
+                data += more
+        except OSError:
+            return None
+        return data
+
+
+class Site:
+    """The platform: the clients' listener, the private folder, and the processes that it starts."""
+
+    def __init__(self) -> None:
+        self.agent = Agent()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.folder = tempfile.TemporaryDirectory()
+        self.started: list[subprocess.Popen[bytes]] = []
+
+    def start(
+        self, listen: socket.socket | None = None, fd: int | None = None, passed: socket.socket | None = None
+    ) -> tuple[str, int]:
+        """Start `run` once more; the console's address."""
+        passed = passed or self.listener
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            console: tuple[str, int] = free.getsockname()
+        host, port = (listen or self.listener).getsockname()
+        path = Path(self.folder.name, f"config{len(self.started)}.json")
+        path.write_text(json.dumps({
+            "name": "n0", "listen": f"{host}:{port}",
+            "discovery": "%s:%d" % self.agent.discovery.getsockname(),
+            "seed": "1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": {},
+            "settings": settings(), "console": "%s:%d" % console,
+        }))  # fmt: skip
+        inherited = passed.fileno() if fd is None else fd
+        env = os.environ | {"LB_CONFIG": str(path), "LB_INHERITED_FD": str(inherited),
+                            "TMPDIR": self.folder.name}  # fmt: skip
+        self.started.append(subprocess.Popen(
+            [sys.executable, "-m", "granitewell"], env=env, pass_fds=(passed.fileno(),),
+            stderr=subprocess.PIPE,
+        ))  # fmt: skip
+        return console
+
+    def call(self, console: tuple[Any, ...], path: str, body: str = "") -> int:
+        """An operator's call; 0 while nobody listens."""
+        try:
+            with socket.create_connection(console, LIMIT_S) as sock:
+                verb = "POST" if body else "GET"
+                sock.sendall(f"{verb} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                return int(sock.recv(4096).split()[1])
+        except ConnectionError:
+            return 0
+
+    def until(self, what: Any) -> None:
+        end = time.monotonic() + LIMIT_S
+        while not what():
+            assert time.monotonic() < end, "it never came to that"
+            time.sleep(0.02)
+
+    def ready(self, console: tuple[Any, ...]) -> None:
+        self.until(lambda: self.call(console, "/ready") == 200)
+
+    def close(self) -> None:
+        for process in self.started:
+            process.kill()
+            process.communicate()
+        for sock in (self.listener, self.agent.discovery, self.agent.endpoint):
+            sock.close()
+        self.folder.cleanup()
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    made = Site()
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def test_the_next_version_takes_over_without_a_closed_door(site: Site) -> None:
+    """The old process used to own the address: the next one ended with exit code 1. Clients keep what they
+    hold: a connection to the old one is answered once more and told to close, never cut off."""
+    old = site.start()
+    site.ready(old)
+    held = [socket.create_connection(site.listener.getsockname(), LIMIT_S) for _ in range(2)]
+    for k, sock in enumerate(held):
+        assert answered(sock, b"a%d" % k).startswith(b"HTTP/1.1 200")
+    new = site.start()
+    site.ready(new)
+    site.started[0].send_signal(signal.SIGTERM)
+    site.until(lambda: site.call(old, "/ready") in (503, 0))
+    for k, sock in enumerate(held):
+        got = answered(sock, b"b%d" % k)
+        assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got
+        sock.close()
+    for k in range(20):  # the door: each of these is a new connection
+        with socket.create_connection(site.listener.getsockname(), LIMIT_S) as sock:
+            assert answered(sock, b"c%d" % k).startswith(b"HTTP/1.1 200")
+    assert site.started[0].wait(LIMIT_S) == 0
+    assert site.call(new, "/ready") == 200 and site.started[1].poll() is None
+
+
+def test_a_ban_binds_both_processes_and_outlives_the_old_one(site: Site) -> None:
+    old = site.start()
+    site.ready(old)
+    assert site.call(old, "/dispatch-servers/disable", "s-a") == 200
+    new = site.start()
+    site.ready(new)
+    site.started[0].kill()
+    site.started[0].wait(LIMIT_S)
+    with socket.create_connection(site.listener.getsockname(), LIMIT_S) as sock:
+        assert answered(sock, b"d").startswith(b"HTTP/1.1 503")
+    third = site.start()
+    site.ready(third)
+    assert site.call(third, "/dispatch-servers/enable", "s-a") == 200  # called at one, heard by the other
+
+    def served() -> bool:
+        with socket.create_connection(site.listener.getsockname(), LIMIT_S) as sock:
+            return answered(sock, b"e").startswith(b"HTTP/1.1 200")
+
+    site.started[2].send_signal(signal.SIGTERM)
+    assert site.started[2].wait(LIMIT_S) == 0
+    site.until(served)
+
+
+@pytest.mark.parametrize("what", ["no socket", "does not listen", "listens at"])
+def test_a_descriptor_that_is_not_the_listener_is_a_clear_error(site: Site, what: str) -> None:
+    """A node that took it all the same would accept nobody, or answer at another's address."""
+    other = socket.create_server(("127.0.0.1", 0))
+    idle = socket.socket()
+    try:
+        if what == "no socket":
+            site.start(fd=1)
+        elif what == "does not listen":
+            idle.bind(("127.0.0.1", 0))
+            site.start(listen=site.listener, passed=idle)
+        else:
+            site.start(listen=other)
+        _, error = site.started[-1].communicate(timeout=LIMIT_S)
+        assert site.started[-1].returncode == 2
+        assert b"LB_INHERITED_FD" in error and what.encode() in error and error.count(b"\n") == 1
+    finally:
+        other.close()
+        idle.close()
+
+
+def test_without_the_variable_it_binds_as_before() -> None:
+    player = Player()
+    try:
+        player.step_start("a=ready", b"")
+    finally:
+        player.close()
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -366,7 +366,8 @@
             self._cum[k] = list(accumulate(map(mul, speeds, well)))
             if self._set.parallel_tries and cls.effect is Effect.SAFE and not self._health.full[k]:
                 ill = [s for s, fail in zip(self._order, fails, strict=True)
-                       if fail > SICK and s.pairs[k].tried < self._now - TRIAL]  # fmt: skip
+                       if (fail > SICK and s.pairs[k].tried < self._now - TRIAL)
+                       or s.pairs[k].tried < s.started > self._now - self._set.ramp_ms]  # fmt: skip
                 self._ill[k] = sorted(ill, key=lambda s: -s.pairs[k].tried)  # last: the longest ago
         self._worth = list(accumulate(best))
 
@@ -516,7 +517,9 @@
             return True
         if server.tokens_at <= 0.0:
             server.tokens, server.tokens_at = self._rng.random(), self._now
-        rate = self._set.fall_multiple * COLD_MARGIN * self._share(server) * self._warm_rate
+        # known or not, a warm host bears one request after the other, shared with the other gateways
+        least = 1.0 / (self._latency or max(c.aim_ms for c in self._set.classes) or 500.0) / self._set.proxies
+        rate = self._set.fall_multiple * COLD_MARGIN * self._share(server) * max(self._warm_rate, least)
         server.tokens += (self._now - server.tokens_at) * rate
         server.tokens = min(server.tokens, max(1.0, rate * self._set.fall_ms / 2))
         server.tokens_at = self._now
@@ -646,7 +649,7 @@
         elif not any(t.out for t in req.tries):
             tries_left = len(req.tries) < self._set.max_attempts
             end = req.due if req.met else req.came + EARLY * (req.due - req.came)
-            if tries_left and self._now + HOLD < end and self._may_refuse(req):
+            if tries_left and self._order and self._now + HOLD < end and self._may_refuse(req):
                 self._at(self._now + HOLD, self._dispatch, req)
             else:
                 # to be turned away is late once it has cost a request its tries: a host that does so with an
