--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -40,7 +40,7 @@
 def _reload(node: Node, live: Live | None) -> None:
     """SIGHUP: the files have been replaced. A bad one changes nothing; the other is taken all the same."""
     try:
-        node.reload(reload(os.environ))
+        node.reload(reload(os.environ, node.check))
     except ConfigError as error:
         node.say("reload", f"the configuration stays as it is: {error}")
     if live is not None:
--- a/granitewell/config.py
+++ b/granitewell/config.py
@@ -10,14 +10,15 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
 from tiderelay.interface import Effect, Settings
 from tiderelay.wire import WireError, parse_settings
 
+FIXED = ("name", "listen", "cores", "sockets", "memory_mb", "console", "inherited", "known", "seed")
 MOST_DESCRIPTORS = 1024  # of the platform's scored limits; a larger allowance is not used
 
 
@@ -49,6 +50,9 @@
     console: tuple[str, int] | None = None  # where operators call
     memory_mb: float = 192.0
     inherited: int = -1  # descriptor of the clients' listening socket, where the platform holds it
+    live: frozenset[str] = frozenset()  # the classes and tenants that the file names; the others had their
+    live_tenants: frozenset[str] = frozenset()  # place in it at some time since the start
+    raw: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)  # the file as it was
 
 
 def address(text: Any, field: str) -> tuple[str, int]:
@@ -85,6 +89,18 @@
         raise ConfigError(f"seed: {value!r} is neither hexadecimal nor a number") from None
 
 
+def _positive(raw: Mapping[str, Any]) -> None:
+    """The figures without which no request has an end: they must be there, and above 0."""
+    allowed = _object(raw.get("allowed"), "settings.allowed")
+    _number(allowed, "maxAttempts", "settings.allowed.maxAttempts", 0.0)
+    classes = raw.get("classes")
+    if not isinstance(classes, list) or not classes:
+        raise ConfigError("settings.classes: missing, empty or not a list")
+    for k, cls in enumerate(classes):
+        field = f"settings.classes[{k}]"
+        _number(_object(cls, field), "giveUpMs", f"{field}.giveUpMs", 0.0, 0.001)
+
+
 def _descriptor(text: str) -> int:
     if not text:
         return -1
@@ -95,19 +111,30 @@
 
 def load(env: Mapping[str, str]) -> Config:
     """The configuration of this process; the variables win over the file."""
+    return _made(env, _read(env))
+
+
+def _read(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get("LB_CONFIG", "")
     if not path:
         raise ConfigError("LB_CONFIG: not set")
     try:
         text = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"LB_CONFIG: {' '.join(str(error).split())}") from None
-    top = _object(text, "LB_CONFIG")
+    return _object(text, "LB_CONFIG")
+
+
+def _made(env: Mapping[str, str], top: dict[str, Any]) -> Config:
     raw = _object(top.get("settings"), "settings")
+    _positive(raw)
     try:
         settings = parse_settings(json.dumps(raw).encode())
-    except (WireError, ValueError) as error:
+    except (WireError, ValueError, OverflowError, KeyError, TypeError) as error:
         raise ConfigError(" ".join(str(error).split())) from None
+    class_names = _names([c.get("name") for c in raw["classes"]], "settings.classes[].name")
+    if len(set(class_names)) < len(class_names):
+        raise ConfigError("settings.classes[].name: a name comes twice")
     limits = _object(top.get("limits", {}), "limits")
     allowed = _object(raw.get("allowed"), "settings.allowed")
     # The module counts only tenants that have an allowance: the names must skip the same ones.
@@ -123,9 +150,12 @@
         sockets=min(int(_number(limits, "sockets", "limits.sockets", 1024, 64)), MOST_DESCRIPTORS),
         known=_object(top.get("known") or {}, "known"),
         settings=settings,
-        class_names=_names([c.get("name") for c in raw["classes"]], "settings.classes[].name"),
+        class_names=class_names,
         effects=tuple(c.effect for c in settings.classes),
-        tenant_names=_names([t.get("name") for t in tenants], "settings.tenants[].name"),
+        tenant_names=(tenant_names := _names([t.get("name") for t in tenants], "settings.tenants[].name")),
+        live=frozenset(class_names),
+        live_tenants=frozenset(tenant_names),
+        raw=top,
         zone_names=_names(raw.get("zones", []), "settings.zones"),
         kind_names=_names(raw.get("models", []), "settings.models"),
         report_names=_names(
@@ -140,14 +170,22 @@
     )
 
 
-def reload(env: Mapping[str, str]) -> Config:
-    """The configuration as the file has it now. What the variable said of discovery dates from the start and
-    would win over a file that names another address, so it does not count here."""
-    return load({k: v for k, v in env.items() if k != "LB_DISCOVERY"})
+def reload(env: Mapping[str, str], check: Callable[[dict[str, Any]], None] | None = None) -> Config:
+    """The configuration as the file has it now, once `check` has passed it. What the variable said of
+    discovery dates from the start and would win over a file that names another address, so it does not count
+    here."""
+    top = _read(env)
+    if check is not None:
+        check(top)
+    return _made({k: v for k, v in env.items() if k != "LB_DISCOVERY"}, top)
+
+
+def taken_up(old: Config, new: Config) -> Config:
+    """The older configuration with all of the newer one that a running node can take up."""
+    return replace(old, **{f.name: getattr(new, f.name) for f in fields(Config) if f.name not in FIXED})
 
 
 def needs_restart(old: Config, new: Config) -> list[str]:
     """The fields that differ and that a running node can't take up. The list as last held and the seed are
     for the start alone."""
-    names = [f.name for f in fields(Config) if f.name not in ("discovery", "known", "seed")]
-    return [n for n in names if getattr(old, n) != getattr(new, n)]
+    return [n for n in FIXED if n not in ("known", "seed") and getattr(old, n) != getattr(new, n)]
--- a/granitewell/core/__init__.py
+++ b/granitewell/core/__init__.py
@@ -42,6 +42,7 @@
     Ruled,
     Ruling,
     Serving,
+    Settled,
     StartCall,
     StopAsked,
     StopListening,
@@ -55,6 +56,6 @@
     "CallBegan", "CallDialed", "CallDialing", "CallEnded", "CallPart", "CloseIdle", "Core", "Decider",
     "DRAIN_MARGIN_US", "Effects", "Event", "Finish", "FleetNews", "GUARD_US", "HEAR_US", "InboundGone",
     "KeepBan", "LEAST_MOST_US", "Leave", "Listening", "Member", "NEVER_RAN", "Note", "Pass", "Phase",
-    "Ruled", "Ruling", "Serving", "StartCall", "StopAsked", "StopListening", "Verdict", "Woken",
+    "Ruled", "Ruling", "Serving", "Settled", "StartCall", "StopAsked", "StopListening", "Verdict", "Woken",
     "WriteCall",
 ]  # fmt: skip
--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -12,6 +12,7 @@
 import traceback
 from collections import Counter, deque
 from collections.abc import Iterable
+from dataclasses import replace
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
@@ -45,6 +46,7 @@
     Ruled,
     Ruling,
     Serving,
+    Settled,
     StartCall,
     StopAsked,
     StopListening,
@@ -153,6 +155,9 @@
             self._ruled(event)
         elif isinstance(event, BansHeard):
             self._heard(event)
+        elif isinstance(event, Settled):
+            self._set, self._most_held = event.settings, event.most_held
+            self._work.append(t.Resettled(event.settings))
         else:
             self._stop(event)
         self._think()
@@ -277,15 +282,18 @@
             return
         self._last_id += 1
         cls = self._set.classes[event.class_index]
+        once = event.once and cls.effect is Effect.SAFE  # a client that has not heard of other settings
+        if once:
+            cls = replace(cls, effect=Effect.UNSAFE)
         # a time without end would hold its place in every table; no client of the class waits longer
         due = self._now + min(event.timeout_us, max(int(cls.deadline_ms * 1000), LEAST_MOST_US))
-        request = Held(self._last_id, event, cls, due)
+        request = Held(self._last_id, event, cls, due, self._set.max_attempts)
         if event.name:
             self._names.add(event.name)
         self._requests[request.id] = self._by_inbound[event.inbound] = request
         self._at(due + GUARD_US, "guard", request.id)
         self._work.append(t.Request(
-            request.id, event.class_index, event.tenant, event.key, due / 1000, 0.0, event.repeat
+            request.id, event.class_index, event.tenant, event.key, due / 1000, 0.0, event.repeat, once
         ))  # fmt: skip
 
     def _close(self, request: Held, verdict: Verdict, answer: object = None, wait_us: int = 0) -> None:
@@ -344,7 +352,7 @@
             self.stats["guarded"] += 1
             return
         number = len(request.calls)
-        if number >= self._set.max_attempts:
+        if number >= request.attempts:
             # to call this moot would let a module that sends after every ending do so for ever
             self._note("guard", f"request {request.id} has had its {number} attempts: answered as failed")
             self.stats["guarded"] += 1
--- a/granitewell/core/tables.py
+++ b/granitewell/core/tables.py
@@ -27,9 +27,10 @@
 class Held:
     """A request that has been taken; open until its final answer."""
 
-    __slots__ = ("calls", "cls", "due_us", "id", "inbound", "message", "name", "open", "streams")
+    __slots__ = ("attempts", "calls", "cls", "due_us", "id", "inbound", "message", "name", "open", "streams")
 
-    def __init__(self, rid: int, event: Arrived, cls: t.RequestClass, due: int) -> None:
+    def __init__(self, rid: int, event: Arrived, cls: t.RequestClass, due: int, attempts: int) -> None:
+        self.attempts = attempts  # at most; as of its arrival, like its class
         self.id, self.inbound, self.cls, self.due_us = rid, event.inbound, cls, due
         self.message, self.name = event.message, event.name
         self.calls: list[Call] = []
--- a/granitewell/core/terms.py
+++ b/granitewell/core/terms.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from tiderelay.interface import Outcome, State, View
+from tiderelay.interface import Outcome, Settings, State, View
 
 
 class Phase(Enum):
@@ -55,6 +55,7 @@
     message: object
     repeat: bool = False
     name: bytes = b""  # the client's id for it; b"" for none
+    once: bool = False  # the client holds it for unsafe to repeat, whatever its class
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,9 +173,17 @@
     back_us: Mapping[bytes, int]
 
 
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """Other settings are in force. A class and a tenant keep their index for good; new ones come behind."""
+
+    settings: Settings
+    most_held: int
+
+
 Event = (
     Arrived | InboundGone | CallDialing | CallDialed | CallBegan | CallPart | CallEnded | FleetNews
-    | Listening | Woken | StopAsked | BanAsked | BanLifted | BansHeard
+    | Listening | Woken | StopAsked | BanAsked | BanLifted | BansHeard | Settled
 )
 
 
--- a/granitewell/lab/mutants/catalogue.py
+++ b/granitewell/lab/mutants/catalogue.py
@@ -119,7 +119,7 @@
     Defect(
         "attempts-unbounded", "neither a count nor a budget bounds the attempts of a request",
         ("attempts",), ("overload", "grey-class-error"),
-        (_core("if number >= self._set.max_attempts:", "if False:"),
+        (_core("if number >= request.attempts:", "if False:"),
          _policy("self._pick(req) if len(req.tries) < self._set.max_attempts and", "self._pick(req) if"),
          _policy("tries_left = len(req.tries) < self._set.max_attempts", "tries_left = True"),
          _policy("if self._retries < 0.0:", "if False:")),
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -62,6 +62,7 @@
     repeat: bool
     message: Message
     keep_alive: bool
+    once: bool = False  # asked for by the method of what must not run twice
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,14 +94,34 @@
 
 
 class Names:
-    """The deployment's names as they stand in headers, by index."""
+    """The deployment's names as they stand in headers, by index. `take` has other settings count at once for
+    all connections; what they name no more counts until `forget`, as clients change over later."""
 
     def __init__(self, config: Config) -> None:
-        self.classes = {n.encode(): k for k, n in enumerate(config.class_names)}
-        self.tenants = {n.encode(): k for k, n in enumerate(config.tenant_names)}
-        self.methods = tuple(b"GET" if e is Effect.SAFE else b"POST" for e in config.effects)
+        self._before: dict[bytes, tuple[int, bytes]] = {}  # by class: its index and the method it is asked by
+        self._classes: dict[bytes, tuple[int, bytes]] = {}
+        self.take(config)
+
+    def take(self, config: Config) -> None:
+        """Other settings are in force."""
+        self._before |= self._classes
+        self._classes = {
+            n.encode(): (k, b"GET" if e is Effect.SAFE else b"POST")
+            for k, (n, e) in enumerate(zip(config.class_names, config.effects, strict=True))
+            if n in config.live
+        }
+        self.tenants = {n.encode(): k for k, n in enumerate(config.tenant_names) if n in config.live_tenants}
         self.reports = config.report_names
 
+    def forget(self) -> None:
+        """What the settings no longer name is unknown from now on."""
+        self._before = {}
+
+    def asked(self, name: bytes) -> tuple[int, tuple[bytes, ...]] | None:
+        """The index of the class, and the methods by which it may be asked now; None: there is no such."""
+        rows = [x[name] for x in (self._classes, self._before) if name in x]
+        return (rows[0][0], tuple(dict.fromkeys(m for _, m in rows))) if rows else None
+
 
 # --- Clients ---
 class InboundParser:
@@ -186,11 +207,13 @@
         path = self._target.partition(b"?")[0]
         if path == READY_PATH:
             return ReadyAsk(keep) if method == b"GET" else Bad(405, "GET only", keep, "Allow: GET\r\n")
-        index = names.classes.get(path.split(b"/")[1]) if path.startswith(b"/") else None
-        if index is None:
+        name = path.split(b"/")[1] if path.startswith(b"/") else b""
+        asked = names.asked(name)
+        if asked is None:
             return Bad(404, "no class has this path", keep)
-        if method != names.methods[index]:
-            allow = names.methods[index].decode()
+        index, methods = asked
+        if method not in methods:
+            allow = methods[0].decode()
             return Bad(405, f"this class takes {allow}", keep, f"Allow: {allow}\r\n")
         if self._twice:
             return Bad(400, "a header came twice", keep)
@@ -198,7 +221,7 @@
         if not _ID.match(request_id):
             return Bad(400, "Request-Id is missing or malformed", keep)
         # a class that does not exist differs, too: served by its path it would look as though it had run
-        if names.classes.get(headers[b"request-class"]) != index if b"request-class" in headers else False:
+        if headers.get(b"request-class", name) != name:
             return Bad(400, "Request-Class and path differ", keep)
         timeout = headers.get(b"request-timeout-ms", b"")
         if not _MS.match(timeout) or int(timeout) == 0:
@@ -208,7 +231,7 @@
         message = Message(method, self._target, request_id, passed, b"".join(self._body))
         return Ask(
             index, tenant, _key(headers.get(b"affinity-key", b"")), int(timeout),
-            headers.get(b"client-retry") == b"1", message, keep,
+            headers.get(b"client-retry") == b"1", message, keep, method != b"GET",
         )  # fmt: skip
 
 
@@ -374,19 +397,28 @@
     """Discovery's JSON to the core's members. Names not in the settings get stable indices behind theirs."""
 
     def __init__(self, config: Config, unix_less_core_us: int) -> None:
-        self._zones = {n: k for k, n in enumerate(config.zone_names)}
-        self._kinds = {n: k for k, n in enumerate(config.kind_names)}
+        self._zones: dict[str, int] = {}
+        self._kinds: dict[str, int] = {}
+        self.take(config)
         self._offset_us = unix_less_core_us
 
+    def take(self, config: Config) -> int:
+        """Other settings: the names known so far keep their indices. The index of the node's own zone."""
+        for names, places in ((config.zone_names, self._zones), (config.kind_names, self._kinds)):
+            for name in names:
+                places.setdefault(name, len(places))
+        own = config.settings.zone
+        return self._zones[config.zone_names[own]] if 0 <= own < len(config.zone_names) else own
+
     def read(self, body: bytes) -> tuple[int, FleetNews]:
         """Revision and news. ValueError: not discovery's form, and the old list must stay."""
         try:
             top = json.loads(body)
         except RecursionError:
             raise ValueError("nested too deep") from None
-        return self.take(top)
+        return self.parsed(top)
 
-    def take(self, top: Mapping[str, Any], view: View | None = None) -> tuple[int, FleetNews]:
+    def parsed(self, top: Mapping[str, Any], view: View | None = None) -> tuple[int, FleetNews]:
         """The same from parsed JSON; every way in which it can be malformed is a ValueError."""
         try:
             form = view or (View.FULL if top["complete"] is True else View.DELTA)
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -21,12 +21,13 @@
 from typing import TYPE_CHECKING, Any
 
 from granitewell import core as c
-from granitewell.config import Config, ConfigError, needs_restart
+from granitewell.config import Config, ConfigError, needs_restart, taken_up
 from granitewell.handover import Handover
 from granitewell.net import http1
 from granitewell.net.console import SEATS, Console
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
+from granitewell.reload import complete, follow
 from tiderelay.interface import Outcome, View
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
 MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
 SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
+CHANGE_OVER_S = 2.0  # for which the names and methods of before a reload still count
 BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
 
 
@@ -154,6 +156,7 @@
         self._cpu_us = 0  # of this thread, when the timer last came
         self._left = asyncio.Event()
         self.heard_us = self.news_us = -1  # when discovery last answered well, and last told anything
+        self._changed = 0  # how often the settings have
         self.failure = (-1, "")  # when a call to it last failed, and why
         self._handover = handover
         self._others = 0  # further processes of this node, as of the last look
@@ -184,7 +187,7 @@
         self._look()
         if self._config.known:
             try:
-                _, news = self._reader.take(self._config.known, View.CACHED)
+                _, news = self._reader.parsed(self._config.known, View.CACHED)
                 self.dispatch(news)
             except ValueError as error:
                 self.say("known", f"the list in the configuration is not usable: {error}")
@@ -250,16 +253,39 @@
                     self.console.unkept = wrong
 
     def reload(self, config: Config) -> None:
-        """The configuration has been replaced: discovery is asked for the whole list at the address that it
-        names now, at once. Connections, requests and the list stay."""
+        """The configuration has been replaced: its settings count from now on, and discovery is asked for the
+        whole list at the address that it names now, at once. Connections, requests and the list stay."""
         wait = needs_restart(self._config, config)
-        self._config = replace(self._config, discovery=config.discovery)
+        old, self._config = self._config, taken_up(self._config, follow(self._config, config))
+        if old.raw.get("settings") != self._config.raw.get("settings"):
+            self._settle(old)
         more = f"; only a restart takes up {', '.join(wait)}" if wait else ""
         self.say("reload", f"discovery is now {config.discovery[0]}:{config.discovery[1]}{more}")
         if self._discovering is not None:
             self._discovering.cancel()
             self._discovering = self._spawn(self._discover(config.discovery))
 
+    def check(self, top: dict[str, Any]) -> None:
+        """Is this file as whole as the one in force?"""
+        complete(self._config.raw, top, "")
+
+    def _settle(self, old: Config) -> None:
+        """Other settings are in force."""
+        config = self._config
+        settings = replace(config.settings, zone=self._reader.take(config))
+        self._names.take(config)
+        self._idle_us = int(config.conn_idle_us * IDLE_PART)
+        self._changed += 1
+        self._loop.call_later(CHANGE_OVER_S, self._forget, self._changed)
+        self.dispatch(c.Settled(settings, config.most_held))
+        came, went = sorted(config.live - old.live), sorted(old.live - config.live)
+        words = [f"; {word}: {', '.join(x)}" for word, x in (("added", came), ("dropped", went)) if x]
+        self.say("reload", f"the settings are taken up{''.join(words)}")
+
+    def _forget(self, change: int) -> None:
+        if change == self._changed:
+            self._names.forget()
+
     def _spawn(self, job: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self._loop.create_task(job)
         self._tasks.add(task)
@@ -465,7 +491,7 @@
             inbound.busy, inbound.keep = True, item.keep_alive
             self.dispatch(c.Arrived(
                 inbound.id, item.class_index, item.tenant, item.key, item.timeout_ms * 1000, item.message,
-                item.repeat, item.message.request_id,
+                item.repeat, item.message.request_id, item.once,
             ))  # fmt: skip
         elif isinstance(item, http1.ReadyAsk):
             ready = self._core.phase is c.Phase.READY
--- a/granitewell/operator/platform.py
+++ b/granitewell/operator/platform.py
@@ -91,7 +91,7 @@
     name: Name
     effect: Literal["pure", "token", "side_effect"]
     aim_ms: Time
-    give_up_ms: Time
+    give_up_ms: Annotated[float, Meta(ge=0.001, le=1e12)]
     value: Part = 1.0
     late_share: Part = 0.0
     key_scope: Literal["all", "zone", "cell"] = "all"
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -102,7 +102,7 @@
     assert (b.zone, b.state, b.started_us) == (1, State.DRAINING, 0)
     assert reader.read(body)[1] == news
     with pytest.raises(ValueError):  # as "known", it must not keep the node from starting
-        reader.take({"revision": 1, "members": [entry | {"up_since_ms": 10**400}]}, View.CACHED)
+        reader.parsed({"revision": 1, "members": [entry | {"up_since_ms": 10**400}]}, View.CACHED)
     for garbage in (b"", b"[]", b"{}", b'{"revision":1,"complete":true,"members":[{}]}',
                     b'{"revision":1,"complete":true,"members":7}', b"[" * 100_000):  # fmt: skip
         with pytest.raises(ValueError):
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,192 @@
+"""Settings that change while the node serves: which files are refused, and what stays of what was known."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from granitewell import core as c
+from granitewell.config import Config, ConfigError, load, reload
+from granitewell.net.http1 import Ask, Bad, InboundParser, Names
+from granitewell.reload import complete, follow
+from tests import wirekit as w
+from tests.play import LIMIT_S, Player, settings
+from tests.test_config import write
+from tests.test_core import SAFE, Script, calls, core, send
+from tiderelay import interface as t
+from tiderelay.interface import Effect, Outcome, State, View
+from tiderelay.policy import Balancer
+
+NEW = {"name": "taxi-lookup_b", "effect": "side_effect", "aimMs": 500.0, "giveUpMs": 900.0, "value": 2.0}
+
+
+def again(env: dict[str, str], old: Config) -> Config:
+    return follow(old, reload(env, lambda top: complete(old.raw, top, "")))
+
+
+def test_an_index_belongs_to_a_name_for_good(tmp_path: Path) -> None:
+    """A class added in front moved the others: the module's rows of one class went on for another."""
+    old = load(env := write(tmp_path))
+    text = settings()
+    text["classes"] = [NEW, text["classes"][1]]
+    write(tmp_path, settings=text)
+    new = again(env, old)
+    assert new.class_names == ("taxi-lookup", "ride-assign", "taxi-lookup_b")
+    assert new.live == {"taxi-lookup_b", "ride-assign"}
+    assert [x.deadline_ms for x in new.settings.classes] == [2500.0, 2000.0, 900.0]
+    write(tmp_path)
+    back = again(env, new)
+    assert back.class_names == new.class_names and back.live == {"taxi-lookup", "ride-assign"}
+
+
+def _paths(value: Any, path: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, item in items:
+        yield (*path, key)
+        yield from _paths(item, (*path, key))
+
+
+def test_a_file_cut_anywhere_or_with_a_key_missing_is_refused(tmp_path: Path) -> None:
+    """The platform may be writing it, or have written nonsense: nothing may be taken of it."""
+    old = load(env := write(tmp_path))
+    path = Path(env["LB_CONFIG"])
+    whole = path.read_text()
+    for cut in range(len(whole)):
+        path.write_text(whole[:cut])
+        with pytest.raises(ConfigError):
+            again(env, old)
+    top = json.loads(whole)
+    for where in _paths(top["settings"]):
+        if isinstance(where[-1], int):
+            continue
+        changed = json.loads(whole)
+        spot = changed["settings"]
+        for key in where[:-1]:
+            spot = spot[key]
+        del spot[where[-1]]
+        path.write_text(json.dumps(changed))
+        with pytest.raises(ConfigError) as error:
+            again(env, old)
+        assert where[-1] in str(error.value) and "\n" not in str(error.value), where
+
+
+@pytest.mark.parametrize("odd", [0, -1, -0.5, True, "5", None, [], float("nan"), float("inf"), 1e400])
+@pytest.mark.parametrize("name", ["giveUpMs", "maxAttempts"])
+def test_a_deadline_or_attempts_that_are_no_positive_number_are_refused(
+    tmp_path: Path, name: str, odd: Any
+) -> None:
+    old = load(env := write(tmp_path))
+    text = settings()
+    (text["allowed"] if name == "maxAttempts" else text["classes"][0])[name] = odd
+    write(tmp_path, settings=text)
+    with pytest.raises(ConfigError, match=name):
+        again(env, old)
+
+
+def request(names: Names, method: bytes, name: bytes) -> Any:
+    head = b"%s /%s/1 HTTP/1.1\r\nRequest-Id: r\r\nRequest-Class: %s\r\nRequest-Timeout-Ms: 50\r\n\r\n"
+    (item,) = InboundParser(names).feed(head % (method, name, name))
+    return item
+
+
+def test_the_names_of_before_count_until_clients_have_changed_over(tmp_path: Path) -> None:
+    """Clients name the new class 1.2 s after the signal; a 404 until then failed all of a class."""
+    old = load(env := write(tmp_path))
+    names = Names(old)
+    text = settings()
+    text["classes"] = [text["classes"][1] | {"effect": "pure"}, NEW]
+    write(tmp_path, settings=text)
+    names.take(again(env, old))
+    asks = [request(names, *x) for x in ((b"GET", b"taxi-lookup"), (b"POST", b"ride-assign"),
+                                         (b"GET", b"ride-assign"), (b"POST", b"taxi-lookup_b"))]  # fmt: skip
+    assert all(isinstance(x, Ask) for x in asks)
+    assert [(x.class_index, x.once) for x in asks] == [(0, False), (1, True), (1, False), (2, True)]
+    names.forget()
+    bad = [request(names, b"GET", b"taxi-lookup"), request(names, b"POST", b"ride-assign")]
+    assert [x.status for x in bad if isinstance(x, Bad)] == [404, 405]
+
+
+def test_an_open_request_keeps_its_class_and_its_attempts() -> None:
+    """Its client was promised the rules that it came under: one that was safe is repeated, one more attempt
+    than before is not made."""
+    node = core(Script(Request=send, Ended=lambda e: [] if e.final else send(e)), max_attempts=2)
+    (first,) = calls(node.handle(1, c.Arrived(1, SAFE, 0, 0, 900_000, "m")))
+    was = w.settings(parallel_tries=True, may_cancel=True, max_attempts=5)
+    unsafe = (replace(was.classes[0], effect=Effect.UNSAFE), *was.classes[1:])
+    node.handle(2, c.Settled(replace(was, classes=unsafe), 100))
+    (second,) = calls(node.handle(3, c.CallEnded(first.call, Outcome.ERROR)))
+    effects = node.handle(4, c.CallEnded(second.call, Outcome.ERROR))
+    assert [e.verdict for e in effects if isinstance(e, c.Answer)] == [c.Verdict.FAILED]
+    (third,) = calls(node.handle(5, c.Arrived(2, SAFE, 0, 0, 900_000, "m")))
+    assert not calls(node.handle(6, c.CallEnded(third.call, Outcome.ERROR)))  # it came under the new rules
+
+
+def test_a_client_that_holds_it_for_unsafe_is_believed() -> None:
+    script = Script(Request=send, Ended=send)
+    node = core(script)
+    (first,) = calls(node.handle(1, c.Arrived(1, SAFE, 0, 0, 900_000, "m", once=True)))
+    assert not calls(node.handle(2, c.CallEnded(first.call, Outcome.RESET)))
+    assert [e.once for e in script.seen if isinstance(e, t.Request)] == [True]
+
+
+def test_the_module_serves_a_class_that_came_later_and_keeps_what_it_knew() -> None:
+    """Played at random over reloads: each request is sent or answered, and no row is missing."""
+    rng, base = Random(7), w.settings(parallel_tries=True, may_cancel=True)
+    one = Balancer(base, 1)
+    hosts = tuple(t.Host(b"s-%d" % k, 0, 0, 0, State.READY, 1.0, 0.0) for k in range(4))
+    one.handle(0.0, t.Hosts(View.FULL, hosts))
+    now, kinds = 0.0, list(base.classes)
+    for rid in range(1, 2001):
+        now += 2.0
+        if rid % 200 == 0:
+            kinds.append(t.RequestClass(150.0, 800.0, rng.choice([Effect.SAFE, Effect.UNSAFE])))
+            kinds[0] = replace(kinds[0], effect=rng.choice([Effect.SAFE, Effect.UNSAFE]))
+            one.handle(now, t.Resettled(replace(base, classes=tuple(kinds), max_attempts=rng.randint(1, 5))))
+        actions = one.handle(now, t.Request(rid, rng.randrange(len(kinds)), 0, 0, now + 800.0, 0.0))
+        sent = [a for a in actions if isinstance(a, t.Send)]
+        assert len(sent) == 1
+        outcome = Outcome.OK if rng.random() < 0.9 else Outcome.ERROR
+        one.handle(now + 1.0, t.Ended(rid, 0, sent[0].host, outcome, 1.0, True))
+        one.handle(now + 1.5, t.Timer(0))
+    figures, full, _, rows = one.judged()
+    assert len(full) == len(kinds) == 13 and all(len(row[4]) == 13 for row in rows)
+    assert 0.0 < figures["mean_ms"] < 2.0
+
+
+def test_a_signal_brings_a_new_class_and_a_broken_file_nothing() -> None:
+    player = Player()
+    try:
+        player.step_start("a=ready", b"")
+        assert player.program is not None
+        path = Path(player.folder.name, "config.json")
+        top = json.loads(path.read_text())
+
+        def asked() -> bytes:
+            with socket.create_connection(player.address, LIMIT_S) as sock:
+                sock.sendall(b"POST /taxi-lookup_b/1 HTTP/1.1\r\nRequest-Id: r\r\nRequest-Timeout-Ms: 1\r\n"
+                             b"Content-Length: 0\r\n\r\n")  # fmt: skip
+                return sock.recv(4096).split()[1]
+
+        assert asked() == b"404"
+        path.write_text("")
+        player.program.send_signal(signal.SIGHUP)
+        player.until_ready()
+        top["settings"]["classes"].append(NEW)
+        path.write_text(json.dumps(top))
+        player.program.send_signal(signal.SIGHUP)
+        os.kill(player.program.pid, signal.SIGHUP)
+        end = time.monotonic() + LIMIT_S
+        while asked() == b"404":
+            assert time.monotonic() < end, "the new class was never taken"
+    finally:
+        player.close()
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -41,6 +41,7 @@
     "granitewell.protocols": "protocols",
     "granitewell.operator": "operator",
     "granitewell.config": "config",
+    "granitewell.reload": "config",
     "granitewell.core": "core",
     "tiderelay": "tiderelay",
 }
--- a/tiderelay/health.py
+++ b/tiderelay/health.py
@@ -92,13 +92,24 @@
 
     def __init__(self, safe: Iterable[bool], least: Iterable[float] = ()) -> None:
         """safe: by class, whether it may be repeated; least: ms, the patience that each has at least."""
-        self._safe = tuple(safe)
-        self._least = tuple(least) or (0.0,) * len(self._safe)
-        n = len(self._safe)
-        self.mean, self.known = [0.0] * n, [0.0] * n
-        self.full = [False] * n  # so many hosts look ill that the fleet must be full
-        self._recent: list[deque[C]] = [deque() for _ in range(n)]  # not yet over their patience
+        self.mean: list[float] = []
+        self.known: list[float] = []
+        self.full: list[bool] = []  # so many hosts look ill that the fleet must be full
+        self._recent: list[deque[C]] = []  # not yet over their patience
         self._zones: dict[int, tuple[float, float]] = {}
+        self.take(safe, least, ())
+
+    def take(self, safe: Iterable[bool], least: Iterable[float], hosts: Iterable[list[Pair]]) -> None:
+        """Other classes: new ones come behind, in the rows of these hosts too."""
+        self._safe, was = tuple(safe), len(self.mean)
+        self._least = tuple(least) or (0.0,) * len(self._safe)
+        new = len(self._safe) - was
+        for row in (self.mean, self.known):
+            row += [0.0] * new
+        self.full += [False] * new
+        self._recent += (deque() for _ in range(new))
+        for pairs in hosts:
+            pairs += (Pair() for _ in self._safe[len(pairs) :])
 
     def pairs(self) -> list[Pair]:
         """The rows of a new host, by class."""
--- a/tiderelay/interface.py
+++ b/tiderelay/interface.py
@@ -153,6 +153,7 @@
     due_ms: float
     work_hint: float  # 0: none
     repeat: bool = False
+    once: bool = False  # unsafe to repeat whatever its class
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,7 +210,15 @@
     mark: int
 
 
-Event = Hosts | Request | Abandoned | FirstByte | Ended | Probed | PeerMessage | Timer
+@dataclass(frozen=True, slots=True)
+class Resettled:
+    """Other settings count for what comes from now on. Classes and tenants keep their index, new ones come
+    behind; one that has been dropped keeps its place and gets no more requests."""
+
+    settings: Settings
+
+
+Event = Resettled | Hosts | Request | Abandoned | FirstByte | Ended | Probed | PeerMessage | Timer
 
 
 @dataclass(frozen=True, slots=True)
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -10,6 +10,7 @@
 from bisect import bisect, bisect_left
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import accumulate
 from operator import mul
@@ -20,8 +21,8 @@
 from tiderelay.health import FULL_SHARE, SICK, Call, Health, Pair
 from tiderelay.interface import (
     Abandoned, Action, Cancel, Effect, Ended, Event, Fail, Field, FirstByte, Host, Hosts, Log, Outcome,
-    PeerMessage, Probed, Refuse, Request, RequestClass, Scope, Send, SetTimer, Settings, State, Timer, View,
-    Watch,
+    PeerMessage, Probed, Refuse, Request, RequestClass, Resettled, Scope, Send, SetTimer, Settings, State,
+    Timer, View, Watch,
 )  # fmt: skip
 from tiderelay.validate import validate
 
@@ -165,53 +166,64 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             Request: self._request, Ended: self._ended, Timer: self._timer, Hosts: self._hosts,
             Abandoned: self._abandoned, FirstByte: self._first_byte, Probed: self._ignore,
-            PeerMessage: self._ignore,
+            PeerMessage: self._ignore, Resettled: self._resettled,
         }  # fmt: skip
         self._held: dict[int, _Held] = {}
         self._out: dict[tuple[int, int], _Try] = {}
-        kinds = settings.classes  # what keeps well inside the aim hurts nobody, however quick the others are
-        self._health: Health[_Try] = Health((c.effect is Effect.SAFE for c in kinds),
-                                            (BEARABLE * c.aim_ms for c in kinds))  # fmt: skip
-        self._ill: list[list[_Server]] = [[] for _ in settings.classes]  # where a safe request may find out,
+        self._health: Health[_Try] = Health((), ())
+        self._ill: list[list[_Server]] = []  # by class, where a safe request may find out,
         self._trial_at = -math.inf  # and from when on the next one may
         self._agenda: list[tuple[float, int, Callable[[Any], None], Any]] = []
         self._seq, self._armed = 0, math.inf
         # rate forecast
         self._bins: deque[int] = deque(maxlen=BINS)
-        self._arrived = 0
         # latency model
         self._samples: deque[tuple[float, float]] = deque(maxlen=SAMPLES)
         self._latency, self._rtt, self._answers = 0.0, RTT, 0
         self._sized_at, self._shrunk_at = -math.inf, -math.inf
         # hosts
-        self._work = [_Work() for _ in settings.classes]
-        self._unit = 0.0  # ms, mean part of an answer's time that depends on its host
+        self._work: list[_Work] = []
+        self._unit = self._report_mean = 0.0  # ms, mean part of an answer's time that depends on its host
         self._kinds: dict[int, list[float]] = {}  # kind: sums as for a host
         self._field = {f: k for k, f in enumerate(settings.report_fields)}
-        self._report_mean = 0.0
         self._cells: dict[int, list[_Server]] = {}
         self._ring: list[_Server] = []  # hosts by their places on the ring of keys
         self._ring_at: list[int] = []
-        self._cum: list[list[float]] = [[] for _ in settings.classes]  # odds of the hosts in order, summed up
-        self._sound: list[list[float]] = [[] for _ in settings.classes]  # and their health
+        self._cum: list[list[float]] = []  # by class, odds of the hosts in order, summed up
+        self._sound: list[list[float]] = []  # and their health
         self._worth: list[float] = []  # and the hosts that are well for some class, summed up
         self._rows: list[tuple[list[Pair], int]] = []  # the hosts in order, as health takes them
-        self._others = 0.0  # requests of other gateways at a mean host
         self._servers: dict[bytes, _Server] = {}
         self._order: list[_Server] = []
         self._size = 0
         self._slots, self._even, self._floor, self._share_late = 0.0, 0.0, math.inf, 0.0
         self._served, self._warm_rate, self._rate_now = 0, 0.0, 0.0
-        self._asks, self._started = 0, False
+        self._others = 0.0  # requests of other gateways at a mean host
+        self._asks, self._arrived, self._started = 0, 0, False
         self._told, self._told_at = (0, 0.0), -math.inf
         # admission
-        self._late = self._judged = self._level = 0.0
-        self._rate_ok, self._limit = 0.0, math.inf  # answers a ms, and most in flight while shedding
+        self._late = self._judged = self._level = self._rate_ok = 0.0
+        self._limit = math.inf  # answers a ms, and most in flight while shedding
         self._margin = 1.0  # worth per work of what is shed next, against the mean
-        self._mix = [[0.0, 0.0] for _ in settings.classes]  # arrivals inside and beyond allowances
-        self._shed = [[0.0, 0.0] for _ in settings.classes]  # odds of being refused
-        self._allow = [[0.0, 0.0] for _ in settings.tenants]  # tokens, and since when
+        self._mix: list[list[float]] = []  # arrivals inside and beyond allowances
+        self._shed: list[list[float]] = []  # odds of being refused
+        self._allow: list[list[float]] = []  # by tenant: tokens, and since when
         self._retries = RETRY_SAVED
+        self._resettled(Resettled(settings))
+
+    def _resettled(self, event: Resettled) -> None:
+        """Other settings: what is known of the classes stays, rows for new ones come behind."""
+        self._set, kinds = event.settings, event.settings.classes
+        for row in (self._mix, self._shed):
+            row += ([0.0, 0.0] for _ in kinds[len(row) :])
+        self._allow += ([0.0, 0.0] for _ in event.settings.tenants[len(self._allow) :])
+        self._work += (_Work() for _ in kinds[len(self._work) :])
+        self._ill = [[] for _ in kinds]
+        self._cum, self._sound = [[] for _ in kinds], [[] for _ in kinds]
+        # what keeps well inside the aim hurts nobody, however quick the others are
+        self._health.take([c.effect is Effect.SAFE for c in kinds], [BEARABLE * c.aim_ms for c in kinds],
+                          (s.pairs for s in self._servers.values()))  # fmt: skip
+        self._weigh()
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """The only way in. The clock may stand still; where it steps back, the latest time counts."""
@@ -533,7 +545,8 @@
         if not 0 <= event.class_index < len(self._set.classes):
             self._do.append(Fail(event.id))
             return
-        req = _Held(event, self._set.classes[event.class_index], self._now)
+        cls = self._set.classes[event.class_index]
+        req = _Held(event, replace(cls, effect=Effect.UNSAFE) if event.once else cls, self._now)
         self._held[req.id] = req
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
         over = self._over(event.tenant)
@@ -614,11 +627,8 @@
             return True
         if req.cls.effect is Effect.UNSAFE or self._now - first.at >= req.cls.window_ms:
             return False
-        return req.cls.scope is Scope.ALL or (
-            server.zone == first.server.zone
-            if req.cls.scope is Scope.ZONE
-            else server.cell == first.server.cell
-        )
+        was, zone = first.server, req.cls.scope is Scope.ZONE
+        return req.cls.scope is Scope.ALL or (server.zone == was.zone if zone else server.cell == was.cell)
 
     def _may_refuse(self, req: _Held) -> bool:
         """Rule 2: is it sure that the client's retry does no harm?"""
@@ -664,9 +674,7 @@
         req, ill = self._held.get(late.rid), self._sick(late.server, late.cls)
         if req is None or not ill or not self._set.parallel_tries or self._retries < 1.0:
             return
-        if req.cls.effect is not Effect.SAFE:
-            return
-        if len(req.tries) < self._set.max_attempts and self._now < req.due:
+        if req.cls.effect is Effect.SAFE and len(req.tries) < self._set.max_attempts and self._now < req.due:
             server = self._pick(req)
             if server is not None and all(t.server is not server for t in req.tries):
                 self._retries -= 1.0
