Bodies over 64 KiB flow through, both ways, under one byte budget

Ruled out: endpoints, pool, descriptors. At fault: MOST_BODY of 64 KiB, WHOLE_S (150 ms for a whole answer), SLOW_US for a whole request.

Change: net/bodies.py (pump, pour, budget), Flow in http1, core events Whole and LetGo, module event Uploaded (a try's time begins with the body's last byte).

--- a/granitewell/core/__init__.py
+++ b/granitewell/core/__init__.py
@@ -34,6 +34,7 @@
     InboundGone,
     KeepBan,
     Leave,
+    LetGo,
     Listening,
     Member,
     Note,
@@ -47,6 +48,7 @@
     StopAsked,
     StopListening,
     Verdict,
+    Whole,
     Woken,
     WriteCall,
 )
@@ -55,7 +57,7 @@
     "AbandonCall", "ACCEPT_US", "Answer", "Arrived", "BanAsked", "BanLifted", "BansHeard", "Begin",
     "CallBegan", "CallDialed", "CallDialing", "CallEnded", "CallPart", "CloseIdle", "Core", "Decider",
     "DRAIN_MARGIN_US", "Effects", "Event", "Finish", "FleetNews", "GUARD_US", "HEAR_US", "InboundGone",
-    "KeepBan", "LEAST_MOST_US", "Leave", "Listening", "Member", "NEVER_RAN", "Note", "Pass", "Phase",
-    "Ruled", "Ruling", "Serving", "Settled", "StartCall", "StopAsked", "StopListening", "Verdict", "Woken",
-    "WriteCall",
+    "KeepBan", "LEAST_MOST_US", "Leave", "LetGo", "Listening", "Member", "NEVER_RAN", "Note", "Pass", "Phase",
+    "Ruled", "Ruling", "Serving", "Settled", "StartCall", "StopAsked", "StopListening", "Verdict", "Whole",
+    "Woken", "WriteCall",
 ]  # fmt: skip
--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -38,6 +38,7 @@
     InboundGone,
     KeepBan,
     Leave,
+    LetGo,
     Listening,
     Member,
     Note,
@@ -51,6 +52,7 @@
     StopAsked,
     StopListening,
     Verdict,
+    Whole,
     Woken,
     WriteCall,
 )
@@ -61,6 +63,7 @@
 GUARD_US = 25_000  # past a request's due time, when the core itself answers: half of the platform's slack
 DRAIN_MARGIN_US = 100_000  # kept back from the drain limit for what lies between here and the first byte
 LEAST_MOST_US = 10_000_000  # what a client may always ask for as its time, whatever its class
+FLOW_US = 3_600_000_000  # the time of a request whose body still comes: its client's patience ends it
 LEAST_LEFT_US = 1_000  # a dialed call with less time than this left is not written
 ACCEPT_US = 500_000  # after the stop signal connections still arrive for up to 400 ms
 LAST_US = 700_000  # the same where the listener is shared, for the last requests on connections kept so long
@@ -147,6 +150,11 @@
                 self._out.append(Pass(call.request.inbound, event.part))
         elif isinstance(event, InboundGone):
             self._gone(event.inbound)
+        elif isinstance(event, Whole):
+            self._whole(event.inbound)
+        elif isinstance(event, LetGo):
+            if event.inbound in self._by_inbound:
+                self._by_inbound[event.inbound].let_go = True
         elif isinstance(event, FleetNews):
             self._news(event)
         elif isinstance(event, Listening):
@@ -287,15 +295,35 @@
             cls = replace(cls, effect=Effect.UNSAFE)
         # a time without end would hold its place in every table; no client of the class waits longer
         due = self._now + min(event.timeout_us, max(int(cls.deadline_ms * 1000), LEAST_MOST_US))
+        told = due  # the module holds it for no longer, be its body whole or not
+        due = self._now + FLOW_US if event.flows else due
         request = Held(self._last_id, event, cls, due, self._set.max_attempts)
         if event.name:
             self._names.add(event.name)
         self._requests[request.id] = self._by_inbound[event.inbound] = request
-        self._at(due + GUARD_US, "guard", request.id)
+        if not event.flows:
+            self._at(due + GUARD_US, "guard", request.id)
         self._work.append(t.Request(
-            request.id, event.class_index, event.tenant, event.key, due / 1000, 0.0, event.repeat, once
+            request.id, event.class_index, event.tenant, event.key, told / 1000, 0.0, event.repeat, once,
+            event.flows,
         ))  # fmt: skip
 
+    def _whole(self, inbound: int) -> None:
+        """The body has come: the request's time begins, and that of the call that is out for it."""
+        request = self._by_inbound.get(inbound)
+        if request is None or not request.flows:
+            return
+        request.flows = False
+        most = max(int(request.cls.deadline_ms * 1000), LEAST_MOST_US)
+        request.due_us = self._now + min(request.timeout_us, most)
+        self._at(request.due_us + GUARD_US, "guard", request.id)
+        out = [call for call in request.calls if call.outcome is None]
+        for call in out:
+            call.at_us, call.due_us = self._now, request.due_us
+            self._at(call.due_us, "call", call.id)
+        number = out[-1].number if out else -1
+        self._work.append(t.Uploaded(request.id, number, request.due_us / 1000))
+
     def _close(self, request: Held, verdict: Verdict, answer: object = None, wait_us: int = 0) -> None:
         """Give the one final answer, or end the one that has begun."""
         self._forget(request)
@@ -318,7 +346,8 @@
             self.stats["abandoned"] += 1
             self._forget(request)
             for call in request.calls:
-                if call.streams and call.outcome is None:  # the module let go of it when it began
+                # the module let go of it when it began, or while its body was on the way
+                if (call.streams or request.forgotten) and call.outcome is None:
                     self._out.append(AbandonCall(call.id))
                     self._end(call, Outcome.CANCELLED)
             self._work.append(t.Abandoned(request.id))
@@ -334,6 +363,8 @@
     def _repeatable(self, request: Held, endpoint: Endpoint) -> bool:
         """Rule 2: may this request go out (again) to this endpoint, given its earlier calls?"""
         ran = [c for c in request.calls if c.outcome not in NEVER_RAN]
+        if request.let_go or (request.flows and any(c.outcome is None for c in request.calls)):
+            return False  # what has been let go can't be sent again, and one body feeds one call
         if not self._set.parallel_tries and any(c.outcome is None for c in ran):
             return False
         if not ran or request.cls.effect is Effect.SAFE:
@@ -361,7 +392,7 @@
             return
         self._last_id += 1
         due = request.due_us
-        if action.timeout_ms > 0.0:
+        if action.timeout_ms > 0.0 and not request.flows:
             due = min(due, self._now + round(action.timeout_ms * 1000))
         call = Call(self._last_id, request, number, endpoint, self._now, due)
         allowed = self._sendable(endpoint) and self._repeatable(request, endpoint)
@@ -373,7 +404,8 @@
             self._end(call, Outcome.MOOT)
             return
         self.stats["sent"] += 1
-        self._at(due, "call", call.id)
+        if not request.flows:
+            self._at(due, "call", call.id)
         to = endpoint.member
         self._out.append(
             StartCall(call.id, to.id, to.address, request.message, due, to.protocol)
@@ -411,7 +443,9 @@
         request.streams = call.streams = True
         self.stats["begun"] += 1
         self._out.append(Begin(request.inbound, event.answer))
-        self._work.append(t.FirstByte(request.id, call.number, (self._now - call.at_us) / 1000))
+        # to the module it has ended: what counts is the first byte, and the rest goes at its client's pace
+        self._work.append(t.Ended(request.id, call.number, call.endpoint.member.id, Outcome.OK,
+                                  (self._now - call.at_us) / 1000, True, event.report))  # fmt: skip
         for other in request.calls:
             if other is not call and other.outcome is None:
                 self._out.append(AbandonCall(other.id))
@@ -431,6 +465,11 @@
             self._close(request, Verdict.SERVED if outcome is Outcome.OK else Verdict.FAILED, answer)
         elif outcome is Outcome.OK and request.open and not request.streams:
             self._close(request, Verdict.SERVED, answer)
+        elif request.open and (request.let_go or request.forgotten) and outcome is not Outcome.OK:
+            # it can go nowhere else: answered at once
+            self._close(request, Verdict.FAIL_FAST if self._harmless(request) else Verdict.FAILED)
+        if call.streams:
+            return
         self._work.append(t.Ended(
             request.id, call.number, call.endpoint.member.id, outcome, (self._now - call.at_us) / 1000,
             not request.open, report,
@@ -552,6 +591,9 @@
             request = self._requests.get(action.id)
             if request is None or request.streams:
                 return
+            if request.flows and any(c.outcome is None for c in request.calls):
+                request.forgotten = True  # its time has not begun, and an endpoint has part of it
+                return
             if isinstance(action, t.Fail) or not self._harmless(request):
                 self._close(request, Verdict.FAILED)
             else:
--- a/granitewell/core/tables.py
+++ b/granitewell/core/tables.py
@@ -27,7 +27,8 @@
 class Held:
     """A request that has been taken; open until its final answer."""
 
-    __slots__ = ("attempts", "calls", "cls", "due_us", "id", "inbound", "message", "name", "open", "streams")
+    __slots__ = ("attempts", "calls", "cls", "due_us", "flows", "forgotten", "id", "inbound", "let_go",
+                 "message", "name", "open", "streams", "timeout_us")  # fmt: skip
 
     def __init__(self, rid: int, event: Arrived, cls: t.RequestClass, due: int, attempts: int) -> None:
         self.attempts = attempts  # at most; as of its arrival, like its class
@@ -35,6 +36,10 @@
         self.message, self.name = event.message, event.name
         self.calls: list[Call] = []
         self.open = True
+        self.timeout_us = event.timeout_us
+        self.flows = event.flows  # its body has not come whole yet
+        self.let_go = False  # nor is its beginning held any more
+        self.forgotten = False  # the module has given it up while its body was on the way
         self.streams = False  # its answer has begun
 
 
--- a/granitewell/core/terms.py
+++ b/granitewell/core/terms.py
@@ -56,6 +56,21 @@
     repeat: bool = False
     name: bytes = b""  # the client's id for it; b"" for none
     once: bool = False  # the client holds it for unsafe to repeat, whatever its class
+    flows: bool = False  # its body still comes and is passed on as it does; its time begins with Whole
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The body of a request that flows has come whole."""
+
+    inbound: int
+
+
+@dataclass(frozen=True, slots=True)
+class LetGo:
+    """The beginning of such a body is held no more: it can't be sent again from here on."""
+
+    inbound: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,8 +197,8 @@
 
 
 Event = (
-    Arrived | InboundGone | CallDialing | CallDialed | CallBegan | CallPart | CallEnded | FleetNews
-    | Listening | Woken | StopAsked | BanAsked | BanLifted | BansHeard | Settled
+    Arrived | Whole | LetGo | InboundGone | CallDialing | CallDialed | CallBegan | CallPart | CallEnded
+    | FleetNews | Listening | Woken | StopAsked | BanAsked | BanLifted | BansHeard | Settled
 )
 
 
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -10,6 +10,7 @@
 import json
 import math
 import re
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from hashlib import blake2b
@@ -21,7 +22,8 @@
 from granitewell.core import Answer, FleetNews, Member, Verdict
 from tiderelay.interface import Effect, Outcome, State, View
 
-MOST_BODY = 64 * 1024  # bytes, of any body of the protocol
+MOST_KEPT = 64 * 1024  # bytes of a body that are kept whole; a larger one is passed on as it comes
+MOST_BODY = 40 * 1024 * 1024  # bytes of any body
 MOST_HEAD = 16 * 1024  # bytes of request line and headers
 MOST_LIST = 4 * 1024 * 1024  # bytes of a list from discovery
 READY_PATH = b"/-/ready"
@@ -40,6 +42,46 @@
 }  # fmt: skip
 
 
+class Flow:
+    """A body over 64 KiB, passed on as it comes. Up to that size what has come is kept, so that a call that
+    never ran may be followed by another; from then on a part is let go once it has been taken."""
+
+    __slots__ = ("came", "done", "inbound", "length", "let_go", "owner", "parts", "sent", "taken", "unread")
+
+    def __init__(self, length: int | None) -> None:
+        self.length = length  # as its head says; None: it comes in chunks
+        self.parts: deque[bytes] = deque()
+        self.taken = 0  # parts that the call under way has
+        self.came = self.unread = 0  # bytes
+        self.done = self.let_go = False  # done: all has come
+        self.sent = False  # the call under way has written all of it
+        self.inbound = -1  # whose it is; the shell's, like
+        self.owner: Any = None  # what it waits with
+
+    def put(self, data: bytes) -> None:
+        """A further part has come."""
+        self.parts.append(data)
+        self.came += len(data)
+        self.unread += len(data)
+
+    def begin(self) -> None:
+        """A call begins to take it, from the first byte."""
+        self.taken, self.unread, self.sent = 0, sum(map(len, self.parts)), False
+
+    def take(self) -> bytes | None:
+        """The next part for the call under way; None where no further one has come."""
+        if self.came > MOST_KEPT and self.taken:
+            for _ in range(self.taken):
+                self.parts.popleft()
+            self.taken, self.let_go = 0, True
+        if self.taken >= len(self.parts):
+            return None
+        part = self.parts[self.taken]
+        self.taken += 1
+        self.unread -= len(part)
+        return part
+
+
 @dataclass(frozen=True, slots=True)
 class Message:
     """A request as it goes on to an endpoint, byte for byte where the protocol says unchanged."""
@@ -49,6 +91,8 @@
     request_id: bytes
     passed: bytes  # further header lines, whole
     body: bytes
+    flow: Flow | None = None  # in place of a body over 64 KiB
+    timeout_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +107,7 @@
     message: Message
     keep_alive: bool
     once: bool = False  # asked for by the method of what must not run twice
+    old: bool = False  # by HTTP/1.0: its answer can't come in chunks
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +138,15 @@
     content_type: bytes = b""
 
 
+@dataclass(slots=True)
+class Head:
+    """The head of an endpoint's 200 whose body is passed on as it comes; inbound is the shell's."""
+
+    length: int | None
+    content_type: bytes = b""
+    inbound: int = -1
+
+
 class Names:
     """The deployment's names as they stand in headers, by index. `take` has other settings count at once for
     all connections; what they name no more counts until `forget`, as clients change over later."""
@@ -131,6 +185,10 @@
         self._names = names
         self._parser = httptools.HttpRequestParser(self)
         self._items: list[Item] = []
+        self.flow: Flow | None = None  # the body under way, where it is over 64 KiB
+        self.expecting = False  # the client waits for a word before it sends its body
+        self.in_body = False
+        self.size = 0  # bytes of the body so far
         self.broken = False  # no further request can be told from these bytes
         self.partial = False  # a request has begun and is not whole
         self._head = 0  # bytes of the head so far; begun anew where a request ends
@@ -140,8 +198,9 @@
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
-        self._size = 0
+        self.size, self.flow = 0, None
         self._in_head, self._twice = True, False
+        self.in_body = self.expecting = False
 
     def feed(self, data: bytes) -> list[Item]:
         """What these bytes complete, in order."""
@@ -153,7 +212,8 @@
             except httptools.HttpParserUpgrade:
                 # the offer of another protocol is not taken up: this request is served, nothing behind it
                 self.broken = True
-                self._items[-1] = replace(self._items[-1], keep_alive=False)
+                if self._items:
+                    self._items[-1] = replace(self._items[-1], keep_alive=False)
             except httptools.HttpParserError:
                 self._refuse(400, "malformed HTTP")
             # a header line that never ends reaches no callback: count what has come in
@@ -184,19 +244,46 @@
         if len(self._target) + sum(len(k) + len(v) + 4 for k, v in self._headers.items()) > MOST_HEAD:
             self._refuse(431, "headers over 16 KiB")
         length = self._headers.get(b"content-length", b"0")
+        self.in_body = True
         if length.isdigit() and (len(length) > 9 or int(length) > MOST_BODY):
-            self._refuse(413, "body over 64 KiB")
+            self._refuse(413, f"body over {MOST_BODY >> 20} MiB")
+        elif length.isdigit() and int(length) > MOST_KEPT and not self.broken:
+            self._begin_flow(int(length))
+        self.expecting = not self.broken and self._headers.get(b"expect", b"").lower() == b"100-continue"
+
+    def _begin_flow(self, length: int | None) -> None:
+        """The request is handed in now; its body follows."""
+        item = self._judge(self._parser.should_keep_alive())
+        if isinstance(item, Ask):
+            self.flow = Flow(length)
+            for part in self._body:
+                self.flow.put(part)
+            self._body = []
+            self._items.append(replace(item, message=replace(item.message, body=b"", flow=self.flow)))
+        else:  # what is refused is not waited for
+            self.broken = True
+            self._items.append(replace(item, keep_alive=False))
 
     def on_body(self, body: bytes) -> None:
-        self._size += len(body)
-        if self._size > MOST_BODY:
-            self._refuse(413, "body over 64 KiB")
-        elif not self.broken:
+        self.size += len(body)
+        self.expecting = False
+        if self.broken:
+            return
+        if self.size > MOST_BODY:
+            self._refuse(413, f"body over {MOST_BODY >> 20} MiB")
+        elif self.flow is not None:
+            self.flow.put(body)
+        else:
             self._body.append(body)
+            if self.size > MOST_KEPT:
+                self._begin_flow(None)
 
     def on_message_complete(self) -> None:
-        self.partial = False
-        if not self.broken:
+        self.partial = self.in_body = self.expecting = False
+        if self.flow is not None:
+            self.flow.done = True
+            self._in_head, self._head = True, 0
+        elif not self.broken:
             self._items.append(self._judge(self._parser.should_keep_alive()))
             self._in_head, self._head = True, 0
 
@@ -228,10 +315,11 @@
             return Bad(400, "Request-Timeout-Ms is missing or malformed", keep)
         tenant = names.tenants.get(headers.get(b"tenant", b""), len(names.tenants))
         passed = b"".join(b"%s: %s\r\n" % (k, headers[k]) for k in _PASSED if k in headers)
-        message = Message(method, self._target, request_id, passed, b"".join(self._body))
+        message = Message(method, self._target, request_id, passed, b"".join(self._body), None, int(timeout))
         return Ask(
             index, tenant, _key(headers.get(b"affinity-key", b"")), int(timeout),
             headers.get(b"client-retry") == b"1", message, keep, method != b"GET",
+            self._parser.get_http_version() == "1.0",
         )  # fmt: skip
 
 
@@ -276,23 +364,42 @@
     """The request as an endpoint gets it."""
     bodied = message.body or message.method != b"GET"
     length = b"Content-Length: %d\r\n" % len(message.body) if bodied else b""
+    if message.flow is not None:
+        size = message.flow.length
+        length = b"Transfer-Encoding: chunked\r\n" if size is None else b"Content-Length: %d\r\n" % size
+        left_us = min(left_us, message.timeout_ms * 1000)
     return b"%s %s HTTP/1.1\r\nHost: %s:%d\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n%s%s\r\n%s" % (
         message.method, message.target, host[0].encode(), host[1], message.request_id,
         max(left_us // 1000, 1), message.passed, length, message.body,
     )  # fmt: skip
 
 
+def chunk_bytes(data: bytes) -> bytes:
+    """A part of a body of unknown length, as HTTP/1.1 frames it; of no bytes: its end."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def begin_bytes(head: Head, chunked: bool, close: bool) -> bytes:
+    """The head of a 200 whose body follows."""
+    kind = b"Content-Type: %s\r\n" % head.content_type if head.content_type else b""
+    frame = b"Transfer-Encoding: chunked\r\n" if chunked else b""
+    if head.length is not None:
+        frame = b"Content-Length: %d\r\n" % head.length
+    return b"HTTP/1.1 200 OK\r\n%s%s%s\r\n" % (frame, kind, b"Connection: close\r\n" if close else b"")
+
+
 class ResponseParser:
-    """One answer on one connection."""
+    """One answer on one connection. What comes is gathered up to `most` bytes; `take` hands out what is there
+    and begins anew, for one that is passed on as it comes."""
 
-    def __init__(self, most: int = MOST_BODY) -> None:
+    def __init__(self, most: int = MOST_KEPT) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._most = most
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self._parts: list[bytes] = []
         self._size = self._head = 0
-        self._in_body = False
+        self._in_body = self.endless = False  # endless: its length is not told beforehand
         self.done = False
         self.reusable = False
 
@@ -300,6 +407,31 @@
     def body(self) -> bytes:
         return b"".join(self._parts)
 
+    @property
+    def flows(self) -> bool:
+        """Is this the body of a 200, which may be passed on as it comes?"""
+        return self._most == MOST_KEPT and self._in_body and self.status == 200
+
+    @property
+    def large(self) -> bool:
+        """Is it sure that the body is over what is kept whole?"""
+        return self.flows and self._size > self._most
+
+    def head(self) -> Head:
+        """The head of an answer that flows."""
+        length = self.headers.get(b"content-length")
+        return Head(int(length) if length else None, self.headers.get(b"content-type", b""))
+
+    def pour(self) -> int:
+        """It is passed on from now on: from here its bytes count as they come. Those that have come."""
+        self._size = sum(map(len, self._parts))
+        return self._size
+
+    def take(self) -> bytes:
+        """What has come of the body since the last time."""
+        parts, self._parts = self._parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
     def feed(self, data: bytes) -> bool:
         """True once the answer is whole. ValueError: this is no answer."""
         self._head += 0 if self._in_body else len(data)
@@ -316,7 +448,7 @@
                 if not data:
                     raise ValueError(f"no HTTP: {error}") from None
                 self._parser, self.status = httptools.HttpResponseParser(self), 0
-        if self._size > self._most:
+        if self._size > (MOST_BODY if self.flows else self._most):
             raise ValueError("the body is too large")
         if not self._in_body and self._head > 2 * MOST_HEAD:
             raise ValueError("the headers are too large")
@@ -347,6 +479,8 @@
             length = self.headers.get(b"content-length", b"0")
             if self._in_body and int(length) > self._most:  # known before a byte of it has come
                 self._size = int(length)
+            elif self._in_body and b"content-length" not in self.headers:
+                self.endless = True
 
     def on_body(self, body: bytes) -> None:
         if not self.done:
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -14,6 +14,7 @@
 import os
 import resource
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Coroutine
@@ -24,6 +25,7 @@
 from granitewell.config import Config, ConfigError, needs_restart, taken_up
 from granitewell.handover import Handover
 from granitewell.net import http1
+from granitewell.net.bodies import GAP_S, HOLD_S, STILL_S, Budget, Pour, Waits, pump
 from granitewell.net.console import SEATS, Console
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
@@ -34,14 +36,18 @@
     from granitewell.net.status import Door
 
 RESERVE = 32  # descriptors for the interpreter, the listener, discovery and accidents
-BUFFER = 8 * 1024  # bytes read at a time
+BUFFER = 8 * 1024  # bytes read at a time, but for bodies that flow
 BACKLOG = 1024
 MOST_ACCEPTED = 64  # connections taken in one turn of the loop
 SWEEP_S = 0.1
 IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
 # A client that sends nothing of use is owed an error or a close within 3 s of connecting; a usual client's
 # first request is there within milliseconds.
-SLOW_US = 2_200_000  # for a client to get a begun request across; on a new connection, since it came
+SLOW_US = 2_400_000  # for a client to get the head of a begun request across; on a new connection, since it
+BODY_US = 2_500_000  # came; and between two pieces of its body, which has to come at
+BODY_PER_S = 16 * 1024  # bytes a second at least, from so long after its head on
+BODY_SPARE_US = 3_000_000
+FLOW_STILL_US = 10_000_000  # without a byte, after which a body that flows comes no more
 HUSH_US = 200_000  # after which a connection that has said nothing goes first where descriptors are short,
 HALF_US = 500_000  # and after which one with half a request goes with those that are idle
 # Clients hold a third of the descriptors at most, and some ask once and keep their connection for good: those
@@ -49,7 +55,6 @@
 SPENT_US = 2_000_000  # for a client to ask again
 ONCE_US = 100_000  # the same on a connection with one answer, where inbounds are more than
 ONCE_PART = 8  # one in so many descriptors
-WHOLE_S = 0.15  # from the first byte of an endpoint's answer to its last: spoilt ones never get there
 SCRAP = bytearray(64 * 1024)  # takes what comes in behind an error; never read
 MOST_SCRAP = 1024 * 1024  # of that, bytes that are taken before the connection ends: some clients send 60 MB
 LEAST_AGE_S = 0.6  # of a process under a CPU limit below one core before it is ready
@@ -92,8 +97,8 @@
 class _Inbound:
     """One client connection."""
 
-    __slots__ = ("answered", "at_us", "buffer", "busy", "closing", "fresh", "id", "keep", "parser", "queue",
-                 "sock")  # fmt: skip
+    __slots__ = ("answered", "at_us", "buffer", "busy", "closing", "flow", "fresh", "head_us", "heard_us",
+                 "id", "keep", "old", "parser", "queue", "sock", "task")  # fmt: skip
 
     def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
         self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
@@ -101,6 +106,10 @@
         self.queue: deque[http1.Item] = deque()
         self.busy = self.closing = False
         self.answered = 0  # answers that have gone out on it
+        self.heard_us = self.head_us = now  # when bytes last came, and when the head of the last request had
+        self.flow: http1.Flow | None = None  # the body of the request that is out, where it flows
+        self.old = False  # that request is one of HTTP/1.0
+        self.task: asyncio.Task[None] | None = None  # that reads it
         self.keep = self.fresh = True  # fresh: no answer has gone out on it yet
 
 
@@ -140,6 +149,7 @@
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
         self._sockets = sockets
+        self._budget = Budget(config.memory_mb)
         self._divide(0)
         self._idle_us = int(config.conn_idle_us * IDLE_PART)
         self._discovering: asyncio.Task[None] | None = None
@@ -169,6 +179,7 @@
         own: a third for endpoints; for clients what the usual ones can hold, a third too, with room for new
         ones. Either takes what the other leaves."""
         self._others = others
+        self._budget.most = Budget(self._config.memory_mb / (1 + others)).most
         sockets = self._sockets // (1 + others)
         self._most = max(sockets - RESERVE - (SEATS if self._config.console else 0), 8)
         self._most_inbound = self._most - self._most // 3
@@ -338,8 +349,14 @@
         elif isinstance(effect, c.Answer):
             inbound = self._inbounds.get(effect.inbound)
             if inbound is not None:
-                close = effect.close or not inbound.keep
+                # behind an answer that came before the whole request nothing can be read in step
+                close = effect.close or not inbound.keep or inbound.flow is not None
                 self._reply(inbound, http1.answer_bytes(effect, close), close)
+        elif isinstance(effect, c.Begin):
+            assert isinstance(effect.answer, http1.Head)
+            effect.answer.inbound = effect.inbound
+        elif isinstance(effect, c.Finish):
+            self._finished(effect)
         elif isinstance(effect, c.Note):
             self.say(effect.topic, effect.line)
         elif isinstance(effect, c.WriteCall):
@@ -380,10 +397,13 @@
             patience = ONCE_US if many and inbound.answered == 1 else SPENT_US
             if inbound.closing and waited >= LINGER_US:
                 self._drop(inbound)
+            elif inbound.busy and inbound.flow is not None and not inbound.flow.done:
+                if now - inbound.heard_us >= FLOW_STILL_US and inbound.flow.unread <= http1.MOST_KEPT:
+                    self._drop(inbound)
             elif inbound.busy or inbound.closing:
                 continue
             elif inbound.parser.partial:
-                if waited >= SLOW_US:
+                if _too_slow(inbound, now):
                     late = http1.Bad(408, "the request did not come whole")
                     self.say("bad", f"answered {late.status}: {late.text}")
                     self._reply(inbound, http1.bad_bytes(late), True)
@@ -426,7 +446,7 @@
         self._last_inbound += 1
         inbound = _Inbound(self._last_inbound, sock, http1.InboundParser(self._names), self.clock.now())
         self._inbounds[inbound.id] = inbound
-        self._spawn(self._listen(inbound))
+        inbound.task = self._spawn(self._listen(inbound))
 
     def _room(self, most: int, held: int) -> bool:
         """Is there a descriptor for one more, on a side that holds so many and may hold so many at most?"""
@@ -440,6 +460,8 @@
         free = [i for i in self._inbounds.values() if not i.busy]
         for inbound in sorted(free, key=lambda i: (not i.fresh or i.parser.partial, i.at_us)):
             spent = (inbound.closing or inbound.parser.partial) and now - inbound.at_us >= HALF_US
+            if inbound.parser.in_body and now - inbound.heard_us < HALF_US:
+                continue  # a request that comes slowly, yet comes
             if spent or _is_idle(inbound, now, HUSH_US):
                 self._drop(inbound)
                 return True
@@ -456,9 +478,10 @@
 
     async def _listen(self, inbound: _Inbound) -> None:
         """Read one client until it leaves. It is read while its request is out, too: its leaving is news."""
-        buffer, scrap = inbound.buffer, 0
+        scrap = 0
         try:
             while inbound.id in self._inbounds:  # else it was dropped in this very turn, its socket closed
+                buffer = inbound.buffer
                 buffer[0] = 0
                 spent = inbound.closing or inbound.parser.broken  # only waiting for the client to close
                 n = await self._loop.sock_recv_into(inbound.sock, SCRAP if spent else buffer)
@@ -469,30 +492,60 @@
                     if scrap > MOST_SCRAP and inbound.closing:
                         break  # it has been told why; taking all of it would cost the core to the others
                     continue
+                inbound.heard_us = self.clock.now()
                 if not inbound.parser.partial and not inbound.fresh:
                     # trickling bytes do not make a slow sender look quick, nor do noise and empty lines
                     inbound.at_us = self.clock.now()
+                was_in_body = inbound.parser.in_body
                 inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
+                if inbound.parser.in_body and not was_in_body:
+                    inbound.head_us = inbound.heard_us
+                if inbound.parser.expecting and not inbound.busy and n < BUFFER:
+                    with contextlib.suppress(BlockingIOError):
+                        inbound.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 if len(inbound.queue) > MOST_QUEUED:
                     self.say("inbound", "a client sent many requests at once: closed")
                     break
+                flow = inbound.parser.flow or inbound.flow
                 self._next(inbound)
+                if flow is not None:
+                    await self._flowed(inbound, flow)
         except OSError:
             pass
         finally:
             self._drop(inbound)
 
+    async def _flowed(self, inbound: _Inbound, flow: http1.Flow) -> None:
+        """More of a body that flows has come: its call goes on, and reading waits for that."""
+        if flow.owner is None:
+            flow.owner = Waits()
+        flow.owner.more.set()
+        if inbound.flow is flow and flow.done:
+            inbound.flow, inbound.buffer = None, bytearray(BUFFER)
+            self.dispatch(c.Whole(inbound.id))
+        if not flow.done:
+            if len(inbound.buffer) != self._budget.piece():
+                inbound.buffer = bytearray(self._budget.piece())
+            await flow.owner.until_room(flow)
+
     def _next(self, inbound: _Inbound) -> None:
         """Begin the next whole request of an inbound that has none out."""
         if inbound.busy or inbound.closing or not inbound.queue:
             return
         item = inbound.queue.popleft()
         if isinstance(item, http1.Ask):
-            inbound.busy, inbound.keep = True, item.keep_alive
+            inbound.busy, inbound.keep, inbound.old = True, item.keep_alive, item.old
+            flow = inbound.flow = item.message.flow
+            if flow is not None:
+                flow.inbound, flow.owner = inbound.id, flow.owner or Waits()
             self.dispatch(c.Arrived(
                 inbound.id, item.class_index, item.tenant, item.key, item.timeout_ms * 1000, item.message,
                 item.repeat, item.message.request_id, item.once,
+                flow is not None,
             ))  # fmt: skip
+            if flow is not None and flow.done:  # it came whole while another request was out
+                inbound.flow = None
+                self.dispatch(c.Whole(inbound.id))
         elif isinstance(item, http1.ReadyAsk):
             ready = self._core.phase is c.Phase.READY
             self._reply(inbound, http1.ready_bytes(ready, not item.keep_alive), not item.keep_alive)
@@ -512,23 +565,44 @@
         try:
             async with asyncio.timeout(STUCK_S):  # a client that does not read holds nothing for long
                 await self._loop.sock_sendall(inbound.sock, data)
-            inbound.at_us = self.clock.now()
-            inbound.busy = inbound.fresh = False
-            inbound.answered += 1
-            if close or self._listener is None:
-                # half-closed first: closing with bytes unread would reset the answer away
-                inbound.closing = True
-                inbound.sock.shutdown(socket.SHUT_WR)
-            else:
-                self._next(inbound)
+            self._answered(inbound, close)
         except (OSError, TimeoutError):
             self._drop(inbound)
 
+    def _answered(self, inbound: _Inbound, close: bool) -> None:
+        """An answer is out: on to the next request, or to the end of the connection."""
+        inbound.at_us = self.clock.now()
+        inbound.busy = inbound.fresh = False
+        inbound.answered += 1
+        if close or self._listener is None:
+            # half-closed first: closing with bytes unread would reset the answer away
+            inbound.closing = True
+            if inbound.flow is not None:
+                inbound.flow.owner.room.set()
+                inbound.flow.unread = 0
+            with contextlib.suppress(OSError):
+                inbound.sock.shutdown(socket.SHUT_WR)
+        else:
+            self._next(inbound)
+
     def _drop(self, inbound: _Inbound) -> None:
         if self._inbounds.pop(inbound.id, None) is not None:
             _end(inbound.sock)
+            if inbound.flow is not None and inbound.flow.owner is not None:
+                inbound.flow.owner.room.set()
             self.dispatch(c.InboundGone(inbound.id))
 
+    def _cut(self, inbound: _Inbound) -> None:
+        """Reset a client's connection: an answer whose end is that of its connection would look whole. The
+        read that is pending holds the socket open, so that it has to end first."""
+        if self._inbounds.pop(inbound.id, None) is None:
+            return
+        with contextlib.suppress(OSError):
+            inbound.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        assert inbound.task is not None
+        inbound.task.add_done_callback(lambda _: inbound.sock.close())
+        inbound.task.cancel()
+
     def _stop_listening(self) -> None:
         """Take what stands in the backlog, close the listener, and close each inbound without a request."""
         listener, self._listener = self._listener, None
@@ -585,10 +659,11 @@
             self._put(conn)
             self._finish(effect.call, Outcome.MOOT)
             return
-        keep = False
+        assert isinstance(effect.message, http1.Message)
+        keep, flow = False, effect.message.flow
+        pumping: asyncio.Task[None] | None = None
         try:
             left_us = effect.due_us - self.clock.now()
-            assert isinstance(effect.message, http1.Message)
             data = http1.call_bytes(effect.message, conn.address, left_us)
             try:
                 await self._loop.sock_sendall(conn.sock, data)
@@ -596,36 +671,114 @@
                 # broken before the last byte was written, so it can't have run, on a reused connection too
                 self._finish(effect.call, Outcome.UNCONNECTED)
                 return
+            if flow is not None:
+                flow.begin()
+                pumping = self._pumped(conn, flow)
             parser = http1.ResponseParser()
             try:
                 n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
-                if not (n and parser.feed(bytes(conn.buffer[:n]))):
-                    await self._rest(conn, parser, n)
+                done = n > 0 and parser.feed(bytes(conn.buffer[:n]))
+                if not done:
+                    done = await self._rest(conn, parser, n)
+                if not done:
+                    keep = await self._pour(effect.call, conn, parser)
+                    return
             except (OSError, ValueError) as error:
-                # broken, spoilt or left unfinished after that: it may have run
                 why = str(error) or "not whole in time"
+                if flow is not None and not flow.sent and not parser.status:
+                    self._finish(effect.call, Outcome.UNCONNECTED)  # its last byte was never written
+                    return
+                # broken, spoilt or left unfinished after that: it may have run
                 self.say("spoilt", f"{conn.address[0]}:{conn.address[1]}: {why}")
                 self._finish(effect.call, Outcome.RESET)
                 return
-            keep = parser.reusable
+            keep = parser.reusable and (flow is None or flow.sent)
             if keep:
                 self._put(conn)  # first of all, so that what the answer brings about can use it
             outcome = http1.outcome(parser)
             answer = http1.served(parser) if outcome is Outcome.OK else None
             self._finish(effect.call, outcome, http1.report(parser, self._names.reports), answer)
         finally:
+            if pumping is not None:
+                pumping.cancel()
+                self._budget.flows -= 1
             if not keep:
                 self._close(conn)
 
-    async def _rest(self, conn: _Conn, parser: http1.ResponseParser, n: int) -> None:
-        """What is still missing of an answer that has begun; OSError or ValueError if it never gets whole."""
-        async with asyncio.timeout(WHOLE_S):
-            while n:
+    def _pumped(self, conn: _Conn, flow: http1.Flow) -> asyncio.Task[None]:
+        """A task that writes a request's body as it comes."""
+        self._budget.flows += 1
+        inbound, waits = flow.inbound, flow.owner
+        return self._spawn(pump(self._loop, conn.sock, flow, waits, lambda: self.dispatch(c.LetGo(inbound))))
+
+    async def _rest(self, conn: _Conn, parser: http1.ResponseParser, n: int) -> bool:
+        """What is still missing of an answer that has begun, as far as that is gathered: True once it is
+        whole, False where it is to be passed on as it comes. OSError or ValueError if it never gets whole."""
+        began_us = self.clock.now()
+        while n:
+            if parser.large or (parser.flows and parser.endless and self._held_long(began_us)):
+                return False
+            async with asyncio.timeout(GAP_S):
                 n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
-                if n and parser.feed(bytes(conn.buffer[:n])):
-                    return
+            if n and parser.feed(bytes(conn.buffer[:n])):
+                return True
         if not parser.end():
             raise ConnectionError("the connection ended before the answer")
+        return True
+
+    def _held_long(self, began_us: int) -> bool:
+        return self.clock.now() - began_us >= HOLD_S * 1e6
+
+    async def _pour(self, number: int, conn: _Conn, parser: http1.ResponseParser) -> bool:
+        """Pass an answer on as it comes; whether the connection can be used again. The core says whose it is,
+        and ends this task where nobody waits for it any more."""
+        head = parser.head()
+        parser.pour()
+        self.dispatch(c.CallBegan(number, head, http1.report(parser, self._names.reports)))
+        inbound = self._inbounds.get(head.inbound)
+        if inbound is None:
+            self._finish(number, Outcome.CANCELLED)
+            return False
+        self._budget.flows += 1
+        try:
+            if len(conn.buffer) < self._budget.piece():
+                conn.buffer = bytearray(self._budget.piece())
+            closing = not inbound.keep or self._listener is None or inbound.flow is not None
+            pour = Pour(self._loop, inbound.sock, head, inbound.old, closing)
+            inbound.keep = inbound.keep and not pour.closes
+            await pour.write(parser.take())
+            while not parser.done:
+                async with asyncio.timeout(STILL_S):
+                    n = await self._loop.sock_recv_into(conn.sock, conn.buffer)
+                if not n and not parser.end():
+                    raise ConnectionError("the connection ended inside the answer")
+                if n:
+                    parser.feed(bytes(conn.buffer[:n]))
+                await pour.write(parser.take())
+            await pour.end()
+        except (OSError, ValueError, TimeoutError) as error:
+            self.say("spoilt", f"{conn.address[0]}:{conn.address[1]}: {str(error) or 'one side stood still'}")
+            self._finish(number, Outcome.RESET)
+            return False
+        finally:
+            self._budget.flows -= 1
+            if len(conn.buffer) != BUFFER:
+                conn.buffer = bytearray(BUFFER)
+        if parser.reusable:
+            self._put(conn)
+        self._finish(number, Outcome.OK)
+        return parser.reusable
+
+    def _finished(self, effect: c.Finish) -> None:
+        """An answer that was passed on as it came has ended. One that is not whole ends with its connection,
+        by which its client can tell."""
+        inbound = self._inbounds.get(effect.inbound)
+        if inbound is None:
+            return
+        if not effect.whole:
+            self._cut(inbound)
+            return
+        self._answered(inbound, effect.close or not inbound.keep or inbound.flow is not None)
 
     def _finish(
         self, number: int, outcome: Outcome, report: tuple[float, ...] = (), answer: object = None
@@ -784,6 +937,14 @@
     return True
 
 
+def _too_slow(inbound: _Inbound, now_us: int) -> bool:
+    """Has a request that has begun taken longer than its client may?"""
+    if not inbound.parser.in_body:
+        return now_us - inbound.at_us >= SLOW_US
+    due = (now_us - inbound.head_us - BODY_SPARE_US) * BODY_PER_S / 1e6
+    return now_us - inbound.heard_us >= BODY_US or inbound.parser.size < due
+
+
 def _is_idle(inbound: _Inbound, now_us: int, fresh_us: int = FRESH_US) -> bool:
     """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
     kernel, nor bytes that the loop took from it a turn before the reading task goes on. A new connection is
--- a/tiderelay/interface.py
+++ b/tiderelay/interface.py
@@ -154,6 +154,7 @@
     work_hint: float  # 0: none
     repeat: bool = False
     once: bool = False  # unsafe to repeat whatever its class
+    flows: bool = False  # its body still comes: a try of it begins with Uploaded
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,7 +219,17 @@
     settings: Settings
 
 
-Event = Resettled | Hosts | Request | Abandoned | FirstByte | Ended | Probed | PeerMessage | Timer
+@dataclass(frozen=True, slots=True)
+class Uploaded:
+    """The body of a request has come whole, from which its time counts; attempt: the one that is out for it,
+    -1 for none."""
+
+    id: int
+    attempt: int
+    due_ms: float
+
+
+Event = Resettled | Uploaded | Hosts | Request | Abandoned | FirstByte | Ended | Probed | PeerMessage | Timer
 
 
 @dataclass(frozen=True, slots=True)
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -22,7 +22,7 @@
 from tiderelay.interface import (
     Abandoned, Action, Cancel, Effect, Ended, Event, Fail, Field, FirstByte, Host, Hosts, Log, Outcome,
     PeerMessage, Probed, Refuse, Request, RequestClass, Resettled, Scope, Send, SetTimer, Settings, State,
-    Timer, View, Watch,
+    Timer, Uploaded, View, Watch,
 )  # fmt: skip
 from tiderelay.validate import validate
 
@@ -56,7 +56,6 @@
 # a lost zone has many, every gateway tries them, and each try waits for a connection that does not come up
 FAIL_COST = 12.0  # a host that always fails looks so many times slower
 SILENT = 2.0  # mean latencies without any answer that make a host look twice as slow
-HEAVY = 3.0  # cost of a host too slow for a heavy request
 POINTS = 8  # places of a host on the ring of keys, to even out the arcs
 HOMES = 6  # places on the ring that a key tries in turn
 HOME_GAIN = 0.5  # part of its score that counts at a key's home: it remembers the key and has less to do
@@ -110,47 +109,36 @@
 class _Try(Call):
     """One attempt: where and when, and whether it may have run."""
 
-    __slots__ = ("server", "ran", "hint", "late", "rid")
+    __slots__ = ("server", "ran", "late", "rid")
 
     def __init__(self, server: _Server, at: float, req: _Held) -> None:
         super().__init__(server.pairs, req.index, server.zone, at)
-        self.server, self.ran, self.hint, self.late, self.rid = server, True, req.hint, False, req.id
+        self.server, self.ran, self.late, self.rid = server, True, False, req.id
 
 
 class _Work:
-    """What a class's answers take: a line through latency over the cost hint, or the mean without hints."""
+    """The mean time in ms that a class's answers take."""
 
-    __slots__ = ("n", "hint", "ms", "hh", "hm")
+    __slots__ = ("n", "ms")
 
     def __init__(self) -> None:
-        self.n = self.hint = self.ms = self.hh = self.hm = 0.0
+        self.n = self.ms = 0.0
 
-    def add(self, hint: float, ms: float) -> None:
+    def add(self, ms: float) -> None:
         self.n = min(self.n + 1, 2 * EWMA_N)
-        k, h, m = 1 / self.n, hint - self.hint, ms - self.ms
-        self.hint += k * h
-        self.ms += k * m
-        self.hh += k * (h * h * (1 - k) - self.hh)
-        self.hm += k * (h * m * (1 - k) - self.hm)
-
-    def split(self, hint: float) -> tuple[float, float]:
-        """The part of the time that no host can save, and the part that a fast host does faster."""
-        if hint <= 0.0 or self.n < 20 or self.hh <= 0.0:
-            return 0.0, max(self.ms, 0.1)
-        slope = min(max(self.hm / self.hh, 0.0), self.ms / max(self.hint, 1e-9))
-        return max(self.ms - slope * self.hint, 0.0), max(slope * hint, 0.05 * self.ms, 0.1)
+        self.ms += (ms - self.ms) / self.n
 
 
 class _Held:
     """A request that is still owed its final answer."""
 
-    __slots__ = ("id", "index", "cls", "tenant", "key", "due", "hint", "came", "tries", "met")
+    __slots__ = ("id", "index", "cls", "tenant", "key", "due", "came", "tries", "met", "flows")
 
     def __init__(self, event: Request, cls: RequestClass, now: float) -> None:
         self.id, self.cls, self.tenant, self.key = event.id, cls, event.tenant, event.key
         self.index = event.class_index
         self.due = event.due_ms if event.due_ms == event.due_ms else now
-        self.hint, self.came = event.work_hint, now
+        self.came, self.flows = now, event.flows  # flows: its body has not come whole
         self.tries: list[_Try] = []
         self.met = False  # a host has had it, even if only to turn it away
 
@@ -167,6 +155,7 @@
             Request: self._request, Ended: self._ended, Timer: self._timer, Hosts: self._hosts,
             Abandoned: self._abandoned, FirstByte: self._first_byte, Probed: self._ignore,
             PeerMessage: self._ignore, Resettled: self._resettled,
+            Uploaded: self._uploaded,
         }  # fmt: skip
         self._held: dict[int, _Held] = {}
         self._out: dict[tuple[int, int], _Try] = {}
@@ -402,7 +391,6 @@
             if best is not None and best_score <= 0.0:
                 return best
         busy = max(len(self._out) / max(n, 1), 1.0)  # no more than a mean share of what is out is not busy
-        floor, part = self._work[req.index].split(req.hint)
         for low, high in ((0, n), (n, len(self._order))):
             seen = 0
             for _ in range(REDRAWS if high > low else 0):
@@ -410,8 +398,6 @@
                 if server is best or not self._may_send(req, server) or not self._cold_room(server):
                     continue
                 score = self._score(server, req.index)
-                if req.hint > 0.0 and floor + part * server.ratio > req.cls.aim_ms > 0.0:
-                    score *= HEAVY  # a heavy request that this host can't finish in time even when idle
                 if score < best_score:
                     best, best_score = server, score
                 seen += server.inflight < busy
@@ -480,12 +466,12 @@
         s.ratio = min(max((s.num + PRIOR * prior) / (s.den + PRIOR), FASTEST), SLOWEST)
 
     def _observe(self, t: _Try, ms: float) -> None:
-        """One attempt's time against what its class and hint let expect."""
+        """One attempt's time against what its class lets expect."""
         if not self._work[t.cls].n:
             return  # nothing to hold the class's first answer against
-        floor, part = self._work[t.cls].split(t.hint)
+        part = max(self._work[t.cls].ms, 0.1)
         self._unit += (part - self._unit) / min(self._answers + 1, EWMA_N)
-        ratio = min(max(ms - floor, 0.0) / part, SLOWEST)
+        ratio = min(ms / part, SLOWEST)
         if not t.server.reported or ratio > FAR:  # a reported service time is free of the queue, but late
             self._sample(t.server, ratio, min(part / self._unit, 5.0))
 
@@ -646,7 +632,7 @@
 
     def _due(self, req: _Held) -> None:
         """Rule 1: whatever else happens, the final answer is given when the client gives up."""
-        if req.id in self._held:
+        if req.id in self._held and self._now >= req.due:
             self._finish(req)
 
     def _dispatch(self, req: _Held) -> None:
@@ -681,8 +667,9 @@
                 self._send(req, server)
 
     def _send(self, req: _Held, server: _Server) -> None:
-        t = _Try(server, self._now, req)
-        self._health.sent(t)
+        t = _Try(server, math.inf if req.flows else self._now, req)
+        if not req.flows:
+            self._health.sent(t)
         self._out[req.id, len(req.tries)] = t
         req.tries.append(t)
         server.inflight += 1
@@ -700,11 +687,12 @@
             self._servers.pop(server.id, None)
         req = self._held.get(event.id)
         sick = self._sick(server, t.cls)
-        self._health.ended(t, event.outcome, self._now)
+        if t.at < math.inf:  # else it ended before its body was whole: no word on its host's health
+            self._health.ended(t, event.outcome, self._now)
         if not sick and event.outcome is Outcome.OK:  # a call that hung says nothing of its host's speed
             self._observe(t, event.elapsed_ms)
-        uncounted = (Outcome.CANCELLED, Outcome.MOOT, Outcome.FULL)  # for the last see _dispatch
-        if not t.late and not sick and event.outcome not in uncounted:
+        t.out, uncounted = False, (Outcome.CANCELLED, Outcome.MOOT, Outcome.FULL)  # FULL: see _dispatch
+        if not t.late and t.at < math.inf and not sick and event.outcome not in uncounted:
             self._judged += 1.0
             late = event.elapsed_ms > self._set.classes[t.cls].aim_ms
             self._late += late or event.outcome is Outcome.TIMEOUT
@@ -713,7 +701,7 @@
         if event.outcome is Outcome.OK:
             self._served += 1
             if not sick:
-                self._work[t.cls].add(t.hint, event.elapsed_ms)
+                self._work[t.cls].add(event.elapsed_ms)
                 work, health = self._work[t.cls], self._health
                 health.mean[t.cls], health.known[t.cls] = work.ms, work.n
                 self._learn(event, req)
@@ -755,6 +743,17 @@
         if event.id in self._held:
             self._drop(self._held[event.id])
 
+    def _uploaded(self, event: Uploaded) -> None:
+        """The body of a request is whole: what is out for it begins now."""
+        req = self._held.get(event.id)
+        if req is not None:
+            req.flows, req.due = False, event.due_ms
+            self._at(event.due_ms, self._due, req)
+        t = self._out.get((event.id, event.attempt))
+        if t is not None:
+            t.at = self._now
+            self._health.sent(t)
+
     def _first_byte(self, event: FirstByte) -> None:
         """The stream has the request now: no deadline, no answer of ours."""
         self._held.pop(event.id, None)
