Next process gets the descriptors that the old one leaves; the cold served by the allowances

At fault: _divide gave each process half whatever it held, so the next one stood at its limit while the old one's emptied; and a process that has served nothing knows no rate (_warm_rate 0), so that _cold_room kept the cold idle and the warm were swamped. Also a class that had shown nothing cost 0.2 of a token.

Change: claims in the run files, only the younger process ever takes more; a warm host is held to bear half its part of the tenants' allowances before it has shown more.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -66,6 +66,7 @@
         self._lock = -1  # the descriptor that holds our file locked
         self._seen = -1  # when the folder last changed, as of the last look
         self._mine = f"{RUN}{os.getpid()}"
+        self._said = -1  # the descriptors that this process has said it may hold
 
     def enter(self) -> str:
         """Let it be known that this process runs; what is wrong, or nothing."""
@@ -90,9 +91,17 @@
             os.close(self._lock)
             self._lock = -1
 
-    def others(self) -> int:
-        """How many further processes of this node run. Files of those that have ended go."""
-        count = 0
+    def claim(self, descriptors: int) -> None:
+        """Say how many descriptors this process may hold from now on."""
+        if self._lock >= 0 and descriptors != self._said:
+            self._said = descriptors
+            with contextlib.suppress(OSError):
+                os.pwrite(self._lock, b"%010d" % descriptors, 0)
+
+    def others(self) -> list[int]:
+        """The further processes of this node that run: the descriptors that each says it may hold, -1 where
+        it has not said. Files of those that have ended go."""
+        claims = []
         for path in self._files(RUN):
             if path.name == self._mine or path.name.endswith(NEW):
                 continue
@@ -102,10 +111,11 @@
                     fcntl.flock(probe, fcntl.LOCK_EX | fcntl.LOCK_NB)
                     os.unlink(path)
                 except BlockingIOError:
-                    count += 1
+                    raw = os.pread(probe, 10, 0)
+                    claims.append(int(raw) if raw.isdigit() else -1)
                 finally:
                     os.close(probe)
-        return count
+        return claims
 
     def changed(self) -> bool:
         """Has a file come or gone since the last look? Cheap enough for every sweep."""
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -66,6 +66,9 @@
 MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
 SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
+NEXT_PART = 4  # one in so many descriptors is the next process's while it starts beside this one
+SPARE_DESCRIPTORS = 16  # beyond what it holds, for a process that is to stop
+PARTING_US = 200_000  # for an idle connection to an endpoint there
 CHANGE_OVER_S = 2.0  # for which the names and methods of before a reload still count
 BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
 
@@ -150,7 +153,7 @@
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
         self._sockets = sockets
         self._budget = Budget(config.memory_mb)
-        self._divide(0)
+        self._divide(config.sockets)
         self._idle_us = int(config.conn_idle_us * IDLE_PART)
         self._discovering: asyncio.Task[None] | None = None
         self._listener: socket.socket | None = None
@@ -169,19 +172,18 @@
         self._changed = 0  # how often the settings have
         self.failure = (-1, "")  # when a call to it last failed, and why
         self._handover = handover
-        self._others = 0  # further processes of this node, as of the last look
+        self._others: list[int] = []  # what further processes of this node may hold, as of the last look
+        self._elder = True  # this process was there before those; what it may hold only falls then
         self._accepting: asyncio.Task[None] | None = None
         self.console: Console | None = None  # where operators call, where the configuration names an address
         self.door: Door | None = None  # the status, where an operator file asks for it
 
-    def _divide(self, others: int) -> None:
-        """One budget of descriptors for this process and those beside it. Each side has a part that is its
-        own: a third for endpoints; for clients what the usual ones can hold, a third too, with room for new
-        ones. Either takes what the other leaves."""
-        self._others = others
-        self._budget.most = Budget(self._config.memory_mb / (1 + others)).most
-        sockets = self._sockets // (1 + others)
-        self._most = max(sockets - RESERVE - (SEATS if self._config.console else 0), 8)
+    def _divide(self, sockets: int) -> None:
+        """So many descriptors are this process's. Each side has a part that is its own: a third for
+        endpoints; for clients what the usual ones can hold, a third too, with room for new ones. Either takes
+        what the other leaves."""
+        self._mine = sockets
+        self._most = self._most_of(sockets)
         self._most_inbound = self._most - self._most // 3
         self._most_outbound = self._most - min(sockets // 3 + 8, self._most // 2)
 
@@ -195,6 +197,9 @@
             except OSError as error:
                 host, port = self._config.console
                 raise OSError(f"console {host}:{port}: {error.strerror or error}") from None
+        if self._handover is not None:
+            self._elder = not self._handover.others()
+            self._handover.claim(self._sockets if self._elder else self._sockets // NEXT_PART)
         self._look()
         if self._config.known:
             try:
@@ -222,6 +227,7 @@
     def stop(self) -> None:
         """The stop signal has come."""
         self.dispatch(c.StopAsked(self._shared))
+        self._look()
 
     @property
     def _shared(self) -> bool:
@@ -238,9 +244,9 @@
         there is one."""
         if self._handover is None:
             return
+        if self._others:  # what they say changes, and one that is killed leaves the folder as it is
+            self._beside(self._handover.others())
         if not self._handover.changed():
-            if self._others:  # one that is killed leaves the folder as it is
-                self._beside(self._handover.others())
             return
         kept = self._handover.kept(self.clock.fresh() + self.clock.unix_offset_us)
         for broken in kept.broken:
@@ -249,10 +255,33 @@
         self.dispatch(c.BansHeard(kept.bans, back))
         self._beside(self._handover.others())
 
-    def _beside(self, others: int) -> None:
-        if others != self._others:
-            self.say("handover", f"{others} further processes of this node run: descriptors are divided")
-            self._divide(others)
+    def _beside(self, others: list[int]) -> None:
+        """Divide the descriptors with the processes beside this one. The elder leaves a part to the next from
+        its start on, and all that it does not hold once it is to stop; the next takes what the elder says it
+        leaves. So only one of them ever takes more, and both together keep to the limit."""
+        assert self._handover is not None
+        if len(others) != len(self._others):
+            self.say("handover", f"{len(others)} further processes of this node run")
+            self._budget.most = Budget(self._config.memory_mb / (1 + len(others))).most
+        self._others = others
+        if not others:
+            self._elder = True
+            mine = self._sockets
+        elif self._elder:
+            mine = self._sockets - self._sockets // NEXT_PART
+            if self._listener is None:
+                held = len(self._inbounds) + self._outbound + self._sockets - self._most_of(self._sockets)
+                mine = min(mine, self._mine, held + SPARE_DESCRIPTORS)
+        else:
+            mine = self._sockets - sum(x if x >= 0 else self._sockets // 2 for x in others)
+            mine = max(mine, self._sockets // NEXT_PART)
+        if mine != self._mine:
+            self._divide(mine)
+        self._handover.claim(mine)
+
+    def _most_of(self, sockets: int) -> int:
+        """What connections may have of so many descriptors."""
+        return max(sockets - RESERVE - (SEATS if self._config.console else 0), 8)
 
     def _keep_ban(self, effect: c.KeepBan) -> None:
         if self._handover is not None:
@@ -381,11 +410,12 @@
 
     def _sweep(self) -> None:
         """Close what has been idle, slow or unread for too long."""
-        self._loop.call_later(SWEEP_S, self._sweep)
+        self._loop.call_later(SWEEP_S if not self._others else SWEEP_S / 4, self._sweep)
         self._look()
         now = self.clock.now()
+        idle_us = PARTING_US if self._others and self._listener is None else self._idle_us
         for endpoint, conns in list(self._pool.items()):
-            old = [x for x in conns if now - x.idle_us >= self._idle_us or _readable(x.sock)]
+            old = [x for x in conns if now - x.idle_us >= idle_us or _readable(x.sock)]
             for conn in old:
                 conns.remove(conn)
                 self._close(conn)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -45,22 +45,23 @@
 def test_who_else_runs_is_known_by_lock_also_after_a_kill(tmp_path: Path) -> None:
     """A pid in a file would count a killed process for ever, and half of the descriptors with it."""
     mine = Handover(str(tmp_path), "n1")
-    assert mine.enter() == "" and mine.others() == 0
-    source = "import sys; from granitewell.handover import Handover; Handover(sys.argv[1], 'n1').enter(); "
+    assert mine.enter() == "" and mine.others() == []
+    source = "import sys; from granitewell.handover import Handover; h = Handover(sys.argv[1], 'n1'); "
+    source += "h.enter(); h.claim(200); "
     child = subprocess.Popen(
         [sys.executable, "-c", source + "print(1, flush=True); sys.stdin.read()", str(tmp_path)],
         stdin=subprocess.PIPE, stdout=subprocess.PIPE,
     )  # fmt: skip
     try:
         assert child.stdout is not None and child.stdout.readline() == b"1\n"
-        assert mine.changed() and mine.others() == 1
+        assert mine.changed() and mine.others() == [200]
     finally:
         child.kill()
         child.communicate()
-    assert mine.others() == 0 and len(os.listdir(tmp_path / "granitewell-n1")) == 1
+    assert mine.others() == [] and len(os.listdir(tmp_path / "granitewell-n1")) == 1
 
 
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
-    assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == 0
+    assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
     assert not files.kept(NOW).bans and not files.changed()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -190,3 +190,19 @@
             assert time.monotonic() < end, "the new class was never taken"
     finally:
         player.close()
+
+
+def test_a_process_that_has_served_nothing_uses_the_cold_by_the_allowances() -> None:
+    """A new version under load knew no rate yet: it sent the cold next to nothing and swamped what was warm;
+    where all were cold, nothing was ever sent. What it may send stays under the multiple of their share."""
+    base = w.settings(tenants=(t.Tenant(1.0, 400.0),), cold_from=0.1, ramp_ms=20_000.0, fall_ms=1000.0)
+    hosts = tuple(t.Host(b"s-%d" % k, 0, 0, 0, State.READY, 1.0, 1_000_000.0) for k in range(4))
+    one = Balancer(base, 1)
+    one.handle(1_000_000.0, t.Hosts(View.FULL, hosts))
+    sent = 0
+    for k in range(2000):  # two seconds, a request each millisecond: far more than they bear
+        now = 1_000_000.0 + k
+        sent += sum(isinstance(a, t.Send) for a in one.handle(now, t.Request(k, 0, 0, 0, now + 900.0, 0.0)))
+        sent += sum(isinstance(a, t.Send) for a in one.handle(now, t.Timer(0)))
+    bears = 400.0 / 2 / 2  # a second: this gateway's part of half of the allowances, of all four
+    assert 8 <= sent <= 3 * 0.19 * bears * 2 + 4
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -17,8 +18,15 @@
 from typing import Any
 
 import pytest
+import uvloop
 
+from granitewell.config import load
+from granitewell.core import Core
+from granitewell.handover import Handover
+from granitewell.net.loop import Node
 from tests.play import LIMIT_S, Player, settings
+from tests.test_config import write
+from tiderelay.policy import Balancer
 
 ASK = b"GET /taxi-lookup/1 HTTP/1.1\r\nHost: n\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: 2500\r\n\r\n"
 
@@ -219,3 +227,49 @@
         player.step_start("a=ready", b"")
     finally:
         player.close()
+
+
+class Said(Handover):
+    """A hand-over folder that says what its test wants, and what was claimed here."""
+
+    def __init__(self, others: list[int]) -> None:
+        super().__init__("", "n0")
+        self.beside, self.claimed = others, -1
+
+    def others(self) -> list[int]:
+        return self.beside
+
+    def claim(self, descriptors: int) -> None:
+        self.claimed = descriptors
+
+
+def test_two_processes_keep_to_one_limit_of_descriptors_and_leave_none_unused(tmp_path: Path) -> None:
+    """Cut in halves, the next process had room for 70 clients in a crowd: it accepted no more, and 74
+    requests of one upgrade ended at the door. Only the next one ever takes more: what the old one leaves."""
+    config = load(write(tmp_path, limits={"cores": 1.0, "memory_mb": 80, "sockets": 384}))
+    seen = []
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        files = Said([]), Said([384])
+        made = [Core(config.settings, Balancer(config.settings, 1), 9) for _ in files]
+        old, new = (Node(config, core, loop, x) for core, x in zip(made, files, strict=True))
+        new._elder, old._listener, old._outbound = False, socket.socket(), 100
+        old._beside([-1])  # the next one has not said a word yet
+        new._beside([files[0].claimed])
+        seen.append((old._mine, new._mine))
+        old._listener.close()
+        old._listener = None  # SIGTERM
+        for held in (100, 60, 70, 0):
+            old._outbound = held
+            old._beside([new._mine])
+            new._beside([files[0].claimed])
+            seen.append((old._mine, new._mine))
+        new._beside([])
+        seen.append((0, new._mine))
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(scenario())
+    assert all(sum(pair) == 384 for pair in seen), seen
+    olds = [old for old, _ in seen]
+    assert olds == sorted(olds, reverse=True) and olds[1] < olds[0]
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -77,6 +77,7 @@
 COLD_MARGIN = 0.8  # share of the cold budget that is spent; the rest covers chance and wrong guesses
 LOG_EVERY = 2000.0  # ms, least time between two log lines
 RATE_TAU = 4000.0  # ms over which what a warm host bears is measured,
+ALLOWED = 0.5  # part of a host's share of the tenants' allowances that it is held to bear before it has shown
 BEAR_TAU = 120000.0  # and in which the most of it is forgotten
 
 
@@ -154,8 +155,7 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             Request: self._request, Ended: self._ended, Timer: self._timer, Hosts: self._hosts,
             Abandoned: self._abandoned, FirstByte: self._first_byte, Probed: self._ignore,
-            PeerMessage: self._ignore, Resettled: self._resettled,
-            Uploaded: self._uploaded,
+            PeerMessage: self._ignore, Resettled: self._resettled, Uploaded: self._uploaded,
         }  # fmt: skip
         self._held: dict[int, _Held] = {}
         self._out: dict[tuple[int, int], _Try] = {}
@@ -186,8 +186,8 @@
         self._order: list[_Server] = []
         self._size = 0
         self._slots, self._even, self._floor, self._share_late = 0.0, 0.0, math.inf, 0.0
-        self._served, self._warm_rate, self._rate_now = 0, 0.0, 0.0
-        self._others = 0.0  # requests of other gateways at a mean host
+        self._served, self._most, self._warm_rate, self._rate_now = 0, 0, 0.0, 0.0  # most hosts at a time
+        self._others = self._least = 0.0  # requests of others at a mean host; what a warm one bears at least
         self._asks, self._arrived, self._started = 0, 0, False
         self._told, self._told_at = (0, 0.0), -math.inf
         # admission
@@ -371,6 +371,10 @@
                        or s.pairs[k].tried < s.started > self._now - self._set.ramp_ms]  # fmt: skip
                 self._ill[k] = sorted(ill, key=lambda s: -s.pairs[k].tried)  # last: the longest ago
         self._worth = list(accumulate(best))
+        # known or not, a warm host bears one request after the other, and its part of the allowances
+        aim, self._most = max(c.aim_ms for c in self._set.classes), max(self._most, len(self._order))
+        allowed = sum(t.allowance_per_s for t in self._set.tenants) / 1000 * ALLOWED / max(self._most, 1)
+        self._least = max(1.0 / (self._latency or aim or 500.0), allowed) / self._set.proxies
 
     def _draw(self, low: int, high: int, cum: list[float]) -> _Server:
         """A host of the order's part, by its odds."""
@@ -385,11 +389,10 @@
             self._trial_at = self._now + TRIAL
             if not ill.pairs[req.index].inflight and self._may_send(req, ill) and self._cold_room(ill):
                 return ill
-        n, best, best_score = self._size, None, math.inf
-        if self._ring and req.key and not req.tries:
-            best, best_score = self._home(req)
-            if best is not None and best_score <= 0.0:
-                return best
+        n = self._size
+        best, best_score = self._home(req) if self._ring and req.key and not req.tries else (None, math.inf)
+        if best is not None and best_score <= 0.0:
+            return best
         busy = max(len(self._out) / max(n, 1), 1.0)  # no more than a mean share of what is out is not busy
         for low, high in ((0, n), (n, len(self._order))):
             seen = 0
@@ -515,9 +518,7 @@
             return True
         if server.tokens_at <= 0.0:
             server.tokens, server.tokens_at = self._rng.random(), self._now
-        # known or not, a warm host bears one request after the other, shared with the other gateways
-        least = 1.0 / (self._latency or max(c.aim_ms for c in self._set.classes) or 500.0) / self._set.proxies
-        rate = self._set.fall_multiple * COLD_MARGIN * self._share(server) * max(self._warm_rate, least)
+        rate = self._set.fall_multiple * COLD_MARGIN * self._share(server) * max(self._warm_rate, self._least)
         server.tokens += (self._now - server.tokens_at) * rate
         server.tokens = min(server.tokens, max(1.0, rate * self._set.fall_ms / 2))
         server.tokens_at = self._now
@@ -673,7 +674,8 @@
         self._out[req.id, len(req.tries)] = t
         req.tries.append(t)
         server.inflight += 1
-        server.tokens -= min(max(self._work[req.index].ms / max(self._latency, 0.1), 0.2), 5.0)  # by its work
+        mean = max(self._latency, 0.1)  # a class that has shown nothing yet costs as much as a mean request
+        server.tokens -= min(max((self._work[req.index].ms or mean) / mean, 0.2), 5.0)
         self._do.append(Send(req.id, server.id, max(req.due - self._now, 0.001)))
 
     def _ended(self, event: Ended) -> None:
