--- a/granitewell/lab/mutants/catalogue.py
+++ b/granitewell/lab/mutants/catalogue.py
@@ -162,7 +162,7 @@
     _record("leftover-bytes", "bytes behind an answer are taken for the next call's answer", "leftover_bytes",
             Patch(HTTP1, "self.reusable = False  # bytes beyond", "pass  # bytes beyond")),
     _record("closed-reused", "a connection that its endpoint has closed is used again", "idle_closed",
-            Patch(LOOP, "and now - conn.idle_us < self._idle_us and not _readable(conn.sock):", ":")),
+            Patch(LOOP, "and now - conn.idle_us < self._idle_us and not readable(conn.sock):", ":")),
     _record("cut-answer-served", "an answer that ends before its length is served", "unsafe_ended_short",
             Patch(LOOP, "if not parser.end():", "if not parser.end() and not parser.status:")),
 )  # fmt: skip
--- a/granitewell/net/console.py
+++ b/granitewell/net/console.py
@@ -18,6 +18,7 @@
 import httptools
 
 from granitewell import core as c
+from granitewell.net.sockets import end
 
 SEATS = 24  # connections held at once
 BACKLOG = 256
@@ -179,7 +180,7 @@
         self._last += 1
         if len(self._seats) >= SEATS:
             oldest = next(iter(self._seats))
-            _end(self._seats.pop(oldest))
+            end(self._seats.pop(oldest))
         self._seats[self._last] = sock
         task = self._loop.create_task(self._serve(self._last, sock))
         self._held.add(task)
@@ -204,7 +205,7 @@
                         pass
         finally:
             self._seats.pop(number, None)
-            _end(sock)
+            end(sock)
 
     async def _heard(self, number: int, sock: socket.socket) -> bytes:
         """The answer to the call that comes here."""
@@ -240,9 +241,3 @@
         if ruling is None or self.unkept:
             return answer(500, self.unkept or "the call failed: see the node's log")
         return answer(200, f"{name} is {'disabled' if banned else 'enabled'}")
-
-
-def _end(sock: socket.socket) -> None:
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
-    sock.close()
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import contextlib
-import os
 import resource
 import socket
 import struct
@@ -22,13 +21,15 @@
 from typing import TYPE_CHECKING, Any
 
 from granitewell import core as c
-from granitewell.config import Config, ConfigError, needs_restart, taken_up
+from granitewell.config import Config, needs_restart, taken_up
 from granitewell.handover import Handover
 from granitewell.net import http1
 from granitewell.net.bodies import GAP_S, HOLD_S, STILL_S, Budget, Pour, Waits, pump
 from granitewell.net.console import SEATS, Console
+from granitewell.net.listener import age_s, listening, start_debt
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
+from granitewell.net.sockets import end, readable, tcp
 from granitewell.reload import complete, follow
 from tiderelay.interface import Outcome, View
 
@@ -37,7 +38,6 @@
 
 RESERVE = 32  # descriptors for the interpreter, the listener, discovery and accidents
 BUFFER = 8 * 1024  # bytes read at a time, but for bodies that flow
-BACKLOG = 1024
 MOST_ACCEPTED = 64  # connections taken in one turn of the loop
 SWEEP_S = 0.1
 IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
@@ -57,8 +57,6 @@
 ONCE_PART = 8  # one in so many descriptors
 SCRAP = bytearray(64 * 1024)  # takes what comes in behind an error; never read
 MOST_SCRAP = 1024 * 1024  # of that, bytes that are taken before the connection ends: some clients send 60 MB
-LEAST_AGE_S = 0.6  # of a process under a CPU limit below one core before it is ready
-MOST_DEBT_S = 2.0  # that a node puts off being ready, whatever its limit says
 STALL_US = 20_000  # a timer so late is worth a line: answers at the due time have a slack of 50 ms
 STUCK_S = 5.0  # for a client to take its answer
 FRESH_US = 2_000_000  # for the first byte of the first request on a new connection
@@ -211,7 +209,7 @@
             self._accepting = self._spawn(self._accept(listener))
         self._discovering = self._spawn(self._discover(self._config.discovery))
         self._loop.call_later(SWEEP_S, self._sweep)
-        debt_s = start_debt(time.process_time(), _age_s(), self._config.cores)
+        debt_s = start_debt(time.process_time(), age_s(), self._config.cores)
         if debt_s > 0.0:
             self.say("start", f"ready {debt_s * 1000:.0f} ms later: the start is not paid for yet")
             await asyncio.sleep(debt_s)
@@ -415,7 +413,7 @@
         now = self.clock.now()
         idle_us = PARTING_US if self._others and self._listener is None else self._idle_us
         for endpoint, conns in list(self._pool.items()):
-            old = [x for x in conns if now - x.idle_us >= idle_us or _readable(x.sock)]
+            old = [x for x in conns if now - x.idle_us >= idle_us or readable(x.sock)]
             for conn in old:
                 conns.remove(conn)
                 self._close(conn)
@@ -617,7 +615,7 @@
 
     def _drop(self, inbound: _Inbound) -> None:
         if self._inbounds.pop(inbound.id, None) is not None:
-            _end(inbound.sock)
+            end(inbound.sock)
             if inbound.flow is not None and inbound.flow.owner is not None:
                 inbound.flow.owner.room.set()
             self.dispatch(c.InboundGone(inbound.id))
@@ -823,7 +821,7 @@
         while conns:
             conn = conns.pop()
             # readable while idle means closed by the far side, or bytes left over: neither is of use
-            if conn.address == address and now - conn.idle_us < self._idle_us and not _readable(conn.sock):
+            if conn.address == address and now - conn.idle_us < self._idle_us and not readable(conn.sock):
                 return conn
             self._close(conn)
         return None
@@ -834,7 +832,7 @@
 
     def _close(self, conn: _Conn) -> None:
         self._outbound -= 1
-        _end(conn.sock)
+        end(conn.sock)
 
     async def _dial(self, endpoint: bytes, address: tuple[str, int]) -> _Conn | None:
         if not self._room(self._most_outbound, self._outbound):
@@ -845,7 +843,7 @@
         self._outbound += 1
         sock = None
         try:
-            sock = _tcp(address)
+            sock = tcp(address)
             async with asyncio.timeout(self._config.dial_timeout_us / 1e6):
                 await self._loop.sock_connect(sock, address)
             conn = _Conn(endpoint, address, sock)
@@ -856,7 +854,7 @@
             return None
         finally:
             if sock is not None:
-                _end(sock)
+                end(sock)
                 self._outbound -= 1
 
     # --- Discovery --------------------------------------------------------------------------------------
@@ -870,7 +868,7 @@
                 try:
                     async with asyncio.timeout(SPARE_S + (0.0 if after is None else WATCH_MS / 1000)):
                         if sock is None:
-                            sock = _tcp(address)
+                            sock = tcp(address)
                             await self._loop.sock_connect(sock, address)
                         parser = await self._ask_discovery(sock, http1.list_bytes(address, after, WATCH_MS))
                     if parser.status != 200:
@@ -882,7 +880,7 @@
                         self.dispatch(news)
                     backoff = BACKOFF_S[0]
                     if not parser.reusable:
-                        _end(sock)
+                        end(sock)
                         sock = None
                     continue
                 except (OSError, ValueError, TimeoutError) as error:
@@ -890,13 +888,13 @@
                     self.failure = self.clock.now(), why
                     self.say("discovery", f"call failed, the list stays as it is: {why}")
                 if sock is not None:
-                    _end(sock)
+                    end(sock)
                 sock, after = None, None
                 await asyncio.sleep(backoff)
                 backoff = min(backoff * 2, BACKOFF_S[1])
         finally:
             if sock is not None:  # a reload ends this watch in favour of one at another address
-                _end(sock)
+                end(sock)
 
     async def _ask_discovery(self, sock: socket.socket, call: bytes) -> http1.ResponseParser:
         await self._loop.sock_sendall(sock, call)
@@ -909,64 +907,6 @@
                 raise ValueError("the connection ended inside an answer")
 
 
-def listening(config: Config) -> socket.socket:
-    """The clients' listener: bound here, or the platform's own. ConfigError: the descriptor is none."""
-    if config.inherited < 0:
-        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(config.listen)
-        listener.listen(BACKLOG)
-        return listener
-    field = f"LB_INHERITED_FD: descriptor {config.inherited}"
-    try:
-        listener = socket.socket(fileno=config.inherited)
-    except OSError as error:
-        raise ConfigError(f"{field} is no socket: {error.strerror}") from None
-    if listener.type != socket.SOCK_STREAM or listener.family not in (socket.AF_INET, socket.AF_INET6):
-        raise ConfigError(f"{field} is no TCP socket")
-    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-        raise ConfigError(f"{field} does not listen")
-    if listener.getsockname()[:2] != config.listen:
-        host, port = listener.getsockname()[:2]
-        raise ConfigError(f"{field} listens at {host}:{port}, not at {config.listen[0]}:{config.listen[1]}")
-    listener.setblocking(False)
-    return listener
-
-
-def start_debt(cpu_s: float, age_s: float, cores: float) -> float:
-    """Seconds until the CPU that starting took is within what a limit under one core gives. A node that is
-    ready before is stopped by that limit while its first requests wait, past the slack of their answers. The
-    limit is kept over stretches of time, so a young process is stopped although its mean is within it."""
-    return min(max(cpu_s / cores, LEAST_AGE_S) - age_s, MOST_DEBT_S) if cores < 1.0 else 0.0  # under 0: none
-
-
-def _age_s() -> float:
-    """Seconds since this process began."""
-    with open("/proc/self/stat", "rb") as stat:
-        ticks = int(stat.read().rpartition(b")")[2].split()[19])
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - ticks / os.sysconf("SC_CLK_TCK")
-
-
-def _tcp(address: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return sock
-
-
-def _readable(sock: socket.socket) -> bool:
-    """Has the other side sent something, or closed? Looks without taking."""
-    try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        pass
-    return True
-
-
 def _too_slow(inbound: _Inbound, now_us: int) -> bool:
     """Has a request that has begun taken longer than its client may?"""
     if not inbound.parser.in_body:
@@ -983,11 +923,4 @@
         return False
     if inbound.busy or inbound.parser.partial or inbound.buffer[0]:
         return False
-    return not _readable(inbound.sock)
-
-
-def _end(sock: socket.socket) -> None:
-    """Close for good. A pending read of uvloop keeps the descriptor open, so the far side is told first."""
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
-    sock.close()
+    return not readable(inbound.sock)
--- /dev/null
+++ b/granitewell/net/sockets.py
@@ -0,0 +1,35 @@
+"""Small helpers of one socket, which several modules of this room need.
+
+It owns how a connection is made, looked at and ended. It must never wait, or know whose socket it is.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+
+def tcp(address: tuple[str, int]) -> socket.socket:
+    """A socket for a connection to this address."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def readable(sock: socket.socket) -> bool:
+    """Has the other side sent something, or closed? Looks without taking."""
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
+def end(sock: socket.socket) -> None:
+    """Close for good. A pending read of uvloop keeps the descriptor open, so the far side is told first."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,6 +14,7 @@
 from granitewell.config import load
 from granitewell.core import Core
 from granitewell.net.http1 import InboundParser, ResponseParser, outcome, report
+from granitewell.net.listener import start_debt
 from granitewell.net.loop import (
     FRESH_US,
     HALF_US,
@@ -25,9 +26,8 @@
     Node,
     _Inbound,
     _is_idle,
-    _readable,
-    start_debt,
 )  # fmt: skip
+from granitewell.net.sockets import readable
 from tests.play import FOLDER, LIMIT_S, Player, play
 from tests.test_config import write
 from tiderelay.interface import Outcome
@@ -78,11 +78,11 @@
         at = inbound.at_us
         seen.append((_is_idle(inbound, at), _is_idle(inbound, at + FRESH_US)))  # a new one; one left lying
         inbound.fresh = False
-        seen.append((_readable(ours), _is_idle(inbound, at)))
+        seen.append((readable(ours), _is_idle(inbound, at)))
         client.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
 
         def look() -> None:
-            if _readable(ours):
+            if readable(ours):
                 loop.call_soon(look)
             else:
                 seen.append((inbound.busy, _is_idle(inbound, at)))
