--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -26,6 +26,7 @@
 from granitewell.net import http1
 from granitewell.net.bodies import GAP_S, HOLD_S, STILL_S, Budget, Pour, Waits, pump
 from granitewell.net.console import SEATS, Console
+from granitewell.net.discovery import Discovery
 from granitewell.net.listener import age_s, listening, start_debt
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
@@ -62,13 +63,10 @@
 FRESH_US = 2_000_000  # for the first byte of the first request on a new connection
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
 MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
-WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
-SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
 NEXT_PART = 4  # one in so many descriptors is the next process's while it starts beside this one
 SPARE_DESCRIPTORS = 16  # beyond what it holds, for a process that is to stop
 PARTING_US = 200_000  # for an idle connection to an endpoint there
 CHANGE_OVER_S = 2.0  # for which the names and methods of before a reload still count
-BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
 
 
 class Clock:
@@ -153,7 +151,6 @@
         self._budget = Budget(config.memory_mb)
         self._divide(config.sockets)
         self._idle_us = int(config.conn_idle_us * IDLE_PART)
-        self._discovering: asyncio.Task[None] | None = None
         self._listener: socket.socket | None = None
         self._inbounds: dict[int, _Inbound] = {}
         self._last_inbound = 0
@@ -166,9 +163,8 @@
         self._timer_us = -1
         self._cpu_us = 0  # of this thread, when the timer last came
         self._left = asyncio.Event()
-        self.heard_us = self.news_us = -1  # when discovery last answered well, and last told anything
         self._changed = 0  # how often the settings have
-        self.failure = (-1, "")  # when a call to it last failed, and why
+        self.discovery = Discovery(loop, self.clock, self._reader, self.dispatch, self.say, self._spawn)
         self._handover = handover
         self._others: list[int] = []  # what further processes of this node may hold, as of the last look
         self._elder = True  # this process was there before those; what it may hold only falls then
@@ -207,7 +203,7 @@
                 self.say("known", f"the list in the configuration is not usable: {error}")
         if not self._shared:  # what another process can accept is left to it until this one can serve
             self._accepting = self._spawn(self._accept(listener))
-        self._discovering = self._spawn(self._discover(self._config.discovery))
+        self.discovery.at(self._config.discovery)
         self._loop.call_later(SWEEP_S, self._sweep)
         debt_s = start_debt(time.process_time(), age_s(), self._config.cores)
         if debt_s > 0.0:
@@ -299,9 +295,7 @@
             self._settle(old)
         more = f"; only a restart takes up {', '.join(wait)}" if wait else ""
         self.say("reload", f"discovery is now {config.discovery[0]}:{config.discovery[1]}{more}")
-        if self._discovering is not None:
-            self._discovering.cancel()
-            self._discovering = self._spawn(self._discover(config.discovery))
+        self.discovery.at(config.discovery)
 
     def check(self, top: dict[str, Any]) -> None:
         """Is this file as whole as the one in force?"""
@@ -857,55 +851,6 @@
                 end(sock)
                 self._outbound -= 1
 
-    # --- Discovery --------------------------------------------------------------------------------------
-    async def _discover(self, address: tuple[str, int]) -> None:
-        """Ask for the whole list, then watch; after any failure begin anew, keeping the list."""
-        sock: socket.socket | None = None
-        after: int | None = None
-        backoff = BACKOFF_S[0]
-        try:
-            while True:
-                try:
-                    async with asyncio.timeout(SPARE_S + (0.0 if after is None else WATCH_MS / 1000)):
-                        if sock is None:
-                            sock = tcp(address)
-                            await self._loop.sock_connect(sock, address)
-                        parser = await self._ask_discovery(sock, http1.list_bytes(address, after, WATCH_MS))
-                    if parser.status != 200:
-                        raise ValueError(f"status {parser.status}")
-                    after, news = self._reader.read(parser.body)
-                    self.heard_us = self.clock.now()
-                    if news.members or news.view is View.FULL:
-                        self.news_us = self.heard_us
-                        self.dispatch(news)
-                    backoff = BACKOFF_S[0]
-                    if not parser.reusable:
-                        end(sock)
-                        sock = None
-                    continue
-                except (OSError, ValueError, TimeoutError) as error:
-                    why = str(error) or "no answer in time"
-                    self.failure = self.clock.now(), why
-                    self.say("discovery", f"call failed, the list stays as it is: {why}")
-                if sock is not None:
-                    end(sock)
-                sock, after = None, None
-                await asyncio.sleep(backoff)
-                backoff = min(backoff * 2, BACKOFF_S[1])
-        finally:
-            if sock is not None:  # a reload ends this watch in favour of one at another address
-                end(sock)
-
-    async def _ask_discovery(self, sock: socket.socket, call: bytes) -> http1.ResponseParser:
-        await self._loop.sock_sendall(sock, call)
-        parser, buffer = http1.ResponseParser(http1.MOST_LIST), bytearray(BUFFER)
-        while True:
-            n = await self._loop.sock_recv_into(sock, buffer)
-            if parser.feed(bytes(buffer[:n])) if n else parser.end():
-                return parser
-            if n == 0:
-                raise ValueError("the connection ended inside an answer")
-
 
 def _too_slow(inbound: _Inbound, now_us: int) -> bool:
     """Has a request that has begun taken longer than its client may?"""
