Connections to endpoints in a module of their own, behaviour unchanged

net/pool.py has the idle, lent and dialed connections; the loop keeps the one budget of descriptors and says whether one more may be dialed.

--- a/granitewell/lab/mutants/catalogue.py
+++ b/granitewell/lab/mutants/catalogue.py
@@ -13,6 +13,7 @@
 
 CORE, POLICY, HEALTH = "granitewell/core/reducer.py", "tiderelay/policy.py", "tiderelay/health.py"
 HTTP1, LOOP = "granitewell/net/http1.py", "granitewell/net/loop.py"
+POOL = "granitewell/net/pool.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,7 +163,7 @@
     _record("leftover-bytes", "bytes behind an answer are taken for the next call's answer", "leftover_bytes",
             Patch(HTTP1, "self.reusable = False  # bytes beyond", "pass  # bytes beyond")),
     _record("closed-reused", "a connection that its endpoint has closed is used again", "idle_closed",
-            Patch(LOOP, "and now - conn.idle_us < self._idle_us and not readable(conn.sock):", ":")),
+            Patch(POOL, "and now - conn.idle_us < self.idle_us and not readable(conn.sock):", ":")),
     _record("cut-answer-served", "an answer that ends before its length is served", "unsafe_ended_short",
             Patch(LOOP, "if not parser.end():", "if not parser.end() and not parser.status:")),
 )  # fmt: skip
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -30,7 +30,8 @@
 from granitewell.net.listener import age_s, listening, start_debt
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
-from granitewell.net.sockets import end, readable, tcp
+from granitewell.net.pool import BUFFER, Conn, Pool
+from granitewell.net.sockets import end, readable
 from granitewell.reload import complete, follow
 from tiderelay.interface import Outcome, View
 
@@ -38,7 +39,6 @@
     from granitewell.net.status import Door
 
 RESERVE = 32  # descriptors for the interpreter, the listener, discovery and accidents
-BUFFER = 8 * 1024  # bytes read at a time, but for bodies that flow
 MOST_ACCEPTED = 64  # connections taken in one turn of the loop
 SWEEP_S = 0.1
 IDLE_PART = 0.8  # of connIdleMs, after which an idle outbound connection is closed, well before the far side
@@ -112,17 +112,6 @@
         self.keep = self.fresh = True  # fresh: no answer has gone out on it yet
 
 
-class _Conn:
-    """One connection to an endpoint; it carries one call at a time."""
-
-    __slots__ = ("address", "buffer", "endpoint", "idle_us", "sock")
-
-    def __init__(self, endpoint: bytes, address: tuple[str, int], sock: socket.socket) -> None:
-        self.endpoint, self.address, self.sock = endpoint, address, sock
-        self.buffer = bytearray(BUFFER)
-        self.idle_us = 0
-
-
 class _Call:
     """An outbound call that is under way."""
 
@@ -150,12 +139,11 @@
         self._sockets = sockets
         self._budget = Budget(config.memory_mb)
         self._divide(config.sockets)
-        self._idle_us = int(config.conn_idle_us * IDLE_PART)
         self._listener: socket.socket | None = None
         self._inbounds: dict[int, _Inbound] = {}
         self._last_inbound = 0
-        self._pool: dict[bytes, list[_Conn]] = {}  # idle connections, the most recently used last
-        self._outbound = 0  # connections to endpoints, idle, busy or being dialed
+        self.pool = Pool(loop, self.clock, self.say, self._may_dial)
+        self._pooled()
         self._calls: dict[int, _Call] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._replies: set[asyncio.Task[None]] = set()
@@ -264,7 +252,7 @@
         elif self._elder:
             mine = self._sockets - self._sockets // NEXT_PART
             if self._listener is None:
-                held = len(self._inbounds) + self._outbound + self._sockets - self._most_of(self._sockets)
+                held = len(self._inbounds) + self.pool.held + self._sockets - self._most_of(self._sockets)
                 mine = min(mine, self._mine, held + SPARE_DESCRIPTORS)
         else:
             mine = self._sockets - sum(x if x >= 0 else self._sockets // 2 for x in others)
@@ -306,7 +294,7 @@
         config = self._config
         settings = replace(config.settings, zone=self._reader.take(config))
         self._names.take(config)
-        self._idle_us = int(config.conn_idle_us * IDLE_PART)
+        self._pooled()
         self._changed += 1
         self._loop.call_later(CHANGE_OVER_S, self._forget, self._changed)
         self.dispatch(c.Settled(settings, config.most_held))
@@ -314,6 +302,11 @@
         words = [f"; {word}: {', '.join(x)}" for word, x in (("added", came), ("dropped", went)) if x]
         self.say("reload", f"the settings are taken up{''.join(words)}")
 
+    def _pooled(self) -> None:
+        """What the settings say of connections to endpoints."""
+        self.pool.idle_us = int(self._config.conn_idle_us * IDLE_PART)
+        self.pool.dial_timeout_us = self._config.dial_timeout_us
+
     def _forget(self, change: int) -> None:
         if change == self._changed:
             self._names.forget()
@@ -385,8 +378,7 @@
         elif isinstance(effect, c.AbandonCall):
             self._abandon(effect.call)
         elif isinstance(effect, c.CloseIdle):
-            for conn in self._pool.pop(effect.endpoint, []):
-                self._close(conn)
+            self.pool.close_idle(effect.endpoint)
         elif isinstance(effect, c.StopListening):
             self._stop_listening()
         elif isinstance(effect, c.KeepBan):
@@ -405,14 +397,8 @@
         self._loop.call_later(SWEEP_S if not self._others else SWEEP_S / 4, self._sweep)
         self._look()
         now = self.clock.now()
-        idle_us = PARTING_US if self._others and self._listener is None else self._idle_us
-        for endpoint, conns in list(self._pool.items()):
-            old = [x for x in conns if now - x.idle_us >= idle_us or readable(x.sock)]
-            for conn in old:
-                conns.remove(conn)
-                self._close(conn)
-            if not conns:
-                del self._pool[endpoint]
+        idle_us = PARTING_US if self._others and self._listener is None else self.pool.idle_us
+        self.pool.sweep(now, idle_us)
         many = len(self._inbounds) > (self._most + RESERVE) // ONCE_PART
         for inbound in list(self._inbounds.values()):
             waited = now - inbound.at_us
@@ -472,7 +458,7 @@
 
     def _room(self, most: int, held: int) -> bool:
         """Is there a descriptor for one more, on a side that holds so many and may hold so many at most?"""
-        return held < most and len(self._inbounds) + self._outbound < self._most
+        return held < most and len(self._inbounds) + self.pool.held < self._most
 
     def _evict(self) -> bool:
         """Make room for a client: close an inbound that has said nothing, has been idle longest or has sent
@@ -487,16 +473,7 @@
             if spent or _is_idle(inbound, now, HUSH_US):
                 self._drop(inbound)
                 return True
-        return len(self._inbounds) < self._most_inbound and self._shed_idle()
-
-    def _shed_idle(self) -> bool:
-        """Close the connection to an endpoint that has been idle longest; False if none is."""
-        idle = [x for conns in self._pool.values() for x in conns]
-        if idle:
-            oldest = min(idle, key=lambda x: x.idle_us)
-            self._pool[oldest.endpoint].remove(oldest)
-            self._close(oldest)
-        return bool(idle)
+        return len(self._inbounds) < self._most_inbound and self.pool.shed_idle()
 
     async def _listen(self, inbound: _Inbound) -> None:
         """Read one client until it leaves. It is read while its request is out, too: its leaving is news."""
@@ -664,21 +641,21 @@
     async def _carry(self, call: _Call) -> None:
         """One outbound call, from connection to ending. Nothing here is ever sent twice."""
         effect = call.effect
-        conn = self._take(effect.endpoint, effect.address)
+        conn = self.pool.take(effect.endpoint, effect.address)
         if conn is None:
             call.dialing = True
             self.dispatch(c.CallDialing(effect.call))
-            conn = await self._dial(effect.endpoint, effect.address)
+            conn = await self.pool.dial(effect.endpoint, effect.address)
             if conn is None:
                 self._finish(effect.call, Outcome.UNCONNECTED)
                 return
             self.dispatch(c.CallDialed(effect.call))
             call.dialing = False
             if not call.go:
-                self._put(conn)
+                self.pool.put(conn)
                 return
         elif not self._core.clear(effect.call):
-            self._put(conn)
+            self.pool.put(conn)
             self._finish(effect.call, Outcome.MOOT)
             return
         assert isinstance(effect.message, http1.Message)
@@ -716,7 +693,7 @@
                 return
             keep = parser.reusable and (flow is None or flow.sent)
             if keep:
-                self._put(conn)  # first of all, so that what the answer brings about can use it
+                self.pool.put(conn)  # first of all, so that what the answer brings about can use it
             outcome = http1.outcome(parser)
             answer = http1.served(parser) if outcome is Outcome.OK else None
             self._finish(effect.call, outcome, http1.report(parser, self._names.reports), answer)
@@ -725,15 +702,15 @@
                 pumping.cancel()
                 self._budget.flows -= 1
             if not keep:
-                self._close(conn)
+                self.pool.close(conn)
 
-    def _pumped(self, conn: _Conn, flow: http1.Flow) -> asyncio.Task[None]:
+    def _pumped(self, conn: Conn, flow: http1.Flow) -> asyncio.Task[None]:
         """A task that writes a request's body as it comes."""
         self._budget.flows += 1
         inbound, waits = flow.inbound, flow.owner
         return self._spawn(pump(self._loop, conn.sock, flow, waits, lambda: self.dispatch(c.LetGo(inbound))))
 
-    async def _rest(self, conn: _Conn, parser: http1.ResponseParser, n: int) -> bool:
+    async def _rest(self, conn: Conn, parser: http1.ResponseParser, n: int) -> bool:
         """What is still missing of an answer that has begun, as far as that is gathered: True once it is
         whole, False where it is to be passed on as it comes. OSError or ValueError if it never gets whole."""
         began_us = self.clock.now()
@@ -751,7 +728,7 @@
     def _held_long(self, began_us: int) -> bool:
         return self.clock.now() - began_us >= HOLD_S * 1e6
 
-    async def _pour(self, number: int, conn: _Conn, parser: http1.ResponseParser) -> bool:
+    async def _pour(self, number: int, conn: Conn, parser: http1.ResponseParser) -> bool:
         """Pass an answer on as it comes; whether the connection can be used again. The core says whose it is,
         and ends this task where nobody waits for it any more."""
         head = parser.head()
@@ -787,7 +764,7 @@
             if len(conn.buffer) != BUFFER:
                 conn.buffer = bytearray(BUFFER)
         if parser.reusable:
-            self._put(conn)
+            self.pool.put(conn)
         self._finish(number, Outcome.OK)
         return parser.reusable
 
@@ -808,48 +785,14 @@
         if self._calls.pop(number, None) is not None:
             self.dispatch(c.CallEnded(number, outcome, report, answer))
 
-    def _take(self, endpoint: bytes, address: tuple[str, int]) -> _Conn | None:
-        """The most recently idle connection that is fit for use."""
-        conns = self._pool.get(endpoint, [])
-        now = self.clock.now()
-        while conns:
-            conn = conns.pop()
-            # readable while idle means closed by the far side, or bytes left over: neither is of use
-            if conn.address == address and now - conn.idle_us < self._idle_us and not readable(conn.sock):
-                return conn
-            self._close(conn)
-        return None
-
-    def _put(self, conn: _Conn) -> None:
-        conn.idle_us = self.clock.now()
-        self._pool.setdefault(conn.endpoint, []).append(conn)
-
-    def _close(self, conn: _Conn) -> None:
-        self._outbound -= 1
-        end(conn.sock)
-
-    async def _dial(self, endpoint: bytes, address: tuple[str, int]) -> _Conn | None:
-        if not self._room(self._most_outbound, self._outbound):
-            may_evict = self._outbound < self._most_outbound
-            if not self._shed_idle() and not (may_evict and self._evict()):
-                self.say("budget", f"{self._outbound} outbound connections, all at work: no new one")
-                return None
-        self._outbound += 1
-        sock = None
-        try:
-            sock = tcp(address)
-            async with asyncio.timeout(self._config.dial_timeout_us / 1e6):
-                await self._loop.sock_connect(sock, address)
-            conn = _Conn(endpoint, address, sock)
-            sock = None
-            return conn
-        except (OSError, TimeoutError) as error:
-            self.say("dial", f"{address[0]}:{address[1]} did not come up: {str(error) or 'timed out'}")
-            return None
-        finally:
-            if sock is not None:
-                end(sock)
-                self._outbound -= 1
+    def _may_dial(self) -> bool:
+        """Is there a descriptor for one more connection to an endpoint, or can one be had?"""
+        if not self._room(self._most_outbound, self.pool.held):
+            may_evict = self.pool.held < self._most_outbound
+            if not self.pool.shed_idle() and not (may_evict and self._evict()):
+                self.say("budget", f"{self.pool.held} outbound connections, all at work: no new one")
+                return False
+        return True
 
 
 def _too_slow(inbound: _Inbound, now_us: int) -> bool:
--- /dev/null
+++ b/granitewell/net/pool.py
@@ -0,0 +1,113 @@
+"""The connections to endpoints: dialed, lent to one call at a time, kept while idle, and closed.
+
+It owns them and their count. It must never write to one, send anything again, or decide whether there is a
+descriptor for one more: that is the loop's, which has the one budget.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from granitewell.net.sockets import end, readable, tcp
+
+BUFFER = 8 * 1024  # bytes read at a time, but for bodies that flow
+
+
+class Time(Protocol):
+    """What is needed of the node's clock."""
+
+    def now(self) -> int: ...
+
+
+class Conn:
+    """One connection to an endpoint; it carries one call at a time."""
+
+    __slots__ = ("address", "buffer", "endpoint", "idle_us", "sock")
+
+    def __init__(self, endpoint: bytes, address: tuple[str, int], sock: socket.socket) -> None:
+        self.endpoint, self.address, self.sock = endpoint, address, sock
+        self.buffer = bytearray(BUFFER)
+        self.idle_us = 0
+
+
+class Pool:
+    """All connections of one node to its endpoints."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Time, say: Callable[[str, str], None],
+        may_dial: Callable[[], bool],
+    ) -> None:  # fmt: skip
+        self._loop, self._clock, self.say, self._may_dial = loop, clock, say, may_dial
+        self.idle: dict[bytes, list[Conn]] = {}  # by endpoint, the most recently used last
+        self.held = 0  # idle, busy or being dialed
+        self.idle_us = self.dial_timeout_us = 0  # for how long one may stand idle, and take to come up
+
+    def close_idle(self, endpoint: bytes) -> None:
+        """What stands idle to an endpoint is of no more use."""
+        for conn in self.idle.pop(endpoint, []):
+            self.close(conn)
+
+    def sweep(self, now_us: int, idle_us: int) -> None:
+        """Close what has been idle for so long, or has been closed by the far side."""
+        for endpoint, conns in list(self.idle.items()):
+            old = [x for x in conns if now_us - x.idle_us >= idle_us or readable(x.sock)]
+            for conn in old:
+                conns.remove(conn)
+                self.close(conn)
+            if not conns:
+                del self.idle[endpoint]
+
+    def shed_idle(self) -> bool:
+        """Close the connection to an endpoint that has been idle longest; False if none is."""
+        idle = [x for conns in self.idle.values() for x in conns]
+        if idle:
+            oldest = min(idle, key=lambda x: x.idle_us)
+            self.idle[oldest.endpoint].remove(oldest)
+            self.close(oldest)
+        return bool(idle)
+
+    def take(self, endpoint: bytes, address: tuple[str, int]) -> Conn | None:
+        """The most recently idle connection that is fit for use."""
+        conns = self.idle.get(endpoint, [])
+        now = self._clock.now()
+        while conns:
+            conn = conns.pop()
+            # readable while idle means closed by the far side, or bytes left over: neither is of use
+            if conn.address == address and now - conn.idle_us < self.idle_us and not readable(conn.sock):
+                return conn
+            self.close(conn)
+        return None
+
+    def put(self, conn: Conn) -> None:
+        """Nothing is out on it any more."""
+        conn.idle_us = self._clock.now()
+        self.idle.setdefault(conn.endpoint, []).append(conn)
+
+    def close(self, conn: Conn) -> None:
+        """It is of no more use."""
+        self.held -= 1
+        end(conn.sock)
+
+    async def dial(self, endpoint: bytes, address: tuple[str, int]) -> Conn | None:
+        """A new connection; None where there is no room for one or it does not come up."""
+        if not self._may_dial():
+            return None
+        self.held += 1
+        sock = None
+        try:
+            sock = tcp(address)
+            async with asyncio.timeout(self.dial_timeout_us / 1e6):
+                await self._loop.sock_connect(sock, address)
+            conn = Conn(endpoint, address, sock)
+            sock = None
+            return conn
+        except (OSError, TimeoutError) as error:
+            self.say("dial", f"{address[0]}:{address[1]} did not come up: {str(error) or 'timed out'}")
+            return None
+        finally:
+            if sock is not None:
+                end(sock)
+                self.held -= 1
--- a/granitewell/net/status.py
+++ b/granitewell/net/status.py
@@ -239,8 +239,9 @@
     """What the node holds now."""
     failed_us, failure = node.discovery.failure
     return Sockets(
-        node._pool, len(node._inbounds), node._outbound, node._most_inbound, node._most_outbound, node._most,
-        RESERVE, node._config.discovery, node.discovery.heard_us, node.discovery.news_us, failed_us, failure,
+        node.pool.idle, len(node._inbounds), node.pool.held, node._most_inbound, node._most_outbound,
+        node._most, RESERVE, node._config.discovery, node.discovery.heard_us, node.discovery.news_us,
+        failed_us, failure,
     )  # fmt: skip
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -135,7 +135,9 @@
 def _said() -> set[str]:
     """Each topic that the node's own code writes."""
     found = set()
-    for name in ("core/reducer.py", "net/loop.py", "__main__.py"):
+    net = sorted(x.name for x in (ROOT / "granitewell" / "net").glob("*.py"))
+    names = ["core/reducer.py", "__main__.py", *(f"net/{x}" for x in net)]
+    for name in names:
         for node in ast.walk(ast.parse((ROOT / "granitewell" / name).read_text())):
             if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
                 texts = [a.value for a in node.args if isinstance(a, ast.Constant)]
