Judge waits for a client's word of an answer that its node sent before it ended

Cause: tests/lab/test_socks.py failed under load: 'lost' at 2.821 s, when the world heard that the stopping node had gone, and 'answered failed' at 2.837 s from the client's process. The answer had gone out before the exit. At fault: node_down accused at once, while the wait of half a second ran only from a client's broken connection to the news of the process.

Change: tries for which a stopping node is to blame are judged LOST_WAIT_US after its end too.

--- a/granitewell/lab/judge/answers.py
+++ b/granitewell/lab/judge/answers.py
@@ -12,8 +12,9 @@
     SIGTERM, then ended by itself             lost, each an offence
     SIGTERM, then SIGKILL (code below 0)      taken up to 700 ms after SIGTERM: cut; later: lost
 
-A client may write that its connection broke before the world writes that the process is gone: `lost` is
-judged half a second later.
+A client may write that its connection broke before the world writes that the process is gone, and the world
+that it is gone before a client writes of an answer that went out in time: `lost` is judged half a second
+later.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 from granitewell.lab.judge.excuses import Excuses
 from granitewell.lab.judge.records import Try
 
-LOST_WAIT_US = 500_000  # between a lost connection and the news that the process has gone
+LOST_WAIT_US = 500_000  # between a lost connection and the news that the process has gone, and the other way
 STOP_TAKES_US = 700_000  # after SIGTERM; what comes later a stopping node has to keep out
 
 
@@ -152,13 +153,25 @@
         for lost_at, of, _ in waiting:
             self._gone(lost_at, of, held)
         for of in list(held.open.values()):
-            self._gone(at, of, held)
+            if self._blamed(of, held):
+                del held.open[of.rid]  # a next process of that name has nothing to do with it
+                self._desk.at(at + LOST_WAIT_US, self._no_word, of, at)
+            else:
+                self._gone(at, of, held)
+
+    def _no_word(self, of: Try, ended_at: int) -> None:
+        """No client has told of an answer that was on its way when the node ended."""
+        if not of.closed:
+            self._accuse_ended(ended_at, of)
+
+    def _accuse_ended(self, at: int, of: Try) -> None:
+        self._desk.accuse(at, "lost", "its node had been asked to stop and ended without an answer", of)
+        self._close(at, of, "lost")
 
     def _gone(self, at: int, of: Try, held: _Node) -> None:
         """A try whose node's process is gone."""
         if self._blamed(of, held):
-            self._desk.accuse(at, "lost", "its node had been asked to stop and ended without an answer", of)
-            self._close(at, of, "lost")
+            self._accuse_ended(at, of)
         else:
             self._close(at, of, "lost" if held.how == "crash" else "cut")
 
