One call at a time on a large body, bans by time, remembered endpoints bounded

Cause, found on reading: (1) once a large body was whole a second copy could go out while the first call dialed, and both took turns at the same parts; (2) a ban whose write failed (500) could be lifted by the older file of an earlier ban; (3) ids that a list has named, and when bans ended, were kept for good: some 100 bytes for each successor of a deploy.

Change: one_feed stays set for the request's life; a ban knows since when; 10,000 ids are remembered besides those listed or banned. A client's wait is reckoned in one place (Held.wait_us).

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -70,6 +70,7 @@
 HEAR_US = 100_000  # after the listener has closed, for requests on connections taken at the last moment
 LONGEST_US = 3_000_000  # the longest deadline that the platform waits out before SIGKILL
 STOP_SPARE_US = 450_000  # of the 700 ms that follow it, what may pass before the node leaves by itself
+MOST_NAMED = 10_000  # endpoints that an operator may name although no list has them now
 FORGET_US = 60_000_000  # how long a gone endpoint stays known
 BEAT_US = 5_000_000  # between two lines of figures
 
@@ -103,9 +104,9 @@
         self._names: set[bytes] = set()  # the clients' ids of the requests that are open
         self._calls: dict[int, Call] = {}
         self._fleet: dict[bytes, Endpoint] = {}
-        self._bans: set[bytes] = set()  # whatever the list says of them
+        self._bans: dict[bytes, int] = {}  # whatever the list says of them, and since when
         self._back_us: dict[bytes, int] = {}  # when the ban of an endpoint ended
-        self._named: set[bytes] = set()  # endpoints that a list has named at some time
+        self._named: dict[bytes, None] = {}  # endpoints that a list has named, the last named last
         self._timers: list[tuple[int, int, str, Any]] = []
         self._last_id = self._seq = 0
         self._listening = self._beating = False
@@ -294,10 +295,10 @@
         if once:
             cls = replace(cls, effect=Effect.UNSAFE)
         # a time without end would hold its place in every table; no client of the class waits longer
-        due = self._now + min(event.timeout_us, max(int(cls.deadline_ms * 1000), LEAST_MOST_US))
-        told = due  # the module holds it for no longer, be its body whole or not
-        due = self._now + FLOW_US if event.flows else due
-        request = Held(self._last_id, event, cls, due, self._set.max_attempts)
+        wait = min(event.timeout_us, max(int(cls.deadline_ms * 1000), LEAST_MOST_US))
+        told = self._now + wait  # the module holds it for no longer, be its body whole or not
+        due = self._now + FLOW_US if event.flows else told
+        request = Held(self._last_id, event, cls, due, wait, self._set.max_attempts)
         if event.name:
             self._names.add(event.name)
         self._requests[request.id] = self._by_inbound[event.inbound] = request
@@ -314,8 +315,7 @@
         if request is None or not request.flows:
             return
         request.flows = False
-        most = max(int(request.cls.deadline_ms * 1000), LEAST_MOST_US)
-        request.due_us = self._now + min(request.timeout_us, most)
+        request.due_us = self._now + request.wait_us
         self._at(request.due_us + GUARD_US, "guard", request.id)
         out = [call for call in request.calls if call.outcome is None]
         for call in out:
@@ -363,7 +363,7 @@
     def _repeatable(self, request: Held, endpoint: Endpoint) -> bool:
         """Rule 2: may this request go out (again) to this endpoint, given its earlier calls?"""
         ran = [c for c in request.calls if c.outcome not in NEVER_RAN]
-        if request.let_go or (request.flows and any(c.outcome is None for c in request.calls)):
+        if request.let_go or (request.one_feed and any(c.outcome is None for c in request.calls)):
             return False  # what has been let go can't be sent again, and one body feeds one call
         if not self._set.parallel_tries and any(c.outcome is None for c in ran):
             return False
@@ -497,9 +497,21 @@
         old = [k for k, e in self._fleet.items() if 0 <= e.told_us < self._now - FORGET_US and k not in named]
         for eid in old:
             del self._fleet[eid]
-        self._named |= named
+        self._remember(named)
         self._work.append(t.Hosts(event.view, tuple(self._host(m) for m in event.members)))
 
+    def _remember(self, named: Iterable[bytes]) -> None:
+        """An operator may name what is gone. Of those that are, a node that runs for long forgets the oldest:
+        successors have new ids."""
+        for eid in named:
+            self._named.pop(eid, None)
+            self._named[eid] = None
+        spare = len(self._named) - MOST_NAMED
+        if spare > 0:
+            for eid in [k for k in self._named if k not in self._fleet and k not in self._bans][:spare]:
+                del self._named[eid]
+                self._back_us.pop(eid, None)
+
     def _host(self, m: Member) -> t.Host:
         """An endpoint as the module sees it: gone while it is banned, and just started when it is back."""
         state = State.GONE if m.id in self._bans else m.state
@@ -534,17 +546,19 @@
         self._out.append(Ruled(event.caller, Ruling.DONE))
 
     def _heard(self, event: BansHeard) -> None:
-        for eid in event.bans - self._bans:
+        for eid in event.bans - self._bans.keys():
             self._ban(eid)
-        for eid in self._bans - event.bans:
-            if eid in event.back_us:  # one that is not written down at all may be a file that can't be read
+        for eid in self._bans.keys() - event.bans:
+            # what is written down of an earlier time is no call back: the ban could not be written then. One
+            # that is not written down at all may be a file that can't be read
+            if event.back_us.get(eid, -1) > self._bans[eid]:
                 self._unban(eid, event.back_us[eid])
         self._back_us |= {k: v for k, v in event.back_us.items() if k not in self._bans}
 
     def _ban(self, eid: bytes) -> None:
         if eid in self._bans:
             return
-        self._bans.add(eid)
+        self._bans[eid] = self._now
         self.stats["bans"] += 1
         self._note("ban", f"{_text(eid)} is banned: nothing new goes there")
         self._out.append(CloseIdle(eid))
@@ -554,7 +568,7 @@
         self._retell(eid)
 
     def _unban(self, eid: bytes, since_us: int) -> None:
-        self._bans.discard(eid)
+        del self._bans[eid]
         self._back_us[eid] = min(since_us, self._now)
         self._note("ban", f"{_text(eid)} is back, held for just started")
         self._retell(eid)
--- a/granitewell/core/tables.py
+++ b/granitewell/core/tables.py
@@ -28,16 +28,19 @@
     """A request that has been taken; open until its final answer."""
 
     __slots__ = ("attempts", "calls", "cls", "due_us", "flows", "forgotten", "id", "inbound", "let_go",
-                 "message", "name", "open", "streams", "timeout_us")  # fmt: skip
+                 "message", "name", "one_feed", "open", "streams", "wait_us")  # fmt: skip
 
-    def __init__(self, rid: int, event: Arrived, cls: t.RequestClass, due: int, attempts: int) -> None:
+    def __init__(
+        self, rid: int, event: Arrived, cls: t.RequestClass, due: int, wait: int, attempts: int
+    ) -> None:
         self.attempts = attempts  # at most; as of its arrival, like its class
         self.id, self.inbound, self.cls, self.due_us = rid, event.inbound, cls, due
         self.message, self.name = event.message, event.name
         self.calls: list[Call] = []
         self.open = True
-        self.timeout_us = event.timeout_us
-        self.flows = event.flows  # its body has not come whole yet
+        self.wait_us = wait  # for which its client waits, at most; of a body that flows, from its last byte
+        self.one_feed = event.flows  # its body is held once, and feeds one call at a time
+        self.flows = event.flows  # it has not come whole yet
         self.let_go = False  # nor is its beginning held any more
         self.forgotten = False  # the module has given it up while its body was on the way
         self.streams = False  # its answer has begun
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -465,6 +465,27 @@
     assert told(script)[b"s-0"] == (State.READY, 0.015)
 
 
+def test_a_ban_that_could_not_be_written_down_is_not_lifted_by_an_older_file() -> None:
+    """It was out and back before; its file still says so when the next ban finds the folder full."""
+    node = core(Script())
+    node.handle(50, c.BanAsked(1, b"s-0"))
+    node.handle(60, c.BansHeard(frozenset(), {b"s-0": 40}))
+    assert node.bans == {b"s-0"}
+    node.handle(70, c.BansHeard(frozenset(), {b"s-0": 65}))
+    assert not node.bans
+
+
+def test_what_is_remembered_of_endpoints_is_bounded() -> None:
+    """Successors have new ids: a node that runs for months would hold every one that there ever was."""
+    node = core(Script())
+    node.handle(1, c.BanAsked(1, b"s-0"))
+    for k in range(2, 13_000):
+        node.handle(k * 100_000, c.FleetNews(View.FULL, (member(k),)))
+    assert len(node._named) < 11_000 and node.bans == {b"s-0"}
+    assert node.handle(1_300_000_000, c.BanAsked(1, b"s-12500"))[-1] == c.Ruled(1, c.Ruling.DONE)
+    assert node.handle(1_300_000_001, c.BanAsked(1, b"s-1")) == [c.Ruled(1, c.Ruling.UNKNOWN)]
+
+
 def test_a_stop_beside_another_process_leaves_the_listener_at_once_and_its_clients_late() -> None:
     """What a client writes to a connection that it holds is turned back where that is closed; the listener is
     the other process's too, so that nothing is lost there."""
@@ -515,6 +536,13 @@
     assert node.stats["sent"] == 1 and node.stats["guarded"] == 1
 
 
+def test_nor_does_it_feed_a_second_copy_once_it_is_whole() -> None:
+    """Two calls took turns at the same parts: neither endpoint got the body that the client had sent."""
+    node = core(Script(Request=send, Uploaded=lambda e: [t.Send(e.id, b"s-1")]))
+    flowing(node, SAFE)
+    assert not calls(node.handle(2, c.Whole(1))) and node.stats["guarded"] == 1
+
+
 def test_what_the_module_gives_up_while_its_body_comes_ends_with_its_call() -> None:
     """The module's patience counts from the head; an endpoint has part of the body, and may still answer."""
     node = core(Script(Request=lambda e: [*send(e), t.Fail(e.id)]))
