--- a/granitewell/lab/mutants/catalogue.py
+++ b/granitewell/lab/mutants/catalogue.py
@@ -69,7 +69,7 @@
     Defect(
         "time-doubled", "the client's time is read as twice as long",
         ("answer",), ("grey-class-hang-unsafe", "overload"),
-        (_core("due = self._now + min(event.timeout_us,", "due = self._now + min(2 * event.timeout_us,"),),
+        (_core("wait = min(event.timeout_us,", "wait = min(2 * event.timeout_us,"),),
     ),
     Defect(
         "answers-swapped", "an answer goes to the inbound that has waited longest",
--- a/granitewell/net/bodies.py
+++ b/granitewell/net/bodies.py
@@ -17,7 +17,8 @@
 from granitewell.net import http1
 
 LEAST_PIECE, MOST_PIECE = 8 * 1024, 64 * 1024  # bytes read at a time
-COPIES = 4  # pieces that a flow may hold at once: its buffer, parsed, framed, and with the kernel
+COPIES = 4  # pieces that a flow may hold at once: its buffer, parsed, framed, and with the kernel. A request
+# holds up to 64 KiB besides, which are kept so that it may go again
 BASE_MB = 44.0  # of the memory limit, what the process takes without bodies
 PART = 0.5  # of what is left, that flows may hold
 GAP_S = 0.4  # between two pieces of an answer that has not begun for its client: spoilt ones stand still
@@ -56,7 +57,7 @@
     let_go: Callable[[], None],
 ) -> None:
     """Write a request's body as it comes. Ends quietly where the endpoint takes no more: whoever reads the
-    answer there sees how that ends, and what has been written whole is `flow.taken`'s to say."""
+    answer there sees how that ends, and `flow.sent` whether the last byte was written."""
     chunked, gone = flow.length is None, False
     try:
         while True:
@@ -65,17 +66,16 @@
                 gone = True
                 let_go()
             waits.room.set()
-            if part is not None:
-                async with asyncio.timeout(STILL_S):
-                    await loop.sock_sendall(sock, http1.chunk_bytes(part) if chunked else part)
-            elif flow.done:
-                if chunked:
-                    await loop.sock_sendall(sock, http1.chunk_bytes(b""))
-                flow.sent = True
-                return
-            else:
+            if part is None and not flow.done:
                 waits.more.clear()
                 await waits.more.wait()
+                continue
+            data = http1.chunk_bytes(part or b"") if chunked else part or b""
+            async with asyncio.timeout(STILL_S):
+                await loop.sock_sendall(sock, data)
+            if part is None:
+                flow.sent = True
+                return
     except (OSError, TimeoutError):
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
--- a/granitewell/net/console.py
+++ b/granitewell/net/console.py
@@ -13,12 +13,13 @@
 import contextlib
 import re
 import socket
-from typing import Any
+from typing import Protocol
 
 import httptools
 
 from granitewell import core as c
-from granitewell.net.sockets import end
+from granitewell.net.http1 import response
+from granitewell.net.sockets import bound, end
 
 SEATS = 24  # connections held at once
 BACKLOG = 256
@@ -29,13 +30,8 @@
 LINGER_S = 0.5  # for the caller to take its answer
 CHUNK = 2048
 READY, DISABLE, ENABLE = b"/ready", b"/dispatch-servers/disable", b"/dispatch-servers/enable"
-METHODS = {READY: (b"GET", b"HEAD"), DISABLE: (b"POST",), ENABLE: (b"POST",)}
+METHODS = {READY: b"GET", DISABLE: b"POST", ENABLE: b"POST"}
 _ID = re.compile(rb"[\x21-\x7e]{1,256}\Z")
-_REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    503: "Service Unavailable",
-}  # fmt: skip
 
 
 class No(Exception):
@@ -97,9 +93,8 @@
         allowed = METHODS.get(self.path)
         if allowed is None:
             self._wrong = No(404, "no such call: /ready, /dispatch-servers/disable, /dispatch-servers/enable")
-        elif self._parser.get_method() not in allowed:
-            names = ", ".join(x.decode() for x in allowed)
-            self._wrong = No(405, f"this call takes {names}", f"Allow: {names}\r\n")
+        elif self._parser.get_method() != allowed:
+            self._wrong = No(405, f"this call takes {allowed.decode()}", f"Allow: {allowed.decode()}\r\n")
         elif any(x.isdigit() and int(x) > MOST_BODY for x in self._lengths):
             self._wrong = No(413, f"body over {MOST_BODY} bytes")
 
@@ -123,33 +118,31 @@
 
 def answer(status: int, text: str, header: str = "") -> bytes:
     """An answer with one line of text; the connection ends behind it."""
-    body = f"{text}\n".encode()
-    head = (f"HTTP/1.1 {status} {_REASONS[status]}\r\nContent-Type: text/plain\r\n"
-            f"Content-Length: {len(body)}\r\n{header}Connection: close\r\n\r\n")  # fmt: skip
-    return head.encode("latin-1") + body
+    return response(status, f"{text}\n".encode(), True, f"Content-Type: text/plain\r\n{header}")
+
+
+class Asked(Protocol):
+    """What the console speaks to: the node."""
+
+    @property
+    def phase(self) -> c.Phase: ...
+
+    def dispatch(self, event: c.Event) -> None: ...
+
+    def say(self, topic: str, line: str) -> None: ...
 
 
 class Console:
-    """The console of one node. `node` is what it speaks to: dispatch, say, clock and the core's phase."""
+    """The console of one node."""
 
-    def __init__(self, node: Any, address: tuple[str, int], loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, node: Asked, address: tuple[str, int], loop: asyncio.AbstractEventLoop) -> None:
         self._node, self._loop = node, loop
         self._seats: dict[int, socket.socket] = {}  # callers whose call is not whole yet, the oldest first
         self._held: set[asyncio.Task[None]] = set()
         self._last = 0
         self._rulings: dict[int, c.Ruling] = {}
         self.unkept = ""  # why the last ban could not be written down
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.setblocking(False)
-            sock.bind(address)
-            sock.listen(BACKLOG)
-        except BaseException:
-            sock.close()
-            raise
-        self._listener = sock
+        self._listener = bound(address, BACKLOG)
         self._accepting = loop.create_task(self._accept())
 
     def close(self) -> None:
--- a/granitewell/net/discovery.py
+++ b/granitewell/net/discovery.py
@@ -9,30 +9,24 @@
 import asyncio
 import socket
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from typing import Any
 
 from granitewell.core import FleetNews
 from granitewell.net import http1
-from granitewell.net.sockets import end, tcp
+from granitewell.net.clock import Clock
+from granitewell.net.sockets import BUFFER, end, tcp
 from tiderelay.interface import View
 
-BUFFER = 8 * 1024  # bytes read at a time
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
 SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
 BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
 
 
-class Time(Protocol):
-    """What is needed of the node's clock."""
-
-    def now(self) -> int: ...
-
-
 class Discovery:
     """One node's watch; closed until `at` opens it at an address, or moves it there."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Time, reader: http1.FleetReader,
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, reader: http1.FleetReader,
         hear: Callable[[FleetNews], None], say: Callable[[str, str], None],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
     ) -> None:  # fmt: skip
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -35,10 +35,10 @@
                      b"client-retry"})  # fmt: skip
 _PASSED = (b"request-class", b"tenant", b"affinity-key", b"client-retry", b"request-info", b"content-type")
 _STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
-_REASONS = {
+REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
-    503: "Service Unavailable",
+    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
 }  # fmt: skip
 
 
@@ -330,33 +330,34 @@
     return int(text, 16) if _HEX.match(text) else int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
 
 
-def _response(status: int, body: bytes, close: bool, headers: str = "") -> bytes:
+def response(status: int, body: bytes, close: bool, headers: str = "") -> bytes:
+    """A whole answer."""
     end = "Connection: close\r\n" if close else ""
-    head = f"HTTP/1.1 {status} {_REASONS[status]}\r\nContent-Length: {len(body)}\r\n{headers}{end}\r\n"
+    head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n{headers}{end}\r\n"
     return head.encode("latin-1") + body
 
 
 def bad_bytes(bad: Bad) -> bytes:
     """The answer to a request that goes nowhere."""
-    return _response(bad.status, bad.text.encode() + b"\r\n", not bad.keep_alive, bad.header)
+    return response(bad.status, bad.text.encode() + b"\r\n", not bad.keep_alive, bad.header)
 
 
 def ready_bytes(ready: bool, close: bool) -> bytes:
     """The answer of the ready path."""
-    return _response(200 if ready else 503, b"ready\r\n" if ready else b"not ready\r\n", close)
+    return response(200 if ready else 503, b"ready\r\n" if ready else b"not ready\r\n", close)
 
 
 def answer_bytes(answer: Answer, close: bool) -> bytes:
     """A final answer. A refusal is a 503, a failure a 502: the protocol reads no more into them."""
     if answer.verdict is Verdict.SERVED and isinstance(answer.answer, Served):
         kind = answer.answer.content_type.decode("latin-1")
-        return _response(200, answer.answer.body, close, f"Content-Type: {kind}\r\n" if kind else "")
+        return response(200, answer.answer.body, close, f"Content-Type: {kind}\r\n" if kind else "")
     if answer.verdict is Verdict.SAME_ID:
-        return _response(409, b"", close)
+        return response(409, b"", close)
     if answer.verdict is Verdict.FAIL_FAST:
         wait = f"Retry-After: {answer.retry_after_us / 1e6:.3f}\r\n" if answer.retry_after_us else ""
-        return _response(503, b"", close, wait)
-    return _response(502, b"", close)
+        return response(503, b"", close, wait)
+    return response(502, b"", close)
 
 
 # --- Endpoints ---
--- a/granitewell/net/listener.py
+++ b/granitewell/net/listener.py
@@ -11,6 +11,7 @@
 import time
 
 from granitewell.config import Config, ConfigError
+from granitewell.net.sockets import bound
 
 BACKLOG = 1024
 LEAST_AGE_S = 0.6  # of a process under a CPU limit below one core before it is ready
@@ -20,13 +21,7 @@
 def listening(config: Config) -> socket.socket:
     """The clients' listener: bound here, or the platform's own. ConfigError: the descriptor is none."""
     if config.inherited < 0:
-        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(config.listen)
-        listener.listen(BACKLOG)
-        return listener
+        return bound(config.listen, BACKLOG)
     field = f"LB_INHERITED_FD: descriptor {config.inherited}"
     try:
         listener = socket.socket(fileno=config.inherited)
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -25,13 +25,14 @@
 from granitewell.handover import Handover
 from granitewell.net import http1
 from granitewell.net.bodies import GAP_S, HOLD_S, STILL_S, Budget, Pour, Waits, pump
+from granitewell.net.clock import Clock
 from granitewell.net.console import SEATS, Console
 from granitewell.net.discovery import Discovery
 from granitewell.net.listener import age_s, listening, start_debt
 from granitewell.net.logs import HEAD_START_US as HEAD_START_US
 from granitewell.net.logs import Log as Log
-from granitewell.net.pool import BUFFER, Conn, Pool
-from granitewell.net.sockets import end, readable
+from granitewell.net.pool import Conn, Pool
+from granitewell.net.sockets import BUFFER, end, readable
 from granitewell.reload import complete, follow
 from tiderelay.interface import Outcome, View
 
@@ -69,30 +70,6 @@
 CHANGE_OVER_S = 2.0  # for which the names and methods of before a reload still count
 
 
-class Clock:
-    """Microseconds, read once a turn of the loop."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
-        self._turn = -1
-        self._start = time.monotonic_ns() // 1000 - HEAD_START_US
-        self.unix_offset_us = time.time_ns() // 1000 - self.fresh()
-
-    def fresh(self) -> int:
-        """The time now, for what is measured inside one turn."""
-        return time.monotonic_ns() // 1000 - self._start
-
-    def now(self) -> int:
-        """The time of this turn."""
-        if self._turn < 0:
-            self._turn = self.fresh()
-            self._loop.call_soon(self._next)
-        return self._turn
-
-    def _next(self) -> None:
-        self._turn = -1
-
-
 class _Inbound:
     """One client connection."""
 
--- a/granitewell/net/pool.py
+++ b/granitewell/net/pool.py
@@ -9,17 +9,9 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import Protocol
 
-from granitewell.net.sockets import end, readable, tcp
-
-BUFFER = 8 * 1024  # bytes read at a time, but for bodies that flow
-
-
-class Time(Protocol):
-    """What is needed of the node's clock."""
-
-    def now(self) -> int: ...
+from granitewell.net.clock import Clock
+from granitewell.net.sockets import BUFFER, end, readable, tcp
 
 
 class Conn:
@@ -37,7 +29,7 @@
     """All connections of one node to its endpoints."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Time, say: Callable[[str, str], None],
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, say: Callable[[str, str], None],
         may_dial: Callable[[], bool],
     ) -> None:  # fmt: skip
         self._loop, self._clock, self.say, self._may_dial = loop, clock, say, may_dial
--- a/granitewell/net/sockets.py
+++ b/granitewell/net/sockets.py
@@ -8,6 +8,22 @@
 import contextlib
 import socket
 
+BUFFER = 8 * 1024  # bytes read at a time, but for bodies that flow
+
+
+def bound(address: tuple[str, int], backlog: int) -> socket.socket:
+    """A socket that listens at this address."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(backlog)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
 
 def tcp(address: tuple[str, int]) -> socket.socket:
     """A socket for a connection to this address."""
--- a/tests/play.py
+++ b/tests/play.py
@@ -180,6 +180,13 @@
             except ConnectionError:
                 rest = b""
             assert rest == b"", f"{name} got {rest!r} in place of the end"
+        elif verb == "is reset":
+            try:
+                rest = sock.recv(4096)
+            except ConnectionResetError:
+                self.socks.pop(name).close()
+                return
+            raise AssertionError(f"{name} got {rest!r} in place of a reset")
         elif verb in ("closes", "resets"):
             if verb == "resets":
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
