A client dropped while its body has no room leaves no task behind

Seen, by reading _drop beside Waits.until_room: a client's reading task that waits for room in a body that flows is woken by room.set(), looks at flow.unread, finds it unchanged and waits again; after the drop nobody takes from that body, so it waits for ever. Where the body belongs to a request written ahead of another, not even that set() reaches it. Left behind each time: a task, its buffer and up to 128 KiB. Change: dropping an inbound cancels its reading task, as cutting one always has; no event stands for it any more.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -562,10 +562,12 @@
             self._next(inbound)
 
     def _drop(self, inbound: _Inbound) -> None:
+        """End a client's connection, and whatever its reading task waits for: a body that nobody takes any
+        more gets no room."""
         if self._inbounds.pop(inbound.id, None) is not None:
             end(inbound.sock)
-            if inbound.flow is not None and inbound.flow.owner is not None:
-                inbound.flow.owner.room.set()
+            if inbound.task is not None and inbound.task is not asyncio.current_task(self._loop):
+                inbound.task.cancel()
             self.dispatch(c.InboundGone(inbound.id))
 
     def _cut(self, inbound: _Inbound) -> None:
--- /dev/null
+++ b/tests/shell.py
@@ -0,0 +1,61 @@
+"""A Node on a real loop without a process of its own, for what is shared between its tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from granitewell.config import load
+from granitewell.core import Core
+from granitewell.net.loop import Node
+from tests.test_config import write
+from tiderelay.policy import Balancer
+
+TURNS = 200  # of the loop, in which whatever is on its way between two tasks has arrived
+LIMIT_S = 20.0  # for any one thing to happen; only a failing test waits so long
+
+
+async def turns(count: int = TURNS) -> None:
+    """Let the other tasks run."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def until(what: Callable[[], object]) -> None:
+    """Wait until it has come to that."""
+    async with asyncio.timeout(LIMIT_S):
+        while not what():
+            await asyncio.sleep(0.002)
+
+
+def client_of(node: Node) -> socket.socket:
+    """The far end of a connection that the node has just taken."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        client = socket.create_connection(server.getsockname())
+        node._admit(server.accept()[0])
+    client.setblocking(False)
+    return client
+
+
+def played(folder: Path, scenario: Callable[[Node], Awaitable[None]], **changes: Any) -> list[str]:
+    """Run this with a node; what the node has said."""
+    config, said = load(write(folder, **changes)), list[str]()
+
+    async def whole() -> None:
+        node = Node(config, Core(config.settings, Balancer(config.settings, 1), 99), asyncio.get_running_loop())
+        node.say = lambda topic, line: said.append(f"{topic}: {line}")  # type: ignore[method-assign]
+        node.pool.say = node.discovery.say = node.say
+        try:
+            await scenario(node)
+        finally:
+            for inbound in list(node._inbounds.values()):
+                node._drop(inbound)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(whole())
+    return said
