Requests written ahead wait unread in place of closing a connection with taken ones

Seen, by reading: a fifth request on one connection closed it, although up to five had been taken (a node loses a request if it ends its connection without an answer); and the four allowed could hold 64 KiB each, which no budget counted: 300 KiB a client, 190 MB for 640 of them at a limit of 192 MB. Ruled out: that the protocol's clients do so (they send one at a time); others do. Lines: net/loop.py _listen, MOST_QUEUED; net/bodies.py Budget. Change: where four requests, or one with a body, wait, the client is read on once one is answered. Bodies that are held whole count in the one budget, and what flows gives way to them.

--- a/granitewell/net/bodies.py
+++ b/granitewell/net/bodies.py
@@ -32,10 +32,11 @@
     def __init__(self, memory_mb: float) -> None:
         self.most = int(max(memory_mb - BASE_MB, memory_mb / 8) * PART * 1024 * 1024)
         self.flows = 0
+        self.kept = 0  # bytes of bodies up to 64 KiB that are held whole; what flows gives way to them
 
     def piece(self) -> int:
         """The bytes that a flow may read at a time now."""
-        fair = self.most // (COPIES * max(self.flows, 1))
+        fair = max(self.most - self.kept, 0) // (COPIES * max(self.flows, 1))
         return min(max(fair, LEAST_PIECE), MOST_PIECE)
 
 
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -63,7 +63,7 @@
 STUCK_S = 5.0  # for a client to take its answer
 FRESH_US = 2_000_000  # for the first byte of the first request on a new connection
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
-MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
+MOST_QUEUED = 4  # requests written ahead on one inbound, after which it is read on once one is answered
 NEXT_PART = 4  # one in so many descriptors is the next process's while it starts beside this one
 SPARE_DESCRIPTORS = 16  # beyond what it holds, for a process that is to stop
 PARTING_US = 200_000  # for an idle connection to an endpoint there
@@ -74,9 +74,11 @@
     """One client connection."""
 
     __slots__ = ("answered", "at_us", "buffer", "busy", "closing", "flow", "fresh", "head_us", "heard_us",
-                 "id", "keep", "old", "parser", "queue", "sock", "task")  # fmt: skip
+                 "id", "keep", "kept", "old", "parser", "queue", "sock", "task", "turn")  # fmt: skip
 
     def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
+        self.kept = 0  # bytes of bodies that it holds whole, as the budget counts them
+        self.turn: asyncio.Event | None = None  # that its reading waits for where requests are written ahead
         self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
         self.buffer = bytearray(BUFFER)  # its first byte is 0 until the loop has read something into it
         self.queue: deque[http1.Item] = deque()
@@ -479,18 +481,31 @@
                 if inbound.parser.expecting and not inbound.busy and n < BUFFER:
                     with contextlib.suppress(BlockingIOError):
                         inbound.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-                if len(inbound.queue) > MOST_QUEUED:
-                    self.say("inbound", "a client sent many requests at once: closed")
-                    break
                 flow = inbound.parser.flow or inbound.flow
                 self._next(inbound)
+                self._count(inbound)
                 if flow is not None:
                     await self._flowed(inbound, flow)
+                while inbound.busy and inbound.queue and _far_ahead(inbound):
+                    # closing would lose requests that it has taken; what is not read costs nothing
+                    self.say("inbound", "a client writes requests ahead: read on once one is answered")
+                    inbound.turn = asyncio.Event()
+                    await inbound.turn.wait()
+                    self._count(inbound)
         except OSError:
             pass
         finally:
             self._drop(inbound)
 
+    def _count(self, inbound: _Inbound) -> None:
+        """Tell the budget what this inbound holds of bodies that do not flow."""
+        parser = inbound.parser
+        kept = parser.size if parser.in_body and parser.flow is None else 0
+        if inbound.queue:
+            kept += _written_ahead(inbound)
+        self._budget.kept += kept - inbound.kept
+        inbound.kept = kept
+
     async def _flowed(self, inbound: _Inbound, flow: http1.Flow) -> None:
         """More of a body that flows has come: its call goes on, and reading waits for that."""
         if flow.owner is None:
@@ -550,6 +565,8 @@
         inbound.at_us = self.clock.now()
         inbound.busy = inbound.fresh = False
         inbound.answered += 1
+        if inbound.turn is not None:
+            inbound.turn.set()
         if close or self._listener is None:
             # half-closed first: closing with bytes unread would reset the answer away
             inbound.closing = True
@@ -565,6 +582,7 @@
         """End a client's connection, and whatever its reading task waits for: a body that nobody takes any
         more gets no room."""
         if self._inbounds.pop(inbound.id, None) is not None:
+            self._budget.kept -= inbound.kept
             end(inbound.sock)
             if inbound.task is not None and inbound.task is not asyncio.current_task(self._loop):
                 inbound.task.cancel()
@@ -575,6 +593,7 @@
         read that is pending holds the socket open, so that it has to end first."""
         if self._inbounds.pop(inbound.id, None) is None:
             return
+        self._budget.kept -= inbound.kept
         with contextlib.suppress(OSError):
             inbound.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         assert inbound.task is not None
@@ -782,6 +801,16 @@
     return now_us - inbound.heard_us >= BODY_US or inbound.parser.size < due
 
 
+def _written_ahead(inbound: _Inbound) -> int:
+    """Bytes of the bodies of whole requests that wait for their turn."""
+    return sum(len(item.message.body) for item in inbound.queue if isinstance(item, http1.Ask))
+
+
+def _far_ahead(inbound: _Inbound) -> bool:
+    """Does a client wait with more than it should be read on for? One body kept whole is enough."""
+    return len(inbound.queue) >= MOST_QUEUED or _written_ahead(inbound) > 0
+
+
 def _is_idle(inbound: _Inbound, now_us: int, fresh_us: int = FRESH_US) -> bool:
     """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
     kernel, nor bytes that the loop took from it a turn before the reading task goes on. A new connection is
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -43,3 +43,27 @@
         client.close()
 
     assert played(tmp_path, scenario) == []
+
+
+SMALL = b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 2000\r\nContent-Length: %d\r\n\r\n%s"
+
+
+def test_requests_written_ahead_are_neither_lost_nor_held_by_the_megabyte(tmp_path: Path) -> None:
+    """More than four closed the connection, and with it requests that had been taken; and each of the four
+    might hold 64 KiB that no budget counted, 300 KiB for each client."""
+
+    async def scenario(node: Node) -> None:
+        client = client_of(node)
+        (inbound,) = node._inbounds.values()
+        await pushed(client, b"".join(SMALL % (k, 60_000, bytes(60_000)) for k in range(40)))
+        await turns()
+        assert inbound.id in node._inbounds
+        assert 0 < node._budget.kept <= 2 * 65536
+        answers = b""  # there is no endpoint, and each gets its 503 in its turn
+        while answers.count(b"HTTP/1.1 503") < 3:
+            answers += await asyncio.get_running_loop().sock_recv(client, 4096)
+        client.close()
+        await until(lambda: not node._inbounds)
+        assert node._budget.kept == 0
+
+    assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"inbound"}
