Accepting and the watch on discovery outlive whatever they did not foresee

Seen, by reading: both are one task each for the life of the process, and both end with the first exception outside a short list; that is one fault line, and from then on the node takes nobody, or keeps its list for good, while it looks alive. Ruled out: an exception known today that gets there (fuzzed lists are all ValueError; setsockopt on a connection that is already reset succeeds on Linux). Lines: net/loop.py _accept (admitting stood outside its try), net/console.py _accept, net/discovery.py _run. Change: these three loops go on after any exception, with their usual line and pause. Tests fail before: the task is done.

--- a/granitewell/net/console.py
+++ b/granitewell/net/console.py
@@ -164,7 +164,7 @@
                     self._admit(self._listener.accept()[0])
             except (BlockingIOError, ConnectionAbortedError):
                 continue
-            except OSError as error:
+            except Exception as error:  # whatever it is, the console goes on
                 self._node.say("accept", f"could not accept for the console: {error}")
                 await asyncio.sleep(0.02)
 
--- a/granitewell/net/discovery.py
+++ b/granitewell/net/discovery.py
@@ -67,8 +67,10 @@
                         end(sock)
                         sock = None
                     continue
-                except (OSError, ValueError, TimeoutError) as error:
+                except Exception as error:  # what nobody thought of, too: a watch that ends is never missed
+                    foreseen = isinstance(error, OSError | ValueError | TimeoutError)
                     why = str(error) or "no answer in time"
+                    why = why if foreseen else f"{type(error).__name__}: {why}"
                     self.failure = self._clock.now(), why
                     self.say("discovery", f"call failed, the list stays as it is: {why}")
                 if sock is not None:
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -404,13 +404,14 @@
         while listener.fileno() >= 0:  # closed once the node has been asked to stop
             try:
                 sock, _ = await self._loop.sock_accept(listener)
-            except OSError as error:
-                # out of descriptors, or a client that left early: neither may stop the listener
+                self._admit(sock)
+                self._accept_more(listener)
+            except Exception as error:
+                # out of descriptors, a client that left early, or what nobody thought of: no reason to let
+                # this task end, since a node that takes nobody goes on looking alive
                 self.say("accept", f"could not accept: {error}")
                 await asyncio.sleep(0.02)
                 continue
-            self._admit(sock)
-            self._accept_more(listener)
             while not self._room(self._most_inbound, len(self._inbounds)) and not self._evict():
                 self.say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
                 await asyncio.sleep(0.02)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -6,6 +6,9 @@
 import socket
 from pathlib import Path
 
+import pytest
+
+from granitewell import core as c
 from granitewell.net.loop import Node
 from tests.shell import client_of, played, turns, until
 
@@ -67,3 +70,79 @@
         assert node._budget.kept == 0
 
     assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"inbound"}
+
+
+def test_the_listener_outlives_what_nobody_thought_of(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A task that ends is one line of the log, and the node then takes nobody for months."""
+
+    async def scenario(node: Node) -> None:
+        admit, broken = node._admit, [RuntimeError("no such thing"), OSError(22, "reset already")]
+
+        def once(sock: socket.socket) -> None:
+            if broken:
+                sock.close()
+                raise broken.pop()
+            admit(sock)
+
+        monkeypatch.setattr(node, "_admit", once)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            accepting = node._spawn(node._accept(server))
+            clients = []
+            while not node._inbounds and not accepting.done() and len(clients) < 9:
+                clients.append(socket.create_connection(server.getsockname()))
+                await asyncio.sleep(0.05)
+            assert node._inbounds
+            accepting.cancel()
+        for client in clients:
+            client.close()
+
+    played(tmp_path, scenario)
+
+
+class Agent:
+    """Discovery that answers each call at once with these bodies, the last one again and again."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self.bodies, self.calls = list(bodies), 0
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.calls += 1
+                body = self.bodies.pop(0) if len(self.bodies) > 1 else self.bodies[0]
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+NOTHING = b'{"revision":1,"complete":false,"members":[]}'
+
+
+def test_the_watch_outlives_what_nobody_thought_of(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It ended with the first exception that was not in its list, and the list then stayed as it was for good."""
+
+    async def scenario(node: Node) -> None:
+        read, broken = node._reader.read, [RuntimeError("no such thing")]
+
+        def once(body: bytes) -> tuple[int, c.FleetNews]:
+            if broken:
+                raise broken.pop()
+            return read(body)
+
+        monkeypatch.setattr(node._reader, "read", once)
+        agent = Agent(NOTHING)
+        server = await asyncio.start_server(agent, "127.0.0.1", 0)
+        node.discovery.at(server.sockets[0].getsockname())
+        await until(lambda: node.discovery.heard_us >= 0)
+        await stopped(node, server)
+
+    assert any("no such thing" in line for line in played(tmp_path, scenario))
+
+
+async def stopped(node: Node, server: asyncio.Server) -> None:
+    """End the watch, then the agent."""
+    assert node.discovery._task is not None
+    node.discovery._task.cancel()
+    await turns()
+    server.close()
