A discovery agent that never waits no longer takes the core

Seen, by reading: a watch that is answered at once, without news, is asked again in the same turn; an agent that ignores wait_ms is asked as often as the core allows, beside the requests. Ruled out: the platform's agent does so (it waits). Lines: net/discovery.py _run. Test fails before: thousands of calls in the time of ten.

--- a/granitewell/net/discovery.py
+++ b/granitewell/net/discovery.py
@@ -20,6 +20,9 @@
 WATCH_MS = 2_000  # how long discovery may hold a watch; short, so that a dead connection is found out
 SPARE_S = 1.0  # beyond that wait, or for an answer that needs none: the agent can stay silent
 BACKOFF_S = (0.05, 1.0)  # least and most between two failed calls to discovery
+SWIFT_S = 0.01  # an answer that comes so soon was not waited for:
+MOST_SWIFT = 20  # after so many in a row calls are held apart by
+APART_S = 0.04  # so long: far under the margin that is kept back from a drain's grace
 
 
 class Discovery:
@@ -46,9 +49,12 @@
         """Ask for the whole list, then watch; after any failure begin anew, keeping the list."""
         sock: socket.socket | None = None
         after: int | None = None
-        backoff = BACKOFF_S[0]
+        backoff, swift = BACKOFF_S[0], 0
         try:
             while True:
+                if swift > MOST_SWIFT:  # an agent that never waits would have the core to itself
+                    await asyncio.sleep(APART_S)
+                began_us = self._clock.fresh()
                 try:
                     async with asyncio.timeout(SPARE_S + (0.0 if after is None else WATCH_MS / 1000)):
                         if sock is None:
@@ -63,6 +69,7 @@
                         self.news_us = self.heard_us
                         self._hear(news)
                     backoff = BACKOFF_S[0]
+                    swift = swift + 1 if self._clock.fresh() - began_us < SWIFT_S * 1e6 else 0
                     if not parser.reusable:
                         end(sock)
                         sock = None
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -9,6 +9,7 @@
 import pytest
 
 from granitewell import core as c
+from granitewell.net.discovery import APART_S, MOST_SWIFT
 from granitewell.net.loop import Node
 from tests.shell import client_of, played, turns, until
 
@@ -146,3 +147,19 @@
     node.discovery._task.cancel()
     await turns()
     server.close()
+
+
+def test_an_agent_that_never_waits_does_not_get_the_core(tmp_path: Path) -> None:
+    """It was asked again at once, some thousands of times a second, beside the requests."""
+
+    async def scenario(node: Node) -> None:
+        agent = Agent(NOTHING)
+        server = await asyncio.start_server(agent, "127.0.0.1", 0)
+        node.discovery.at(server.sockets[0].getsockname())
+        await until(lambda: agent.calls > MOST_SWIFT)
+        before = agent.calls
+        await asyncio.sleep(10 * APART_S)
+        assert agent.calls - before <= 11
+        await stopped(node, server)
+
+    assert played(tmp_path, scenario) == []
