A process limit on descriptors below the configured one is the node's budget

Seen, by reading: Node.__init__ takes the lower of limits.sockets and RLIMIT_NOFILE, then divides the former among clients and endpoints. At a lower limit accept, dials and the watch on discovery all fail with EMFILE while the node believes it has room, and nobody is evicted. Ruled out: the platform, where both agree. Line: net/loop.py, self._divide(config.sockets). Change: the lower one is divided. Test (100 under 512): 512 before, 100 now.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -117,7 +117,7 @@
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
         self._sockets = sockets
         self._budget = Budget(config.memory_mb)
-        self._divide(config.sockets)
+        self._divide(sockets)
         self._listener: socket.socket | None = None
         self._inbounds: dict[int, _Inbound] = {}
         self._last_inbound = 0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import socket
 from pathlib import Path
 
@@ -10,7 +11,7 @@
 
 from granitewell import core as c
 from granitewell.net.discovery import APART_S, MOST_SWIFT
-from granitewell.net.loop import Node
+from granitewell.net.loop import RESERVE, Node
 from tests.shell import client_of, played, turns, until
 
 LONG = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 2000\r\n"
@@ -164,3 +165,15 @@
         await stopped(node, server)
 
     assert played(tmp_path, scenario) == []
+
+
+def test_a_limit_below_the_configured_one_is_the_budget(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where the process itself may hold fewer descriptors than the file says, the file counted: the node
+    then ran into the limit, and neither discovery nor an endpoint could be reached."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (100, 100))
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 512}
+
+    async def scenario(node: Node) -> None:
+        assert node._mine == 100 and node._most_inbound + RESERVE <= 100
+
+    assert played(tmp_path, scenario, limits=limits) == []
