A large body that trickles no longer holds an endpoint's connection for good

A byte each 9 s holds an inbound, a call, an endpoint's connection and its seat for years; a few hundred such clients hold all. Ruled out: the core's hour (FLOW_US bounds a number, no timer runs on it), the rate for small bodies (it does not look at those that flow). Lines: net/loop.py _sweep. Change: 4 kB a second at least from 10 s after the head on, a sixteenth of the platform's slowest client; what the endpoint did not take does not count. Test: one byte in 20 s went on before, ends now; 64 kB a second goes on.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -49,7 +49,8 @@
 BODY_US = 2_500_000  # came; and between two pieces of its body, which has to come at
 BODY_PER_S = 16 * 1024  # bytes a second at least, from so long after its head on
 BODY_SPARE_US = 3_000_000
-FLOW_STILL_US = 10_000_000  # without a byte, after which a body that flows comes no more
+FLOW_STILL_US = 10_000_000  # without a byte, after which a body that flows comes no more; it has to come at
+FLOW_PER_S = 4 * 1024  # bytes a second at least, once as long has passed since its head
 HUSH_US = 200_000  # after which a connection that has said nothing goes first where descriptors are short,
 HALF_US = 500_000  # and after which one with half a request goes with those that are idle
 # Clients hold a third of the descriptors at most, and some ask once and keep their connection for good: those
@@ -74,9 +75,10 @@
     """One client connection."""
 
     __slots__ = ("answered", "at_us", "buffer", "busy", "closing", "flow", "fresh", "head_us", "heard_us",
-                 "id", "keep", "kept", "old", "parser", "queue", "sock", "task", "turn")  # fmt: skip
+                 "id", "keep", "kept", "old", "parser", "queue", "sock", "task", "stood_us", "turn")  # fmt: skip
 
     def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
+        self.stood_us = 0  # for which the body that flows has waited for its endpoint
         self.kept = 0  # bytes of bodies that it holds whole, as the budget counts them
         self.turn: asyncio.Event | None = None  # that its reading waits for where requests are written ahead
         self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
@@ -385,7 +387,7 @@
             if inbound.closing and waited >= LINGER_US:
                 self._drop(inbound)
             elif inbound.busy and inbound.flow is not None and not inbound.flow.done:
-                if now - inbound.heard_us >= FLOW_STILL_US and inbound.flow.unread <= http1.MOST_KEPT:
+                if inbound.flow.unread <= http1.MOST_KEPT and _trickles(inbound, inbound.flow, now):
                     self._drop(inbound)
             elif inbound.busy or inbound.closing:
                 continue
@@ -478,7 +480,7 @@
                 was_in_body = inbound.parser.in_body
                 inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
                 if inbound.parser.in_body and not was_in_body:
-                    inbound.head_us = inbound.heard_us
+                    inbound.head_us, inbound.stood_us = inbound.heard_us, 0
                 if inbound.parser.expecting and not inbound.busy and n < BUFFER:
                     with contextlib.suppress(BlockingIOError):
                         inbound.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -518,7 +520,10 @@
         if not flow.done:
             if len(inbound.buffer) != self._budget.piece():
                 inbound.buffer = bytearray(self._budget.piece())
-            await flow.owner.until_room(flow)
+            if flow.unread > http1.MOST_KEPT:
+                began_us = self.clock.now()
+                await flow.owner.until_room(flow)
+                inbound.stood_us += self.clock.now() - began_us
 
     def _next(self, inbound: _Inbound) -> None:
         """Begin the next whole request of an inbound that has none out."""
@@ -802,6 +807,13 @@
     return now_us - inbound.heard_us >= BODY_US or inbound.parser.size < due
 
 
+def _trickles(inbound: _Inbound, flow: http1.Flow, now_us: int) -> bool:
+    """Does a client keep its large body from ever coming whole? What its endpoint did not take does not
+    count against it."""
+    had_us = now_us - inbound.head_us - inbound.stood_us - FLOW_STILL_US
+    return now_us - inbound.heard_us >= FLOW_STILL_US or flow.came < had_us * FLOW_PER_S / 1e6
+
+
 def _written_ahead(inbound: _Inbound) -> int:
     """Bytes of the bodies of whole requests that wait for their turn."""
     return sum(len(item.message.body) for item in inbound.queue if isinstance(item, http1.Ask))
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,7 +14,16 @@
 from granitewell.config import load
 from granitewell.net.bodies import COPIES, LEAST_PIECE, MOST_PIECE, Budget
 from granitewell.net.http1 import MOST_KEPT, Ask, Flow, InboundParser, Names
-from granitewell.net.loop import BODY_PER_S, BODY_SPARE_US, BODY_US, SLOW_US, _Inbound, _too_slow
+from granitewell.net.loop import (
+    BODY_PER_S,
+    BODY_SPARE_US,
+    BODY_US,
+    FLOW_STILL_US,
+    SLOW_US,
+    _Inbound,
+    _too_slow,
+    _trickles,
+)
 from tests.play import LIMIT_S
 from tests.test_config import write
 from tests.test_upgrade import Agent, Site
@@ -83,6 +92,25 @@
     theirs.close()
 
 
+def test_a_large_body_that_trickles_does_not_hold_an_endpoint_for_good(tmp_path: Path) -> None:
+    """A byte each nine seconds kept a client's connection, a call and an endpoint's connection for years."""
+    ours, theirs = socket.socketpair()
+    one = _Inbound(1, ours, InboundParser(Names(load(write(tmp_path)))), 0)
+    one.parser.feed(HEAD % (1, b"Content-Length: 900000\r\n") + b"x")
+    flow = one.parser.flow
+    assert flow is not None
+    one.heard_us = later = 2 * FLOW_STILL_US
+    assert _trickles(one, flow, later)  # one byte in twenty seconds, the last one just now
+    one.stood_us = FLOW_STILL_US
+    assert not _trickles(one, flow, later)  # its endpoint took nothing meanwhile
+    assert _trickles(one, flow, later + FLOW_STILL_US)
+    one.stood_us = 0
+    flow.put(bytes(64_000 * 20))  # the platform's slowest client
+    assert not _trickles(one, flow, later)
+    ours.close()
+    theirs.close()
+
+
 class Street(Agent):
     """An endpoint that reads a whole request and answers as its test says."""
 
