A call whose task breaks ends at once, not when its request's time is over

Seen, by reading: an exception outside OSError and ValueError ends the task of a call with a fault line; the core hears of it by the call's timer, up to 10 s later, and never for a body that flows, which has none. Ruled out: one known today. Lines: net/loop.py _carry. Change: such a call ends as a reset where bytes may have gone out, else as not connected. Test fails before: no ending comes.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -96,11 +96,12 @@
 class _Call:
     """An outbound call that is under way."""
 
-    __slots__ = ("dialing", "effect", "go", "task")
+    __slots__ = ("dialing", "effect", "go", "task", "wrote")
 
     def __init__(self, effect: c.StartCall) -> None:
         self.effect = effect
         self.dialing = self.go = False
+        self.wrote = False  # bytes may have gone out
         self.task: asyncio.Task[None] | None = None
 
 
@@ -643,7 +644,16 @@
         # a dial goes on: the connection has been paid for and serves a later call
 
     async def _carry(self, call: _Call) -> None:
-        """One outbound call, from connection to ending. Nothing here is ever sent twice."""
+        """One outbound call, with an ending whatever happens."""
+        try:
+            await self._carried(call)
+        except Exception as error:
+            # nobody else would end it before its time: its request would wait for that, a flowing one for good
+            self.say("fault", f"a call failed: {type(error).__name__}: {error}")
+            self._finish(call.effect.call, Outcome.RESET if call.wrote else Outcome.UNCONNECTED)
+
+    async def _carried(self, call: _Call) -> None:
+        """From connection to ending. Nothing here is ever sent twice."""
         effect = call.effect
         conn = self.pool.take(effect.endpoint, effect.address)
         if conn is None:
@@ -668,6 +678,7 @@
         try:
             left_us = effect.due_us - self.clock.now()
             data = http1.call_bytes(effect.message, conn.address, left_us)
+            call.wrote = True
             try:
                 await self._loop.sock_sendall(conn.sock, data)
             except OSError:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -13,6 +13,7 @@
 from granitewell.net.discovery import APART_S, MOST_SWIFT
 from granitewell.net.loop import RESERVE, Node
 from tests.shell import client_of, played, turns, until
+from tiderelay.interface import Outcome
 
 LONG = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 2000\r\n"
         b"Content-Length: 900000\r\n\r\n")  # fmt: skip
@@ -177,3 +178,22 @@
         assert node._mine == 100 and node._most_inbound + RESERVE <= 100
 
     assert played(tmp_path, scenario, limits=limits) == []
+
+
+def test_a_call_that_breaks_has_an_ending_at_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """An exception outside a short list ended the task alone: the request waited for its whole time, and one
+    whose body flows, which has none, for good."""
+
+    async def scenario(node: Node) -> None:
+        async def dial(*_: object) -> None:
+            raise RuntimeError("no such thing")
+
+        monkeypatch.setattr(node.pool, "dial", dial)
+        ended: list[c.Event] = []
+        monkeypatch.setattr(node, "dispatch", ended.append)
+        node._run(c.StartCall(7, b"s-0", ("127.0.0.1", 9), "message", 0))
+        await turns()
+        assert ended[-1] == c.CallEnded(7, Outcome.UNCONNECTED) and not node._calls
+        monkeypatch.undo()
+
+    assert any("no such thing" in line for line in played(tmp_path, scenario))
