What a callback of the loop raises is a log line, which waits for nobody

Seen, by reading: the log never blocks (test_a_log_that_nobody_reads_blocks_nothing), but the loop's default exception handler writes a traceback through logging to standard error, which does: with a full pipe and no reader the node would stand still for good. Ruled out: warnings and prints on the node's path (none). Lines: none set a handler. Change: the node sets one that writes a fault line through its own log. Test fails before: no such line.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -154,6 +154,7 @@
     # --- Life -------------------------------------------------------------------------------------------
     async def run(self) -> None:
         """Serve until the core says to leave."""
+        self._loop.set_exception_handler(self._unheard)
         listener = self._listener = listening(self._config)
         if self._config.console is not None:
             try:
@@ -188,6 +189,12 @@
         if self._replies:  # the last answers must be out before the process is gone
             await asyncio.wait(self._replies, timeout=0.2)
 
+    def _unheard(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What a callback of the loop has raised. Its own handler writes to standard error and waits for whoever
+        reads that: with nobody there, for good."""
+        error = context.get("exception")
+        self.say("fault", f"{context.get('message')}: {type(error).__name__}: {error}")
+
     def stop(self) -> None:
         """The stop signal has come."""
         self.dispatch(c.StopAsked(self._shared))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -197,3 +197,19 @@
         monkeypatch.undo()
 
     assert any("no such thing" in line for line in played(tmp_path, scenario))
+
+
+def test_what_a_callback_raises_is_a_line_and_waits_for_nobody(tmp_path: Path) -> None:
+    """The loop's own handler writes a traceback to standard error, and blocks the node where that is a pipe
+    that nobody reads."""
+
+    async def scenario(node: Node) -> None:
+        running = node._spawn(node.run())
+        await until(lambda: node._listener is not None)
+        node._loop.call_soon(lambda: 1 // 0)
+        await turns(3)
+        node._left.set()
+        running.cancel()
+        await turns()
+
+    assert any("division" in line for line in played(tmp_path, scenario))
