What stands between or behind a body's chunks is bounded, and a trailer is no header

Seen, by reading: both HTTP parsers count the head and the body, not chunk extensions and trailers. An endless trailer line is gathered inside httptools without bound (a dispatch server's in an answer that flows: for as long as it sends; a client's for 3 s). And trailers came through the callback for headers: Request-Id behind a body refused the request as doubled, Affinity-Key set its key, and Not-Started behind a dispatch server's 503 that may have run made it one that never ran, so that a ride-assign could run twice. Ruled out: Content-Length behind the body (llhttp takes no notice). Lines: net/http1.py InboundParser.feed, on_header; ResponseParser.feed, on_header. Change: over 80 KiB without a byte of the body are refused (431, or a reset); trailers are dropped.

--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -192,6 +192,7 @@
         self.broken = False  # no further request can be told from these bytes
         self.partial = False  # a request has begun and is not whole
         self._head = 0  # bytes of the head so far; begun anew where a request ends
+        self._between = 0  # bytes since the last one of the body: frames, trailers
         self._reset()
 
     def _reset(self) -> None:
@@ -207,6 +208,7 @@
         self._items = []
         if not self.broken:
             self._head += len(data) if self._in_head else 0
+            self._between += len(data)
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserUpgrade:
@@ -219,6 +221,8 @@
             # a header line that never ends reaches no callback: count what has come in
             if self._in_head and self._head > MOST_HEAD:
                 self._refuse(431, "headers over 16 KiB")
+            if self.in_body and self._between > MOST_KEPT + MOST_HEAD:
+                self._refuse(431, "trailers over 16 KiB")
         return self._items
 
     def _refuse(self, status: int, text: str) -> None:
@@ -235,6 +239,8 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_head:
+            return  # a trailer is no header, and nothing here reads it
         low = name.lower()
         self._twice = self._twice or (low in _SINGLE and low in self._headers)
         self._headers[low] = value.strip()
@@ -244,7 +250,7 @@
         if len(self._target) + sum(len(k) + len(v) + 4 for k, v in self._headers.items()) > MOST_HEAD:
             self._refuse(431, "headers over 16 KiB")
         length = self._headers.get(b"content-length", b"0")
-        self.in_body = True
+        self.in_body, self._between = True, 0
         if length.isdigit() and (len(length) > 9 or int(length) > MOST_BODY):
             self._refuse(413, f"body over {MOST_BODY >> 20} MiB")
         elif length.isdigit() and int(length) > MOST_KEPT and not self.broken:
@@ -266,6 +272,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
+        self._between = 0
         self.expecting = False
         if self.broken:
             return
@@ -400,6 +407,7 @@
         self.headers: dict[bytes, bytes] = {}
         self._parts: list[bytes] = []
         self._size = self._head = 0
+        self._between = 0  # bytes since the last one of the body: frames, trailers
         self._in_body = self.endless = False  # endless: its length is not told beforehand
         self.done = False
         self.reusable = False
@@ -436,6 +444,7 @@
     def feed(self, data: bytes) -> bool:
         """True once the answer is whole. ValueError: this is no answer."""
         self._head += 0 if self._in_body else len(data)
+        self._between += len(data)
         while data:
             try:
                 self._parser.feed_data(data)
@@ -453,6 +462,8 @@
             raise ValueError("the body is too large")
         if not self._in_body and self._head > 2 * MOST_HEAD:
             raise ValueError("the headers are too large")
+        if self._in_body and not self.done and self._between > MOST_KEPT + MOST_HEAD:
+            raise ValueError("the trailers are too large")
         return self.done
 
     def end(self) -> bool:
@@ -470,7 +481,7 @@
         self.headers, self._in_body = {}, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.done:
+        if not self.done and not self._in_body:  # behind the body it is a trailer, and counts for nothing
             self.headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
@@ -486,6 +497,7 @@
     def on_body(self, body: bytes) -> None:
         if not self.done:
             self._size += len(body)
+            self._between = 0
             self._parts.append(body)
 
     def on_message_complete(self) -> None:
