An operator's call is bounded as a whole, frames and trailers too

Seen, by reading: the console bounds line, headers and body. Behind them a chunked call may go on with an endless trailer, which httptools gathers, for 5 s on each of 24 seats: at the 50 MB a second that the loop reads, beyond the memory limit. Ruled out: the seat itself (the oldest makes room). Line: net/console.py CallParser.feed. Change: a call has 16 KiB at most. Test: 400 kB were taken before, under 40 now.

--- a/granitewell/net/console.py
+++ b/granitewell/net/console.py
@@ -25,7 +25,8 @@
 BACKLOG = 256
 MOST_TAKEN = 32  # connections taken in one turn of the loop
 MOST_HEAD = 8 * 1024  # bytes of a call's line and headers,
-MOST_BODY = 1024  # and of its body
+MOST_BODY = 1024  # of its body,
+MOST_CALL = MOST_HEAD + 8 * MOST_BODY  # and of all of it, frames and trailers too
 WAIT_S = 5.0  # for a whole call
 LINGER_S = 0.5  # for the caller to take its answer
 CHUNK = 2048
@@ -58,7 +59,7 @@
 
     def feed(self, data: bytes) -> bool:
         """True once the call is whole; what follows it is not read."""
-        self._size += len(data) if self._in_head else 0
+        self._size += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -66,8 +67,8 @@
                 raise self._wrong or No(400, "this is no HTTP/1.1 call") from None
         if self._wrong is not None:
             raise self._wrong
-        if self._in_head and self._size > MOST_HEAD:
-            raise No(431, f"line and headers over {MOST_HEAD} bytes")
+        if self._size > (MOST_HEAD if self._in_head else MOST_CALL):
+            raise No(431, f"line and headers over {MOST_HEAD} bytes, or a call over {MOST_CALL}")
         return self.done
 
     # httptools calls these
