The call of a large body ends when its client leaves, also where calls may not be cancelled

Seen, by reading: a call whose body flows has no timer before the last byte. When its client left, only the module's Cancel ended it, and the module sends none where settings.allowed.cancel is false: the call, its task, its connection and one place in the module's count of that endpoint stayed for good. Ruled out: the platform's settings (cancel is allowed there). Lines: core/reducer.py _gone. Change: the core ends such a call itself; a body without its client can't come whole. Test fails before for the second case: the call stays.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -346,8 +346,10 @@
             self.stats["abandoned"] += 1
             self._forget(request)
             for call in request.calls:
-                # the module let go of it when it began, or while its body was on the way
-                if (call.streams or request.forgotten) and call.outcome is None:
+                # the module let go of it when it began; and a body that flows will never be whole, be the
+                # module free to cancel or not
+                lost = call.streams or request.flows or request.forgotten
+                if lost and call.outcome is None:
                     self._out.append(AbandonCall(call.id))
                     self._end(call, Outcome.CANCELLED)
             self._work.append(t.Abandoned(request.id))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -202,6 +202,17 @@
     assert answers(wake(node, 2_000_000)) == []
 
 
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_the_call_of_a_body_that_will_never_be_whole_ends_with_its_client(may_cancel: bool) -> None:
+    """Where calls may not be called off it stayed for good: it has no time of its own before its last byte."""
+    cancel = (lambda e: [t.Cancel(e.id, 0)]) if may_cancel else (lambda _: [])
+    script = Script(Request=send, Abandoned=cancel)
+    node = core(script)
+    (call,) = calls(node.handle(1, c.Arrived(7, SAFE, 0, 0, 900_000, "message", flows=True)))
+    assert node.handle(2, c.InboundGone(7)) == [c.AbandonCall(call.call)]
+    assert not node._calls and [e.outcome for e in script.seen if isinstance(e, t.Ended)] == [Outcome.CANCELLED]
+
+
 def test_a_full_table_refuses_without_asking_the_module() -> None:
     script = Script()
     node = core(script, most=1, retry_after=True, max_retry_after_ms=1200.0)
