An endpoint's start is reckoned by the clocks of that moment, once

Seen, by reading: discovery's up_since_ms (Unix) became the core's time by the offset of the two clocks at the node's start. A wall clock that steps later (set right after a boot, by hand) shifts each start told afterwards: back in time, a cold endpoint looks warm and can be pushed over; ahead, a warm one looks cold for as long as the step was. Ruled out: reading the offset anew for each list (a value that moves would read as a restart). Lines: net/clock.py unix_offset_us, net/http1.py _member. Change: each start is reckoned when it is first told, and kept while the endpoint is listed; none lies ahead of now. Test: after a step of 60 s a new start came out 60 s wrong before, right now, and the known one does not move.

--- a/granitewell/net/clock.py
+++ b/granitewell/net/clock.py
@@ -18,7 +18,16 @@
         self._loop = loop
         self._turn = -1
         self._start = time.monotonic_ns() // 1000 - HEAD_START_US
-        self.unix_offset_us = time.time_ns() // 1000 - self.fresh()
+
+    @property
+    def unix_offset_us(self) -> int:
+        """Unix time less ours, as of now: over months the wall clock is set right, and then moves in steps."""
+        return time.time_ns() // 1000 - self.fresh()
+
+    def ours(self, unix_us: int) -> int:
+        """A past moment of Unix time on our clock; what claims to lie ahead is now."""
+        now = self.fresh()
+        return min(unix_us - time.time_ns() // 1000 + now, now)
 
     def fresh(self) -> int:
         """The time now, for what is measured inside one turn."""
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -11,7 +11,7 @@
 import math
 import re
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import Any
@@ -541,13 +541,15 @@
 
 
 class FleetReader:
-    """Discovery's JSON to the core's members. Names not in the settings get stable indices behind theirs."""
+    """Discovery's JSON to the core's members. Names not in the settings get stable indices behind theirs.
+    ours: a moment of Unix time on the core's clock, as the two stand now."""
 
-    def __init__(self, config: Config, unix_less_core_us: int) -> None:
+    def __init__(self, config: Config, ours: Callable[[int], int]) -> None:
         self._zones: dict[str, int] = {}
         self._kinds: dict[str, int] = {}
+        self._starts: dict[bytes, tuple[float, int]] = {}  # of the listed: Unix time as told, and ours
         self.take(config)
-        self._offset_us = unix_less_core_us
+        self._ours = ours
 
     def take(self, config: Config) -> int:
         """Other settings: the names known so far keep their indices. The index of the node's own zone."""
@@ -569,19 +571,35 @@
         """The same from parsed JSON; every way in which it can be malformed is a ValueError."""
         try:
             form = view or (View.FULL if top["complete"] is True else View.DELTA)
-            return int(top["revision"]), FleetNews(form, tuple(self._member(m) for m in top["members"]))
+            starts: dict[bytes, tuple[float, int]] = {}
+            revision = int(top["revision"])
+            members = tuple(self._member(m, starts) for m in top["members"])
         except (TypeError, KeyError, AttributeError, ConfigError, OverflowError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
-
-    def _member(self, m: Mapping[str, Any]) -> Member:
+        self._starts = self._starts | starts if form is View.DELTA else starts
+        for m in members:
+            if m.state is State.GONE:
+                self._starts.pop(m.id, None)
+        return revision, FleetNews(form, members)
+
+    def _started(self, eid: bytes, up_ms: float, starts: dict[bytes, tuple[float, int]]) -> int:
+        """On the core's clock; 0 stays 0. Reckoned once for each start: a value that moves with the clocks would
+        read as a restart, and one offset for the whole run would make each start after a step of the wall clock
+        look colder or warmer than it is."""
+        known = self._starts.get(eid)
+        if known is None or known[0] != up_ms:
+            known = up_ms, max(self._ours(int(up_ms * 1000)), 1) if up_ms > 0 else 0
+        starts[eid] = known
+        return known[1]
+
+    def _member(self, m: Mapping[str, Any], starts: dict[bytes, tuple[float, int]]) -> Member:
         up_ms, scale = float(m.get("up_since_ms") or 0), float(m.get("size") or 1.0)
-        # One offset for the whole run: a value that jitters would read as a restart. 0 stays 0.
-        started = max(int(up_ms * 1000) - self._offset_us, 1) if up_ms > 0 else 0
+        eid = str(m["id"]).encode()
         return Member(
-            str(m["id"]).encode(), address(m["host_port"], "host_port"),
+            eid, address(m["host_port"], "host_port"),
             self._zones.setdefault(str(m.get("locality")), len(self._zones)),
             self._kinds.setdefault(str(m.get("flavor")), len(self._kinds)),
             int(m.get("cell") or 0),
             _STATES.get(m["phase"], State.DRAINING),  # an unknown phase wants no new work from us
-            scale if math.isfinite(scale) else 1.0, started,
+            scale if math.isfinite(scale) else 1.0, self._started(eid, up_ms, starts),
         )  # fmt: skip
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -115,7 +115,7 @@
         self.clock = Clock(loop)
         self.log = Log(config.name)
         self._names = http1.Names(config)
-        self._reader = http1.FleetReader(config, self.clock.unix_offset_us)
+        self._reader = http1.FleetReader(config, self.clock.ours)
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
         self._sockets = sockets
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from granitewell.config import ConfigError, load, needs_restart, reload
+from granitewell.net.clock import Clock
 from granitewell.net.http1 import FleetReader, Names
 from tests.play import settings
 from tiderelay.interface import State, View
@@ -87,9 +90,9 @@
 
 
 def test_members_of_discovery(tmp_path: Path) -> None:
-    """Start times on one clock with a fixed offset, so that a repeated value never reads as a restart; names
+    """Start times on one clock, each reckoned once, so that a repeated value never reads as a restart; names
     that the settings do not have get indices behind theirs; what is not discovery's form is a ValueError."""
-    reader = FleetReader(load(write(tmp_path)), unix_less_core_us=1_000_000)
+    reader = FleetReader(load(write(tmp_path)), lambda unix_us: unix_us - 1_000_000)
     entry = {"id": "s-1", "host_port": "10.1.0.18:9000", "locality": "elsewhere", "flavor": "older",
              "cell": 3, "phase": "ready", "size": 1.5, "up_since_ms": 2500, "more": []}  # fmt: skip
     old = entry | {"id": "s-2", "up_since_ms": 0, "phase": "resting", "locality": "istanbul-1"}
@@ -107,3 +110,30 @@
                     b'{"revision":1,"complete":true,"members":7}', b"[" * 100_000):  # fmt: skip
         with pytest.raises(ValueError):
             reader.read(garbage)
+
+
+def test_a_start_is_reckoned_once_by_the_clocks_as_they_stand_then(tmp_path: Path) -> None:
+    """The offset of the two clocks was that of the node's own start. A wall clock that was set right later made each
+    newly started endpoint look warm (and it could be pushed over), or cold for as long as the step was."""
+    offset = [1_000_000]
+    reader = FleetReader(load(write(tmp_path)), lambda unix_us: unix_us - offset[0])
+    entry = {"id": "s-1", "host_port": "10.1.0.18:9000", "phase": "ready", "up_since_ms": 2500}
+
+    def started(complete: bool, *entries: dict[str, Any]) -> list[int]:
+        body = {"revision": 4, "complete": complete, "members": entries}
+        return [m.started_us for m in reader.parsed(body)[1].members]
+
+    assert started(True, entry) == [1_500_000]
+    offset[0] = 61_000_000  # the wall clock has gone a minute ahead, and so do starts from now on
+    assert started(False, entry, entry | {"id": "s-2", "up_since_ms": 62_000}) == [1_500_000, 1_000_000]
+    assert started(True, entry) == [1_500_000]
+    assert list(reader._starts) == [b"s-1"]  # the others are not listed any more
+    started(False, entry | {"phase": "gone"}, entry | {"phase": "gone"})
+    assert not reader._starts
+
+
+def test_a_start_that_lies_ahead_is_now() -> None:
+    with asyncio.Runner() as runner:
+        clock = Clock(runner.get_loop())
+        assert clock.ours(time.time_ns() // 1000 + 3_600_000_000) <= clock.fresh()
+        assert abs(clock.ours(time.time_ns() // 1000 - 5_000_000) + 5_000_000 - clock.fresh()) < 60_000_000
