A pipe in the hand-over folder no longer stops the next start for good

Seen, by reading: kept() opens every ban- file to read it; opening a pipe waits for a writer, on the loop, before the listener is up. Ruled out: links and folders (an error each, told of). Line: handover.py kept, path.open. What serves leaves no pipes there; the promise is that the next process starts whatever the folder holds. Change: files are opened without waiting and without following links, and must be regular. Test fails before: it waits.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -15,6 +15,7 @@
 import fcntl
 import json
 import os
+import stat
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -106,7 +107,7 @@
             if path.name == self._mine or path.name.endswith(NEW):
                 continue
             with contextlib.suppress(OSError):
-                probe = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+                probe = os.open(path, os.O_RDWR | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
                 try:
                     fcntl.flock(probe, fcntl.LOCK_EX | fcntl.LOCK_NB)
                     os.unlink(path)
@@ -151,13 +152,13 @@
             if path.name.endswith(NEW):
                 continue  # being written, or left behind by one that was killed
             try:
-                with path.open("rb") as file:
-                    eid, banned, since = read(file.read(MOST_BYTES))
+                eid, banned, since = read(_raw(path))
                 if path.name != f"{BAN}{eid.hex()}":
                     raise ValueError("its name is another endpoint's")
             except FileNotFoundError:
                 continue
             except (OSError, ValueError, RecursionError) as error:
+                # told of, not removed: what it is may matter to whoever put it there
                 broken.append(f"{path.name[:80]}: {getattr(error, 'strerror', None) or error}")
                 continue
             if banned:
@@ -178,3 +179,15 @@
         except OSError:
             return []
         return [self._folder / name for name in sorted(names) if name.startswith(prefix)]
+
+
+def _raw(path: Path) -> bytes:
+    """What a file of ours can hold at most. ValueError: it is no file; a pipe, which anybody may leave here, would
+    be waited for without end."""
+    opened = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
+    try:
+        if not stat.S_ISREG(os.fstat(opened).st_mode):
+            raise ValueError("no regular file")
+        return os.read(opened, MOST_BYTES)
+    finally:
+        os.close(opened)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 from granitewell.handover import KEEP_S, Handover, form
@@ -61,6 +62,26 @@
     assert mine.others() == [] and len(os.listdir(tmp_path / "granitewell-n1")) == 1
 
 
+def test_whatever_lies_in_the_folder_the_next_process_starts(tmp_path: Path) -> None:
+    """A pipe under a ban's name was opened like a file, and waited for: the next process never came up."""
+    mine, name = Handover(str(tmp_path), "n1"), f"ban-{b's-a'.hex()}"
+    assert mine.enter() == "" and mine.keep(b"s-b", True, NOW) == ""
+    folder = tmp_path / "granitewell-n1"
+    os.mkfifo(folder / name)
+    os.mkfifo(folder / "run-1")
+    (folder / "run-2").mkdir()
+    (folder / f"{name}7a").mkdir()
+    (folder / f"{name}7b").symlink_to("/dev/zero")
+    (folder / f"{name}7c").symlink_to(folder / "nowhere")
+    (folder / f"{name}7d").write_bytes(b"x" * 100_000)
+    kept = []
+    looking = threading.Thread(target=lambda: kept.append((mine.others(), mine.kept(NOW))), daemon=True)
+    looking.start()
+    looking.join(20.0)
+    ((others, found),) = kept
+    assert others == [] and found.bans == {b"s-b"} and len(found.broken) == 5
+
+
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
     assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
