What killed processes leave in the hand-over folder goes, and hides no ban

Seen, by reading: a process killed between writing and naming a file leaves it as .new for ever; the folder's first 10,000 names in no order were looked at, .new among them, so that enough leftovers hide bans that are in force. Ruled out: that they are read (they were skipped by name, behind the bound). Change: a start removes leftovers older than 60 s, and only files of the kind that is asked for count. Test: with 10,000 leftovers a ban is found (was not), and the next start leaves one file, the one that is being written.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -16,6 +16,7 @@
 import json
 import os
 import stat
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,7 +24,9 @@
 
 VERSION = 1
 MOST_BYTES = 2048  # of a file of ours
-MOST_FILES = 10_000  # that are looked at
+MOST_FILES = 10_000  # of a kind that are read,
+MOST_NAMES = 50_000  # of all names in the folder that are looked at
+LEFT_S = 60.0  # after which a file that is being written is one that a killed process has left behind
 KEEP_S = 120.0  # for which the end of a ban is worth knowing: longer than any endpoint takes to get warm
 BAN, RUN, NEW = "ban-", "run-", ".new"
 
@@ -75,6 +78,7 @@
             return ""
         try:
             self._folder.mkdir(mode=0o700, exist_ok=True)
+            self._tidy(self._folder)
             # locked before it has its name: no other process may find it free
             new = self._folder / f"{self._mine}{NEW}"
             self._lock = os.open(new, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -104,7 +108,7 @@
         it has not said. Files of those that have ended go."""
         claims = []
         for path in self._files(RUN):
-            if path.name == self._mine or path.name.endswith(NEW):
+            if path.name == self._mine:
                 continue
             with contextlib.suppress(OSError):
                 probe = os.open(path, os.O_RDWR | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
@@ -149,8 +153,6 @@
         """What is written down of bans; ends of bans that are too old to matter go."""
         bans, back, broken = set(), {}, []
         for path in self._files(BAN):
-            if path.name.endswith(NEW):
-                continue  # being written, or left behind by one that was killed
             try:
                 eid, banned, since = read(_raw(path))
                 if path.name != f"{BAN}{eid.hex()}":
@@ -175,10 +177,20 @@
             return []
         try:
             with os.scandir(self._folder) as found:
-                names = [x.name for _, x in zip(range(MOST_FILES), found, strict=False)]
+                names = [x.name for _, x in zip(range(MOST_NAMES), found, strict=False)]
         except OSError:
             return []
-        return [self._folder / name for name in sorted(names) if name.startswith(prefix)]
+        ours = sorted(name for name in names if name.startswith(prefix) and not name.endswith(NEW))
+        return [self._folder / name for name in ours[:MOST_FILES]]
+
+    def _tidy(self, folder: Path) -> None:
+        """What processes that were killed in the middle of a write have left."""
+        with contextlib.suppress(OSError), os.scandir(folder) as found:
+            for _, entry in zip(range(MOST_NAMES), found, strict=False):
+                if entry.name.endswith(NEW) and entry.name.startswith((BAN, RUN)):
+                    with contextlib.suppress(OSError):
+                        if abs(time.time() - entry.stat(follow_symlinks=False).st_mtime) > LEFT_S:
+                            os.unlink(entry.path)
 
 
 def _raw(path: Path) -> bytes:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,7 +8,7 @@
 import threading
 from pathlib import Path
 
-from granitewell.handover import KEEP_S, Handover, form
+from granitewell.handover import KEEP_S, MOST_FILES, Handover, form
 
 NOW = 1_800_000_000_000_000
 
@@ -82,6 +82,23 @@
     assert others == [] and found.bans == {b"s-b"} and len(found.broken) == 5
 
 
+def test_what_killed_processes_leave_goes_and_hides_no_ban(tmp_path: Path) -> None:
+    """Files that were being written stayed for ever, and of all that lies there 10,000 were looked at: with as many
+    leftovers no ban was seen any more."""
+    files, folder = Handover(str(tmp_path), "n1"), tmp_path / "granitewell-n1"
+    assert files.enter() == ""
+    for k in range(MOST_FILES):
+        (folder / f"ban-{k:06x}.{k}.new").touch()
+    assert files.keep(b"s-a", True, NOW) == "" and files.kept(NOW).bans == {b"s-a"}
+    for entry in os.scandir(folder):
+        if entry.name.endswith(".new"):
+            os.utime(entry.path, (1, 1))
+    (folder / "run-7.new").touch()  # another process that is just starting
+    files.leave()
+    assert Handover(str(tmp_path), "n1").enter() == ""
+    assert sum(x.endswith(".new") for x in os.listdir(folder)) == 1
+
+
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
     assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
