A dispatch server with a long id can be banned

Seen, by reading: the console takes ids of up to 256 bytes, the ban's file spells the id in hexadecimal, with .PID.new behind it while it is written: from some 118 bytes on the name is over 255 bytes, the write fails, and the operator gets a 500 each time. Ruled out: the platform's ids (10 bytes). Change: over 96 bytes a digest stands for the id; the id itself is in the file, as before. Test: ids of 1 to 256 bytes; from 118 on refused before.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -19,11 +19,13 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
+from hashlib import blake2b
 from pathlib import Path
 from zlib import crc32
 
 VERSION = 1
 MOST_BYTES = 2048  # of a file of ours
+MOST_SPELT = 96  # bytes of an id that its file's name spells
 MOST_FILES = 10_000  # of a kind that are read,
 MOST_NAMES = 50_000  # of all names in the folder that are looked at
 LEFT_S = 60.0  # after which a file that is being written is one that a killed process has left behind
@@ -47,6 +49,13 @@
     return b"%s\n%08x\n" % (line, crc32(line))
 
 
+def name_of(endpoint: bytes) -> str:
+    """The file of an endpoint's ban. A long id has a digest in place of itself: file names end at 255 bytes."""
+    if len(endpoint) <= MOST_SPELT:
+        return f"{BAN}{endpoint.hex()}"
+    return f"{BAN}id-{blake2b(endpoint, digest_size=32).hexdigest()}"
+
+
 def read(raw: bytes) -> tuple[bytes, bool, int]:
     """Endpoint, whether banned, and since when. ValueError: not a whole file of ours."""
     line, _, rest = raw.partition(b"\n")
@@ -137,7 +146,7 @@
         """Write down a ban or its end; what is wrong, or nothing, as where there is no folder."""
         if self._folder is None:
             return ""
-        path = self._folder / f"{BAN}{endpoint.hex()}"
+        path = self._folder / name_of(endpoint)
         new = path.with_name(f"{path.name}.{os.getpid()}{NEW}")
         try:
             self._folder.mkdir(mode=0o700, exist_ok=True)
@@ -155,7 +164,7 @@
         for path in self._files(BAN):
             try:
                 eid, banned, since = read(_raw(path))
-                if path.name != f"{BAN}{eid.hex()}":
+                if path.name != name_of(eid):
                     raise ValueError("its name is another endpoint's")
             except FileNotFoundError:
                 continue
