Two processes of one number know of each other in the hand-over folder

Seen, by reading: a process's file is run-PID, and its own is passed over by name. With one number twice (two process spaces over one folder) the second takes the first one's place, each believes to be alone, and both hold the whole limit of descriptors; two writers of one ban share a .new file. Ruled out: a number that comes again after a kill (its lock is gone). Lines: handover.py __init__, keep; enter also kept its lock and its .new where naming failed. Change: the name has a random part; a failed enter leaves nothing. Test: neither saw the other before.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -78,7 +78,9 @@
         self._folder = Path(folder, f"granitewell-{safe}") if folder else None
         self._lock = -1  # the descriptor that holds our file locked
         self._seen = -1  # when the folder last changed, as of the last look
-        self._mine = f"{RUN}{os.getpid()}"
+        # a process number alone comes again, and is another's in another process space over the same folder
+        self._self = f"{os.getpid()}-{os.urandom(4).hex()}"
+        self._mine = f"{RUN}{self._self}"
         self._said = -1  # the descriptors that this process has said it may hold
 
     def enter(self) -> str:
@@ -94,14 +96,16 @@
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             os.rename(new, self._folder / self._mine)
         except OSError as error:
+            self.leave()
             return f"the hand-over folder can't be used: {error.strerror}"
         return ""
 
     def leave(self) -> None:
         """This process runs no more; the end of it says so too, however it comes."""
         if self._lock >= 0:
-            with contextlib.suppress(OSError):
-                os.unlink(self._folder / self._mine)  # type: ignore[operator]
+            for name in (self._mine, f"{self._mine}{NEW}"):
+                with contextlib.suppress(OSError):
+                    os.unlink(self._folder / name)  # type: ignore[operator]
             os.close(self._lock)
             self._lock = -1
 
@@ -147,7 +151,7 @@
         if self._folder is None:
             return ""
         path = self._folder / name_of(endpoint)
-        new = path.with_name(f"{path.name}.{os.getpid()}{NEW}")
+        new = path.with_name(f"{path.name}.{self._self}{NEW}")
         try:
             self._folder.mkdir(mode=0o700, exist_ok=True)
             new.write_bytes(form(endpoint, banned, unix_us))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,8 @@
 import threading
 from pathlib import Path
 
+import pytest
+
 from granitewell.handover import KEEP_S, MOST_FILES, Handover, form
 
 NOW = 1_800_000_000_000_000
@@ -106,6 +108,32 @@
     assert sum(x.endswith(".new") for x in os.listdir(folder)) == 1
 
 
+def test_two_processes_of_one_number_know_of_each_other(tmp_path: Path) -> None:
+    """Two process spaces over one folder, or a number that came again: each took the other's file for its own, and
+    held the whole limit of descriptors."""
+    one, two = Handover(str(tmp_path), "n1"), Handover(str(tmp_path), "n1")  # of this one process
+    assert one.enter() == two.enter() == ""
+    one.claim(200)
+    two.claim(56)
+    assert (one.others(), two.others()) == ([56], [200])
+    two.leave()
+    assert one.others() == [] and len(os.listdir(tmp_path / "granitewell-n1")) == 1
+    one.leave()
+
+
+@pytest.mark.parametrize("room", [0, 10])
+def test_a_folder_without_room_leaves_no_half_file(tmp_path: Path, room: int) -> None:
+    """The shortage is a limit on what one child may write to a file."""
+    source = (
+        "import resource, sys; from granitewell.handover import Handover; h = Handover(sys.argv[1], 'n1'); "
+        f"h.enter(); resource.setrlimit(resource.RLIMIT_FSIZE, ({room}, {room})); "
+        "print(h.keep(b's-a', True, 1)); h.leave()"
+    )
+    done = subprocess.run([sys.executable, "-c", source, str(tmp_path)], capture_output=True, text=True)
+    assert "could not be written down" in done.stdout and done.returncode == 0
+    assert os.listdir(tmp_path / "granitewell-n1") == []
+
+
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
     assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
