Bans and their ends no longer hang on the wall clock

Seen, by reading: a ban's file has the Unix time, which each process turns into its own by the offset at its start. Where the wall clock was set between two starts by S: back, a call back at the newer process lies S before the ban at the older one, which goes on banning (a single call back is to end it); ahead, the end of a ban lies ahead of now and the endpoint is held for cold for S. Ruled out: the order of the files themselves (one an endpoint, the last call wins). Lines: handover.py kept; net/loop.py _look; core/reducer.py _heard. Change: the machine's monotonic clock, which both processes share, is written beside it and decides; the wall clock is asked only for files of before. The form is the older one with a field more: either version reads both.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -557,7 +557,7 @@
             # that is not written down at all may be a file that can't be read
             if event.back_us.get(eid, -1) > self._bans[eid]:
                 self._unban(eid, event.back_us[eid])
-        self._back_us |= {k: v for k, v in event.back_us.items() if k not in self._bans}
+        self._back_us |= {k: min(v, self._now) for k, v in event.back_us.items() if k not in self._bans}
 
     def _ban(self, eid: bytes) -> None:
         if eid in self._bans:
--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -33,9 +33,18 @@
 BAN, RUN, NEW = "ban-", "run-", ".new"
 
 
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """One moment by two clocks, in microseconds: the wall clock, which may be set at any time, and the monotonic
+    one, which all processes share for as long as the machine runs."""
+
+    unix_us: int
+    mono_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """What the files say: the banned, since when (Unix, in microseconds) the others are back, and what is
+    """What the files say: the banned, since when (monotonic, in microseconds) the others are back, and what is
     wrong with the files that could not be read."""
 
     bans: frozenset[bytes]
@@ -43,9 +52,11 @@
     broken: tuple[str, ...]
 
 
-def form(endpoint: bytes, banned: bool, unix_us: int) -> bytes:
-    """A ban's file: one line of JSON, and behind it a check sum by which a cut one is told."""
-    line = json.dumps({"v": VERSION, "id": endpoint.hex(), "banned": banned, "unix_us": unix_us}).encode()
+def form(endpoint: bytes, banned: bool, at: Moment) -> bytes:
+    """A ban's file: one line of JSON, and behind it a check sum by which a cut one is told. Processes of before
+    mono_us read and write the same form without it."""
+    told = {"v": VERSION, "id": endpoint.hex(), "banned": banned, "unix_us": at.unix_us, "mono_us": at.mono_us}
+    line = json.dumps(told).encode()
     return b"%s\n%08x\n" % (line, crc32(line))
 
 
@@ -56,18 +67,29 @@
     return f"{BAN}id-{blake2b(endpoint, digest_size=32).hexdigest()}"
 
 
-def read(raw: bytes) -> tuple[bytes, bool, int]:
-    """Endpoint, whether banned, and since when. ValueError: not a whole file of ours."""
+def read(raw: bytes) -> tuple[bytes, bool, Moment]:
+    """Endpoint, whether banned, and since when; mono_us is -1 where that is not told. ValueError: not a whole file
+    of ours."""
     line, _, rest = raw.partition(b"\n")
     if rest != b"%08x\n" % crc32(line):
         raise ValueError("cut off, or not written by this program")
     top = json.loads(line)
     if not isinstance(top, dict) or top.get("v") != VERSION:
         raise ValueError("of another version")
-    eid, banned, unix_us = top.get("id"), top.get("banned"), top.get("unix_us")
+    eid, banned, unix_us, mono_us = (top.get(x) for x in ("id", "banned", "unix_us", "mono_us"))
     if not isinstance(eid, str) or not isinstance(banned, bool) or type(unix_us) is not int or unix_us < 0:
         raise ValueError("a field is missing or of a wrong type")
-    return bytes.fromhex(eid), banned, unix_us
+    return bytes.fromhex(eid), banned, Moment(unix_us, mono_us if type(mono_us) is int else -1)
+
+
+def since(at: Moment, now: Moment) -> int:
+    """When that was, by the monotonic clock; -1 for too long ago to matter. The wall clock is asked only where
+    nothing else is told: between two processes it may have been set."""
+    if 0 <= at.mono_us <= now.mono_us:
+        passed = now.mono_us - at.mono_us
+    else:
+        passed = now.unix_us - at.unix_us
+    return now.mono_us - passed if 0 <= passed <= KEEP_S * 1e6 else -1
 
 
 class Handover:
@@ -146,7 +168,7 @@
         was, self._seen = self._seen, seen
         return seen != was
 
-    def keep(self, endpoint: bytes, banned: bool, unix_us: int) -> str:
+    def keep(self, endpoint: bytes, banned: bool, now: Moment) -> str:
         """Write down a ban or its end; what is wrong, or nothing, as where there is no folder."""
         if self._folder is None:
             return ""
@@ -154,7 +176,7 @@
         new = path.with_name(f"{path.name}.{self._self}{NEW}")
         try:
             self._folder.mkdir(mode=0o700, exist_ok=True)
-            new.write_bytes(form(endpoint, banned, unix_us))
+            new.write_bytes(form(endpoint, banned, now))
             os.rename(new, path)
         except OSError as error:
             with contextlib.suppress(OSError):
@@ -162,12 +184,12 @@
             return f"the ban could not be written down: {error.strerror}"
         return ""
 
-    def kept(self, unix_us: int) -> Kept:
+    def kept(self, now: Moment) -> Kept:
         """What is written down of bans; ends of bans that are too old to matter go."""
         bans, back, broken = set(), {}, []
         for path in self._files(BAN):
             try:
-                eid, banned, since = read(_raw(path))
+                eid, banned, at = read(_raw(path))
                 if path.name != name_of(eid):
                     raise ValueError("its name is another endpoint's")
             except FileNotFoundError:
@@ -178,11 +200,11 @@
                 continue
             if banned:
                 bans.add(eid)
-            elif unix_us - since > KEEP_S * 1e6:
+            elif (back_us := since(at, now)) < 0:
                 with contextlib.suppress(OSError):
                     path.unlink()
             else:
-                back[eid] = since
+                back[eid] = back_us
         return Kept(frozenset(bans), back, tuple(broken))
 
     def _files(self, prefix: str) -> list[Path]:
--- a/granitewell/net/clock.py
+++ b/granitewell/net/clock.py
@@ -33,6 +33,10 @@
         """The time now, for what is measured inside one turn."""
         return time.monotonic_ns() // 1000 - self._start
 
+    def by_machine(self, mono_us: int) -> int:
+        """A moment of the machine's monotonic clock on ours."""
+        return mono_us - self._start
+
     def now(self) -> int:
         """The time of this turn."""
         if self._turn < 0:
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -22,7 +22,7 @@
 
 from granitewell import core as c
 from granitewell.config import Config, needs_restart, taken_up
-from granitewell.handover import Handover
+from granitewell.handover import Handover, Moment
 from granitewell.net import http1
 from granitewell.net.bodies import GAP_S, HOLD_S, STILL_S, Budget, Pour, Waits, pump
 from granitewell.net.clock import Clock
@@ -219,10 +219,10 @@
             self._beside(self._handover.others())
         if not self._handover.changed():
             return
-        kept = self._handover.kept(self.clock.fresh() + self.clock.unix_offset_us)
+        kept = self._handover.kept(_moment())
         for broken in kept.broken:
             self.say("handover", f"passed over: {broken}")
-        back = {k: v - self.clock.unix_offset_us for k, v in kept.back_us.items()}
+        back = {k: self.clock.by_machine(v) for k, v in kept.back_us.items()}
         self.dispatch(c.BansHeard(kept.bans, back))
         self._beside(self._handover.others())
 
@@ -256,8 +256,7 @@
 
     def _keep_ban(self, effect: c.KeepBan) -> None:
         if self._handover is not None:
-            unix_us = self.clock.now() + self.clock.unix_offset_us
-            wrong = self._handover.keep(effect.endpoint, effect.banned, unix_us)
+            wrong = self._handover.keep(effect.endpoint, effect.banned, _moment())
             if wrong:
                 self.say("handover", wrong)
                 if self.console is not None:
@@ -817,6 +816,10 @@
         return True
 
 
+def _moment() -> Moment:
+    return Moment(time.time_ns() // 1000, time.monotonic_ns() // 1000)
+
+
 def _too_slow(inbound: _Inbound, now_us: int) -> bool:
     """Has a request that has begun taken longer than its client may?"""
     if not inbound.parser.in_body:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,19 +10,24 @@
 
 import pytest
 
-from granitewell.handover import KEEP_S, MOST_FILES, Handover, form
+from granitewell.handover import KEEP_S, MOST_FILES, Handover, Moment, form
 
-NOW = 1_800_000_000_000_000
+NOW = Moment(1_800_000_000_000_000, 7_000_000_000)
+
+
+def after(us: int, step_us: int = 0) -> Moment:
+    """So long after NOW, in which the wall clock was set by a step."""
+    return Moment(NOW.unix_us + us + step_us, NOW.mono_us + us)
 
 
 def test_bans_and_their_ends_are_read_back(tmp_path: Path) -> None:
     one, two = Handover(str(tmp_path), "n1"), Handover(str(tmp_path), "n1")
     assert one.enter() == ""
     assert one.keep(b"s-a", True, NOW) == one.keep(b"../s b", True, NOW) == two.keep(b"s-c", True, NOW) == ""
-    assert two.keep(b"s-a", False, NOW + 5) == ""
-    kept = one.kept(NOW + 10)
-    assert kept.bans == {b"../s b", b"s-c"} and kept.back_us == {b"s-a": NOW + 5} and not kept.broken
-    assert one.kept(NOW + int((KEEP_S + 1) * 1e6)).back_us == {}
+    assert two.keep(b"s-a", False, after(5)) == ""
+    kept = one.kept(after(10))
+    assert kept.bans == {b"../s b", b"s-c"} and kept.back_us == {b"s-a": NOW.mono_us + 5} and not kept.broken
+    assert one.kept(after(int((KEEP_S + 1) * 1e6))).back_us == {}
     assert Handover(str(tmp_path), "n2").kept(NOW).bans == frozenset()  # another node's
 
 
@@ -125,15 +130,35 @@
 def test_a_folder_without_room_leaves_no_half_file(tmp_path: Path, room: int) -> None:
     """The shortage is a limit on what one child may write to a file."""
     source = (
-        "import resource, sys; from granitewell.handover import Handover; h = Handover(sys.argv[1], 'n1'); "
+        "import resource, sys; from granitewell.handover import *; h = Handover(sys.argv[1], 'n1'); "
         f"h.enter(); resource.setrlimit(resource.RLIMIT_FSIZE, ({room}, {room})); "
-        "print(h.keep(b's-a', True, 1)); h.leave()"
+        "print(h.keep(b's-a', True, Moment(1, 1))); h.leave()"
     )
     done = subprocess.run([sys.executable, "-c", source, str(tmp_path)], capture_output=True, text=True)
     assert "could not be written down" in done.stdout and done.returncode == 0
     assert os.listdir(tmp_path / "granitewell-n1") == []
 
 
+@pytest.mark.parametrize("step_s", [-86_400, -30, 30, 86_400])
+def test_a_wall_clock_that_is_set_moves_no_ban(tmp_path: Path, step_s: int) -> None:
+    """Times were Unix times, and each process had its own view of them: after a step back between two starts a call
+    back at one process lay before the ban at the other, which went on banning; after a step ahead the end of a
+    ban was forgotten at once, or lay ahead, and the endpoint was held for cold for as long."""
+    files = Handover(str(tmp_path), "n1")
+    assert files.keep(b"s-a", False, NOW) == "" and files.keep(b"s-b", True, NOW) == ""
+    kept = files.kept(after(2_000_000, step_s * 1_000_000))
+    assert kept.bans == {b"s-b"} and kept.back_us == {b"s-a": NOW.mono_us}
+
+
+def test_a_file_of_before_is_read_by_the_wall_clock(tmp_path: Path) -> None:
+    """Bans hold over an upgrade from a version that wrote no monotonic time."""
+    files = Handover(str(tmp_path), "n1")
+    for eid, banned, ago_us in ((b"s-a", True, 9), (b"s-b", False, 5), (b"s-c", False, -5)):
+        files.keep(eid, banned, Moment(NOW.unix_us - ago_us, -1))
+    kept = files.kept(NOW)
+    assert kept.bans == {b"s-a"} and kept.back_us == {b"s-b": NOW.mono_us - 5}
+
+
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
     assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
