Figures, names and addresses that were a traceback at the start are a line with their field

Seen, by trying what a file can hold: a port or LB_INHERITED_FD of 5,000 digits (int() refuses so many), a host with half a surrogate pair or a part of 64 characters (bind fails to encode it), a class or tenant of that kind, settings nested some 900 deep (read, then too deep to copy) each ended the start with a traceback in place of a line; at a SIGHUP they left the loop's handler to say so, for a class name after part of the settings had been taken. Ruled out: infinity, NaN, other kinds (tests of before). Lines: config.py address, _descriptor, _names, _made; __main__.py _reload. Change: each is a ConfigError; SIGHUP catches the rest too. A name of any length in a log line is cut, as in JSON.

--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -43,6 +43,8 @@
         node.reload(reload(os.environ, node.check))
     except ConfigError as error:
         node.say("reload", f"the configuration stays as it is: {error}")
+    except Exception as error:  # a defect: the operator file is taken up all the same
+        node.say("fault", f"the reload failed: {type(error).__name__}: {error}")
     if live is not None:
         plan = live.again()
         _take(node, live)
--- a/granitewell/config.py
+++ b/granitewell/config.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
@@ -19,6 +20,8 @@
 from tiderelay.wire import WireError, parse_settings
 
 FIXED = ("name", "listen", "cores", "sockets", "memory_mb", "console", "inherited", "known", "seed")
+_HOST = re.compile(r"\[?(?=.{1,253}\Z)[A-Za-z0-9_:%-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*\]?\Z")
+_PORT = re.compile(r"[0-9]{1,5}\Z")
 MOST_DESCRIPTORS = 1024  # of the platform's scored limits; a larger allowance is not used
 
 
@@ -58,11 +61,18 @@
 def address(text: Any, field: str) -> tuple[str, int]:
     """host:port, as the platform writes addresses."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ConfigError(f"{field}: {text!r} is not host:port")
+    # bounded before anything is made of it: a number of 5,000 digits or a name with a part of 64 characters is an
+    # error of another kind in whatever it is given to
+    if not colon or not _HOST.match(host) or not _PORT.match(port) or int(port) > 65535:
+        raise ConfigError(f"{field}: {_short(text)} is not host:port")
     return host.strip("[]"), int(port)
 
 
+def _short(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= 80 else f"{text[:77]}..."
+
+
 def _object(value: Any, field: str) -> dict[str, Any]:
     if not isinstance(value, dict):
         raise ConfigError(f"{field}: missing or not an object")
@@ -79,6 +89,9 @@
 def _names(value: Any, field: str) -> tuple[str, ...]:
     if not isinstance(value, list) or not all(isinstance(x, str) for x in value):
         raise ConfigError(f"{field}: not a list of names")
+    for x in value:
+        if not x.isprintable():  # half of a surrogate pair has no bytes, and no header holds a line break
+            raise ConfigError(f"{field}: {_short(x)} is not a name")
     return tuple(value)
 
 
@@ -104,8 +117,8 @@
 def _descriptor(text: str) -> int:
     if not text:
         return -1
-    if not text.isascii() or not text.isdigit() or not 0 <= int(text) < 1 << 20:
-        raise ConfigError(f"LB_INHERITED_FD: {text!r} is not a descriptor")
+    if not _PORT.match(text):
+        raise ConfigError(f"LB_INHERITED_FD: {_short(text)} is not a descriptor")
     return int(text)
 
 
@@ -130,7 +143,7 @@
     _positive(raw)
     try:
         settings = parse_settings(json.dumps(raw).encode())
-    except (WireError, ValueError, OverflowError, KeyError, TypeError) as error:
+    except (WireError, ValueError, OverflowError, KeyError, TypeError, RecursionError) as error:
         raise ConfigError(" ".join(str(error).split())) from None
     class_names = _names([c.get("name") for c in raw["classes"]], "settings.classes[].name")
     if len(set(class_names)) < len(class_names):
--- a/granitewell/net/logs.py
+++ b/granitewell/net/logs.py
@@ -22,7 +22,7 @@
 HEAD_START_US = 3_600_000_000  # the core's clock begins at an hour, so that earlier starts of endpoints fit
 MOST_LINE = 900  # characters of a log line: what a pipe takes whole as soon as it takes anything
 MOST_BYTES = 4096  # of a JSON line with its end, for the same reason (PIPE_BUF)
-MOST_NAME = 64  # characters of the node's name in a JSON line
+MOST_NAME = 64  # characters of the node's name in a line
 MOST_FIELDS = 1024  # bytes that the operator's own fields may take of a JSON line
 
 Form = Literal["lines", "json"]
@@ -61,7 +61,7 @@
     """The form for people: one line with its end, whatever the text holds."""
     more = f" (and {left_out} more like it)" if left_out else ""
     seconds = (now_us - HEAD_START_US) / 1e6
-    text = f"granitewell {name} {seconds:.3f} {topic}: {line[:MOST_LINE]}{more}"
+    text = f"granitewell {name[:MOST_NAME]} {seconds:.3f} {topic}: {line[:MOST_LINE]}{more}"
     return text.replace("\n", " ").encode(errors="replace") + b"\n"
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -62,6 +62,15 @@
         ({"discovery": None}, "discovery"),
         ({"seed": "zebra"}, "seed"),
         ({"seed": float("inf")}, "seed"),
+        ({"listen": "127.0.0.1:" + "9" * 5000}, "listen"),
+        ({"listen": "127.0.0.1:" + "9" * 5}, "listen"),
+        ({"listen": "\ud800:80"}, "listen"),
+        ({"discovery": "a" * 64 + ".example:80"}, "discovery"),
+        ({"console": "127.0.0.1\n:80"}, "console"),
+        ({"settings": settings() | {"zones": ["\ud800"]}}, "settings.zones"),
+        ({"settings": settings() | {"tenants": [{"name": "a\r\nb", "share": 1.0, "allowancePerS": 1.0}]}},
+         "settings.tenants"),
+        ({"settings": settings() | {"balancers": 10**400}}, "integer|too large|int"),
         ({"limits": {"sockets": "many"}}, "limits.sockets"),
         ({"limits": {"cores": 0}}, "limits.cores"),
         ({"known": [1]}, "known"),
@@ -77,7 +86,27 @@
 def test_a_bad_one_names_its_field(tmp_path: Path, changes: dict[str, Any], names: str) -> None:
     with pytest.raises(ConfigError, match=names) as caught:
         load(write(tmp_path, **changes))
-    assert "\n" not in str(caught.value)
+    assert "\n" not in str(caught.value) and len(str(caught.value)) < 200
+
+
+@pytest.mark.parametrize("depth", [100, 500, 900, 990, 1500, 100_000])
+def test_a_file_nested_however_deep_is_no_traceback(tmp_path: Path, depth: int) -> None:
+    """Some depths are read by the parser and too deep for what copies the settings."""
+    env = write(tmp_path)
+    path = tmp_path / "config.json"
+    nested = "[" * depth + "]" * depth
+    path.write_text(path.read_text().replace('"a_new_key": 1', f'"a_new_key": {nested}')
+                    .replace('"discovery": "pushed"', f'"discovery": "pushed", "x": {nested}'))  # fmt: skip
+    try:
+        load(env)
+    except ConfigError as error:
+        assert "\n" not in str(error)
+
+
+@pytest.mark.parametrize("text", ["-1", "1.5", "x", "9" * 5000, "99999999"])
+def test_a_descriptor_that_is_none_names_its_variable(tmp_path: Path, text: str) -> None:
+    with pytest.raises(ConfigError, match="LB_INHERITED_FD"):
+        load(write(tmp_path) | {"LB_INHERITED_FD": text})
 
 
 def test_the_program_says_so_and_exits(tmp_path: Path) -> None:
