Names of classes, tenants, zones and kinds are bounded over the life of a process

Ruled out: the requests themselves (they hold an index). Lines: reload.py _behind, net/http1.py FleetReader._member. Change: at the 251st class or tenant since the start a reload is refused, whole, with the field; zones and kinds past 1,000 share one place. Test: 250 reloads with a new class each, and 3,000 zones; without bound before.

--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -26,6 +26,7 @@
 MOST_BODY = 40 * 1024 * 1024  # bytes of any body
 MOST_HEAD = 16 * 1024  # bytes of request line and headers
 MOST_LIST = 4 * 1024 * 1024  # bytes of a list from discovery
+MOST_PLACES = 1_000  # zones, or kinds, that discovery can name
 READY_PATH = b"/-/ready"
 LIST_PATH = "/api/targets"
 _ID = re.compile(rb"[\x21-\x7e]{1,128}\Z")
@@ -597,9 +598,14 @@
         eid = str(m["id"]).encode()
         return Member(
             eid, address(m["host_port"], "host_port"),
-            self._zones.setdefault(str(m.get("locality")), len(self._zones)),
-            self._kinds.setdefault(str(m.get("flavor")), len(self._kinds)),
+            _place(self._zones, str(m.get("locality"))),
+            _place(self._kinds, str(m.get("flavor"))),
             int(m.get("cell") or 0),
             _STATES.get(m["phase"], State.DRAINING),  # an unknown phase wants no new work from us
             scale if math.isfinite(scale) else 1.0, self._started(eid, up_ms, starts),
         )  # fmt: skip
+
+
+def _place(places: dict[str, int], name: str) -> int:
+    """The index of a name; those beyond all bounds share one, as memory must not grow with names ever heard."""
+    return places.setdefault(name, len(places)) if name in places or len(places) < MOST_PLACES else MOST_PLACES
--- a/granitewell/reload.py
+++ b/granitewell/reload.py
@@ -19,6 +19,8 @@
     "aimStretch", "familyInfo", "passesDeadline", "warmKeys", "known", "seed", "console", "limits",
 })  # fmt: skip
 
+MOST_NAMES = 250  # classes, or tenants, that a process can have known: each costs its work for good
+
 T = TypeVar("T")
 
 
@@ -49,8 +51,8 @@
 
 def follow(old: Config, new: Config) -> Config:
     """The newer configuration in the indices of the older one."""
-    classes, class_at = _behind(old.class_names, new.class_names)
-    tenants, tenant_at = _behind(old.tenant_names, new.tenant_names)
+    classes, class_at = _behind(old.class_names, new.class_names, "settings.classes")
+    tenants, tenant_at = _behind(old.tenant_names, new.tenant_names, "settings.tenants")
     settings = replace(
         new.settings,
         classes=_placed(old.settings.classes, new.settings.classes, class_at, len(classes)),
@@ -63,9 +65,11 @@
     )  # fmt: skip
 
 
-def _behind(old: tuple[str, ...], new: tuple[str, ...]) -> tuple[tuple[str, ...], list[int]]:
+def _behind(old: tuple[str, ...], new: tuple[str, ...], field: str) -> tuple[tuple[str, ...], list[int]]:
     """The names in their places for good, and the place of each of the newer ones."""
     names = (*old, *(n for n in new if n not in old))
+    if len(names) > max(MOST_NAMES, len(old)):
+        raise ConfigError(f"{field}: {len(names)} names since the start, {MOST_NAMES} are allowed: restart the node")
     return names, [names.index(n) for n in new]
 
 
