A defect in the module's periodic work no longer ends that work until the next start

An exception in _period (or in anything else that is due) left the module's timer unarmed and the period not planned again: the prefix, the shedding and the judgement of health stayed as they were until a restart, for months at a site that nobody visits. By reading, besides: the actions decided before the exception were dropped, so that a Send that the module counts as out was never made, and the endpoint looked busy for good. Ruled out: a known way to raise one; a mean latency of exactly 0 would (self._latency / self._floor), and has a floor now. Tests: 4 places in the period; each ended it before.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -188,7 +188,8 @@
 
     def _fault(self, what: str) -> None:
         self.stats["faults"] += 1
-        self._note("fault", f"{what}: {' | '.join(traceback.format_exc().strip().splitlines()[-5:])}")
+        told = traceback.format_exc().partition("\nThe above exception")[0]  # the cause, where there is one
+        self._note("fault", f"{what}: {' | '.join(told.strip().splitlines()[-5:])}")
 
     # --- Timers -----------------------------------------------------------------------------------------
     def _at(self, when_us: int, what: str, arg: Any = None) -> None:
@@ -588,16 +589,22 @@
             self._ask(self._work.popleft())
 
     def _ask(self, event: t.Event) -> None:
+        whole = True
         try:
             actions: Iterable[t.Action] = self._balancer.handle(self._now / 1000, event)
-        except Exception:
-            actions = ()
+        except Exception as error:
+            whole = False
+            actions = error.actions if isinstance(error, t.Broken) else ()  # the module counts on those
             self._fault(f"the decisions failed on {type(event).__name__}")
-            request = self._requests.get(getattr(event, "id", -1))
-            if request is not None:
-                self._close(request, Verdict.FAILED)
         for action in actions:
-            self._act(action)
+            try:
+                self._act(action)
+            except Exception:  # one action's fault must not lose those behind it
+                self._fault(f"{type(action).__name__} failed")
+        request = None if whole else self._requests.get(getattr(event, "id", -1))
+        if request is not None and all(c.outcome is not None for c in request.calls):
+            self._close(request, Verdict.FAILED)
+            self._work.append(t.Abandoned(request.id))
 
     def _act(self, action: t.Action) -> None:
         if isinstance(action, t.Send):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -186,6 +186,50 @@
     assert [e for e in effects if isinstance(e, c.Note) and "no such thing" in e.line]
 
 
+def real(seed: int = 1) -> tuple[c.Core, Balancer]:
+    """A node with the module itself, ready, with two endpoints."""
+    settings = w.settings(parallel_tries=True, may_cancel=True)
+    balancer = Balancer(settings, seed)
+    node = c.Core(settings, balancer, 100)
+    node.handle(0, c.FleetNews(View.FULL, (member(0), member(1))))
+    node.handle(0, c.Listening())
+    return node, balancer
+
+
+@pytest.mark.parametrize("where", ["_resize", "_weigh", "_control", "_tell"])
+def test_a_defect_in_the_periodic_work_does_not_end_it(where: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """One exception there, and the prefix stayed as it was until the next start: for months, where nobody looks."""
+    node, balancer = real()
+
+    def boom() -> None:
+        monkeypatch.undo()
+        raise RuntimeError("no such thing")
+
+    monkeypatch.setattr(balancer, where, boom)
+    effects = wake(node, 3_000_000)
+    assert [e for e in effects if isinstance(e, c.Note) and e.topic == "fault" and "no such thing" in e.line]
+    assert len(balancer._bins) >= 10
+    assert calls(ask(node, 3_000_001, 7))
+
+
+def test_what_was_decided_before_a_defect_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The actions of an event were dropped with the exception: the module counted a call as out that nobody made,
+    and the endpoint as busy for good; what else was due waited for the next request."""
+    node, balancer = real()
+    overdue = balancer._health.overdue
+
+    def boom(now: float) -> Any:
+        balancer._health.overdue = overdue  # type: ignore[method-assign]
+        raise RuntimeError("no such thing")
+
+    balancer._health.overdue = boom  # type: ignore[method-assign]
+    (call,) = calls(ask(node, 1, 7))
+    effects = node.handle(2000, c.CallEnded(call.call, Outcome.OK, (), "a"))
+    assert answers(effects) == [c.Verdict.SERVED]
+    assert not balancer._out and all(s.inflight == 0 for s in balancer._servers.values())
+    assert node.wake_us >= 0  # its timer runs
+
+
 def test_a_reducer_that_breaks_answers_the_request_it_broke_on(monkeypatch: pytest.MonkeyPatch) -> None:
     node = core(Script(Request=send))
     (call,) = calls(ask(node, 1, 7))
--- a/tiderelay/interface.py
+++ b/tiderelay/interface.py
@@ -89,6 +89,15 @@
     allowance_per_s: float
 
 
+class Broken(Exception):
+    """The decisions have failed on an event, for the reason behind this (`__cause__`). What they had decided by
+    then stands and has to be carried out: they count on it."""
+
+    def __init__(self, actions: list[Action]) -> None:
+        super().__init__("the decisions failed")
+        self.actions = actions
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that a balancer is told at its start."""
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -20,7 +20,7 @@
 
 from tiderelay.health import FULL_SHARE, SICK, Call, Health, Pair
 from tiderelay.interface import (
-    Abandoned, Action, Cancel, Effect, Ended, Event, Fail, Field, FirstByte, Host, Hosts, Log, Outcome,
+    Abandoned, Action, Broken, Cancel, Effect, Ended, Event, Fail, Field, FirstByte, Host, Hosts, Log, Outcome,
     PeerMessage, Probed, Refuse, Request, RequestClass, Resettled, Scope, Send, SetTimer, Settings, State,
     Timer, Uploaded, View, Watch,
 )  # fmt: skip
@@ -81,6 +81,9 @@
 BEAR_TAU = 120000.0  # and in which the most of it is forgotten
 
 
+def _never_asked_for(_: Event) -> None: ...  # probes, and messages between gateways
+
+
 class _Server:
     """What this gateway knows of one host."""
 
@@ -92,9 +95,7 @@
         self.id, self.inflight, self.tokens, self.tokens_at = host.id, 0, 0.0, 0.0
         self.pairs = pairs  # its health, by class
         self.zone, self.kind, self.cell = host.zone, host.kind, host.cell
-        self.started, self.rank = -1.0, 0
-        self.listed = True
-        self.ready = False
+        self.started, self.rank, self.listed, self.ready = -1.0, 0, True, False
         self.forget()
 
     def forget(self) -> None:
@@ -154,8 +155,8 @@
         self._do: list[Action] = []
         self._handlers: dict[type, Callable[[Any], None]] = {
             Request: self._request, Ended: self._ended, Timer: self._timer, Hosts: self._hosts,
-            Abandoned: self._abandoned, FirstByte: self._first_byte, Probed: self._ignore,
-            PeerMessage: self._ignore, Resettled: self._resettled, Uploaded: self._uploaded,
+            Abandoned: self._abandoned, FirstByte: self._first_byte, Probed: _never_asked_for,
+            PeerMessage: _never_asked_for, Resettled: self._resettled, Uploaded: self._uploaded,
         }  # fmt: skip
         self._held: dict[int, _Held] = {}
         self._out: dict[tuple[int, int], _Try] = {}
@@ -223,9 +224,13 @@
             self._at(self._now + PERIOD * self._rng.random(), self._period, None)
             if self._set.must_ask:
                 self._at(self._now + self._set.must_ask_in_ms / 2 * self._rng.random(), self._ask, None)
-        self._handlers[type(event)](event)
-        for late in self._health.overdue(self._now):  # behind the event: it may end the wait for it
-            self._copy(late)
+        try:
+            self._handlers[type(event)](event)
+            for late in self._health.overdue(self._now):  # behind the event: it may end the wait for it
+                self._copy(late)
+        except Exception as error:  # a defect: what was decided stands, and what else is due has its turn soon
+            self._armed = self._now + DELTA
+            raise Broken([*self._do, SetTimer(self._armed, 0)]) from error
         return self._do
 
     # --- Timers: one agenda, one armed timer ------------------------------------------------------------
@@ -252,9 +257,6 @@
         """A deadline whose request has its answer needs no timer."""
         return entry[2] == self._due and entry[3].id not in self._held
 
-    def _ignore(self, _: Event) -> None:
-        """Probes and messages between gateways are never asked for."""
-
     # --- Rate forecast (4.2) ----------------------------------------------------------------------------
     def _forecast(self) -> float:
         """Requests a ms at this gateway a set-up time ahead: a line through the recent periods."""
@@ -318,6 +320,7 @@
         return min(max(bisect_left(sound, want - 1e-9) for sound in self._sound) + 1, len(self._order))
 
     def _period(self, _: None) -> None:
+        self._at(self._now + PERIOD, self._period, None)  # first of all: no defect below may end this for good
         self._bins.append(self._arrived)
         self._arrived = 0
         worth = self._worth[self._size - 1] if 0 < self._size <= len(self._worth) else 0.0
@@ -337,7 +340,6 @@
         self._weigh()
         self._control()
         self._tell()
-        self._at(self._now + PERIOD, self._period, None)
 
     def _tell(self) -> None:
         """A line for on call when the prefix or the shedding has changed, once in a while."""
@@ -727,7 +729,7 @@
         self._answers += 1
         self._latency += (event.elapsed_ms - self._latency) / min(self._answers, EWMA_N)
         if self._answers >= EWMA_N:  # the best mean seen, let go slowly so that a lucky one does not stay
-            self._floor = min(self._floor * 1.0005, self._latency)
+            self._floor = max(min(self._floor * 1.0005, self._latency), 0.01)
         if req is None:
             return
         aim = req.cls.aim_ms or 5 * self._latency
@@ -767,8 +769,7 @@
             wait = self._set.must_ask_in_ms * min(0.1 * 2**self._asks, 1.0)
             self._at(self._now + wait * (0.5 + 0.5 * self._rng.random()), self._ask, None)
             return
-        if event.view is not View.CACHED:
-            self._asks = 0
+        self._asks = self._asks if event.view is View.CACHED else 0
         if event.view is not View.DELTA:
             for server in self._servers.values():
                 server.listed = server.ready = False
