A signal at the start or the very end no longer ends the process by itself, nor is one lost

Seen, by reading and by a child that signals itself: SIGTERM before the loop's handlers are there (a tenth of a second of imports, the configuration) and after the loop has closed ended the process with -15; SIGHUP did so during the imports and after the loop; and a SIGHUP between reading the file and the handler was ignored, so that the node kept the old settings without a line until the next. Ruled out: the time between (uvloop's handlers). What lies before the first line of __main__ is the interpreter's. Lines: __main__.py main, _serve. Change: handlers from the first line on; an early SIGHUP is carried out once it can be; all three are blocked once the node has left.

tests/test_stops.py, besides, kills the process at each named point of start, call, serving, reload and upgrade, starts the plain program on the same folder and listener, and holds what was promised before; and plays two shortages on a child.

--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -8,11 +8,16 @@
 
 from __future__ import annotations
 
+import signal
+import sys
+
+if __name__ == "__main__":  # the imports below take a tenth of a second, in which either would end the process
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # nothing has been read yet that could be out of date
+
 import asyncio
 import gc
 import os
-import signal
-import sys
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -26,6 +31,8 @@
 if TYPE_CHECKING:
     from granitewell.operator.load import Live
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 def _take(node: Node, live: Live) -> None:
     """What the operator file says now. Nothing of the status is imported before it asks for one."""
@@ -51,7 +58,7 @@
         node.log.write(node.clock.now(), "reload", plan.line(), always=True)
 
 
-async def _serve(config: Config, live: Live | None) -> None:
+async def _serve(config: Config, live: Live | None, early: list[int]) -> None:
     loop = asyncio.get_running_loop()
     core = Core(config.settings, Balancer(config.settings, config.seed), config.most_held)
     handover = Handover(os.environ.get("TMPDIR", ""), config.name)
@@ -63,6 +70,8 @@
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, node.stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, live)
+    if early:  # the files were replaced after they had been read
+        loop.call_soon(_reload, node, live)
     # What start-up made lives as long as the process: the collector need not walk it again, and rarely runs.
     gc.collect()
     gc.freeze()
@@ -70,6 +79,8 @@
     try:
         await node.run()
     finally:
+        # nothing is left to be done for any of them, and without the loop each would end the process by itself
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         handover.leave()
         if node.door is not None:
             node.door.close()
@@ -94,7 +105,10 @@
 
 def main() -> int:
     """Run one node; the exit code says how it ended."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be acted on it must not end the process
+    early: list[int] = []  # SIGHUPs before the loop can act on them
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(sign, lambda *_: sys.exit(0))  # nothing has been taken yet
     try:
         config = load(os.environ)
     except ConfigError as error:
@@ -105,7 +119,7 @@
         return live
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(config, live))
+            runner.run(_serve(config, live, early))
     except ConfigError as error:
         print(f"granitewell: bad configuration: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,328 @@
+"""Every point at which the process can be stopped, and each byte at which a connection can: stop there, start again,
+and hold what was promised before against what is there after.
+
+A child is the program with one function wrapped: at its so-many-th call the process kills itself, or gets a signal,
+before or after. The next process is always the plain program, on the same listener and folder.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.play import LIMIT_S
+from tests.test_upgrade import ASK, Agent, Site
+
+CHILD = """
+import importlib, os, signal, sys
+from granitewell import __main__ as program
+target, when, count, signals = sys.argv[1:5]
+module, _, path = target.partition(":")
+owner = importlib.import_module(module)
+*owners, name = path.split(".")
+for part in owners:
+    owner = getattr(owner, part)
+real, left = getattr(owner, name), int(count)
+def wrapped(*args, **kwargs):
+    global left
+    left -= 1
+    if when == "after":
+        result = real(*args, **kwargs)
+    if left == 0:
+        for number in signals.split(","):
+            os.kill(os.getpid(), int(number))
+    return result if when == "after" else real(*args, **kwargs)
+setattr(owner, name, wrapped)
+sys.exit(program.main())
+"""
+BOOK = b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: 1500\r\nContent-Length: 2\r\n\r\nhi"
+KILL = signal.SIGKILL
+
+
+def at(target: str, when: str = "before", count: int = 1, *signals: int) -> tuple[str, ...]:
+    """A program that stops at this point."""
+    return "-c", CHILD, target, when, str(count), ",".join(str(int(x)) for x in signals or (KILL,))
+
+
+class Ledger(Agent):
+    """An endpoint that counts how often each request has come whole."""
+
+    def __init__(self) -> None:
+        self.ran = Counter[bytes]()
+        super().__init__()
+
+    def _serve(self, sock: socket.socket) -> None:
+        while (head := self._head(sock)) is not None:
+            if b"Content-Length: 2" in head:
+                sock.recv(2, socket.MSG_WAITALL)
+            self.ran[head.partition(b"Request-Id: ")[2].split()[0]] += 1
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    made = Site()
+    made.agent = Ledger()
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def asked(site: Site, raw: bytes) -> bytes:
+    """What one client gets for this on a connection of its own; empty where it ends without an answer."""
+    with socket.create_connection(site.listener.getsockname(), LIMIT_S) as sock:
+        sock.settimeout(LIMIT_S)
+        try:
+            sock.sendall(raw)
+            return sock.recv(4096)
+        except ConnectionError:
+            return b""
+
+
+def booked(site: Site, rid: bytes) -> bytes:
+    return asked(site, BOOK % rid)
+
+
+def called(site: Site, console: Any, what: str) -> int:
+    try:
+        return site.call(console, f"/dispatch-servers/{what}", "s-a")
+    except (OSError, IndexError):
+        return 0
+
+
+def ended(site: Site) -> int:
+    """The exit code of the process that was started last."""
+    return site.started[-1].wait(LIMIT_S)
+
+
+# --- Killed ------------------------------------------------------------------------------------------------
+AT_THE_START = [
+    at("granitewell.__main__:load", "after"),
+    at("granitewell.__main__:Handover.enter"),
+    at("os:rename"),  # its file is there and locked, and not yet named
+    at("os:rename", "after"),
+    at("granitewell.net.loop:listening"),
+    at("granitewell.net.loop:listening", "after"),
+    at("granitewell.net.loop:Console", "after"),
+    at("granitewell.net.loop:Node._look", "after"),
+    at("granitewell.net.loop:Discovery.at", "after"),
+]
+
+
+@pytest.mark.parametrize("program", AT_THE_START, ids=lambda p: f"{p[2]}-{p[3]}")
+def test_killed_at_the_start_the_next_one_starts_and_keeps_the_bans(site: Site, program: tuple[str, ...]) -> None:
+    console = site.start()
+    site.ready(console)
+    assert called(site, console, "disable") == 200
+    site.start(program=program)  # the next version, beside it
+    assert ended(site) == -KILL
+    assert site.call(console, "/ready") == 200 and booked(site, b"r1").startswith(b"HTTP/1.1 503")
+    site.started[0].kill()
+    site.started[0].wait(LIMIT_S)
+    again = site.start()
+    site.ready(again)
+    assert booked(site, b"r2").startswith(b"HTTP/1.1 503")  # the ban had its yes
+    assert called(site, again, "enable") == 200
+    site.until(lambda: booked(site, os.urandom(4).hex().encode()).startswith(b"HTTP/1.1 200"))
+    site.until(lambda: len([x for x in os.scandir(next(folders(site))) if x.name.startswith("run-")
+                            and not x.name.endswith(".new")]) == 1)  # fmt: skip
+
+
+def folders(site: Site) -> Iterator[Path]:
+    yield from Path(site.folder.name).glob("granitewell-*")
+
+
+IN_A_CALL = [
+    at("granitewell.net.console:Console._taken"),  # read
+    at("granitewell.net.loop:Node._keep_ban"),  # in force
+    at("os:rename", "before", 2),  # written, not yet named
+    at("os:rename", "after", 2),
+    at("granitewell.net.loop:Node._keep_ban", "after"),
+    at("granitewell.net.console:answer", "after"),  # written down, not yet said
+]
+
+
+@pytest.mark.parametrize("what", ["disable", "enable"])
+@pytest.mark.parametrize("program", IN_A_CALL, ids=lambda p: f"{p[2]}-{p[3]}")
+def test_killed_in_an_operators_call_either_word_holds_and_no_half_one(
+    site: Site, program: tuple[str, ...], what: str
+) -> None:
+    """The call got no yes: the next process may know of it or not. What had its yes before, holds."""
+    first = site.start()
+    site.ready(first)
+    if what == "enable":
+        assert called(site, first, "disable") == 200
+    console = site.start(program=program)
+    # its /ready is an answer, too, and must not be the one that it stops at
+    site.until(lambda: any(b"ready with" in line for line in iter(site.started[1].stderr.readline, b"")))
+    assert called(site, console, what) == 0
+    assert ended(site) == -KILL
+    site.started[0].kill()
+    site.started[0].wait(LIMIT_S)
+    last = site.start()
+    site.ready(last)
+    assert booked(site, b"r1")[:12] in (b"HTTP/1.1 503", b"HTTP/1.1 200")
+    for word, says in (("disable", b"HTTP/1.1 503"), ("enable", b"HTTP/1.1 200")):
+        assert called(site, last, word) == 200
+        site.until(lambda says=says: booked(site, os.urandom(4).hex().encode()).startswith(says))
+
+
+WHILE_SERVING = [
+    (at("granitewell.net.http1:InboundParser.feed"), 0),
+    (at("granitewell.net.loop:Node._next"), 0),
+    (at("granitewell.net.loop:Node.dispatch", "after", 5), 1),
+    (at("granitewell.net.http1:call_bytes"), 0),
+    (at("granitewell.net.http1:ResponseParser.feed", "before", 3), 1),  # discovery's come first
+    (at("granitewell.net.http1:answer_bytes"), 1),
+    (at("granitewell.net.loop:Node._reply"), 1),
+    (at("granitewell.net.loop:Node._reply", "after"), 1),
+    (at("granitewell.net.loop:Node._answered"), 1),
+]
+
+
+@pytest.mark.parametrize(("program", "most"), WHILE_SERVING, ids=lambda p: f"{p[2]}-{p[3]}" if p else "")
+def test_killed_while_serving_nothing_runs_again(site: Site, program: tuple[str, ...], most: int) -> None:
+    """What a killed process had taken is lost, and its client hears that at once; no other sends it again."""
+    site.start(program=program)
+    got = booked(site, b"r1")
+    assert got in (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") and ended(site) == -KILL
+    console = site.start()
+    site.ready(console)
+    assert booked(site, b"r2").startswith(b"HTTP/1.1 200")
+    ran = site.agent.ran  # type: ignore[attr-defined]
+    assert ran[b"r1"] <= max(most, 1) and ran[b"r2"] == 1
+    assert ran[b"r1"] == 1 or got == b""
+
+
+IN_AN_UPGRADE = [
+    (0, at("granitewell.net.loop:Node.stop"), "old, asked to stop"),
+    (0, at("granitewell.net.loop:Node.stop", "after"), "old, stopping"),
+    (0, at("granitewell.net.loop:Node._release", "after"), "old, off the listener"),
+    (1, at("granitewell.net.loop:Node.dispatch", "after", 2), "new, about to be ready"),
+    (1, at("granitewell.net.console:Console._taken"), "new, asked whether it is"),
+    (1, at("granitewell.net.console:Console._taken", "after"), "new, before its yes is out"),
+]
+
+
+@pytest.mark.parametrize(("which", "program", "name"), IN_AN_UPGRADE, ids=[x[2] for x in IN_AN_UPGRADE])
+def test_killed_in_an_upgrade_the_other_one_serves(
+    site: Site, which: int, program: tuple[str, ...], name: str
+) -> None:
+    plain = ("-m", "granitewell")
+    old = site.start(program=plain if which else program)
+    site.until(lambda: asked(site, ASK % b"x").startswith(b"HTTP/1.1 200"))
+    new = site.start(program=program if which else plain)
+    if which:
+        site.until(lambda: site.started[1].poll() is not None or not ready(site, new))
+        ended(site)
+        left = old
+    else:
+        site.ready(new)
+        site.started[0].send_signal(signal.SIGTERM)
+        assert site.started[0].wait(LIMIT_S) == -KILL
+        left = new
+    assert site.started[which].returncode == -KILL
+    assert site.call(left, "/ready") == 200
+    for k in range(5):
+        assert booked(site, b"u%d" % k).startswith(b"HTTP/1.1 200")
+    assert max(site.agent.ran.values()) == 1  # type: ignore[attr-defined]
+    again = site.start()  # and the platform may try once more
+    site.ready(again)
+
+
+def ready(site: Site, console: Any) -> bool:
+    try:
+        return site.call(console, "/ready") == 200
+    except (OSError, IndexError):
+        return False
+
+
+IN_A_RELOAD = [
+    at("granitewell.__main__:reload", "after"),
+    at("granitewell.net.loop:Node._settle"),
+    at("granitewell.net.loop:Node._settle", "after"),
+]
+
+
+@pytest.mark.parametrize("program", IN_A_RELOAD, ids=lambda p: f"{p[2]}-{p[3]}")
+def test_killed_in_a_reload_the_next_one_has_the_file(site: Site, program: tuple[str, ...]) -> None:
+    site.ready(site.start(program=program))
+    path = Path(site.folder.name, "config0.json")
+    path.write_text(path.read_text().replace('"taxi-lookup"', '"taxi-look"'))
+    site.started[0].send_signal(signal.SIGHUP)
+    assert ended(site) == -KILL
+    site.ready(site.start())
+    assert booked(site, b"r1").startswith(b"HTTP/1.1 200")
+
+
+# --- Signals -----------------------------------------------------------------------------------------------
+def test_a_reload_asked_for_while_it_starts_is_taken_up(site: Site) -> None:
+    """SIGHUP was ignored until the loop ran, and the file had been read before: the node kept the old settings,
+    without a line, until the next SIGHUP."""
+    site.start(program=at("granitewell.__main__:load", "after", 1, signal.SIGHUP))
+    stderr = site.started[0].stderr
+    assert stderr is not None
+    assert any(b"discovery is now" in line for line in iter(stderr.readline, b""))
+
+
+EARLY_AND_LATE = [
+    (at("granitewell.__main__:load", "before", 1, signal.SIGTERM), b""),
+    (at("granitewell.__main__:load", "before", 1, signal.SIGINT), b""),
+    (at("granitewell.__main__:Handover.enter", "after", 1, signal.SIGTERM), b""),
+    (at("uvloop:new_event_loop", "after", 1, signal.SIGTERM), b""),
+    (at("granitewell.net.loop:Node._look", "after", 1, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP), b"phase"),
+    (at("granitewell.net.loop:Node.stop", "after", 1, signal.SIGTERM, signal.SIGHUP), b"phase"),
+    (at("asyncio:Runner.close", "after", 1, signal.SIGTERM, signal.SIGINT, signal.SIGHUP), b"phase"),
+]
+
+
+@pytest.mark.parametrize(("program", "says"), EARLY_AND_LATE, ids=lambda x: f"{x[2]}-{x[3]}" if x else "")
+def test_asked_to_stop_at_any_time_it_leaves_with_0(site: Site, program: tuple[str, ...], says: bytes) -> None:
+    """Before its handlers were there, and once the loop was closed, SIGTERM and SIGHUP ended the process by
+    themselves, with another code than that of a stop that was asked for."""
+    console = site.start(program=program)
+    if "Runner.close" in program[2] or "Node.stop" in program[2]:
+        site.ready(console)
+        site.started[0].send_signal(signal.SIGTERM)
+    _, error = site.started[0].communicate(timeout=LIMIT_S)
+    assert site.started[0].returncode == 0, error
+    assert says in error and b"Traceback" not in error
+
+
+# --- Shortages ---------------------------------------------------------------------------------------------
+def test_a_full_log_pipe_stops_neither_the_node_nor_its_end(site: Site) -> None:
+    """Nobody reads what it writes, from its first line on."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, bytes(4096))
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    console = site.start(stderr=writer)
+    site.ready(console)
+    assert called(site, console, "disable") == 200 and booked(site, b"r1").startswith(b"HTTP/1.1 503")
+    site.started[0].send_signal(signal.SIGTERM)
+    assert ended(site) == 0
+    os.close(reader)
+    os.close(writer)
+
+
+def test_without_room_in_the_folder_a_ban_gets_no_yes_and_the_node_serves(site: Site) -> None:
+    """The shortage is a limit on the size of the files that this child writes."""
+    limit = "import resource, runpy; resource.setrlimit(resource.RLIMIT_FSIZE, (0, 0)); "
+    console = site.start(program=("-c", limit + "runpy.run_module('granitewell', run_name='__main__')"))
+    site.ready(console)
+    assert called(site, console, "disable") == 500
+    assert site.call(console, "/ready") == 200
+    site.started[0].send_signal(signal.SIGTERM)
+    assert ended(site) == 0
+
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -94,9 +94,10 @@
         self.started: list[subprocess.Popen[bytes]] = []
 
     def start(
-        self, listen: socket.socket | None = None, fd: int | None = None, passed: socket.socket | None = None
-    ) -> tuple[str, int]:
-        """Start `run` once more; the console's address."""
+        self, listen: socket.socket | None = None, fd: int | None = None, passed: socket.socket | None = None,
+        program: tuple[str, ...] = ("-m", "granitewell"), stderr: int = subprocess.PIPE,
+    ) -> tuple[str, int]:  # fmt: skip
+        """Start `run` once more, or something else with its configuration; the console's address."""
         passed = passed or self.listener
         with socket.create_server(("127.0.0.1", 0)) as free:
             console: tuple[str, int] = free.getsockname()
@@ -112,8 +113,7 @@
         env = os.environ | {"LB_CONFIG": str(path), "LB_INHERITED_FD": str(inherited),
                             "TMPDIR": self.folder.name}  # fmt: skip
         self.started.append(subprocess.Popen(
-            [sys.executable, "-m", "granitewell"], env=env, pass_fds=(passed.fileno(),),
-            stderr=subprocess.PIPE,
+            [sys.executable, *program], env=env, pass_fds=(passed.fileno(),), stderr=stderr,
         ))  # fmt: skip
         return console
 
