--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -3,17 +3,44 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import json
 import tracemalloc
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
+from random import Random
 
 import pytest
 
-from granitewell.config import load
+from granitewell import core as c
+from granitewell.config import ConfigError, load
+from granitewell.lab import recording
+from granitewell.lab.experiments import plan
+from granitewell.lab.scenario import ScenarioError
+from granitewell.lab.scenario import load as scenario_file
 from granitewell.net.console import CallParser, No
-from granitewell.net.http1 import Ask, Bad, InboundParser, Names, ResponseParser, outcome
+from granitewell.net.http1 import (
+    Ask,
+    Bad,
+    FleetReader,
+    InboundParser,
+    Names,
+    ReadyAsk,
+    ResponseParser,
+    outcome,
+    report,
+)
+from granitewell.net.loop import Node
+from granitewell.operator.load import Refused
+from granitewell.operator.load import load as operator_file
+from granitewell.operator.registry import Operator
+from tests.shell import client_of, played, turns, until
 from tests.test_config import write
-from tiderelay.interface import Outcome
+from tiderelay.interface import Outcome, State, View
+from tiderelay.policy import Balancer
+
+ROOT = Path(__file__).resolve().parents[1]
 
 PIECE = 8192
 MOST_FED = 400_000  # bytes that a parser may take of something endless before it says no
@@ -99,3 +126,193 @@
     answer = ResponseParser()
     assert answer.feed(b"HTTP/1.1 503 X\r\n" + CHUNKED + b"\r\n1\r\nx\r\n0\r\nNot-Started: 1\r\n\r\n")
     assert outcome(answer) is Outcome.ERROR
+
+
+# --- Cut at every byte, on real sockets ------------------------------------------------------------------------
+REQUESTS = [
+    b"GET /taxi-lookup/1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout-Ms: 2000\r\n\r\n",
+    ASK % b"Content-Length: 5\r\n" + b"hello",
+    ASK % CHUNKED + b"2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: 1\r\n\r\n",
+    ASK % b"Expect: 100-continue\r\nContent-Length: 70000\r\n" + bytes(70_000),
+]
+
+
+@pytest.mark.parametrize("raw", REQUESTS, ids=["get", "body", "chunks", "large"])
+def test_a_request_cut_at_any_byte_leaves_nothing_behind(tmp_path: Path, raw: bytes) -> None:
+    """No call that stays, no byte of the budget, no task, and no request that is still owed an answer."""
+
+    async def scenario(node: Node) -> None:
+        agent = Answers(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        async with at_work(node, agent):
+            head = raw.index(b"\r\n\r\n") + 4
+            for cut in [*range(min(head + 60, len(raw))), *range(head + 60, len(raw), 7919)]:
+                client = client_of(node)
+                await asyncio.get_running_loop().sock_sendall(client, raw[:cut])
+                if cut % 2:
+                    await turns(5)
+                client.close()
+            await until(lambda: not node._inbounds and not node._calls and not node._core.held)
+            await until(lambda: not node._budget.kept and not node._budget.flows)
+            balancer = node._core._balancer
+            assert isinstance(balancer, Balancer) and not balancer._held
+            await until(lambda: not balancer._out and node.pool.held == sum(map(len, node.pool.idle.values())))
+            assert len(node._tasks) == 0
+
+    assert not [line for line in played(tmp_path, scenario) if line.startswith("fault")]
+
+
+ANSWERS = [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: 1\r\n\r\n",
+    b"HTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+]
+
+
+@pytest.mark.parametrize("raw", ANSWERS, ids=["length", "chunks", "interim"])
+def test_an_answer_cut_at_any_byte_is_served_whole_or_not_at_all(tmp_path: Path, raw: bytes) -> None:
+    """And the request, which may have run, goes nowhere again."""
+
+    async def scenario(node: Node) -> None:
+        agent = Answers(raw)
+        async with at_work(node, agent):
+            for cut in range(len(raw) + 1):
+                agent.raw, before = raw[:cut], agent.asked
+                client = client_of(node)
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(client, ASK % b"Connection: close\r\nContent-Length: 0\r\n")
+                got = b""
+                while more := await loop.sock_recv(client, 4096):
+                    got += more
+                client.close()
+                whole = got.startswith(b"HTTP/1.1 200 ") and got.endswith(b"\r\n\r\nhello")
+                assert whole == (cut == len(raw)) and (whole or got.startswith(b"HTTP/1.1 502 ")), (cut, got)
+                assert agent.asked == before + 1
+            assert not node._calls and not node._core.held
+
+    assert not [line for line in played(tmp_path, scenario) if line.startswith("fault")]
+
+
+class Answers:
+    """An endpoint that answers each request with these bytes and then ends the connection."""
+
+    def __init__(self, raw: bytes) -> None:
+        self.raw, self.asked = raw, 0
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.asked += 1
+            if b"Content-Length: 70000" in head:
+                await reader.readexactly(70_000)
+            writer.write(self.raw)
+            await writer.drain()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def at_work(node: Node, agent: Answers) -> AsyncIterator[None]:
+    """The node with this one endpoint."""
+    server = await asyncio.start_server(agent, "127.0.0.1", 0)
+    try:
+        address = server.sockets[0].getsockname()
+        member = c.Member(b"s-0", address, 0, 0, 0, State.READY, 1.0, 0)
+        node.dispatch(c.FleetNews(View.FULL, (member,)))
+        node.dispatch(c.Listening())
+        yield
+    finally:
+        server.close()
+
+
+def test_a_list_cut_at_any_byte_is_no_list(tmp_path: Path) -> None:
+    entry = {"id": "s-1", "host_port": "10.1.0.18:9000", "phase": "ready", "up_since_ms": 5}
+    body = json.dumps({"revision": 4, "complete": True, "members": [entry, entry]}).encode()
+    reader = FleetReader(load(write(tmp_path)), lambda unix_us: unix_us)
+    raw = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    for cut in range(len(raw)):
+        parser = ResponseParser(4 * 1024 * 1024)
+        assert not parser.feed(raw[:cut]) and not parser.end()
+    for cut in range(len(body)):
+        with pytest.raises(ValueError):
+            reader.read(body[:cut])
+    assert not reader._starts
+
+
+# --- Anything at all ---------------------------------------------------------------------------------------
+def spoilt(rng: Random, raw: bytes) -> bytes:
+    """Some bytes changed, left out, doubled or put elsewhere."""
+    data = bytearray(raw)
+    for _ in range(rng.randrange(1, 6)):
+        at = rng.randrange(len(data) + 1)
+        what = rng.randrange(4)
+        if what == 0:
+            data[at:at] = rng.randbytes(rng.randrange(1, 9))
+        elif what == 1:
+            del data[at : at + rng.randrange(1, 9)]
+        elif what == 2:
+            data[at:at] = data[at : at + rng.randrange(1, 40)]
+        elif data:
+            data[at % len(data)] = rng.randrange(256)
+    return bytes(data)
+
+
+def test_spoilt_traffic_is_an_item_a_refusal_or_a_value_error(tmp_path: Path) -> None:
+    rng, names = Random(7), Names(load(write(tmp_path)))
+    for _ in range(6000):
+        parser = InboundParser(names)
+        data, step = spoilt(rng, rng.choice(REQUESTS)[:400]), rng.choice([1, 3, 50, 4096])
+        for at in range(0, len(data), step):
+            for item in parser.feed(data[at : at + step]):
+                assert isinstance(item, Ask | Bad | ReadyAsk)
+        answer = ResponseParser()
+        with contextlib.suppress(ValueError):
+            answer.feed(spoilt(rng, rng.choice(ANSWERS)))
+            report(answer, ("failed_ps",))
+            outcome(answer)
+        call = CallParser()
+        with contextlib.suppress(No):
+            call.feed(spoilt(rng, b"POST /dispatch-servers/enable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-a"))
+            call.endpoint()
+
+
+def test_a_byte_at_a_time_is_the_same(tmp_path: Path) -> None:
+    names = Names(load(write(tmp_path)))
+    for raw in REQUESTS:
+        whole, single = InboundParser(names), InboundParser(names)
+        at_once = whole.feed(raw)
+        one_by_one = [x for k in range(len(raw)) for x in single.feed(raw[k : k + 1])]
+        assert len(at_once) == len(one_by_one) == 1
+        assert isinstance(at_once[0], Ask) and isinstance(one_by_one[0], Ask)
+        assert at_once[0].message.body == one_by_one[0].message.body
+
+
+FILES: dict[str, tuple[str, Callable[[Path], object], type[Exception]]] = {
+    "configuration": ("", lambda path: load({"LB_CONFIG": str(path)}), ConfigError),
+    "operator file": ("deploy/operator-example.toml", lambda path: operator_file(str(path), Operator), Refused),
+    "scenario": ("granitewell/lab/scenarios/chaos.toml", lambda path: scenario_file(path), ScenarioError),
+    "experiment": ("deploy/experiments/cold-share.toml", lambda path: plan.load(path), plan.PlanError),
+    "recording": ("", lambda path: list(recording.read(path)), recording.RecordingError),
+}
+
+
+@pytest.mark.parametrize("name", FILES)
+def test_a_spoilt_file_is_taken_or_refused_with_its_name(tmp_path: Path, name: str) -> None:
+    """Cut, with bytes changed, nested, empty: never anything but the error of that file, in lines that name it."""
+    source, reads, refused = FILES[name]
+    path, rng = tmp_path / "file", Random(11)
+    if name == "configuration":
+        raw = Path(write(tmp_path)["LB_CONFIG"]).read_bytes()
+    elif name == "recording":
+        raw = b'["node_up",5,"n0",0]\n["taken",6,"r1","n0"]\n["answered",9,"r1","n0","served",0,true]\n'
+    else:
+        raw = (ROOT / source).read_bytes()
+    path.write_bytes(raw)
+    reads(path)
+    cuts = [raw[:k] for k in range(0, len(raw), max(len(raw) // 150, 1))]
+    deep = [b"[" * 100_000, b"\x00" * 5000, b"\xff\xfe", b"a = " + b"[" * 5000, b"{" * 900, b"9" * 6000]
+    for data in [b"", *cuts, *(spoilt(rng, raw) for _ in range(150)), *deep]:
+        path.write_bytes(data)
+        try:
+            reads(path)
+        except refused as error:
+            text = str(error)
+            assert text and (str(path) in text or name == "configuration"), text
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,124 @@
+"""Every order of a few events on a tiny fleet: the real reducer with the real module, each rule after each event.
+
+An order is a list of events, each of which can happen where it stands (orders.World.possible says what can, by what has
+come before). All orders up to a length are played, none is passed over: two orders are never taken for one, since the
+module's figures and random draws differ with each event. The number of orders is asserted, so that a search that has
+become empty fails. No clock, no seed but the module's own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import pytest
+
+from granitewell import core as c
+from granitewell.lab.cluster.search import Seen, search
+from tests.checker import Broken
+from tests.orders import Event, Order, World
+from tiderelay.policy import Balancer
+
+# name: kinds of events, length, whether calls are dialed, nodes, orders
+WORLDS = {
+    "dials": (("safe", "unsafe", "connected", "refused", "ok", "drain", "wait"), 6, True, 1),
+    "answers": (("safe", "unsafe", "ok", "error", "reset", "full", "gone", "wait"), 5, False, 1),
+    "list": (("unsafe", "connected", "refused", "drain", "vanish", "back", "restart", "move", "wait"), 6, True, 1),
+    "bans": (("unsafe", "safe", "connected", "refused", "reset", "ban", "lift", "restart", "wait"), 5, True, 1),
+    "ends": (("safe", "unsafe", "connected", "ok", "reset", "stop", "reload", "gone", "wait"), 5, True, 1),
+    "large": (("large", "connected", "refused", "whole", "let_go", "full", "reset", "ok", "gone", "wait"), 6, True, 1),
+    "begun": (("safe", "began", "ok", "reset", "full", "gone", "drain", "stop", "wait"), 6, False, 1),
+    "cold": (("burst", "drain", "restart", "all_ok", "wait"), 4, False, 2),
+}  # fmt: skip
+ORDERS: dict[str, int] = {}
+
+
+class Played:
+    """The orders of one world, as the search wants them."""
+
+    def __init__(self, name: str, core: type[c.Core] = c.Core, balancer: type[Balancer] = Balancer) -> None:
+        self.kinds, self.length, self.dials, self.nodes = WORLDS[name]
+        self.core, self.balancer = core, balancer
+        self._next: dict[Order, tuple[Event, ...]] = {}
+
+    def broken(self, order: Order) -> str:
+        """Play it; what is wrong, if anything is."""
+        world = World(self.nodes, self.core, self.balancer)
+        world.dials = self.dials
+        try:
+            for event in order:
+                world.play(event)
+            if len(order) < self.length:
+                self._next[order] = tuple(world.possible(self.kinds, order))
+            world.end()
+        except Broken as error:
+            return str(error)
+        return ""
+
+    def steps(self, order: Order) -> Iterable[tuple[Event, Order]]:
+        for event in self._next.pop(order, ()):
+            yield event, (*order, event)
+
+    def seen(self) -> Seen[Event]:
+        return search((), self.steps, self.broken)
+
+
+@pytest.mark.parametrize("name", WORLDS)
+def test_no_order_breaks_a_rule(name: str) -> None:
+    seen = Played(name).seen()
+    print(f"{name}: {seen.states} orders")
+    assert not seen.broken, f"{seen.broken}: {seen.trace}"
+    assert seen.whole and seen.states == ORDERS[name]
+
+
+# --- It can fail: guards removed one at a time, in the core and, where both have it, in the module ------------
+def core(**methods: Any) -> type[c.Core]:
+    return type("Harmed", (c.Core,), methods)
+
+
+def module(**methods: Any) -> type[Balancer]:
+    return type("Harmed", (Balancer,), methods)
+
+
+def _twice(self: c.Core, request: Any, *rest: Any) -> None:
+    c.Core._close(self, request, *rest)
+    self._out.append(self._out[-1])
+
+
+def _dialed(self: c.Core, cid: int) -> None:
+    if cid in self._calls:
+        self._out.append(c.WriteCall(cid))
+
+
+def _listed(self: Balancer, host: Any) -> None:
+    Balancer._list(self, host)
+    self._servers[host.id].ready = True
+
+
+def _unbanned(self: c.Core, member: Any) -> Any:
+    bans, self._bans = self._bans, {}
+    try:
+        return c.Core._host(self, member)
+    finally:
+        self._bans = bans
+
+
+DEFECTS = {
+    "answer-twice": ("answers", core(_close=_twice), Balancer, "rule 1"),
+    "deadlines-lost": ("answers", core(_overdue=lambda *_: None), module(_due=lambda *_: None), "rule 1"),
+    "unsafe-guard": ("answers", core(_repeatable=lambda *_: True), module(_may_send=lambda *_: True), "rule 2"),
+    "refuses-what-ran": ("answers", core(_harmless=lambda *_: True), module(_may_refuse=lambda *_: True), "rule 2"),
+    "drain-unheeded": ("list", core(_sendable=lambda *_: True), module(_list=_listed), "rule 3"),
+    "dialed-unchecked": ("list", core(_dialed=_dialed), Balancer, "rule"),
+    "ban-unheeded": ("bans", core(_sendable=lambda *_: True, _host=_unbanned), Balancer, "rule 3"),
+    "leaves-early": ("ends", core(held=property(lambda _: 0), _forget=lambda *_: None), Balancer, "rule|says"),
+    "let-go-again": ("large", core(_repeatable=lambda *_: True), Balancer, "rule|says"),
+    "cold-as-warm": ("cold", c.Core, module(_cold_room=lambda *_: True), "rule 4"),
+}
+
+
+@pytest.mark.parametrize("name", DEFECTS)
+def test_a_guard_removed_is_caught(name: str) -> None:
+    world, harmed, decides, says = DEFECTS[name]
+    seen = Played(world, harmed, decides).seen()
+    assert any(x in seen.broken for x in says.split("|")), seen
