A guard line is written for a decision that was held back, and for nothing else

Ruled out: that the module asked to refuse (it had not). Line: reducer.py _harmless. Change: the line stands where a Refuse of the module becomes a failure.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -624,7 +624,10 @@
             if request.flows and any(c.outcome is None for c in request.calls):
                 request.forgotten = True  # its time has not begun, and an endpoint has part of it
                 return
-            if isinstance(action, t.Fail) or not self._harmless(request):
+            harmless = self._harmless(request)
+            if isinstance(action, t.Refuse) and not harmless:
+                self._note("guard", f"request {request.id} may have run: failed in place of a refusal")
+            if isinstance(action, t.Fail) or not harmless:
                 self._close(request, Verdict.FAILED)
             else:
                 self._close(request, Verdict.FAIL_FAST, None, max(round(action.retry_after_ms * 1000), 0))
@@ -644,7 +647,4 @@
         """Rule 2: a refusal invites a retry, so nothing that must not run twice may have run."""
         if request.cls.effect is Effect.SAFE or all(c.outcome in NEVER_RAN for c in request.calls):
             return True
-        self_dropping = request.cls.effect is Effect.KEYED and request.cls.scope is Scope.ALL
-        if not self_dropping:
-            self._note("guard", f"request {request.id} may have run: failed in place of a refusal")
-        return self_dropping
+        return request.cls.effect is Effect.KEYED and request.cls.scope is Scope.ALL
