Scenario and experiment files nested without end are a line with the file's name

Seen by the fuzz of files (tests/test_input.py): 5,000 opening brackets gave a RecursionError traceback and exit code 70 from lab commands. Lines: lab/scenario_read.py _whole, lab/experiments/plan.py parse. Change: the file's own error.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -87,11 +87,13 @@
     faults = (
         d.Fault(at[2], at[4], "condition", ",".join(names[:2]), (("effect", "spoilt"), ("share", 0.3))),
         d.Fault(at[3], at[5], "drain", names[2]), d.Fault(at[4], at[5], "restart", names[3]),
-        d.Fault(at[5], at[6], "vanish", names[4]), d.Fault(at[6], -1, "node_hup", day.nodes[0].name),
+        d.Fault(at[5], at[6], "vanish", names[4]),
+        d.Fault(at[6], -1, "node_hup", day.nodes[0].name),
     )  # fmt: skip
     place = Path(tempfile.mkdtemp(prefix="granitewell-soak-"))
     os.environ[PLACE] = f"{place}|{length_s}"
-    program = (sys.executable, "-X", "dev", "-W", "error::ResourceWarning", os.path.abspath(__file__), "--node")
+    watch = ("-X", "dev", "-W", "error::ResourceWarning", os.path.abspath(__file__), "--node")
+    program = (sys.executable, *watch)
     options = Options(program=program, rough=0.1, rude=20)
     played = play_on_sockets(replace(day, faults=faults), place, options)
     print(f"rules: {played['report']['offences'] or 'none broken'}")
--- a/granitewell/lab/experiments/plan.py
+++ b/granitewell/lab/experiments/plan.py
@@ -208,8 +208,8 @@
     """The plan of such a text; scenario files are looked for beside it."""
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise PlanError(f"{file}: not TOML: {error}") from None
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        raise PlanError(f"{file}: not TOML: {' '.join(str(error).split())}") from None
     top = _Reader(file, "", raw, _TOP)
     shell = top.table.get("shell", "sim")
     if shell not in SHELLS:
--- a/granitewell/lab/scenario_read.py
+++ b/granitewell/lab/scenario_read.py
@@ -103,7 +103,7 @@
     """A file's tables over those of what it extends."""
     try:
         raw = tomllib.loads(path.read_text("utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         problems.append(f"{label}: {' '.join(str(error).split())}")
         return {}
     before = len(problems)
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -82,7 +82,12 @@
     """Only the body was counted: what stands between its chunks or behind it could grow without bound."""
     parser, (begin, more) = InboundParser(Names(load(write(tmp_path)))), ENDLESS[what]
     got: list[object] = []
-    fed = endless(lambda data: got.extend(parser.feed(data)) or got, ever(ASK % CHUNKED + begin, more))
+
+    def feed(data: bytes) -> object:
+        got.extend(parser.feed(data))
+        return got
+
+    fed = endless(feed, ever(ASK % CHUNKED + begin, more))
     assert [x.status for x in got if isinstance(x, Bad)] in ([431], [400]) and fed <= MOST_FED
 
 
@@ -96,7 +101,8 @@
             try:
                 return parser.feed(data)
             except ValueError as error:
-                return said.append(str(error)) or said
+                said.append(str(error))
+                return said
 
         fed = endless(feed, ever(b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n" + begin, more))
         assert said and fed <= MOST_FED
@@ -179,14 +185,9 @@
         agent = Answers(raw)
         async with at_work(node, agent):
             for cut in range(len(raw) + 1):
-                agent.raw, before = raw[:cut], agent.asked
-                client = client_of(node)
-                loop = asyncio.get_running_loop()
-                await loop.sock_sendall(client, ASK % b"Connection: close\r\nContent-Length: 0\r\n")
-                got = b""
-                while more := await loop.sock_recv(client, 4096):
-                    got += more
-                client.close()
+                agent.raw, before, got = raw[:cut], agent.asked, b""
+                while agent.asked == before:  # else it was turned away: so many have failed
+                    got = await exchanged(node, ASK % b"Connection: close\r\nContent-Length: 0\r\n")
                 whole = got.startswith(b"HTTP/1.1 200 ") and got.endswith(b"\r\n\r\nhello")
                 assert whole == (cut == len(raw)) and (whole or got.startswith(b"HTTP/1.1 502 ")), (cut, got)
                 assert agent.asked == before + 1
@@ -195,6 +196,16 @@
     assert not [line for line in played(tmp_path, scenario) if line.startswith("fault")]
 
 
+async def exchanged(node: Node, raw: bytes) -> bytes:
+    """What a client gets for this on a connection of its own, until that ends."""
+    client, loop, got = client_of(node), asyncio.get_running_loop(), b""
+    await loop.sock_sendall(client, raw)
+    while more := await loop.sock_recv(client, 4096):
+        got += more
+    client.close()
+    return got
+
+
 class Answers:
     """An endpoint that answers each request with these bytes and then ends the connection."""
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -93,7 +93,7 @@
         with socket.create_server(("127.0.0.1", 0)) as server:
             server.setblocking(False)
             accepting = node._spawn(node._accept(server))
-            clients = []
+            clients: list[socket.socket] = []
             while not node._inbounds and not accepting.done() and len(clients) < 9:
                 clients.append(socket.create_connection(server.getsockname()))
                 await asyncio.sleep(0.05)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -52,6 +52,11 @@
     return "-c", CHILD, target, when, str(count), ",".join(str(int(x)) for x in signals or (KILL,))
 
 
+def named(program: object) -> str:
+    """For the list of tests."""
+    return f"{program[2]}-{program[3]}" if isinstance(program, tuple) else ""
+
+
 class Ledger(Agent):
     """An endpoint that counts how often each request has come whole."""
 
@@ -60,11 +65,18 @@
         super().__init__()
 
     def _serve(self, sock: socket.socket) -> None:
-        while (head := self._head(sock)) is not None:
-            if b"Content-Length: 2" in head:
-                sock.recv(2, socket.MSG_WAITALL)
-            self.ran[head.partition(b"Request-Id: ")[2].split()[0]] += 1
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        data = b""
+        try:
+            while more := sock.recv(4096):
+                data += more
+                head, end, body = data.partition(b"\r\n\r\n")
+                if not end or (b"Content-Length: 2" in head and len(body) < 2):
+                    continue
+                self.ran[head.partition(b"Request-Id: ")[2].split()[0]] += 1
+                data = b""
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        except ConnectionError:
+            sock.close()
 
 
 @pytest.fixture
@@ -118,7 +130,7 @@
 ]
 
 
-@pytest.mark.parametrize("program", AT_THE_START, ids=lambda p: f"{p[2]}-{p[3]}")
+@pytest.mark.parametrize("program", AT_THE_START, ids=named)
 def test_killed_at_the_start_the_next_one_keeps_the_bans(site: Site, program: tuple[str, ...]) -> None:
     console = site.start()
     site.ready(console)
@@ -152,7 +164,7 @@
 
 
 @pytest.mark.parametrize("what", ["disable", "enable"])
-@pytest.mark.parametrize("program", IN_A_CALL, ids=lambda p: f"{p[2]}-{p[3]}")
+@pytest.mark.parametrize("program", IN_A_CALL, ids=named)
 def test_killed_in_an_operators_call_either_word_holds_and_no_half_one(
     site: Site, program: tuple[str, ...], what: str
 ) -> None:
@@ -163,7 +175,8 @@
         assert called(site, first, "disable") == 200
     console = site.start(program=program)
     # its /ready is an answer, too, and must not be the one that it stops at
-    site.until(lambda: any(b"ready with" in line for line in iter(site.started[1].stderr.readline, b"")))
+    stderr = site.started[-1].stderr
+    assert stderr is not None and any(b"ready with" in line for line in iter(stderr.readline, b""))
     assert called(site, console, what) == 0
     assert ended(site) == -KILL
     site.started[0].kill()
@@ -177,20 +190,20 @@
 
 
 WHILE_SERVING = [
-    (at("granitewell.net.http1:InboundParser.feed"), 0),
-    (at("granitewell.net.loop:Node._next"), 0),
-    (at("granitewell.net.loop:Node.dispatch", "after", 5), 1),
-    (at("granitewell.net.http1:call_bytes"), 0),
-    (at("granitewell.net.http1:ResponseParser.feed", "before", 3), 1),  # discovery's come first
-    (at("granitewell.net.http1:answer_bytes"), 1),
-    (at("granitewell.net.loop:Node._reply"), 1),
-    (at("granitewell.net.loop:Node._reply", "after"), 1),
-    (at("granitewell.net.loop:Node._answered"), 1),
+    at("granitewell.net.http1:InboundParser.feed"),
+    at("granitewell.net.loop:Node._next"),
+    at("granitewell.net.loop:Node.dispatch", "after", 5),
+    at("granitewell.net.http1:call_bytes"),
+    at("granitewell.net.http1:ResponseParser.feed", "before", 3),  # discovery's come first
+    at("granitewell.net.http1:answer_bytes"),
+    at("granitewell.net.loop:Node._reply"),
+    at("granitewell.net.loop:Node._reply", "after"),
+    at("granitewell.net.loop:Node._answered"),
 ]
 
 
-@pytest.mark.parametrize(("program", "most"), WHILE_SERVING, ids=lambda p: f"{p[2]}-{p[3]}" if p else "")
-def test_killed_while_serving_nothing_runs_again(site: Site, program: tuple[str, ...], most: int) -> None:
+@pytest.mark.parametrize("program", WHILE_SERVING, ids=named)
+def test_killed_while_serving_nothing_runs_again(site: Site, program: tuple[str, ...]) -> None:
     """What a killed process had taken is lost, and its client hears that at once; no other sends it again."""
     site.start(program=program)
     got = booked(site, b"r1")
@@ -199,7 +212,7 @@
     site.ready(console)
     assert booked(site, b"r2").startswith(b"HTTP/1.1 200")
     ran = site.agent.ran  # type: ignore[attr-defined]
-    assert ran[b"r1"] <= max(most, 1) and ran[b"r2"] == 1
+    assert ran[b"r1"] <= 1 and ran[b"r2"] == 1
     assert ran[b"r1"] == 1 or got == b""
 
 
@@ -222,8 +235,7 @@
     site.until(lambda: asked(site, ASK % b"x").startswith(b"HTTP/1.1 200"))
     new = site.start(program=program if which else plain)
     if which:
-        site.until(lambda: site.started[1].poll() is not None or not ready(site, new))
-        ended(site)
+        site.until(lambda: (ready(site, new), site.started[1].poll())[1] is not None)
         left = old
     else:
         site.ready(new)
@@ -253,7 +265,7 @@
 ]
 
 
-@pytest.mark.parametrize("program", IN_A_RELOAD, ids=lambda p: f"{p[2]}-{p[3]}")
+@pytest.mark.parametrize("program", IN_A_RELOAD, ids=named)
 def test_killed_in_a_reload_the_next_one_has_the_file(site: Site, program: tuple[str, ...]) -> None:
     site.ready(site.start(program=program))
     path = Path(site.folder.name, "config0.json")
@@ -286,7 +298,7 @@
 ]
 
 
-@pytest.mark.parametrize(("program", "says"), EARLY_AND_LATE, ids=lambda x: f"{x[2]}-{x[3]}" if x else "")
+@pytest.mark.parametrize(("program", "says"), EARLY_AND_LATE, ids=named)
 def test_asked_to_stop_at_any_time_it_leaves_with_0(site: Site, program: Any, says: bytes) -> None:
     """Before its handlers were there, and once the loop was closed, SIGTERM and SIGHUP ended the process by
     themselves, with another code than that of a stop that was asked for."""
