--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -126,6 +126,8 @@
             request = call.request if call else self._by_inbound.get(getattr(event, "inbound", -1))
             if request is not None and request.open:
                 self._close(request, Verdict.FAILED)
+            elif isinstance(event, Arrived) and not any(isinstance(x, Answer) for x in self._out):
+                self._out.append(Answer(event.inbound, Verdict.FAILED))  # it broke before it had a place
         self._settle()
         return self._out
 
@@ -186,7 +188,8 @@
 
     def _fault(self, what: str) -> None:
         self.stats["faults"] += 1
-        self._note("fault", f"{what}: {' | '.join(traceback.format_exc().strip().splitlines()[-5:])}")
+        told = traceback.format_exc().partition("\nThe above exception")[0]  # the cause, where there is one
+        self._note("fault", f"{what}: {' | '.join(told.strip().splitlines()[-5:])}")
 
     # --- Timers -----------------------------------------------------------------------------------------
     def _at(self, when_us: int, what: str, arg: Any = None) -> None:
@@ -346,8 +349,10 @@
             self.stats["abandoned"] += 1
             self._forget(request)
             for call in request.calls:
-                # the module let go of it when it began, or while its body was on the way
-                if (call.streams or request.forgotten) and call.outcome is None:
+                # the module let go of it when it began; and a body that flows will never be whole, be the
+                # module free to cancel or not
+                lost = call.streams or request.flows or request.forgotten
+                if lost and call.outcome is None:
                     self._out.append(AbandonCall(call.id))
                     self._end(call, Outcome.CANCELLED)
             self._work.append(t.Abandoned(request.id))
@@ -414,7 +419,12 @@
     def clear(self, cid: int) -> bool:
         """The last look before the first byte, where no dial lies between: is this call still to be made?"""
         call = self._calls.get(cid)
-        return call is not None and self._sendable(call.endpoint)
+        return call is not None and self._there(call)
+
+    def _there(self, call: Call) -> bool:
+        """May its first byte go now to where it goes? An endpoint that has moved is not there: what answers
+        at its old address by now may be another one, which drains or is banned."""
+        return self._sendable(call.endpoint) and call.address == call.endpoint.member.address
 
     def _dialed(self, cid: int) -> None:
         """A dial takes time: look again whether the request lives, has time and may still go there."""
@@ -424,7 +434,7 @@
         call.dialing = False
         self.stats["dialed"] += 1
         timely = call.due_us - self._now >= LEAST_LEFT_US
-        if not call.request.open or not timely or not self._sendable(call.endpoint):
+        if not call.request.open or not timely or not self._there(call):
             self._out.append(AbandonCall(cid))
             self._end(call, Outcome.MOOT)
         else:
@@ -553,7 +563,7 @@
             # that is not written down at all may be a file that can't be read
             if event.back_us.get(eid, -1) > self._bans[eid]:
                 self._unban(eid, event.back_us[eid])
-        self._back_us |= {k: v for k, v in event.back_us.items() if k not in self._bans}
+        self._back_us |= {k: min(v, self._now) for k, v in event.back_us.items() if k not in self._bans}
 
     def _ban(self, eid: bytes) -> None:
         if eid in self._bans:
@@ -584,16 +594,22 @@
             self._ask(self._work.popleft())
 
     def _ask(self, event: t.Event) -> None:
+        whole = True
         try:
             actions: Iterable[t.Action] = self._balancer.handle(self._now / 1000, event)
-        except Exception:
-            actions = ()
+        except Exception as error:
+            whole = False
+            actions = error.actions if isinstance(error, t.Broken) else ()  # the module counts on those
             self._fault(f"the decisions failed on {type(event).__name__}")
-            request = self._requests.get(getattr(event, "id", -1))
-            if request is not None:
-                self._close(request, Verdict.FAILED)
         for action in actions:
-            self._act(action)
+            try:
+                self._act(action)
+            except Exception:  # one action's fault must not lose those behind it
+                self._fault(f"{type(action).__name__} failed")
+        request = None if whole else self._requests.get(getattr(event, "id", -1))
+        if request is not None and all(c.outcome is not None for c in request.calls):
+            self._close(request, Verdict.FAILED)
+            self._work.append(t.Abandoned(request.id))
 
     def _act(self, action: t.Action) -> None:
         if isinstance(action, t.Send):
@@ -608,7 +624,10 @@
             if request.flows and any(c.outcome is None for c in request.calls):
                 request.forgotten = True  # its time has not begun, and an endpoint has part of it
                 return
-            if isinstance(action, t.Fail) or not self._harmless(request):
+            harmless = self._harmless(request)
+            if isinstance(action, t.Refuse) and not harmless:
+                self._note("guard", f"request {request.id} may have run: failed in place of a refusal")
+            if isinstance(action, t.Fail) or not harmless:
                 self._close(request, Verdict.FAILED)
             else:
                 self._close(request, Verdict.FAIL_FAST, None, max(round(action.retry_after_ms * 1000), 0))
@@ -628,7 +647,4 @@
         """Rule 2: a refusal invites a retry, so nothing that must not run twice may have run."""
         if request.cls.effect is Effect.SAFE or all(c.outcome in NEVER_RAN for c in request.calls):
             return True
-        self_dropping = request.cls.effect is Effect.KEYED and request.cls.scope is Scope.ALL
-        if not self_dropping:
-            self._note("guard", f"request {request.id} may have run: failed in place of a refusal")
-        return self_dropping
+        return request.cls.effect is Effect.KEYED and request.cls.scope is Scope.ALL
--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -15,46 +15,81 @@
 import fcntl
 import json
 import os
+import stat
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
+from hashlib import blake2b
 from pathlib import Path
 from zlib import crc32
 
 VERSION = 1
 MOST_BYTES = 2048  # of a file of ours
-MOST_FILES = 10_000  # that are looked at
+MOST_SPELT = 96  # bytes of an id that its file's name spells
+MOST_FILES = 10_000  # of a kind that are read,
+MOST_NAMES = 50_000  # of all names in the folder that are looked at
+SETTLED_NS = 100_000_000  # many ticks of a file system's clock
+LEFT_S = 60.0  # after which a file that is being written is one that a killed process has left behind
 KEEP_S = 120.0  # for which the end of a ban is worth knowing: longer than any endpoint takes to get warm
 BAN, RUN, NEW = "ban-", "run-", ".new"
 
 
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """One moment by two clocks, in microseconds: the wall clock, which may be set at any time, and the
+    monotonic one, which all processes share for as long as the machine runs."""
+
+    unix_us: int
+    mono_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """What the files say: the banned, since when (Unix, in microseconds) the others are back, and what is
-    wrong with the files that could not be read."""
+    """What the files say: the banned, since when (monotonic, in microseconds) the others are back, and what
+    is wrong with the files that could not be read."""
 
     bans: frozenset[bytes]
     back_us: Mapping[bytes, int]
     broken: tuple[str, ...]
 
 
-def form(endpoint: bytes, banned: bool, unix_us: int) -> bytes:
-    """A ban's file: one line of JSON, and behind it a check sum by which a cut one is told."""
-    line = json.dumps({"v": VERSION, "id": endpoint.hex(), "banned": banned, "unix_us": unix_us}).encode()
+def form(endpoint: bytes, banned: bool, at: Moment) -> bytes:
+    """A ban's file: one line of JSON, and behind it a check sum by which a cut one is told. Processes of
+    before mono_us read and write the same form without it."""
+    told = {"v": VERSION, "id": endpoint.hex(), "banned": banned}
+    line = json.dumps(told | {"unix_us": at.unix_us, "mono_us": at.mono_us}).encode()
     return b"%s\n%08x\n" % (line, crc32(line))
 
 
-def read(raw: bytes) -> tuple[bytes, bool, int]:
-    """Endpoint, whether banned, and since when. ValueError: not a whole file of ours."""
+def name_of(endpoint: bytes) -> str:
+    """The file of an endpoint's ban. A long id has a digest in place of itself: file names end at 255
+    bytes."""
+    if len(endpoint) <= MOST_SPELT:
+        return f"{BAN}{endpoint.hex()}"
+    return f"{BAN}id-{blake2b(endpoint, digest_size=32).hexdigest()}"
+
+
+def read(raw: bytes) -> tuple[bytes, bool, Moment]:
+    """Endpoint, whether banned, and since when; mono_us is -1 where that is not told. ValueError: not a whole
+    file of ours."""
     line, _, rest = raw.partition(b"\n")
     if rest != b"%08x\n" % crc32(line):
         raise ValueError("cut off, or not written by this program")
     top = json.loads(line)
     if not isinstance(top, dict) or top.get("v") != VERSION:
         raise ValueError("of another version")
-    eid, banned, unix_us = top.get("id"), top.get("banned"), top.get("unix_us")
+    eid, banned, unix_us, mono_us = (top.get(x) for x in ("id", "banned", "unix_us", "mono_us"))
     if not isinstance(eid, str) or not isinstance(banned, bool) or type(unix_us) is not int or unix_us < 0:
         raise ValueError("a field is missing or of a wrong type")
-    return bytes.fromhex(eid), banned, unix_us
+    return bytes.fromhex(eid), banned, Moment(unix_us, mono_us if type(mono_us) is int else -1)
+
+
+def since(at: Moment, now: Moment) -> int:
+    """When that was, by the monotonic clock; -1 for too long ago to matter. The wall clock is asked only
+    where nothing else is told: between two processes it may have been set."""
+    known = 0 <= at.mono_us <= now.mono_us
+    passed = now.mono_us - at.mono_us if known else now.unix_us - at.unix_us
+    return now.mono_us - passed if 0 <= passed <= KEEP_S * 1e6 else -1
 
 
 class Handover:
@@ -65,7 +100,9 @@
         self._folder = Path(folder, f"granitewell-{safe}") if folder else None
         self._lock = -1  # the descriptor that holds our file locked
         self._seen = -1  # when the folder last changed, as of the last look
-        self._mine = f"{RUN}{os.getpid()}"
+        # a process number alone comes again, and is another's in another process space over the same folder
+        self._self = f"{os.getpid()}-{os.urandom(4).hex()}"
+        self._mine = f"{RUN}{self._self}"
         self._said = -1  # the descriptors that this process has said it may hold
 
     def enter(self) -> str:
@@ -74,20 +111,23 @@
             return ""
         try:
             self._folder.mkdir(mode=0o700, exist_ok=True)
+            self._tidy(self._folder)
             # locked before it has its name: no other process may find it free
             new = self._folder / f"{self._mine}{NEW}"
             self._lock = os.open(new, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             os.rename(new, self._folder / self._mine)
         except OSError as error:
+            self.leave()
             return f"the hand-over folder can't be used: {error.strerror}"
         return ""
 
     def leave(self) -> None:
         """This process runs no more; the end of it says so too, however it comes."""
         if self._lock >= 0:
-            with contextlib.suppress(OSError):
-                os.unlink(self._folder / self._mine)  # type: ignore[operator]
+            for name in (self._mine, f"{self._mine}{NEW}"):
+                with contextlib.suppress(OSError):
+                    os.unlink(self._folder / name)  # type: ignore[operator]
             os.close(self._lock)
             self._lock = -1
 
@@ -103,10 +143,10 @@
         it has not said. Files of those that have ended go."""
         claims = []
         for path in self._files(RUN):
-            if path.name == self._mine or path.name.endswith(NEW):
+            if path.name == self._mine:
                 continue
             with contextlib.suppress(OSError):
-                probe = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+                probe = os.open(path, os.O_RDWR | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
                 try:
                     fcntl.flock(probe, fcntl.LOCK_EX | fcntl.LOCK_NB)
                     os.unlink(path)
@@ -125,18 +165,21 @@
             seen = os.stat(self._folder).st_mtime_ns
         except OSError:
             return False
-        was, self._seen = self._seen, seen
+        was = self._seen
+        # two changes within a tick of the file system have one time: it proves nothing before it is some
+        # ticks old
+        self._seen = seen if abs(time.time_ns() - seen) > SETTLED_NS else -1
         return seen != was
 
-    def keep(self, endpoint: bytes, banned: bool, unix_us: int) -> str:
+    def keep(self, endpoint: bytes, banned: bool, now: Moment) -> str:
         """Write down a ban or its end; what is wrong, or nothing, as where there is no folder."""
         if self._folder is None:
             return ""
-        path = self._folder / f"{BAN}{endpoint.hex()}"
-        new = path.with_name(f"{path.name}.{os.getpid()}{NEW}")
+        path = self._folder / name_of(endpoint)
+        new = path.with_name(f"{path.name}.{self._self}{NEW}")
         try:
             self._folder.mkdir(mode=0o700, exist_ok=True)
-            new.write_bytes(form(endpoint, banned, unix_us))
+            new.write_bytes(form(endpoint, banned, now))
             os.rename(new, path)
         except OSError as error:
             with contextlib.suppress(OSError):
@@ -144,29 +187,27 @@
             return f"the ban could not be written down: {error.strerror}"
         return ""
 
-    def kept(self, unix_us: int) -> Kept:
+    def kept(self, now: Moment) -> Kept:
         """What is written down of bans; ends of bans that are too old to matter go."""
         bans, back, broken = set(), {}, []
         for path in self._files(BAN):
-            if path.name.endswith(NEW):
-                continue  # being written, or left behind by one that was killed
             try:
-                with path.open("rb") as file:
-                    eid, banned, since = read(file.read(MOST_BYTES))
-                if path.name != f"{BAN}{eid.hex()}":
+                eid, banned, at = read(_raw(path))
+                if path.name != name_of(eid):
                     raise ValueError("its name is another endpoint's")
             except FileNotFoundError:
                 continue
             except (OSError, ValueError, RecursionError) as error:
+                # told of, not removed: what it is may matter to whoever put it there
                 broken.append(f"{path.name[:80]}: {getattr(error, 'strerror', None) or error}")
                 continue
             if banned:
                 bans.add(eid)
-            elif unix_us - since > KEEP_S * 1e6:
+            elif (back_us := since(at, now)) < 0:
                 with contextlib.suppress(OSError):
                     path.unlink()
             else:
-                back[eid] = since
+                back[eid] = back_us
         return Kept(frozenset(bans), back, tuple(broken))
 
     def _files(self, prefix: str) -> list[Path]:
@@ -174,7 +215,29 @@
             return []
         try:
             with os.scandir(self._folder) as found:
-                names = [x.name for _, x in zip(range(MOST_FILES), found, strict=False)]
+                names = [x.name for _, x in zip(range(MOST_NAMES), found, strict=False)]
         except OSError:
             return []
-        return [self._folder / name for name in sorted(names) if name.startswith(prefix)]
+        ours = sorted(name for name in names if name.startswith(prefix) and not name.endswith(NEW))
+        return [self._folder / name for name in ours[:MOST_FILES]]
+
+    def _tidy(self, folder: Path) -> None:
+        """What processes that were killed in the middle of a write have left."""
+        with contextlib.suppress(OSError), os.scandir(folder) as found:
+            for _, entry in zip(range(MOST_NAMES), found, strict=False):
+                if entry.name.endswith(NEW) and entry.name.startswith((BAN, RUN)):
+                    with contextlib.suppress(OSError):
+                        if abs(time.time() - entry.stat(follow_symlinks=False).st_mtime) > LEFT_S:
+                            os.unlink(entry.path)
+
+
+def _raw(path: Path) -> bytes:
+    """What a file of ours can hold at most. ValueError: it is no file; a pipe, which anybody may leave here,
+    would be waited for without end."""
+    opened = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
+    try:
+        if not stat.S_ISREG(os.fstat(opened).st_mode):
+            raise ValueError("no regular file")
+        return os.read(opened, MOST_BYTES)
+    finally:
+        os.close(opened)
--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -11,7 +11,7 @@
 import math
 import re
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import Any
@@ -26,6 +26,7 @@
 MOST_BODY = 40 * 1024 * 1024  # bytes of any body
 MOST_HEAD = 16 * 1024  # bytes of request line and headers
 MOST_LIST = 4 * 1024 * 1024  # bytes of a list from discovery
+MOST_PLACES = 1_000  # zones, or kinds, that discovery can name
 READY_PATH = b"/-/ready"
 LIST_PATH = "/api/targets"
 _ID = re.compile(rb"[\x21-\x7e]{1,128}\Z")
@@ -192,6 +193,7 @@
         self.broken = False  # no further request can be told from these bytes
         self.partial = False  # a request has begun and is not whole
         self._head = 0  # bytes of the head so far; begun anew where a request ends
+        self._between = 0  # bytes since the last one of the body: frames, trailers
         self._reset()
 
     def _reset(self) -> None:
@@ -207,6 +209,7 @@
         self._items = []
         if not self.broken:
             self._head += len(data) if self._in_head else 0
+            self._between += len(data)
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserUpgrade:
@@ -219,6 +222,8 @@
             # a header line that never ends reaches no callback: count what has come in
             if self._in_head and self._head > MOST_HEAD:
                 self._refuse(431, "headers over 16 KiB")
+            if self.in_body and self._between > MOST_KEPT + MOST_HEAD:
+                self._refuse(431, "trailers over 16 KiB")
         return self._items
 
     def _refuse(self, status: int, text: str) -> None:
@@ -235,6 +240,8 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_head:
+            return  # a trailer is no header, and nothing here reads it
         low = name.lower()
         self._twice = self._twice or (low in _SINGLE and low in self._headers)
         self._headers[low] = value.strip()
@@ -244,7 +251,7 @@
         if len(self._target) + sum(len(k) + len(v) + 4 for k, v in self._headers.items()) > MOST_HEAD:
             self._refuse(431, "headers over 16 KiB")
         length = self._headers.get(b"content-length", b"0")
-        self.in_body = True
+        self.in_body, self._between = True, 0
         if length.isdigit() and (len(length) > 9 or int(length) > MOST_BODY):
             self._refuse(413, f"body over {MOST_BODY >> 20} MiB")
         elif length.isdigit() and int(length) > MOST_KEPT and not self.broken:
@@ -266,6 +273,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
+        self._between = 0
         self.expecting = False
         if self.broken:
             return
@@ -400,6 +408,7 @@
         self.headers: dict[bytes, bytes] = {}
         self._parts: list[bytes] = []
         self._size = self._head = 0
+        self._between = 0  # bytes since the last one of the body: frames, trailers
         self._in_body = self.endless = False  # endless: its length is not told beforehand
         self.done = False
         self.reusable = False
@@ -436,6 +445,7 @@
     def feed(self, data: bytes) -> bool:
         """True once the answer is whole. ValueError: this is no answer."""
         self._head += 0 if self._in_body else len(data)
+        self._between += len(data)
         while data:
             try:
                 self._parser.feed_data(data)
@@ -453,6 +463,8 @@
             raise ValueError("the body is too large")
         if not self._in_body and self._head > 2 * MOST_HEAD:
             raise ValueError("the headers are too large")
+        if self._in_body and not self.done and self._between > MOST_KEPT + MOST_HEAD:
+            raise ValueError("the trailers are too large")
         return self.done
 
     def end(self) -> bool:
@@ -470,7 +482,7 @@
         self.headers, self._in_body = {}, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.done:
+        if not self.done and not self._in_body:  # behind the body it is a trailer, and counts for nothing
             self.headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
@@ -486,6 +498,7 @@
     def on_body(self, body: bytes) -> None:
         if not self.done:
             self._size += len(body)
+            self._between = 0
             self._parts.append(body)
 
     def on_message_complete(self) -> None:
@@ -529,13 +542,15 @@
 
 
 class FleetReader:
-    """Discovery's JSON to the core's members. Names not in the settings get stable indices behind theirs."""
+    """Discovery's JSON to the core's members. Names not in the settings get stable indices behind theirs.
+    ours: a moment of Unix time on the core's clock, as the two stand now."""
 
-    def __init__(self, config: Config, unix_less_core_us: int) -> None:
+    def __init__(self, config: Config, ours: Callable[[int], int]) -> None:
         self._zones: dict[str, int] = {}
         self._kinds: dict[str, int] = {}
+        self._starts: dict[bytes, tuple[float, int]] = {}  # of the listed: Unix time as told, and ours
         self.take(config)
-        self._offset_us = unix_less_core_us
+        self._ours = ours
 
     def take(self, config: Config) -> int:
         """Other settings: the names known so far keep their indices. The index of the node's own zone."""
@@ -557,19 +572,43 @@
         """The same from parsed JSON; every way in which it can be malformed is a ValueError."""
         try:
             form = view or (View.FULL if top["complete"] is True else View.DELTA)
-            return int(top["revision"]), FleetNews(form, tuple(self._member(m) for m in top["members"]))
+            starts: dict[bytes, tuple[float, int]] = {}
+            revision = int(top["revision"])
+            members = tuple(self._member(m, starts) for m in top["members"])
         except (TypeError, KeyError, AttributeError, ConfigError, OverflowError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
-
-    def _member(self, m: Mapping[str, Any]) -> Member:
+        self._starts = self._starts | starts if form is View.DELTA else starts
+        for m in members:
+            if m.state is State.GONE:
+                self._starts.pop(m.id, None)
+        return revision, FleetNews(form, members)
+
+    def _started(self, eid: bytes, up_ms: float, starts: dict[bytes, tuple[float, int]]) -> int:
+        """On the core's clock; 0 stays 0. Reckoned once for each start: a value that moves with the clocks
+        would read as a restart, and one offset for the whole run would make each start after a step of the
+        wall clock look colder or warmer than it is."""
+        known = self._starts.get(eid)
+        if known is None or known[0] != up_ms:
+            known = up_ms, max(self._ours(int(up_ms * 1000)), 1) if up_ms > 0 else 0
+        starts[eid] = known
+        return known[1]
+
+    def _member(self, m: Mapping[str, Any], starts: dict[bytes, tuple[float, int]]) -> Member:
         up_ms, scale = float(m.get("up_since_ms") or 0), float(m.get("size") or 1.0)
-        # One offset for the whole run: a value that jitters would read as a restart. 0 stays 0.
-        started = max(int(up_ms * 1000) - self._offset_us, 1) if up_ms > 0 else 0
+        eid = str(m["id"]).encode()
         return Member(
-            str(m["id"]).encode(), address(m["host_port"], "host_port"),
-            self._zones.setdefault(str(m.get("locality")), len(self._zones)),
-            self._kinds.setdefault(str(m.get("flavor")), len(self._kinds)),
+            eid, address(m["host_port"], "host_port"),
+            _place(self._zones, str(m.get("locality"))),
+            _place(self._kinds, str(m.get("flavor"))),
             int(m.get("cell") or 0),
             _STATES.get(m["phase"], State.DRAINING),  # an unknown phase wants no new work from us
-            scale if math.isfinite(scale) else 1.0, started,
+            scale if math.isfinite(scale) else 1.0, self._started(eid, up_ms, starts),
         )  # fmt: skip
+
+
+def _place(places: dict[str, int], name: str) -> int:
+    """The index of a name; those beyond all bounds share one, as memory must not grow with names ever
+    heard."""
+    if name not in places and len(places) >= MOST_PLACES:
+        return MOST_PLACES
+    return places.setdefault(name, len(places))
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -22,7 +22,7 @@
 
 from granitewell import core as c
 from granitewell.config import Config, needs_restart, taken_up
-from granitewell.handover import Handover
+from granitewell.handover import Handover, Moment
 from granitewell.net import http1
 from granitewell.net.bodies import GAP_S, HOLD_S, STILL_S, Budget, Pour, Waits, pump
 from granitewell.net.clock import Clock
@@ -49,7 +49,8 @@
 BODY_US = 2_500_000  # came; and between two pieces of its body, which has to come at
 BODY_PER_S = 16 * 1024  # bytes a second at least, from so long after its head on
 BODY_SPARE_US = 3_000_000
-FLOW_STILL_US = 10_000_000  # without a byte, after which a body that flows comes no more
+FLOW_STILL_US = 10_000_000  # without a byte, after which a body that flows comes no more; it has to come at
+FLOW_PER_S = 4 * 1024  # bytes a second at least, once as long has passed since its head
 HUSH_US = 200_000  # after which a connection that has said nothing goes first where descriptors are short,
 HALF_US = 500_000  # and after which one with half a request goes with those that are idle
 # Clients hold a third of the descriptors at most, and some ask once and keep their connection for good: those
@@ -63,7 +64,7 @@
 STUCK_S = 5.0  # for a client to take its answer
 FRESH_US = 2_000_000  # for the first byte of the first request on a new connection
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
-MOST_QUEUED = 4  # requests waiting on one inbound; clients of the protocol send one at a time
+MOST_QUEUED = 4  # requests written ahead on one inbound, after which it is read on once one is answered
 NEXT_PART = 4  # one in so many descriptors is the next process's while it starts beside this one
 SPARE_DESCRIPTORS = 16  # beyond what it holds, for a process that is to stop
 PARTING_US = 200_000  # for an idle connection to an endpoint there
@@ -74,9 +75,13 @@
     """One client connection."""
 
     __slots__ = ("answered", "at_us", "buffer", "busy", "closing", "flow", "fresh", "head_us", "heard_us",
-                 "id", "keep", "old", "parser", "queue", "sock", "task")  # fmt: skip
+                 "id", "keep", "kept", "old", "parser", "queue", "sock", "stood_us", "task",
+                 "turn")  # fmt: skip
 
     def __init__(self, number: int, sock: socket.socket, parser: http1.InboundParser, now: int) -> None:
+        self.stood_us = 0  # for which the body that flows has waited for its endpoint
+        self.kept = 0  # bytes of bodies that it holds whole, as the budget counts them
+        self.turn: asyncio.Event | None = None  # that its reading waits for where requests are written ahead
         self.id, self.sock, self.parser, self.at_us = number, sock, parser, now
         self.buffer = bytearray(BUFFER)  # its first byte is 0 until the loop has read something into it
         self.queue: deque[http1.Item] = deque()
@@ -92,11 +97,12 @@
 class _Call:
     """An outbound call that is under way."""
 
-    __slots__ = ("dialing", "effect", "go", "task")
+    __slots__ = ("dialing", "effect", "go", "task", "wrote")
 
     def __init__(self, effect: c.StartCall) -> None:
         self.effect = effect
         self.dialing = self.go = False
+        self.wrote = False  # bytes may have gone out
         self.task: asyncio.Task[None] | None = None
 
 
@@ -110,12 +116,12 @@
         self.clock = Clock(loop)
         self.log = Log(config.name)
         self._names = http1.Names(config)
-        self._reader = http1.FleetReader(config, self.clock.unix_offset_us)
+        self._reader = http1.FleetReader(config, self.clock.ours)
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
         self._sockets = sockets
         self._budget = Budget(config.memory_mb)
-        self._divide(config.sockets)
+        self._divide(sockets)
         self._listener: socket.socket | None = None
         self._inbounds: dict[int, _Inbound] = {}
         self._last_inbound = 0
@@ -149,6 +155,7 @@
     # --- Life -------------------------------------------------------------------------------------------
     async def run(self) -> None:
         """Serve until the core says to leave."""
+        self._loop.set_exception_handler(self._unheard)
         listener = self._listener = listening(self._config)
         if self._config.console is not None:
             try:
@@ -183,6 +190,12 @@
         if self._replies:  # the last answers must be out before the process is gone
             await asyncio.wait(self._replies, timeout=0.2)
 
+    def _unheard(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What a callback of the loop has raised. Its own handler writes to standard error and waits for
+        whoever reads that: with nobody there, for good."""
+        error = context.get("exception")
+        self.say("fault", f"{context.get('message')}: {type(error).__name__}: {error}")
+
     def stop(self) -> None:
         """The stop signal has come."""
         self.dispatch(c.StopAsked(self._shared))
@@ -207,10 +220,10 @@
             self._beside(self._handover.others())
         if not self._handover.changed():
             return
-        kept = self._handover.kept(self.clock.fresh() + self.clock.unix_offset_us)
+        kept = self._handover.kept(_moment())
         for broken in kept.broken:
             self.say("handover", f"passed over: {broken}")
-        back = {k: v - self.clock.unix_offset_us for k, v in kept.back_us.items()}
+        back = {k: self.clock.by_machine(v) for k, v in kept.back_us.items()}
         self.dispatch(c.BansHeard(kept.bans, back))
         self._beside(self._handover.others())
 
@@ -244,8 +257,7 @@
 
     def _keep_ban(self, effect: c.KeepBan) -> None:
         if self._handover is not None:
-            unix_us = self.clock.now() + self.clock.unix_offset_us
-            wrong = self._handover.keep(effect.endpoint, effect.banned, unix_us)
+            wrong = self._handover.keep(effect.endpoint, effect.banned, _moment())
             if wrong:
                 self.say("handover", wrong)
                 if self.console is not None:
@@ -383,7 +395,7 @@
             if inbound.closing and waited >= LINGER_US:
                 self._drop(inbound)
             elif inbound.busy and inbound.flow is not None and not inbound.flow.done:
-                if now - inbound.heard_us >= FLOW_STILL_US and inbound.flow.unread <= http1.MOST_KEPT:
+                if inbound.flow.unread <= http1.MOST_KEPT and _trickles(inbound, inbound.flow, now):
                     self._drop(inbound)
             elif inbound.busy or inbound.closing:
                 continue
@@ -402,13 +414,14 @@
         while listener.fileno() >= 0:  # closed once the node has been asked to stop
             try:
                 sock, _ = await self._loop.sock_accept(listener)
-            except OSError as error:
-                # out of descriptors, or a client that left early: neither may stop the listener
+                self._admit(sock)
+                self._accept_more(listener)
+            except Exception as error:
+                # out of descriptors, a client that left early, or what nobody thought of: no reason to let
+                # this task end, since a node that takes nobody goes on looking alive
                 self.say("accept", f"could not accept: {error}")
                 await asyncio.sleep(0.02)
                 continue
-            self._admit(sock)
-            self._accept_more(listener)
             while not self._room(self._most_inbound, len(self._inbounds)) and not self._evict():
                 self.say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
                 await asyncio.sleep(0.02)
@@ -475,22 +488,35 @@
                 was_in_body = inbound.parser.in_body
                 inbound.queue.extend(inbound.parser.feed(bytes(buffer[:n])))
                 if inbound.parser.in_body and not was_in_body:
-                    inbound.head_us = inbound.heard_us
+                    inbound.head_us, inbound.stood_us = inbound.heard_us, 0
                 if inbound.parser.expecting and not inbound.busy and n < BUFFER:
                     with contextlib.suppress(BlockingIOError):
                         inbound.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-                if len(inbound.queue) > MOST_QUEUED:
-                    self.say("inbound", "a client sent many requests at once: closed")
-                    break
                 flow = inbound.parser.flow or inbound.flow
                 self._next(inbound)
+                self._count(inbound)
                 if flow is not None:
                     await self._flowed(inbound, flow)
+                while inbound.busy and inbound.queue and _far_ahead(inbound):
+                    # closing would lose requests that it has taken; what is not read costs nothing
+                    self.say("inbound", "a client writes requests ahead: read on once one is answered")
+                    inbound.turn = asyncio.Event()
+                    await inbound.turn.wait()
+                    self._count(inbound)
         except OSError:
             pass
         finally:
             self._drop(inbound)
 
+    def _count(self, inbound: _Inbound) -> None:
+        """Tell the budget what this inbound holds of bodies that do not flow."""
+        parser = inbound.parser
+        kept = parser.size if parser.in_body and parser.flow is None else 0
+        if inbound.queue:
+            kept += _written_ahead(inbound)
+        self._budget.kept += kept - inbound.kept
+        inbound.kept = kept
+
     async def _flowed(self, inbound: _Inbound, flow: http1.Flow) -> None:
         """More of a body that flows has come: its call goes on, and reading waits for that."""
         if flow.owner is None:
@@ -502,7 +528,10 @@
         if not flow.done:
             if len(inbound.buffer) != self._budget.piece():
                 inbound.buffer = bytearray(self._budget.piece())
-            await flow.owner.until_room(flow)
+            if flow.unread > http1.MOST_KEPT:
+                began_us = self.clock.now()
+                await flow.owner.until_room(flow)
+                inbound.stood_us += self.clock.now() - began_us
 
     def _next(self, inbound: _Inbound) -> None:
         """Begin the next whole request of an inbound that has none out."""
@@ -550,6 +579,8 @@
         inbound.at_us = self.clock.now()
         inbound.busy = inbound.fresh = False
         inbound.answered += 1
+        if inbound.turn is not None:
+            inbound.turn.set()
         if close or self._listener is None:
             # half-closed first: closing with bytes unread would reset the answer away
             inbound.closing = True
@@ -562,10 +593,13 @@
             self._next(inbound)
 
     def _drop(self, inbound: _Inbound) -> None:
+        """End a client's connection, and whatever its reading task waits for: a body that nobody takes any
+        more gets no room."""
         if self._inbounds.pop(inbound.id, None) is not None:
+            self._budget.kept -= inbound.kept
             end(inbound.sock)
-            if inbound.flow is not None and inbound.flow.owner is not None:
-                inbound.flow.owner.room.set()
+            if inbound.task is not None and inbound.task is not asyncio.current_task(self._loop):
+                inbound.task.cancel()
             self.dispatch(c.InboundGone(inbound.id))
 
     def _cut(self, inbound: _Inbound) -> None:
@@ -573,6 +607,7 @@
         read that is pending holds the socket open, so that it has to end first."""
         if self._inbounds.pop(inbound.id, None) is None:
             return
+        self._budget.kept -= inbound.kept
         with contextlib.suppress(OSError):
             inbound.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         assert inbound.task is not None
@@ -616,7 +651,17 @@
         # a dial goes on: the connection has been paid for and serves a later call
 
     async def _carry(self, call: _Call) -> None:
-        """One outbound call, from connection to ending. Nothing here is ever sent twice."""
+        """One outbound call, with an ending whatever happens."""
+        try:
+            await self._carried(call)
+        except Exception as error:
+            # nobody else would end it before its time: its request would wait for that, a flowing one for
+            # good
+            self.say("fault", f"a call failed: {type(error).__name__}: {error}")
+            self._finish(call.effect.call, Outcome.RESET if call.wrote else Outcome.UNCONNECTED)
+
+    async def _carried(self, call: _Call) -> None:
+        """From connection to ending. Nothing here is ever sent twice."""
         effect = call.effect
         conn = self.pool.take(effect.endpoint, effect.address)
         if conn is None:
@@ -641,6 +686,7 @@
         try:
             left_us = effect.due_us - self.clock.now()
             data = http1.call_bytes(effect.message, conn.address, left_us)
+            call.wrote = True
             try:
                 await self._loop.sock_sendall(conn.sock, data)
             except OSError:
@@ -772,6 +818,10 @@
         return True
 
 
+def _moment() -> Moment:
+    return Moment(time.time_ns() // 1000, time.monotonic_ns() // 1000)
+
+
 def _too_slow(inbound: _Inbound, now_us: int) -> bool:
     """Has a request that has begun taken longer than its client may?"""
     if not inbound.parser.in_body:
@@ -780,6 +830,23 @@
     return now_us - inbound.heard_us >= BODY_US or inbound.parser.size < due
 
 
+def _trickles(inbound: _Inbound, flow: http1.Flow, now_us: int) -> bool:
+    """Does a client keep its large body from ever coming whole? What its endpoint did not take does not
+    count against it."""
+    had_us = now_us - inbound.head_us - inbound.stood_us - FLOW_STILL_US
+    return now_us - inbound.heard_us >= FLOW_STILL_US or flow.came < had_us * FLOW_PER_S / 1e6
+
+
+def _written_ahead(inbound: _Inbound) -> int:
+    """Bytes of the bodies of whole requests that wait for their turn."""
+    return sum(len(item.message.body) for item in inbound.queue if isinstance(item, http1.Ask))
+
+
+def _far_ahead(inbound: _Inbound) -> bool:
+    """Does a client wait with more than it should be read on for? One body kept whole is enough."""
+    return len(inbound.queue) >= MOST_QUEUED or _written_ahead(inbound) > 0
+
+
 def _is_idle(inbound: _Inbound, now_us: int, fresh_us: int = FRESH_US) -> bool:
     """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
     kernel, nor bytes that the loop took from it a turn before the reading task goes on. A new connection is
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from granitewell.config import ConfigError, load, needs_restart, reload
+from granitewell.net.clock import Clock
 from granitewell.net.http1 import FleetReader, Names
 from tests.play import settings
 from tiderelay.interface import State, View
@@ -59,6 +62,15 @@
         ({"discovery": None}, "discovery"),
         ({"seed": "zebra"}, "seed"),
         ({"seed": float("inf")}, "seed"),
+        ({"listen": "127.0.0.1:" + "9" * 5000}, "listen"),
+        ({"listen": "127.0.0.1:" + "9" * 5}, "listen"),
+        ({"listen": "\ud800:80"}, "listen"),
+        ({"discovery": "a" * 64 + ".example:80"}, "discovery"),
+        ({"console": "127.0.0.1\n:80"}, "console"),
+        ({"settings": settings() | {"zones": ["\ud800"]}}, "settings.zones"),
+        ({"settings": settings() | {"tenants": [{"name": "a\r\nb", "share": 1.0, "allowancePerS": 1.0}]}},
+         "settings.tenants"),
+        ({"settings": settings() | {"balancers": 10**400}}, "integer|too large|int"),
         ({"limits": {"sockets": "many"}}, "limits.sockets"),
         ({"limits": {"cores": 0}}, "limits.cores"),
         ({"known": [1]}, "known"),
@@ -74,7 +86,27 @@
 def test_a_bad_one_names_its_field(tmp_path: Path, changes: dict[str, Any], names: str) -> None:
     with pytest.raises(ConfigError, match=names) as caught:
         load(write(tmp_path, **changes))
-    assert "\n" not in str(caught.value)
+    assert "\n" not in str(caught.value) and len(str(caught.value)) < 200
+
+
+@pytest.mark.parametrize("depth", [100, 500, 900, 990, 1500, 100_000])
+def test_a_file_nested_however_deep_is_no_traceback(tmp_path: Path, depth: int) -> None:
+    """Some depths are read by the parser and too deep for what copies the settings."""
+    env = write(tmp_path)
+    path = tmp_path / "config.json"
+    nested = "[" * depth + "]" * depth
+    path.write_text(path.read_text().replace('"a_new_key": 1', f'"a_new_key": {nested}')
+                    .replace('"discovery": "pushed"', f'"discovery": "pushed", "x": {nested}'))  # fmt: skip
+    try:
+        load(env)
+    except ConfigError as error:
+        assert "\n" not in str(error)
+
+
+@pytest.mark.parametrize("text", ["-1", "1.5", "x", "9" * 5000, "99999999"])
+def test_a_descriptor_that_is_none_names_its_variable(tmp_path: Path, text: str) -> None:
+    with pytest.raises(ConfigError, match="LB_INHERITED_FD"):
+        load(write(tmp_path) | {"LB_INHERITED_FD": text})
 
 
 def test_the_program_says_so_and_exits(tmp_path: Path) -> None:
@@ -87,9 +119,9 @@
 
 
 def test_members_of_discovery(tmp_path: Path) -> None:
-    """Start times on one clock with a fixed offset, so that a repeated value never reads as a restart; names
+    """Start times on one clock, each reckoned once, so that a repeated value never reads as a restart; names
     that the settings do not have get indices behind theirs; what is not discovery's form is a ValueError."""
-    reader = FleetReader(load(write(tmp_path)), unix_less_core_us=1_000_000)
+    reader = FleetReader(load(write(tmp_path)), lambda unix_us: unix_us - 1_000_000)
     entry = {"id": "s-1", "host_port": "10.1.0.18:9000", "locality": "elsewhere", "flavor": "older",
              "cell": 3, "phase": "ready", "size": 1.5, "up_since_ms": 2500, "more": []}  # fmt: skip
     old = entry | {"id": "s-2", "up_since_ms": 0, "phase": "resting", "locality": "istanbul-1"}
@@ -107,3 +139,31 @@
                     b'{"revision":1,"complete":true,"members":7}', b"[" * 100_000):  # fmt: skip
         with pytest.raises(ValueError):
             reader.read(garbage)
+
+
+def test_a_start_is_reckoned_once_by_the_clocks_as_they_stand_then(tmp_path: Path) -> None:
+    """The offset of the two clocks was that of the node's own start. A wall clock that was set right later
+    made each newly started endpoint look warm (and it could be pushed over), or cold for as long as the step
+    was."""
+    offset = [1_000_000]
+    reader = FleetReader(load(write(tmp_path)), lambda unix_us: unix_us - offset[0])
+    entry = {"id": "s-1", "host_port": "10.1.0.18:9000", "phase": "ready", "up_since_ms": 2500}
+
+    def started(complete: bool, *entries: dict[str, Any]) -> list[int]:
+        body = {"revision": 4, "complete": complete, "members": entries}
+        return [m.started_us for m in reader.parsed(body)[1].members]
+
+    assert started(True, entry) == [1_500_000]
+    offset[0] = 61_000_000  # the wall clock has gone a minute ahead, and so do starts from now on
+    assert started(False, entry, entry | {"id": "s-2", "up_since_ms": 62_000}) == [1_500_000, 1_000_000]
+    assert started(True, entry) == [1_500_000]
+    assert list(reader._starts) == [b"s-1"]  # the others are not listed any more
+    started(False, entry | {"phase": "gone"}, entry | {"phase": "gone"})
+    assert not reader._starts
+
+
+def test_a_start_that_lies_ahead_is_now() -> None:
+    with asyncio.Runner() as runner:
+        clock = Clock(runner.get_loop())
+        assert clock.ours(time.time_ns() // 1000 + 3_600_000_000) <= clock.fresh()
+        assert abs(clock.ours(time.time_ns() // 1000 - 5_000_000) + 5_000_000 - clock.fresh()) < 60_000_000
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,24 +5,40 @@
 import os
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
-from granitewell.handover import KEEP_S, Handover, form
+import pytest
 
-NOW = 1_800_000_000_000_000
+from granitewell.handover import KEEP_S, MOST_FILES, Handover, Moment, form
+
+NOW = Moment(1_800_000_000_000_000, 7_000_000_000)
+
+
+def after(us: int, step_us: int = 0) -> Moment:
+    """So long after NOW, in which the wall clock was set by a step."""
+    return Moment(NOW.unix_us + us + step_us, NOW.mono_us + us)
 
 
 def test_bans_and_their_ends_are_read_back(tmp_path: Path) -> None:
     one, two = Handover(str(tmp_path), "n1"), Handover(str(tmp_path), "n1")
     assert one.enter() == ""
     assert one.keep(b"s-a", True, NOW) == one.keep(b"../s b", True, NOW) == two.keep(b"s-c", True, NOW) == ""
-    assert two.keep(b"s-a", False, NOW + 5) == ""
-    kept = one.kept(NOW + 10)
-    assert kept.bans == {b"../s b", b"s-c"} and kept.back_us == {b"s-a": NOW + 5} and not kept.broken
-    assert one.kept(NOW + int((KEEP_S + 1) * 1e6)).back_us == {}
+    assert two.keep(b"s-a", False, after(5)) == ""
+    kept = one.kept(after(10))
+    assert kept.bans == {b"../s b", b"s-c"} and kept.back_us == {b"s-a": NOW.mono_us + 5} and not kept.broken
+    assert one.kept(after(int((KEEP_S + 1) * 1e6))).back_us == {}
     assert Handover(str(tmp_path), "n2").kept(NOW).bans == frozenset()  # another node's
 
 
+def test_an_id_of_any_length_that_the_console_takes_can_be_banned(tmp_path: Path) -> None:
+    """The file's name spelt the id in hexadecimal: from 118 bytes on it was too long, and the call got a
+    500."""
+    files = Handover(str(tmp_path), "n1")
+    ids = {bytes([65 + n % 50]) * n for n in (1, 95, 96, 97, 117, 118, 200, 256)}
+    assert [files.keep(eid, True, NOW) for eid in ids] == [""] * 8 and files.kept(NOW).bans == ids
+
+
 def test_a_file_cut_at_any_length_or_with_a_flipped_byte_is_told_of_and_passed_over(tmp_path: Path) -> None:
     """A write that was cut short by a kill or a full folder must neither stop a start nor count as a ban."""
     files = Handover(str(tmp_path), "n1")
@@ -61,6 +77,103 @@
     assert mine.others() == [] and len(os.listdir(tmp_path / "granitewell-n1")) == 1
 
 
+def test_whatever_lies_in_the_folder_the_next_process_starts(tmp_path: Path) -> None:
+    """A pipe under a ban's name was opened like a file, and waited for: the next process never came up."""
+    mine, name = Handover(str(tmp_path), "n1"), f"ban-{b's-a'.hex()}"
+    assert mine.enter() == "" and mine.keep(b"s-b", True, NOW) == ""
+    folder = tmp_path / "granitewell-n1"
+    os.mkfifo(folder / name)
+    os.mkfifo(folder / "run-1")
+    (folder / "run-2").mkdir()
+    (folder / f"{name}7a").mkdir()
+    (folder / f"{name}7b").symlink_to("/dev/zero")
+    (folder / f"{name}7c").symlink_to(folder / "nowhere")
+    (folder / f"{name}7d").write_bytes(b"x" * 100_000)
+    kept = []
+    looking = threading.Thread(target=lambda: kept.append((mine.others(), mine.kept(NOW))), daemon=True)
+    looking.start()
+    looking.join(20.0)
+    ((others, found),) = kept
+    assert others == [] and found.bans == {b"s-b"} and len(found.broken) == 5
+
+
+def test_what_killed_processes_leave_goes_and_hides_no_ban(tmp_path: Path) -> None:
+    """Files that were being written stayed for ever, and of all that lies there 10,000 were looked at: with
+    as many leftovers no ban was seen any more."""
+    files, folder = Handover(str(tmp_path), "n1"), tmp_path / "granitewell-n1"
+    assert files.enter() == ""
+    for k in range(MOST_FILES):
+        (folder / f"ban-{k:06x}.{k}.new").touch()
+    assert files.keep(b"s-a", True, NOW) == "" and files.kept(NOW).bans == {b"s-a"}
+    for entry in os.scandir(folder):
+        if entry.name.endswith(".new"):
+            os.utime(entry.path, (1, 1))
+    (folder / "run-7.new").touch()  # another process that is just starting
+    files.leave()
+    assert Handover(str(tmp_path), "n1").enter() == ""
+    assert sum(x.endswith(".new") for x in os.listdir(folder)) == 1
+
+
+def test_two_processes_of_one_number_know_of_each_other(tmp_path: Path) -> None:
+    """Two process spaces over one folder, or a number that came again: each took the other's file for its
+    own, and held the whole limit of descriptors."""
+    one, two = Handover(str(tmp_path), "n1"), Handover(str(tmp_path), "n1")  # of this one process
+    assert one.enter() == two.enter() == ""
+    one.claim(200)
+    two.claim(56)
+    assert (one.others(), two.others()) == ([56], [200])
+    two.leave()
+    assert one.others() == [] and len(os.listdir(tmp_path / "granitewell-n1")) == 1
+    one.leave()
+
+
+@pytest.mark.parametrize("room", [0, 10])
+def test_a_folder_without_room_leaves_no_half_file(tmp_path: Path, room: int) -> None:
+    """The shortage is a limit on what one child may write to a file."""
+    source = (
+        "import resource, sys; from granitewell.handover import *; h = Handover(sys.argv[1], 'n1'); "
+        f"h.enter(); resource.setrlimit(resource.RLIMIT_FSIZE, ({room}, {room})); "
+        "print(h.keep(b's-a', True, Moment(1, 1))); h.leave()"
+    )
+    done = subprocess.run([sys.executable, "-c", source, str(tmp_path)], capture_output=True, text=True)
+    assert "could not be written down" in done.stdout and done.returncode == 0
+    assert os.listdir(tmp_path / "granitewell-n1") == []
+
+
+@pytest.mark.parametrize("step_s", [-86_400, -30, 30, 86_400])
+def test_a_wall_clock_that_is_set_moves_no_ban(tmp_path: Path, step_s: int) -> None:
+    """Times were Unix times, and each process had its own view of them: after a step back between two starts
+    a call back at one process lay before the ban at the other, which went on banning; after a step ahead the
+    end of a ban was forgotten at once, or lay ahead, and the endpoint was held for cold for as long."""
+    files = Handover(str(tmp_path), "n1")
+    assert files.keep(b"s-a", False, NOW) == "" and files.keep(b"s-b", True, NOW) == ""
+    kept = files.kept(after(2_000_000, step_s * 1_000_000))
+    assert kept.bans == {b"s-b"} and kept.back_us == {b"s-a": NOW.mono_us}
+
+
+def test_a_file_of_before_is_read_by_the_wall_clock(tmp_path: Path) -> None:
+    """Bans hold over an upgrade from a version that wrote no monotonic time."""
+    files = Handover(str(tmp_path), "n1")
+    for eid, banned, ago_us in ((b"s-a", True, 9), (b"s-b", False, 5), (b"s-c", False, -5)):
+        files.keep(eid, banned, Moment(NOW.unix_us - ago_us, -1))
+    kept = files.kept(NOW)
+    assert kept.bans == {b"s-a"} and kept.back_us == {b"s-b": NOW.mono_us - 5}
+
+
+def test_a_change_within_one_tick_of_the_file_system_is_not_missed(tmp_path: Path) -> None:
+    """A ban called at the process beside this one, right behind another change, did not show: requests went
+    on to an endpoint that an operator had been told was out, until something else changed there."""
+    files, folder = Handover(str(tmp_path), "n1"), tmp_path / "granitewell-n1"
+    assert files.enter() == "" and files.changed()
+    tick = os.stat(folder).st_mtime_ns
+    files.keep(b"s-a", True, NOW)
+    os.utime(folder, ns=(tick, tick))
+    assert files.changed()  # although the time is the same
+    os.utime(folder, ns=(10**18, 10**18))
+    assert files.changed() and not files.changed()  # an old one is believed, and costs no further look
+    files.leave()
+
+
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
     assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,218 @@
+"""What the tasks of one node share: each test is one way in which that sharing went wrong, or could have."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import socket
+from pathlib import Path
+
+from pytest import MonkeyPatch as Patch
+
+from granitewell import core as c
+from granitewell.net.discovery import APART_S, MOST_SWIFT
+from granitewell.net.loop import RESERVE, Node
+from tests.shell import client_of, played, silent, turns, until
+from tiderelay.interface import Outcome
+
+LONG = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 2000\r\n"
+        b"Content-Length: 900000\r\n\r\n")  # fmt: skip
+
+
+async def pushed(client: socket.socket, data: bytes) -> None:
+    """Write as much as the other side takes."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(0.5):
+            await loop.sock_sendall(client, data)
+    except TimeoutError:
+        pass
+
+
+def test_a_client_dropped_while_its_body_has_no_room_leaves_nothing_behind(tmp_path: Path) -> None:
+    """Its reading task waited for room that nobody would make: the task, its buffers and up to 128 KiB of the
+    body stayed for as long as the process."""
+
+    async def scenario(node: Node) -> None:
+        client = client_of(node)
+        (inbound,) = node._inbounds.values()
+        held = inbound.parser.feed(LONG % 1)  # as though another request were out: it waits in the queue
+        inbound.queue.extend(held)
+        inbound.busy = True
+        await pushed(client, bytes(400_000))
+        flow = inbound.parser.flow
+        assert flow is not None
+        await until(lambda: flow.unread > 65536)
+        node._drop(inbound)
+        await turns()
+        assert not node._tasks and client.fileno() >= 0
+        client.close()
+
+    assert played(tmp_path, scenario) == []
+
+
+SMALL = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 100\r\n"
+         b"Content-Length: %d\r\n\r\n%s")  # fmt: skip
+
+
+def test_requests_written_ahead_are_neither_lost_nor_held_by_the_megabyte(tmp_path: Path) -> None:
+    """More than four closed the connection, and with it requests that had been taken; and each of the four
+    might hold 64 KiB that no budget counted, 300 KiB for each client."""
+
+    async def scenario(node: Node) -> None:
+        endpoint, client = silent(node), client_of(node)
+        (inbound,) = node._inbounds.values()
+        await pushed(client, b"".join(SMALL % (k, 60_000, bytes(60_000)) for k in range(40)))
+        await turns()
+        assert inbound.id in node._inbounds
+        assert 0 < node._budget.kept <= 2 * 65536
+        answers = b""  # each gets its own once the time of the one before is over
+        while answers.count(b"HTTP/1.1 502") < 3:
+            answers += await asyncio.get_running_loop().sock_recv(client, 4096)
+        client.close()
+        await until(lambda: not node._inbounds)
+        endpoint.close()
+        assert node._budget.kept == 0
+
+    assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"inbound", "phase", "module"}
+
+
+def test_the_listener_outlives_what_was_not_foreseen(tmp_path: Path, monkeypatch: Patch) -> None:
+    """A task that ends is one line of the log, and the node then takes nobody for months."""
+
+    async def scenario(node: Node) -> None:
+        admit, broken = node._admit, [RuntimeError("no such thing"), OSError(22, "reset already")]
+
+        def once(sock: socket.socket) -> None:
+            if broken:
+                sock.close()
+                raise broken.pop()
+            admit(sock)
+
+        monkeypatch.setattr(node, "_admit", once)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            accepting = node._spawn(node._accept(server))
+            clients: list[socket.socket] = []
+            while not node._inbounds and not accepting.done() and len(clients) < 9:
+                clients.append(socket.create_connection(server.getsockname()))
+                await asyncio.sleep(0.05)
+            assert node._inbounds
+            accepting.cancel()
+        for client in clients:
+            client.close()
+
+    played(tmp_path, scenario)
+
+
+class Agent:
+    """Discovery that answers each call at once with these bodies, the last one again and again."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self.bodies, self.calls = list(bodies), 0
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.calls += 1
+                body = self.bodies.pop(0) if len(self.bodies) > 1 else self.bodies[0]
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+NOTHING = b'{"revision":1,"complete":false,"members":[]}'
+
+
+def test_the_watch_outlives_what_was_not_foreseen(tmp_path: Path, monkeypatch: Patch) -> None:
+    """It ended with the first exception that was not in its list, and the list then stayed as it was for
+    good."""
+
+    async def scenario(node: Node) -> None:
+        read, broken = node._reader.read, [RuntimeError("no such thing")]
+
+        def once(body: bytes) -> tuple[int, c.FleetNews]:
+            if broken:
+                raise broken.pop()
+            return read(body)
+
+        monkeypatch.setattr(node._reader, "read", once)
+        agent = Agent(NOTHING)
+        server = await asyncio.start_server(agent, "127.0.0.1", 0)
+        node.discovery.at(server.sockets[0].getsockname())
+        await until(lambda: node.discovery.heard_us >= 0)
+        await stopped(node, server)
+
+    assert any("no such thing" in line for line in played(tmp_path, scenario))
+
+
+async def stopped(node: Node, server: asyncio.Server) -> None:
+    """End the watch, then the agent."""
+    assert node.discovery._task is not None
+    node.discovery._task.cancel()
+    await turns()
+    server.close()
+
+
+def test_an_agent_that_never_waits_does_not_get_the_core(tmp_path: Path) -> None:
+    """It was asked again at once, some thousands of times a second, beside the requests."""
+
+    async def scenario(node: Node) -> None:
+        agent = Agent(NOTHING)
+        server = await asyncio.start_server(agent, "127.0.0.1", 0)
+        node.discovery.at(server.sockets[0].getsockname())
+        await until(lambda: agent.calls > MOST_SWIFT)
+        loop = asyncio.get_running_loop()
+        before, began = agent.calls, loop.time()
+        await asyncio.sleep(10 * APART_S)
+        assert (agent.calls - before - 1) * APART_S <= loop.time() - began
+        await stopped(node, server)
+
+    assert played(tmp_path, scenario) == []
+
+
+def test_a_limit_below_the_configured_one_is_the_budget(tmp_path: Path, monkeypatch: Patch) -> None:
+    """Where the process itself may hold fewer descriptors than the file says, the file counted: the node
+    then ran into the limit, and neither discovery nor an endpoint could be reached."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (100, 100))
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 512}
+
+    async def scenario(node: Node) -> None:
+        assert node._mine == 100 and node._most_inbound + RESERVE <= 100
+
+    assert played(tmp_path, scenario, limits=limits) == []
+
+
+def test_a_call_that_breaks_has_an_ending_at_once(tmp_path: Path, monkeypatch: Patch) -> None:
+    """An exception outside a short list ended the task alone: the request waited for its whole time, and one
+    whose body flows, which has none, for good."""
+
+    async def scenario(node: Node) -> None:
+        async def dial(*_: object) -> None:
+            raise RuntimeError("no such thing")
+
+        monkeypatch.setattr(node.pool, "dial", dial)
+        ended: list[c.Event] = []
+        monkeypatch.setattr(node, "dispatch", ended.append)
+        node._run(c.StartCall(7, b"s-0", ("127.0.0.1", 9), "message", 0))
+        await turns()
+        assert ended[-1] == c.CallEnded(7, Outcome.UNCONNECTED) and not node._calls
+        monkeypatch.undo()
+
+    assert any("no such thing" in line for line in played(tmp_path, scenario))
+
+
+def test_what_a_callback_raises_is_a_line_and_waits_for_nobody(tmp_path: Path) -> None:
+    """The loop's own handler writes a traceback to standard error, and blocks the node where that is a pipe
+    that nobody reads."""
+
+    async def scenario(node: Node) -> None:
+        running = node._spawn(node.run())
+        await until(lambda: node._listener is not None)
+        node._loop.call_soon(lambda: 1 // 0)
+        await turns(3)
+        node._left.set()
+        running.cancel()
+        await turns()
+
+    assert any("division" in line for line in played(tmp_path, scenario))
