An endpoint's address that is a name refuses the list in place of a look-up for each call

Seen by a probe: uvloop's sock_connect looks a host name up in a thread of libuv; a list from discovery with host_port backend.local:9000 would start a look-up (and a thread) for each new connection, on a platform without DNS, within the dial's time. Ruled out: addresses in numbers (no look-up). Line: net/http1.py _member. Change: such a list is malformed, by its field, and the old one stays. Test fails before: the list was taken.

--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -31,6 +31,7 @@
 LIST_PATH = "/api/targets"
 _ID = re.compile(rb"[\x21-\x7e]{1,128}\Z")
 _HEX = re.compile(rb"[0-9a-fA-F]{1,16}\Z")
+_NUMBERS = re.compile(r"[0-9.]+\Z|[0-9A-Fa-f:.]+(%\w+)?\Z")  # an address that is no name
 _MS = re.compile(rb"[0-9]{1,9}\Z")
 _SINGLE = frozenset({b"request-id", b"request-class", b"tenant", b"affinity-key", b"request-timeout-ms",
                      b"client-retry"})  # fmt: skip
@@ -595,9 +596,11 @@
 
     def _member(self, m: Mapping[str, Any], starts: dict[bytes, tuple[float, int]]) -> Member:
         up_ms, scale = float(m.get("up_since_ms") or 0), float(m.get("size") or 1.0)
-        eid = str(m["id"]).encode()
+        eid, where = str(m["id"]).encode(), address(m["host_port"], "host_port")
+        if not _NUMBERS.match(where[0]):
+            raise ValueError(f"host_port: {where[0]} is a name, and nobody here looks names up")
         return Member(
-            eid, address(m["host_port"], "host_port"),
+            eid, where,
             _place(self._zones, str(m.get("locality"))),
             _place(self._kinds, str(m.get("flavor"))),
             int(m.get("cell") or 0),
