--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -137,7 +137,8 @@
         reader.parsed({"revision": 1, "members": [entry | {"up_since_ms": 10**400}]}, View.CACHED)
     with pytest.raises(ValueError, match="host_port: backend.local is a name"):
         # it was looked up, in a thread of its own, at each call
-        reader.parsed({"revision": 1, "complete": True, "members": [entry | {"host_port": "backend.local:1"}]})
+        named = entry | {"host_port": "backend.local:1"}
+        reader.parsed({"revision": 1, "complete": True, "members": [named]})
     for garbage in (b"", b"[]", b"{}", b'{"revision":1,"complete":true,"members":[{}]}',
                     b'{"revision":1,"complete":true,"members":7}', b"[" * 100_000):  # fmt: skip
         with pytest.raises(ValueError):
