A ban whose writing breaks off with an exception is no yes

Seen, by reading what a failed effect leaves behind: an exception in KeepBan is a fault line, and Ruled behind it answers 200, though the next process will not know of the ban. Ruled out: refused writes (a 500 since they came). Line: net/loop.py _keep_ban. Change: the call is a no unless it is known that the ban was written. Test fails before: 200.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -256,8 +256,12 @@
         return max(sockets - RESERVE - (SEATS if self._config.console else 0), 8)
 
     def _keep_ban(self, effect: c.KeepBan) -> None:
-        if self._handover is not None:
+        if self._handover is None:
+            return
+        wrong = "the ban could not be written down: see the node's log"  # unless it is known that it was
+        try:
             wrong = self._handover.keep(effect.endpoint, effect.banned, _moment())
+        finally:
             if wrong:
                 self.say("handover", wrong)
                 if self.console is not None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -186,13 +186,13 @@
     assert [e for e in effects if isinstance(e, c.Note) and "no such thing" in e.line]
 
 
-def real(seed: int = 1) -> tuple[c.Core, Balancer]:
-    """A node with the module itself, ready, with two endpoints."""
+def real(start: int = 0) -> tuple[c.Core, Balancer]:
+    """A node with the module itself, ready, with two endpoints, one of which has just started."""
     settings = w.settings(parallel_tries=True, may_cancel=True)
-    balancer = Balancer(settings, seed)
+    balancer = Balancer(settings, 1)
     node = c.Core(settings, balancer, 100)
-    node.handle(0, c.FleetNews(View.FULL, (member(0), member(1))))
-    node.handle(0, c.Listening())
+    node.handle(start, c.FleetNews(View.FULL, (member(0), member(1, started=start))))
+    node.handle(start, c.Listening())
     return node, balancer
 
 
@@ -231,6 +231,29 @@
     assert node.wake_us >= 0  # its timer runs
 
 
+def test_after_years_and_a_thousand_million_requests_it_decides_as_on_its_first_day() -> None:
+    """Times are whole microseconds and numbers without bound in the core, and floats at the module's door."""
+
+    def served(start: int, last: int) -> int:
+        node, balancer = real(start)
+        node._last_id, node._seq, balancer._seq = last, last, last
+        node.stats["taken"] = last
+        seen: list[c.Effects] = []
+        for k in range(600):
+            now = start + 1000 + k * 7_000
+            effects = wake(node, now) + ask(node, now, k, k % 2)
+            for call in calls(effects):
+                effects += node.handle(now + 3_000, c.CallEnded(call.call, Outcome.OK, (), "a"))
+            seen += effects
+        assert not [e for e in seen if isinstance(e, c.Note) and e.topic in ("fault", "guard", "overdue")]
+        return answers(seen).count(c.Verdict.SERVED)
+
+    first = served(3_600_000_000, 0)
+    assert first > 500
+    for start, last in ((400 * 86_400 * 10**6, 10**9), (4 * 10**14, 10**12)):
+        assert abs(served(start, last) - first) < 20
+
+
 def test_a_reducer_that_breaks_answers_the_request_it_broke_on(monkeypatch: pytest.MonkeyPatch) -> None:
     node = core(Script(Request=send))
     (call,) = calls(ask(node, 1, 7))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -10,6 +10,8 @@
 from pytest import MonkeyPatch as Patch
 
 from granitewell import core as c
+from granitewell.handover import Handover, Moment
+from granitewell.net.console import Console
 from granitewell.net.discovery import APART_S, MOST_SWIFT
 from granitewell.net.loop import RESERVE, Node
 from tests.shell import client_of, played, silent, turns, until
@@ -216,3 +218,27 @@
         await turns()
 
     assert any("division" in line for line in played(tmp_path, scenario))
+
+
+def test_a_ban_whose_writing_breaks_is_no_yes(tmp_path: Path) -> None:
+    """An exception there was a fault line, and the effect behind it said yes all the same: the next process
+    would not have known of that ban."""
+
+    class Broken(Handover):
+        def keep(self, endpoint: bytes, banned: bool, now: Moment) -> str:
+            raise RuntimeError("no such thing")
+
+    async def scenario(node: Node) -> None:
+        endpoint = silent(node)
+        node._handover = Broken("", "n0")
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        node.console = Console(node, address, node._loop)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"POST /dispatch-servers/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-0")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 500")
+        writer.close()
+        node.console.close()
+        endpoint.close()
+
+    assert any("could not be written down" in line for line in played(tmp_path, scenario))
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -10,6 +10,7 @@
 import os
 import signal
 import socket
+import threading
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -111,6 +112,18 @@
         return 0
 
 
+def said(site: Site, text: bytes) -> bool:
+    """Whether the process that was started last writes such a line, in a test's time."""
+    process = site.started[-1]
+    assert process.stderr is not None
+    limit = threading.Timer(LIMIT_S, process.kill)
+    limit.start()
+    try:
+        return any(text in line for line in iter(process.stderr.readline, b""))
+    finally:
+        limit.cancel()
+
+
 def ended(site: Site) -> int:
     """The exit code of the process that was started last."""
     return site.started[-1].wait(LIMIT_S)
@@ -175,8 +188,7 @@
         assert called(site, first, "disable") == 200
     console = site.start(program=program)
     # its /ready is an answer, too, and must not be the one that it stops at
-    stderr = site.started[-1].stderr
-    assert stderr is not None and any(b"ready with" in line for line in iter(stderr.readline, b""))
+    assert said(site, b"ready with")
     assert called(site, console, what) == 0
     assert ended(site) == -KILL
     site.started[0].kill()
@@ -281,9 +293,7 @@
     """SIGHUP was ignored until the loop ran, and the file had been read before: the node kept the old
     settings, without a line, until the next SIGHUP."""
     site.start(program=at("granitewell.__main__:load", "after", 1, signal.SIGHUP))
-    stderr = site.started[0].stderr
-    assert stderr is not None
-    assert any(b"discovery is now" in line for line in iter(stderr.readline, b""))
+    assert said(site, b"discovery is now")
 
 
 TERM, INT, HUP = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
