A damaged file of experiment results is a line with the file's name

Lines: lab/experiments/store.py about, done, all. Change: reads go through one place that raises StoreError. Test fails before. The status door's heads are fuzzed besides: a 4xx of its own each time.

--- a/granitewell/lab/experiments/store.py
+++ b/granitewell/lab/experiments/store.py
@@ -86,8 +86,8 @@
 
     def about(self, name: str) -> str:
         """A fact of the experiment; '' where it is not there."""
-        row = self._db.execute("SELECT value FROM about WHERE name = ?", (name,)).fetchone()
-        return str(row[0]) if row else ""
+        rows = self._read("SELECT value FROM about WHERE name = ?", (name,))
+        return next((str(value) for value, in rows), "")
 
     def claim(self, plan: Plan, code: str) -> None:
         """These results are this plan's, by this code. StoreError where others are there."""
@@ -99,7 +99,7 @@
 
     def done(self) -> set[tuple[str, str, int]]:
         """Keys of the runs that have a result; those that failed are tried again."""
-        return set(self._db.execute("SELECT variant, setting, seed FROM runs WHERE failed = ''"))
+        return set(self._read("SELECT variant, setting, seed FROM runs WHERE failed = ''"))
 
     def put(self, kept: Kept) -> None:
         """A run is over. StoreError where it can't be written: what was there before stays."""
@@ -114,13 +114,19 @@
         except sqlite3.Error as error:
             raise StoreError(f"{self.path}: {error}; finished runs stay") from None
 
+    def _read(self, statement: str, values: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+        try:
+            yield from self._db.execute(statement, values)
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+
     def all(self) -> Iterator[Kept]:
         """All runs, in the order of variant, scenario and seed."""
-        for row in self._db.execute("SELECT * FROM runs ORDER BY variant, setting, seed"):
+        for row in self._read("SELECT * FROM runs ORDER BY variant, setting, seed"):
             variant, setting, seed, failed, seconds, digest, command, blob = row
             try:
                 result = json.loads(zlib.decompress(blob))
-            except (zlib.error, ValueError) as error:
+            except (zlib.error, ValueError, TypeError) as error:
                 raise StoreError(f"{self.path}: run {variant}, {setting}, seed {seed}: {error}") from None
             yield Kept(variant, setting, seed, failed, seconds, digest, command, result)
 
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -15,9 +15,10 @@
 
 from granitewell import core as c
 from granitewell.config import ConfigError, load
-from granitewell.lab import recording
+from granitewell.lab import capture, day_json, recording
 from granitewell.lab.experiments import plan
-from granitewell.lab.scenario import ScenarioError
+from granitewell.lab.experiments.store import Kept, Store, StoreError
+from granitewell.lab.scenario import ScenarioError, draw
 from granitewell.lab.scenario import load as scenario_file
 from granitewell.net.console import CallParser, No
 from granitewell.net.http1 import (
@@ -35,6 +36,7 @@
 from granitewell.operator.load import Refused
 from granitewell.operator.load import load as of
 from granitewell.operator.registry import Operator
+from granitewell.status import wire
 from tests.shell import client_of, played, turns, until
 from tests.test_config import write
 from tiderelay.interface import Outcome, State, View
@@ -304,6 +306,9 @@
     "operator file": ("deploy/operator-example.toml", lambda path: of(str(path), Operator), Refused),
     "scenario": ("granitewell/lab/scenarios/chaos.toml", lambda path: scenario_file(path), ScenarioError),
     "experiment": ("deploy/experiments/cold-share.toml", lambda path: plan.load(path), plan.PlanError),
+    "day": ("", day_json.load_file, day_json.DayError),
+    "trace": ("", lambda path: list(capture.read(path)), capture.BadTrace),
+    "results": ("", lambda path: list(Store(path.parent).all()), StoreError),
     "recording": ("", lambda path: list(recording.read(path)), recording.RecordingError),
 }
 
@@ -314,7 +319,18 @@
     it."""
     source, reads, refused = FILES[name]
     path, rng = tmp_path / "file", Random(11)
-    if name == "configuration":
+    rows = 150
+    if name == "results":
+        path, rows = tmp_path / "runs.sqlite", 30
+        store = Store(tmp_path, create=True)
+        store.put(Kept("a", "calm", 1, "", 1.0, "x", "command", {"report": 1}))
+        store.close()
+        raw = path.read_bytes()
+    elif name == "day":
+        raw = day_json.dump(draw(scenario_file("calm"), 1, length_s=5.0)).encode()
+    elif name == "trace":
+        raw = b"at_us,class,tenant,key,zone\n5,a,b,0,z\n9,a,b,7,z\n"
+    elif name == "configuration":
         raw = Path(write(tmp_path)["LB_CONFIG"]).read_bytes()
     elif name == "recording":
         raw = b'["node_up",5,"n0",0]\n["taken",6,"r1","n0"]\n["answered",9,"r1","n0","served",0,true]\n'
@@ -322,12 +338,21 @@
         raw = (ROOT / source).read_bytes()
     path.write_bytes(raw)
     reads(path)
-    cuts = [raw[:k] for k in range(0, len(raw), max(len(raw) // 150, 1))]
+    cuts = [raw[:k] for k in range(0, len(raw), max(len(raw) // rows, 1))]
     deep = [b"[" * 100_000, b"\x00" * 5000, b"\xff\xfe", b"a = " + b"[" * 5000, b"{" * 900, b"9" * 6000]
-    for data in [b"", *cuts, *(spoilt(rng, raw) for _ in range(150)), *deep]:
+    for data in [b"", *cuts, *(spoilt(rng, raw) for _ in range(rows)), *deep]:
         path.write_bytes(data)
         try:
             reads(path)
         except refused as error:
             text = str(error)
             assert text and (str(path) in text or name == "configuration"), text
+
+
+def test_spoilt_heads_at_the_status_door_get_an_answer_of_its_own() -> None:
+    rng, good = Random(5), b"GET /status?worst=3 HTTP/1.1\r\nHost: localhost\r\nAccept: */*\r\n\r\n"
+    for data in [good[:k] for k in range(len(good))] + [spoilt(rng, good) for _ in range(4000)]:
+        try:
+            assert isinstance(wire.asked(data, 10, rng.random() < 0.5), wire.Asked)
+        except wire.Refused as error:
+            assert error.raw.startswith(b"HTTP/1.1 4")
