--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -512,6 +512,7 @@
             pass
         finally:
             self._drop(inbound)
+            inbound.task = None
 
     def _count(self, inbound: _Inbound) -> None:
         """Tell the budget what this inbound holds of bodies that do not flow."""
@@ -543,7 +544,8 @@
             if flow.unread > http1.MOST_KEPT:
                 began_us = self.clock.now()
                 await flow.owner.until_room(flow)
-                inbound.stood_us += self.clock.now() - began_us
+                inbound.heard_us = self.clock.now()  # from here on it is the client's turn again
+                inbound.stood_us += inbound.heard_us - began_us
 
     def _next(self, inbound: _Inbound) -> None:
         """Begin the next whole request of an inbound that has none out."""
@@ -613,8 +615,11 @@
         if self._inbounds.pop(inbound.id, None) is not None:
             self._uncount(inbound)
             end(inbound.sock)
-            if inbound.task is not None and inbound.task is not asyncio.current_task(self._loop):
-                inbound.task.cancel()
+            # a task that was cancelled holds what it raised, and that its frame: with the inbound pointing
+            # back at the task, buffer and all would wait for the collector
+            task, inbound.task = inbound.task, None
+            if task is not None and task is not asyncio.current_task(self._loop):
+                task.cancel()
             self.dispatch(c.InboundGone(inbound.id))
 
     def _cut(self, inbound: _Inbound) -> None:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import resource
 import socket
 from pathlib import Path
@@ -13,7 +14,7 @@
 from granitewell.handover import Handover, Moment
 from granitewell.net.console import Console
 from granitewell.net.discovery import APART_S, MOST_SWIFT
-from granitewell.net.loop import RESERVE, Node
+from granitewell.net.loop import RESERVE, Node, _Inbound
 from tests.shell import client_of, played, silent, turns, until
 from tiderelay.interface import Outcome
 
@@ -242,3 +243,29 @@
         endpoint.close()
 
     assert any("could not be written down" in line for line in played(tmp_path, scenario))
+
+
+def test_a_dropped_client_does_not_wait_for_the_collector(tmp_path: Path) -> None:
+    """A cancelled reading task and its inbound held each other: with thousands of clients that come and go,
+    their buffers stood until the collector ran, 8 to 16 MB of a limit of 40."""
+
+    def left() -> int:
+        return sum(isinstance(x, _Inbound) for x in gc.get_objects())
+
+    async def scenario(node: Node) -> None:
+        before, clients = left(), [client_of(node) for _ in range(20)]
+        await turns(3)
+        gc.disable()
+        try:
+            clients += [client_of(node) for _ in range(5)]  # whose tasks have not begun
+            for inbound in list(node._inbounds.values()):
+                node._drop(inbound)
+            del inbound
+            await turns(5)
+            assert left() == before
+        finally:
+            gc.enable()
+        for client in clients:
+            client.close()
+
+    played(tmp_path, scenario)
