--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -253,6 +253,13 @@
     assert not reader._starts
 
 
+def test_an_operators_call_cut_at_any_byte_is_no_call() -> None:
+    """A ban must not be taken from half an id."""
+    raw = b"POST /dispatch-servers/disable HTTP/1.1\r\nContent-Length: 5\r\n\r\ns-abc"
+    assert CallParser().feed(raw)
+    assert not any(CallParser().feed(raw[:cut]) for cut in range(len(raw)))
+
+
 # --- Anything at all ---------------------------------------------------------------------------------------
 def spoilt(rng: Random, raw: bytes) -> bytes:
     """Some bytes changed, left out, doubled or put elsewhere."""
