--- a/granitewell/lab/socks/wire.py
+++ b/granitewell/lab/socks/wire.py
@@ -209,24 +209,20 @@
 
 def _bound(host: str, port: int) -> socket.socket:
     """A socket bound to this address, or to a free port there. The port is asked for by its number in any
-    case: one that the kernel chose would be given back when the socket stops listening."""
-    if port == 0:
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            port = probe.getsockname()[1]
-    sock = socket.socket()
+    case: one that the kernel chose would be given back when the socket stops listening. The probe stays open
+    until then, or somebody else might be given the port in between."""
+    sock, probe = socket.socket(), socket.socket()
     try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for each in (probe, sock):
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
+        if port == 0:
+            probe.bind((host, 0))
+            port = probe.getsockname()[1]
         sock.bind((host, port))
     except OSError as error:
         sock.close()
         raise OSError(error.errno, f"{host}:{port}: {error.strerror}") from None
+    finally:
+        probe.close()
     return sock
-
-
-def free_port(host: str) -> int:
-    """A port that is free at this address now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -446,9 +446,10 @@
 
 def test_a_target_that_is_not_there_ends_it_before_anything_starts(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("granitewell.cli.lab_load.Crew", lambda *_: pytest.fail("a worker was started"))
-    with socket.create_server(("127.0.0.1", 0)) as gone:
+    with socket.socket() as gone:
+        gone.bind(("127.0.0.1", 0))  # held, and nobody listens
         port = gone.getsockname()[1]
-    code, told, err = invoke(port)
+        code, told, err = invoke(port)
     assert code == 3 and not told and f"--target: nobody at 127.0.0.1:{port}" in err
 
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -50,6 +50,16 @@
     return sock
 
 
+def reserved() -> socket.socket:
+    """An address for the program to listen at, this test's own for as long as the socket is open: bound, so
+    that the kernel gives its port to nobody else, and never listening, so that the program, which asks for
+    SO_REUSEADDR too, can. A port that was only free a moment ago may be another test's when it is used."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
 class Player:
     """The program and everyone it speaks to."""
 
@@ -61,8 +71,8 @@
         self.revision = 1
         self.agent = listen()
         self.watch: socket.socket | None = None
-        with listen() as free:  # a port that was free a moment ago
-            self.address = free.getsockname()
+        self.place = reserved()
+        self.address = self.place.getsockname()
         self.folder = tempfile.TemporaryDirectory()
         self.program: subprocess.Popen[bytes] | None = None
 
@@ -70,7 +80,7 @@
         if self.program is not None:
             self.program.kill()
             self.program.wait()
-        for sock in [*self.servers.values(), *self.socks.values(), self.agent, self.watch]:
+        for sock in [*self.servers.values(), *self.socks.values(), self.agent, self.watch, self.place]:
             if sock is not None:
                 sock.close()
         self.folder.cleanup()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -10,7 +10,7 @@
 import pytest
 
 from granitewell.net.console import MOST_BODY, MOST_HEAD, SEATS, CallParser, No
-from tests.play import LIMIT_S, Player
+from tests.play import LIMIT_S, Player, reserved
 
 
 def call(parser: CallParser, raw: bytes, step: int) -> bool:
@@ -66,11 +66,15 @@
     """The player with a console, and a private folder for what outlives the process."""
 
     def __init__(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.console = free.getsockname()
+        self.desk = reserved()
+        self.console = self.desk.getsockname()
         super().__init__()
         self.env = {"LB_CONSOLE": "%s:%d" % self.console, "TMPDIR": self.folder.name}
 
+    def close(self) -> None:
+        super().close()
+        self.desk.close()
+
     def ask(self, method: str, path: str, body: str = "") -> tuple[int, str]:
         with socket.create_connection(self.console, LIMIT_S) as sock:
             head = f"{method} {path} HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n\r\n{body}"
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -232,10 +232,8 @@
     async def scenario(node: Node) -> None:
         endpoint = silent(node)
         node._handover = Broken("", "n0")
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = free.getsockname()
-        node.console = Console(node, address, node._loop)
-        reader, writer = await asyncio.open_connection(*address)
+        node.console = Console(node, ("127.0.0.1", 0), node._loop)
+        reader, writer = await asyncio.open_connection(*node.console._listener.getsockname())
         writer.write(b"POST /dispatch-servers/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-0")
         assert (await reader.readline()).startswith(b"HTTP/1.1 500")
         writer.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -24,7 +24,7 @@
 from granitewell.core import Core
 from granitewell.handover import Handover
 from granitewell.net.loop import Node
-from tests.play import LIMIT_S, settings
+from tests.play import LIMIT_S, reserved, settings
 from tests.test_config import write
 from tiderelay.policy import Balancer
 
@@ -92,6 +92,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.folder = tempfile.TemporaryDirectory()
         self.started: list[subprocess.Popen[bytes]] = []
+        self.desks: list[socket.socket] = []  # that keep the consoles' addresses
 
     def start(
         self, listen: socket.socket | None = None, fd: int | None = None, passed: socket.socket | None = None,
@@ -99,8 +100,8 @@
     ) -> tuple[str, int]:  # fmt: skip
         """Start `run` once more, or something else with its configuration; the console's address."""
         passed = passed or self.listener
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            console: tuple[str, int] = free.getsockname()
+        self.desks.append(reserved())
+        console: tuple[str, int] = self.desks[-1].getsockname()
         host, port = (listen or self.listener).getsockname()
         path = Path(self.folder.name, f"config{len(self.started)}.json")
         path.write_text(json.dumps({
@@ -140,7 +141,7 @@
         for process in self.started:
             process.kill()
             process.communicate()
-        for sock in (self.listener, self.agent.discovery, self.agent.endpoint):
+        for sock in (self.listener, self.agent.discovery, self.agent.endpoint, *self.desks):
             sock.close()
         self.folder.cleanup()
 
