A start beside another process of its node rests between imports: one CPU limit for both

Ruled out by counters in a copy of the program: idle connections closed by the node (none in those windows), descriptors (the node accepted all the time), the backlog of the listener (no overflow in the kernel's counters). What goes with it: stalls of the serving process of 87 to 128 ms with 0 to 19 ms of own work while the next one starts. The 230 ms of CPU that a start takes within the limit of both stop the old process; clients, who hold 128 connections at most, run out of them, and what they would have sent is lost. `__main__.py` imports, all of a start. Now a start that inherits the listener, so that another process may be serving, rests twice as long as it has worked after each 8 ms of imports. Plain starts are as before.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import json
 import os
 import signal
@@ -20,6 +21,7 @@
 import pytest
 import uvloop
 
+from granitewell import pace
 from granitewell.config import load
 from granitewell.core import Core
 from granitewell.handover import Handover
@@ -266,3 +268,31 @@
     assert all(sum(pair) == 384 for pair in seen), seen
     olds = [old for old, _ in seen]
     assert olds == sorted(olds, reverse=True) and olds[1] < olds[0]
+
+
+def test_a_start_beside_another_process_rests_between_its_imports(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It took the CPU limit that both share, and the old process stood still for up to 130 ms: under load
+    clients had no connection left meanwhile, and their requests were turned back unread."""
+    worked, rested = [0.0], list[float]()
+    monkeypatch.setattr(time, "process_time", lambda: worked[0])
+    monkeypatch.setattr(time, "sleep", rested.append)
+    finders = list(sys.meta_path)
+    pace.begin()
+    try:
+        for part_s in (pace.WORK_S / 2, pace.WORK_S / 2, 0.0, 0.05):
+            worked[0] += part_s
+            with pytest.raises(ModuleNotFoundError):
+                importlib.import_module("no_such_thing")
+    finally:
+        pace.end()
+    assert rested == pytest.approx([pace.WORK_S * pace.REST, 0.05 * pace.REST]) and sys.meta_path == finders
+
+
+@pytest.mark.parametrize("fd", ["4", ""])
+def test_only_a_start_that_may_be_beside_another_is_paced(tmp_path: Path, fd: str) -> None:
+    watch = tmp_path / "sitecustomize.py"
+    watch.write_text("import sys, time\ntime.sleep = lambda s: print('rested', file=sys.stderr)\n")
+    env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    env |= {"PYTHONPATH": f"{tmp_path}:{os.getcwd()}", "LB_INHERITED_FD": fd}
+    done = subprocess.run([sys.executable, "-m", "granitewell"], env=env, capture_output=True, text=True)
+    assert done.returncode == 2 and ("rested" in done.stderr) is bool(fd)
