What is accepted in the turn of a stop is heard, and a closed listener takes nobody

Seen by reading, shown by two tests that failed before. `_release` cancelled the accepting task in the turn of SIGTERM: a connection that the loop had taken for it in that turn belonged to nobody, was closed unread, and its client's request was turned back. `_stop_listening` closed a private listener under a pending accept, which holds it open: a node that was leaving went on taking connections until it reset them. Ruled out: other cancelled tasks that own a descriptor (calls, readers of clients, the watch: their connections end with them). Now both listeners are left by one function, the accepting task is cancelled in the next turn, and the listener is closed once it is out of the loop's poll.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -644,24 +644,24 @@
             return
         while len(self._inbounds) < self._most_inbound:
             try:
-                sock, _ = listener.accept()
+                self._admit(listener.accept()[0])
             except OSError:
                 break
-            self._admit(sock)
-        listener.close()
+        self._release(listener)
         for inbound in list(self._inbounds.values()):
             # one that has written something is heard first: what it wrote may be a whole request
             if _is_idle(inbound, self.clock.now()):
                 self._drop(inbound)
 
     def _release(self, listener: socket.socket) -> None:
-        """Leave the shared listener to the others. It must be out of the loop's poll before it is closed: the
-        open socket lives on in the others, and would go on waking this process."""
+        """Close the listener, or leave a shared one to the others. It must be out of the loop's poll before:
+        a pending accept holds it open, and goes on taking connections."""
         if self._accepting is None:
             listener.close()
             return
         self._accepting.add_done_callback(lambda _: listener.close())
-        self._accepting.cancel()
+        # not in this turn, in which it may have been given a connection that it has not seen yet
+        self._loop.call_soon(self._accepting.cancel)
 
     # --- Outbound calls ---------------------------------------------------------------------------------
     def _abandon(self, number: int) -> None:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -8,6 +8,7 @@
 import socket
 from pathlib import Path
 
+import pytest
 from pytest import MonkeyPatch as Patch
 
 from granitewell import core as c
@@ -267,3 +268,52 @@
             client.close()
 
     played(tmp_path, scenario)
+
+
+def test_a_connection_taken_in_the_turn_of_a_stop_is_heard(tmp_path: Path) -> None:
+    """The accepting task was cancelled in the turn in which the loop had taken a connection for it: nobody
+    had that connection, and its client's request was turned back unread."""
+
+    async def scenario(node: Node) -> None:
+        signal, sent = socket.socketpair()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            assert node._accepting is not None
+            node._accepting.cancel()
+            node._accepting = node._spawn(node._accept(server))
+            await turns(3)
+            def stop() -> None:
+                signal.recv(1)
+                node._release(server)
+
+            node._loop.add_reader(signal, stop)
+            client = socket.create_connection(server.getsockname())
+            sent.send(b"x")  # both are seen by one look of the loop, the connection first
+            await until(lambda: node._accepting is None or node._accepting.done())
+            assert len(node._inbounds) == 1
+        node._loop.remove_reader(signal)
+        for sock in (signal, sent, client):
+            sock.close()
+
+    played(tmp_path, scenario)
+
+
+def test_a_listener_that_is_closed_takes_nobody(tmp_path: Path) -> None:
+    """The loop's pending accept held the socket open: a node that was leaving went on taking connections, and
+    reset them when it left."""
+
+    async def scenario(node: Node) -> None:
+        server = socket.create_server(("127.0.0.1", 0))
+        server.setblocking(False)
+        place, node._listener = server.getsockname(), server
+        assert node._accepting is not None
+        node._accepting.cancel()
+        node._accepting = node._spawn(node._accept(server))
+        await turns(3)
+        node._stop_listening()
+        await turns(3)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(place)
+        node._listener = socket.socket()
+
+    played(tmp_path, scenario)
