A configuration that is a pipe, a device or oversized is refused, not waited for

Seen by reading: config.py `_read` opened LB_CONFIG as it was. A pipe in its place stopped a running node at the next SIGHUP for good, /dev/zero or a file of a terabyte took all memory: SIGHUP must never harm. Ruled out: the operator file (checked before). The new test (a pipe, a folder, a device, an oversized file) failed on three of four before. Now files that others put there are read by granitewell/files.py: a regular file, bounded, never waited for; the error names LB_CONFIG.

--- a/granitewell/config.py
+++ b/granitewell/config.py
@@ -13,15 +13,16 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, fields, replace
-from pathlib import Path
 from typing import Any
 
+from granitewell.files import whole
 from tiderelay.interface import Effect, Settings
 from tiderelay.wire import WireError, parse_settings
 
 FIXED = ("name", "listen", "cores", "sockets", "memory_mb", "console", "inherited", "known", "seed")
 _HOST = re.compile(r"\[?(?=.{1,253}\Z)[A-Za-z0-9_:%-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*\]?\Z")
 _PORT = re.compile(r"[0-9]{1,5}\Z")
+MOST_FILE = 8 * 1024 * 1024  # bytes: settings, and a list as long as discovery may send one
 MOST_DESCRIPTORS = 1024  # of the platform's scored limits; a larger allowance is not used
 
 
@@ -132,7 +133,7 @@
     if not path:
         raise ConfigError("LB_CONFIG: not set")
     try:
-        text = json.loads(Path(path).read_bytes())
+        text = json.loads(whole(path, MOST_FILE))
     except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"LB_CONFIG: {' '.join(str(error).split())}") from None
     return _object(text, "LB_CONFIG")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -103,6 +103,26 @@
         assert "\n" not in str(error)
 
 
+@pytest.mark.parametrize("what", ["a pipe", "a folder", "without end", "oversized"])
+def test_a_configuration_that_is_no_file_is_refused_and_not_waited_for(tmp_path: Path, what: str) -> None:
+    """A pipe in its place stopped a running node for good at the next SIGHUP; a device took all memory."""
+    path = tmp_path / "other"
+    if what == "a pipe":
+        os.mkfifo(path)
+    elif what == "a folder":
+        path.mkdir()
+    elif what == "without end":
+        path.symlink_to("/dev/zero")
+    else:
+        with path.open("wb") as file:
+            file.truncate(1 << 40)  # of holes
+    source = "import os, resource; resource.setrlimit(resource.RLIMIT_AS, (1 << 30, 1 << 30)); "
+    source += "from granitewell.config import load; load(os.environ)"
+    env = os.environ | {"LB_CONFIG": str(path)}
+    done = subprocess.run([sys.executable, "-c", source], env=env, capture_output=True, text=True, timeout=20)
+    assert "ConfigError: LB_CONFIG: " in done.stderr, done.stderr
+
+
 @pytest.mark.parametrize("text", ["-1", "1.5", "x", "9" * 5000, "99999999"])
 def test_a_descriptor_that_is_none_names_its_variable(tmp_path: Path, text: str) -> None:
     with pytest.raises(ConfigError, match="LB_INHERITED_FD"):
