Without a descriptor to look by, no process is taken for gone and no ban is missed

Seen by reading, shown by a test on a child with its descriptors used up. handover.py `others` took a folder that could not be looked at for an empty one: the other process counted as ended, and this one took its descriptors too, exactly when there were none. `kept` returned no bans, and the change counted as looked at: a ban called at the other process was never heard of. Ruled out: files that are gone, links, pipes (they stay as they were). Now a want of the machine (EMFILE, ENFILE, ENOMEM, EIO, ENOLCK) leaves the last claims as they are and has the folder looked at again. Files are read by files.py here too.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -12,10 +12,10 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import json
 import os
-import stat
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -23,6 +23,8 @@
 from pathlib import Path
 from zlib import crc32
 
+from granitewell.files import whole
+
 VERSION = 1
 MOST_BYTES = 2048  # of a file of ours
 MOST_SPELT = 96  # bytes of an id that its file's name spells
@@ -32,6 +34,8 @@
 LEFT_S = 60.0  # after which a file that is being written is one that a killed process has left behind
 KEEP_S = 120.0  # for which the end of a ban is worth knowing: longer than any endpoint takes to get warm
 BAN, RUN, NEW = "ban-", "run-", ".new"
+# of the machine or of this process, not of the file: it may be there and whole, and be read a moment later
+SHORT = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.ENOLCK})
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +108,7 @@
         self._self = f"{os.getpid()}-{os.urandom(4).hex()}"
         self._mine = f"{RUN}{self._self}"
         self._said = -1  # the descriptors that this process has said it may hold
+        self._claims: list[int] = []  # what the others had said, as of the last whole look
 
     def enter(self) -> str:
         """Let it be known that this process runs; what is wrong, or nothing."""
@@ -140,21 +145,16 @@
 
     def others(self) -> list[int]:
         """The further processes of this node that run: the descriptors that each says it may hold, -1 where
-        it has not said. Files of those that have ended go."""
+        it has not said. Files of those that have ended go. Where the look itself is not possible nobody has
+        ended: whoever was there still holds descriptors, and this process must not take them."""
         claims = []
-        for path in self._files(RUN):
-            if path.name == self._mine:
-                continue
-            with contextlib.suppress(OSError):
-                probe = os.open(path, os.O_RDWR | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
-                try:
-                    fcntl.flock(probe, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                    os.unlink(path)
-                except BlockingIOError:
-                    raw = os.pread(probe, 10, 0)
-                    claims.append(int(raw) if raw.isdigit() else -1)
-                finally:
-                    os.close(probe)
+        try:
+            for path in self._files(RUN):
+                if path.name != self._mine:
+                    claims += _claimed(path)
+        except OSError:
+            return self._claims
+        self._claims = claims
         return claims
 
     def changed(self) -> bool:
@@ -188,16 +188,24 @@
         return ""
 
     def kept(self, now: Moment) -> Kept:
-        """What is written down of bans; ends of bans that are too old to matter go."""
+        """What is written down of bans; ends of bans that are too old to matter go. What could not be read
+        for want of something else is looked at again."""
         bans, back, broken = set(), {}, []
-        for path in self._files(BAN):
+        try:
+            paths = self._files(BAN)
+        except OSError as error:
+            self._seen = -1
+            return Kept(frozenset(), {}, (f"the folder: {error.strerror}",))
+        for path in paths:
             try:
-                eid, banned, at = read(_raw(path))
+                eid, banned, at = read(whole(path, MOST_BYTES, os.O_NOFOLLOW))
                 if path.name != name_of(eid):
                     raise ValueError("its name is another endpoint's")
             except FileNotFoundError:
                 continue
             except (OSError, ValueError, RecursionError) as error:
+                if getattr(error, "errno", None) in SHORT:
+                    self._seen = -1
                 # told of, not removed: what it is may matter to whoever put it there
                 broken.append(f"{path.name[:80]}: {getattr(error, 'strerror', None) or error}")
                 continue
@@ -211,12 +219,15 @@
         return Kept(frozenset(bans), back, tuple(broken))
 
     def _files(self, prefix: str) -> list[Path]:
+        """The files of a kind; none where there is no folder. OSError: it can't be looked at now."""
         if self._folder is None:
             return []
         try:
             with os.scandir(self._folder) as found:
                 names = [x.name for _, x in zip(range(MOST_NAMES), found, strict=False)]
-        except OSError:
+        except OSError as error:
+            if error.errno in SHORT:
+                raise
             return []
         ours = sorted(name for name in names if name.startswith(prefix) and not name.endswith(NEW))
         return [self._folder / name for name in ours[:MOST_FILES]]
@@ -231,13 +242,21 @@
                             os.unlink(entry.path)
 
 
-def _raw(path: Path) -> bytes:
-    """What a file of ours can hold at most. ValueError: it is no file; a pipe, which anybody may leave here,
-    would be waited for without end."""
-    opened = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
+def _claimed(path: Path) -> list[int]:
+    """What the process whose file this is has said, -1 for nothing yet; empty where it has ended, and then
+    its file goes. OSError: that can't be told now."""
     try:
-        if not stat.S_ISREG(os.fstat(opened).st_mode):
-            raise ValueError("no regular file")
-        return os.read(opened, MOST_BYTES)
-    finally:
-        os.close(opened)
+        probe = os.open(path, os.O_RDWR | os.O_NONBLOCK | os.O_NOFOLLOW | os.O_CLOEXEC)
+        try:
+            fcntl.flock(probe, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.unlink(path)
+            return []
+        except BlockingIOError:
+            raw = os.pread(probe, 10, 0)
+            return [int(raw) if raw.isdigit() else -1]
+        finally:
+            os.close(probe)
+    except OSError as error:
+        if error.errno in SHORT:
+            raise
+        return []
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -174,6 +174,30 @@
     files.leave()
 
 
+
+
+SHORT = """
+import resource, sys
+from granitewell.handover import Handover, Moment
+now, mine, other = Moment(9, 9), Handover(sys.argv[1], "n1"), Handover(sys.argv[1], "n1")
+mine.enter(), other.enter(), other.claim(200), mine.changed(), mine.kept(now)
+before = mine.others()
+other.keep(b"s-a", True, now)
+spare = open("/dev/null")
+resource.setrlimit(resource.RLIMIT_NOFILE, (spare.fileno(), 4096))
+told = mine.changed(), mine.others(), mine.kept(now).bans, mine.others()
+resource.setrlimit(resource.RLIMIT_NOFILE, (4096, 4096))
+print(before, told, mine.changed(), mine.kept(now).bans, mine.others())
+"""
+
+
+def test_without_a_descriptor_to_look_by_nothing_is_taken_for_gone(tmp_path: Path) -> None:
+    """Where none was left the other process counted as ended, and this one took its descriptors too; and a
+    ban called there was never heard of, as its folder had been looked at."""
+    told = subprocess.run([sys.executable, "-c", SHORT, str(tmp_path)], capture_output=True, text=True)
+    assert told.stdout == "[200] (True, [200], frozenset(), [200]) True frozenset({b's-a'}) [200]\n", told
+
+
 def test_without_a_folder_nothing_is_written() -> None:
     files = Handover("", "n1")
     assert files.enter() == files.keep(b"s-a", True, NOW) == "" and files.others() == []
