What could not be said of descriptors is said again at the next look

Seen by reading, shown by a test that failed before: handover.py `claim` noted the figure as said before it was written, so that a write that failed for want of room was never tried again, and the other process went by an older one. Now it counts as said once it is written.

--- a/granitewell/handover.py
+++ b/granitewell/handover.py
@@ -139,9 +139,9 @@
     def claim(self, descriptors: int) -> None:
         """Say how many descriptors this process may hold from now on."""
         if self._lock >= 0 and descriptors != self._said:
-            self._said = descriptors
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError):  # a folder without room: said again at the next look
                 os.pwrite(self._lock, b"%010d" % descriptors, 0)
+                self._said = descriptors
 
     def others(self) -> list[int]:
         """The further processes of this node that run: the descriptors that each says it may hold, -1 where
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from pytest import MonkeyPatch as Patch
 
 from granitewell.handover import KEEP_S, MOST_FILES, Handover, Moment, form
 
@@ -174,6 +175,20 @@
     files.leave()
 
 
+def test_what_could_not_be_said_of_descriptors_is_said_again(tmp_path: Path, monkeypatch: Patch) -> None:
+    """It counted as said: the next process went by an older figure for as long as both ran."""
+    one, two = Handover(str(tmp_path), "n1"), Handover(str(tmp_path), "n1")
+    assert one.enter() == two.enter() == ""
+
+    def full(*_: object) -> int:
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as short:
+        short.setattr(os, "pwrite", full)
+        one.claim(300)
+    assert two.others() == [-1]
+    one.claim(300)
+    assert two.others() == [300]
 
 
 SHORT = """
