A large body that turns malformed ends its call at once, not after ten seconds

Seen by reading, shown by a test that failed before: the parser says 400 behind a request that is out already and can never be whole; loop.py `_listen` went on reading into nothing, the endpoint held a connection and the client waited until the body counted as one that trickles. To give up is to answer now. Ruled out: bodies cut off by their client (tested at each byte before), bodies up to 64 KiB (not out before they are whole). Now the connection ends, and its call with it; a request written ahead whose body breaks off before its turn is not begun, its client gets the 400.

--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -500,6 +500,8 @@
                 flow = inbound.parser.flow or inbound.flow
                 self._next(inbound)
                 self._count(inbound)
+                if inbound.parser.broken and inbound.flow is not None and not inbound.flow.done:
+                    break  # what is out will never be whole: its endpoint and its client hear so now
                 if flow is not None:
                     await self._flowed(inbound, flow)
                 while inbound.busy and inbound.queue and _far_ahead(inbound):
@@ -552,6 +554,8 @@
         if inbound.busy or inbound.closing or not inbound.queue:
             return
         item = inbound.queue.popleft()
+        if isinstance(item, http1.Ask) and inbound.parser.broken and inbound.queue and _breaks_off(item):
+            item = inbound.queue.popleft()  # what is wrong with its body stands behind it
         if isinstance(item, http1.Ask):
             inbound.busy, inbound.keep, inbound.old = True, item.keep_alive, item.old
             flow, inbound.out = item.message.flow, len(item.message.body)
@@ -857,6 +861,11 @@
     return now_us - inbound.heard_us >= FLOW_STILL_US or flow.came < had_us * FLOW_PER_S / 1e6
 
 
+def _breaks_off(item: http1.Ask) -> bool:
+    """Where no more can be told from what comes: is this a request whose body has not all come?"""
+    return item.message.flow is not None and not item.message.flow.done
+
+
 def _written_ahead(inbound: _Inbound) -> int:
     """Bytes of the bodies of whole requests that wait for their turn."""
     return sum(len(item.message.body) for item in inbound.queue if isinstance(item, http1.Ask))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -317,3 +317,34 @@
         node._listener = socket.socket()
 
     played(tmp_path, scenario)
+
+
+CHUNKED = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout-Ms: 2000\r\n"
+           b"Transfer-Encoding: chunked\r\n\r\n")  # fmt: skip
+
+
+def test_a_large_body_that_turns_malformed_ends_its_call_at_once(tmp_path: Path) -> None:
+    """It could never be whole, yet its endpoint held a connection for it, and its client waited, until the
+    body counted as one that trickles."""
+
+    async def scenario(node: Node) -> None:
+        endpoint, client = silent(node), client_of(node)
+        await pushed(client, CHUNKED + b"%x\r\n%s\r\n" % (70_000, bytes(70_000)))
+        await until(lambda: node._calls)
+        client.setblocking(False)
+        await pushed(client, b"no chunk\r\n")
+        await turns()
+        assert not node._inbounds and not node._calls and not node._core.held and node._budget.flows == 0
+        assert not node._tasks
+        client.close()
+        late, answers = client_of(node), b""  # the same written ahead, whose turn never comes
+        ahead = CHUNKED + b"%x\r\n%s\r\nno chunk\r\n" % (65_540, bytes(65_540))
+        await pushed(late, SMALL % (2, 2, b"hi") + ahead)
+        while more := await asyncio.get_running_loop().sock_recv(late, 4096):
+            answers += more
+        assert answers.count(b"HTTP/1.1 502") == answers.count(b"HTTP/1.1 400") == 1
+        assert not node._core.held and not node._core._calls
+        late.close()
+        endpoint.close()
+
+    assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"phase", "module", "bad"}
