An effect that breaks ends its call or its client's connection

Seen by reading, shown by five cases of one test that failed before. Now a call that can't begin ends as one that never ran, and a client whose answer breaks hears the end of its connection.

--- a/granitewell/net/bodies.py
+++ b/granitewell/net/bodies.py
@@ -77,9 +77,11 @@
             if part is None:
                 flow.sent = True
                 return
-    except (OSError, TimeoutError):
+    except Exception as error:  # whatever it is, nothing else would end the call, which has no time yet
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
+        if not isinstance(error, OSError):
+            raise
 
 
 class Pour:
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -328,10 +328,20 @@
                 self._run(effect)
             except Exception as error:  # one effect's fault must not lose those behind it
                 self.say("fault", f"{type(effect).__name__} failed: {type(error).__name__}: {error}")
+                self._undone(effect)
         wake = self._core.wake_us
         if wake >= 0 and (self._timer is None or wake < self._timer_us):
             self._arm(wake)
 
+    def _undone(self, effect: c.Effects) -> None:
+        """An effect broke: a call ends as one that never began, and a client that would wait for good for its
+        answer hears the end of its connection."""
+        if isinstance(effect, c.StartCall):
+            self._calls.pop(effect.call, None)
+            self.dispatch(c.CallEnded(effect.call, Outcome.UNCONNECTED))
+        elif isinstance(effect, c.Answer | c.Begin | c.Finish) and effect.inbound in self._inbounds:
+            self._drop(self._inbounds[effect.inbound])
+
     def _arm(self, wake_us: int) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -590,8 +600,10 @@
             async with asyncio.timeout(STUCK_S):  # a client that does not read holds nothing for long
                 await self._loop.sock_sendall(inbound.sock, data)
             self._answered(inbound, close)
-        except (OSError, TimeoutError):
-            self._drop(inbound)
+        except Exception as error:
+            self._drop(inbound)  # left at work, it would hold its descriptor for as long as its client likes
+            if not isinstance(error, OSError):
+                raise
 
     def _answered(self, inbound: _Inbound, close: bool) -> None:
         """An answer is out: on to the next request, or to the end of the connection."""
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -7,6 +7,7 @@
 import resource
 import socket
 from pathlib import Path
+from typing import Any
 
 import pytest
 from pytest import MonkeyPatch as Patch
@@ -348,3 +349,51 @@
         endpoint.close()
 
     assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"phase", "module", "bad"}
+
+
+def broken(*_: object) -> Any:
+    raise RuntimeError("no such thing")
+
+
+PATIENT = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout-Ms: 9000\r\n"
+           b"Content-Length: 2\r\n\r\nhi")  # fmt: skip
+
+
+@pytest.mark.parametrize(("what", "raw"), [
+    ("http1.answer_bytes", SMALL % (1, 2, b"hi")),  # its answer can't be made,
+    ("loop.Node._write", SMALL % (1, 2, b"hi")),  # nor be written,
+    ("loop.Node._answered", b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n"),  # nor end
+    ("loop._Call", PATIENT),  # its call can't begin
+    ("http1.Flow.take", LONG % 1 + bytes(70_000)),  # its body can't be read
+], ids=["answer", "write", "end", "call", "body"])  # fmt: skip
+def test_what_breaks_under_way_leaves_nothing_behind(
+    tmp_path: Path, monkeypatch: Patch, what: str, raw: bytes
+) -> None:
+    """An effect that failed was a line of the log and nothing else: its client was held with no answer, its
+    connection counted as at work for good, and its call as out."""
+
+    async def scenario(node: Node) -> None:
+        endpoint, client = silent(node), client_of(node)
+        monkeypatch.setattr(f"granitewell.net.{what}", broken)
+        await pushed(client, raw)
+        async with asyncio.timeout(5.0):  # far less than the time of the request whose call can't begin
+            while node._inbounds and ("_answered" in what or not client_heard(client)):
+                await asyncio.sleep(0.01)
+        client.close()
+        await turns()
+        assert not node._inbounds and not node._calls and not node._core.held and node._budget.flows == 0
+        assert not node._tasks and not node._core._calls
+        endpoint.close()
+
+    assert any(line.startswith("fault") for line in played(tmp_path, scenario))
+
+
+def client_heard(client: socket.socket) -> bool:
+    """Has it an answer, or the end of its connection?"""
+    try:
+        client.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        pass
+    return True
