A dial for which there is no socket is not counted as held

Seen by reading, shown by a test that failed before: pool.py `dial` counted one up, and down again only where it had a socket. Without a descriptor, or for an address family that the machine does not have, each try was lost to the budget for good; some hundred later the node dialed nobody any more until it was restarted. One IPv6 address in discovery's list is enough. Ruled out: dials that are refused, time out or are cancelled (they had a socket).

--- a/granitewell/net/pool.py
+++ b/granitewell/net/pool.py
@@ -88,18 +88,18 @@
         if not self._may_dial():
             return None
         self.held += 1
-        sock = None
+        sock, conn = None, None
         try:
             sock = tcp(address)
             async with asyncio.timeout(self.dial_timeout_us / 1e6):
                 await self._loop.sock_connect(sock, address)
             conn = Conn(endpoint, address, sock)
-            sock = None
             return conn
         except (OSError, TimeoutError) as error:
             self.say("dial", f"{address[0]}:{address[1]} did not come up: {str(error) or 'timed out'}")
             return None
         finally:
-            if sock is not None:
-                end(sock)
+            if conn is None:  # there may be no socket, for want of a descriptor or of an address family
                 self.held -= 1
+                if sock is not None:
+                    end(sock)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -397,3 +397,20 @@
     except OSError:
         pass
     return True
+
+
+def test_a_dial_without_a_socket_holds_none(tmp_path: Path, monkeypatch: Patch) -> None:
+    """Each counted as held for good: after some hundred, of which an endpoint of an address family that the
+    machine does not have is enough, the node dialed nobody any more."""
+    monkeypatch.setattr("granitewell.net.pool.tcp", lambda _: broken_with(OSError(24, "Too many open files")))
+
+    async def scenario(node: Node) -> None:
+        for _ in range(3):
+            assert await node.pool.dial(b"s-0", ("127.0.0.1", 9)) is None
+        assert node.pool.held == 0
+
+    assert [line.partition(":")[0] for line in played(tmp_path, scenario)] == ["dial"] * 3
+
+
+def broken_with(error: Exception) -> Any:
+    raise error
