Bodies and heads in tiny pieces take no more memory than their bytes

Seen by reading, shown by six cases of one test that failed before. http1.py kept each chunk of a body as an object: 60 KB in chunks of two bytes were 1.8 MB for each of some hundred clients, while the budget counted 60 KB; a list from discovery likewise; and a head of 15 KB in lines of five bytes some thousand headers, which an idle connection kept. Now small pieces go together, and of a head only the lines that are read are held.

--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -36,6 +36,10 @@
 _SINGLE = frozenset({b"request-id", b"request-class", b"tenant", b"affinity-key", b"request-timeout-ms",
                      b"client-retry"})  # fmt: skip
 _PASSED = (b"request-class", b"tenant", b"affinity-key", b"client-retry", b"request-info", b"content-type")
+# all that is read of a head: what is not is not held, as a head of 16 KiB may name thousands
+_ASKED = frozenset({*_SINGLE, *_PASSED, b"content-length", b"expect"})
+_TOLD = frozenset({b"content-length", b"transfer-encoding", b"content-type", b"server-load", b"not-started"})
+LEAST_PART = 4 * 1024  # bytes of a part of a body, under which the next goes with it
 _STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
@@ -44,6 +48,18 @@
 }  # fmt: skip
 
 
+Parts = list[bytes | bytearray]
+
+
+def gather(parts: Parts | deque[bytes | bytearray], data: bytes) -> None:
+    """Put it behind these parts. Small ones go together: a body in chunks of two bytes would be thirty times
+    as large as an object each."""
+    if parts and isinstance(parts[-1], bytearray) and len(parts[-1]) < LEAST_PART:
+        parts[-1] += data
+    else:
+        parts.append(bytearray(data) if len(data) < LEAST_PART else data)
+
+
 class Flow:
     """A body over 64 KiB, passed on as it comes. Up to that size what has come is kept, so that a call that
     never ran may be followed by another; from then on a part is let go once it has been taken."""
@@ -52,7 +68,7 @@
 
     def __init__(self, length: int | None) -> None:
         self.length = length  # as its head says; None: it comes in chunks
-        self.parts: deque[bytes] = deque()
+        self.parts: deque[bytes | bytearray] = deque()
         self.taken = 0  # parts that the call under way has
         self.came = self.unread = 0  # bytes
         self.done = self.let_go = False  # done: all has come
@@ -62,7 +78,10 @@
 
     def put(self, data: bytes) -> None:
         """A further part has come."""
-        self.parts.append(data)
+        if self.taken < len(self.parts):
+            gather(self.parts, data)
+        else:  # the last one is with the call under way
+            self.parts.append(bytearray(data) if len(data) < LEAST_PART else data)
         self.came += len(data)
         self.unread += len(data)
 
@@ -81,7 +100,7 @@
         part = self.parts[self.taken]
         self.taken += 1
         self.unread -= len(part)
-        return part
+        return bytes(part)
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,7 +219,8 @@
     def _reset(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._lines = 0  # bytes of those headers
+        self._body: Parts = []
         self.size, self.flow = 0, None
         self._in_head, self._twice = True, False
         self.in_body = self.expecting = False
@@ -244,12 +264,14 @@
         if not self._in_head:
             return  # a trailer is no header, and nothing here reads it
         low = name.lower()
-        self._twice = self._twice or (low in _SINGLE and low in self._headers)
-        self._headers[low] = value.strip()
+        self._lines += len(name) + len(value) + 4
+        if low in _ASKED:
+            self._twice = self._twice or (low in _SINGLE and low in self._headers)
+            self._headers[low] = value.strip()
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        if len(self._target) + sum(len(k) + len(v) + 4 for k, v in self._headers.items()) > MOST_HEAD:
+        if len(self._target) + self._lines > MOST_HEAD:
             self._refuse(431, "headers over 16 KiB")
         length = self._headers.get(b"content-length", b"0")
         self.in_body, self._between = True, 0
@@ -265,7 +287,7 @@
         if isinstance(item, Ask):
             self.flow = Flow(length)
             for part in self._body:
-                self.flow.put(part)
+                self.flow.put(bytes(part))
             self._body = []
             self._items.append(replace(item, message=replace(item.message, body=b"", flow=self.flow)))
         else:  # what is refused is not waited for
@@ -283,7 +305,7 @@
         elif self.flow is not None:
             self.flow.put(body)
         else:
-            self._body.append(body)
+            gather(self._body, body)
             if self.size > MOST_KEPT:
                 self._begin_flow(None)
 
@@ -407,7 +429,7 @@
         self._most = most
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
-        self._parts: list[bytes] = []
+        self._parts: Parts = []
         self._size = self._head = 0
         self._between = 0  # bytes since the last one of the body: frames, trailers
         self._in_body = self.endless = False  # endless: its length is not told beforehand
@@ -441,7 +463,7 @@
     def take(self) -> bytes:
         """What has come of the body since the last time."""
         parts, self._parts = self._parts, []
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
     def feed(self, data: bytes) -> bool:
         """True once the answer is whole. ValueError: this is no answer."""
@@ -483,8 +505,9 @@
         self.headers, self._in_body = {}, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.done and not self._in_body:  # behind the body it is a trailer, and counts for nothing
-            self.headers[name.lower()] = value.strip()
+        low = name.lower()
+        if low in _TOLD and not self.done and not self._in_body:  # behind the body it is a trailer, and
+            self.headers[low] = value.strip()  # counts for nothing
 
     def on_headers_complete(self) -> None:
         if not self.done:
@@ -500,7 +523,7 @@
         if not self.done:
             self._size += len(body)
             self._between = 0
-            self._parts.append(body)
+            gather(self._parts, body)
 
     def on_message_complete(self) -> None:
         if not self.done and self.status >= 200:  # a 1xx is not yet the answer
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -5,11 +5,13 @@
 
 import asyncio
 import contextlib
+import gc
 import json
 import tracemalloc
 from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -125,6 +127,34 @@
     assert endless(feed, ever(head + begin, more)) <= 40_000
 
 
+TINY = b"2\r\nhi\r\n" * 30_000
+MANY = b"".join(b"%x:\r\n" % k for k in range(0x100, 0xB00))
+
+
+@pytest.mark.parametrize(("what", "most"), [
+    ("body", 2), ("large body", 3), ("answer", 2), ("list", 2), ("head", 2), ("answer's head", 2),
+])  # fmt: skip
+def test_what_comes_in_tiny_pieces_takes_no_more_memory(tmp_path: Path, what: str, most: int) -> None:
+    """A body in chunks of two bytes was held as so many objects, thirty times its size for each of some
+    hundred clients, where budgets count bytes; and a head of short lines as so many headers."""
+    parser: Any = InboundParser(Names(load(write(tmp_path))))
+    raw = ASK % CHUNKED
+    if what in ("answer", "list", "answer's head"):
+        parser = ResponseParser(*[4 << 20] if what == "list" else [])
+        raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    raw = raw[:-2] + MANY if "head" in what else raw + TINY * (2 if what == "large body" else 1)
+    parser.feed(b"")
+    gc.collect()
+    tracemalloc.start()
+    try:
+        for at in range(0, len(raw), 8192):
+            parser.feed(raw[at : at + 8192])
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert held < most * 65_536, held
+
+
 def test_a_trailer_is_no_header(tmp_path: Path) -> None:
     """One named like a header took its place: a request was refused as one that came twice, or got another's
     key; and an endpoint's error that ended in Not-Started counted as one that never ran, which may be sent
