--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -431,15 +431,15 @@
                 sock, _ = await self._loop.sock_accept(listener)
                 self._admit(sock)
                 self._accept_more(listener)
+                while not self._room(self._most_inbound, len(self._inbounds)) and not self._evict():
+                    held = f"{len(self._inbounds)} inbounds, all at work"
+                    self.say("budget", f"{held}: accepting no more for now")
+                    await asyncio.sleep(0.02)
             except Exception as error:
                 # out of descriptors, a client that left early, or what nobody thought of: no reason to let
                 # this task end, since a node that takes nobody goes on looking alive
                 self.say("accept", f"could not accept: {error}")
                 await asyncio.sleep(0.02)
-                continue
-            while not self._room(self._most_inbound, len(self._inbounds)) and not self._evict():
-                self.say("budget", f"{len(self._inbounds)} inbounds, all at work: accepting no more for now")
-                await asyncio.sleep(0.02)
 
     def _accept_more(self, listener: socket.socket) -> None:
         """Take what else stands in the backlog. One connection a turn of the loop is too few where clients
--- a/granitewell/net/status.py
+++ b/granitewell/net/status.py
@@ -112,13 +112,12 @@
                 await self._freed.wait()
             try:
                 sock, _ = await self._loop.sock_accept(listener)
-            except OSError as error:
+                sock.setblocking(False)
+                self._node._spawn(self._serve(sock, self._settings))
+                self._held += 1
+            except Exception as error:  # whatever it is, whoever looks next gets an answer
                 self._node.say("accept", f"could not accept for the status: {error}")
                 await asyncio.sleep(0.1)
-                continue
-            sock.setblocking(False)
-            self._held += 1
-            self._node._spawn(self._serve(sock, self._settings))
 
     async def _serve(self, sock: socket.socket, settings: StatusSettings) -> None:
         """One connection, within its time."""
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -17,6 +17,8 @@
 from granitewell.net.console import Console
 from granitewell.net.discovery import APART_S, MOST_SWIFT
 from granitewell.net.loop import RESERVE, Node, _Inbound
+from granitewell.net.status import Door
+from granitewell.status.terms import StatusSettings
 from tests.shell import client_of, played, silent, turns, until
 from tiderelay.interface import Outcome
 
@@ -82,19 +84,23 @@
     assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"inbound", "phase", "module"}
 
 
-def test_the_listener_outlives_what_was_not_foreseen(tmp_path: Path, monkeypatch: Patch) -> None:
+@pytest.mark.parametrize("where", ["_admit", "_evict"])
+def test_the_listener_outlives_what_was_not_foreseen(
+    tmp_path: Path, monkeypatch: Patch, where: str
+) -> None:
     """A task that ends is one line of the log, and the node then takes nobody for months."""
 
     async def scenario(node: Node) -> None:
-        admit, broken = node._admit, [RuntimeError("no such thing"), OSError(22, "reset already")]
+        real, broken = getattr(node, where), [RuntimeError("no such thing"), OSError(22, "reset already")]
 
-        def once(sock: socket.socket) -> None:
+        def once(*args: Any) -> Any:
             if broken:
-                sock.close()
                 raise broken.pop()
-            admit(sock)
+            return real(*args)
 
-        monkeypatch.setattr(node, "_admit", once)
+        monkeypatch.setattr(node, where, once)
+        if where == "_evict":  # which is asked where there is no room
+            node._most_inbound = 0
         with socket.create_server(("127.0.0.1", 0)) as server:
             server.setblocking(False)
             accepting = node._spawn(node._accept(server))
@@ -103,6 +109,8 @@
                 clients.append(socket.create_connection(server.getsockname()))
                 await asyncio.sleep(0.05)
             assert node._inbounds
+            await turns()
+            assert not accepting.done()
             accepting.cancel()
         for client in clients:
             client.close()
@@ -414,3 +422,32 @@
 
 def broken_with(error: Exception) -> Any:
     raise error
+
+
+def test_the_status_outlives_what_was_not_foreseen(tmp_path: Path, monkeypatch: Patch) -> None:
+    """Whoever looked after that waited for good, at a socket that was there."""
+
+    async def scenario(node: Node) -> None:
+        spawn, breaks = node._spawn, [True]
+
+        def once(job: Any) -> Any:
+            if breaks and job.__name__ == "_serve":
+                job.close()
+                breaks.clear()
+                broken()
+            return spawn(job)
+
+        monkeypatch.setattr(node, "_spawn", once)
+        door, place = Door(node), str(tmp_path / "s")
+        door.take(StatusSettings(place))
+        with socket.socket(socket.AF_UNIX) as first, socket.socket(socket.AF_UNIX) as client:
+            first.connect(place)
+            await until(lambda: not breaks)
+            client.setblocking(False)
+            client.connect(place)
+            await pushed(client, b"GET /status HTTP/1.1\r\nHost: n\r\n\r\n")
+            await until(lambda: client_heard(client))
+            assert client.recv(4096).startswith(b"HTTP/1.1 ")
+        door.close()
+
+    played(tmp_path, scenario)
