Whatever breaks at a call's end, the module hears of it and the client gets its answer

Now the module's word is written whatever happens, and the call is looked up before the event is applied. Cost: one dictionary look-up an event.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -117,12 +117,11 @@
         """Apply one event. No exception leaves here: a fault costs its own request, not the process."""
         self._now = max(now_us, self._now)
         self._out = []
+        call = self._calls.get(getattr(event, "call", -1))  # its end takes it out of the table
         try:
             self._apply(event)
         except Exception:
             self._fault(f"the reducer failed on {type(event).__name__}")
-            broken = getattr(event, "call", -1)
-            call = self._calls.get(broken)
             request = call.request if call else self._by_inbound.get(getattr(event, "inbound", -1))
             if request is not None and request.open:
                 self._close(request, Verdict.FAILED)
@@ -470,20 +469,21 @@
         self.stats[f"call_{outcome.value}"] += 1
         self.stats["reports"] += bool(report)
         request = call.request
-        if request.open and call.streams:
-            # what has begun can't begin again elsewhere: it ends here, whole or visibly not
-            self._close(request, Verdict.SERVED if outcome is Outcome.OK else Verdict.FAILED, answer)
-        elif outcome is Outcome.OK and request.open and not request.streams:
-            self._close(request, Verdict.SERVED, answer)
-        elif request.open and (request.let_go or request.forgotten) and outcome is not Outcome.OK:
-            # it can go nowhere else: answered at once
-            self._close(request, Verdict.FAIL_FAST if self._harmless(request) else Verdict.FAILED)
-        if call.streams:
-            return
-        self._work.append(t.Ended(
-            request.id, call.number, call.endpoint.member.id, outcome, (self._now - call.at_us) / 1000,
-            not request.open, report,
-        ))  # fmt: skip
+        try:
+            if request.open and call.streams:
+                # what has begun can't begin again elsewhere: it ends here, whole or visibly not
+                self._close(request, Verdict.SERVED if outcome is Outcome.OK else Verdict.FAILED, answer)
+            elif outcome is Outcome.OK and request.open and not request.streams:
+                self._close(request, Verdict.SERVED, answer)
+            elif request.open and (request.let_go or request.forgotten) and outcome is not Outcome.OK:
+                # it can go nowhere else: answered at once
+                self._close(request, Verdict.FAIL_FAST if self._harmless(request) else Verdict.FAILED)
+        finally:  # whatever broke: the module counts it as out until it hears of this
+            if not call.streams:
+                self._work.append(t.Ended(
+                    request.id, call.number, call.endpoint.member.id, outcome,
+                    (self._now - call.at_us) / 1000, not request.open, report,
+                ))  # fmt: skip
 
     # --- Fleet ------------------------------------------------------------------------------------------
     def _news(self, event: FleetNews) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -632,3 +632,20 @@
     node = core(Script(Request=lambda e: [*send(e), t.Fail(e.id)]))
     call = flowing(node)
     assert node.handle(6, c.InboundGone(1)) == [c.AbandonCall(call.call)]
+
+
+def test_whatever_breaks_at_a_calls_end_the_module_hears_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It counts its calls by that word alone; and the client would have heard of nothing until its time was
+    over."""
+    script = Script(Request=send)
+    node = core(script)
+    (call,) = calls(ask(node, 1, 7))
+
+    def broken(*_: object) -> None:
+        monkeypatch.undo()
+        raise RuntimeError("no such thing")
+
+    monkeypatch.setattr(node, "_close", broken)
+    assert answers(node.handle(2, c.CallEnded(call.call, Outcome.OK, (), "body"))) == [c.Verdict.FAILED]
+    node.handle(3, c.Woken())
+    assert [e.outcome for e in script.seen if isinstance(e, t.Ended)] == [Outcome.OK]
