What is heard once the node leaves is refused, not begun

Seen by reading, shown by a test that failed before: after `Leave` the process waits up to 0.2 s for its last answers, and a request that came on a kept connection in that time went out to an endpoint: it ran, and the process ended without a word of it. Now it is a refusal, which it could be all the time: nothing of it has run.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -277,7 +277,11 @@
     # --- Requests ---------------------------------------------------------------------------------------
     def _arrived(self, event: Arrived) -> None:
         self.stats["taken"] += 1
-        closing = self.phase is Phase.DRAINING
+        closing = self.phase is not Phase.READY and self.phase is not Phase.STARTING
+        if self.phase is Phase.STOPPED:
+            # the process ends at any moment: what it began would run, and nobody would hear how it went
+            self._out.append(Answer(event.inbound, Verdict.FAIL_FAST, None, 0, closing))
+            return
         if len(self._requests) >= self._most_held:
             self.stats["table_full"] += 1
             self._note("full", f"the table holds {len(self._requests)} requests: turned away")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -649,3 +649,13 @@
     assert answers(node.handle(2, c.CallEnded(call.call, Outcome.OK, (), "body"))) == [c.Verdict.FAILED]
     node.handle(3, c.Woken())
     assert [e.outcome for e in script.seen if isinstance(e, t.Ended)] == [Outcome.OK]
+
+
+def test_what_comes_once_the_node_leaves_is_not_begun() -> None:
+    """While the last answers go out a client could still be heard: its request ran, and the process ended
+    without a word of it."""
+    node = core(Script(Request=send))
+    node.handle(1, c.StopAsked(True))
+    out = wake(node, 10_000_000)
+    assert c.Leave() in out
+    assert ask(node, 10_000_001, 7) == [c.Answer(7, c.Verdict.FAIL_FAST, None, 0, True)]
