--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -16,7 +16,7 @@
 import struct
 import time
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -397,32 +397,47 @@
             self._left.set()
 
     def _sweep(self) -> None:
-        """Close what has been idle, slow or unread for too long."""
+        """Close what has been idle, slow or unread for too long. What breaks over one of them must not keep
+        the others from being looked at, ten times a second and for good."""
         self._loop.call_later(SWEEP_S if not self._others else SWEEP_S / 4, self._sweep)
-        self._look()
+        self._guarded(self._look)
         now = self.clock.now()
         idle_us = PARTING_US if self._others and self._listener is None else self.pool.idle_us
-        self.pool.sweep(now, idle_us)
+        self._guarded(lambda: self.pool.sweep(now, idle_us))
         many = len(self._inbounds) > (self._most + RESERVE) // ONCE_PART
         for inbound in list(self._inbounds.values()):
-            waited = now - inbound.at_us
-            patience = ONCE_US if many and inbound.answered == 1 else SPENT_US
-            if inbound.closing and waited >= LINGER_US:
+            if not self._guarded(lambda: self._tend(inbound, now, many)):  # noqa: B023 (called at once)
                 self._drop(inbound)
-            elif inbound.busy and inbound.flow is not None and not inbound.flow.done:
-                if inbound.flow.unread <= http1.MOST_KEPT and _trickles(inbound, inbound.flow, now):
-                    self._drop(inbound)
-            elif inbound.busy or inbound.closing:
-                continue
-            elif inbound.parser.partial:
-                if _too_slow(inbound, now):
-                    late = http1.Bad(408, "the request did not come whole")
-                    self.say("bad", f"answered {late.status}: {late.text}")
-                    self._reply(inbound, http1.bad_bytes(late), True)
-            elif self._listener is None and self._shared:
-                continue  # until the process leaves: what a client writes there now must not be turned back
-            elif waited >= (FRESH_US if inbound.fresh else patience) and _is_idle(inbound, now):
+
+    def _guarded(self, job: Callable[[], None]) -> bool:
+        """Do it; whether it went well."""
+        try:
+            job()
+        except Exception as error:
+            self.say("fault", f"a sweep failed: {type(error).__name__}: {error}")
+            return False
+        return True
+
+    def _tend(self, inbound: _Inbound, now: int, many: bool) -> None:
+        """Is it time for this one to end? many: descriptors are short."""
+        waited = now - inbound.at_us
+        patience = ONCE_US if many and inbound.answered == 1 else SPENT_US
+        if inbound.closing and waited >= LINGER_US:
+            self._drop(inbound)
+        elif inbound.busy and inbound.flow is not None and not inbound.flow.done:
+            if inbound.flow.unread <= http1.MOST_KEPT and _trickles(inbound, inbound.flow, now):
                 self._drop(inbound)
+        elif inbound.busy or inbound.closing:
+            return
+        elif inbound.parser.partial:
+            if _too_slow(inbound, now):
+                late = http1.Bad(408, "the request did not come whole")
+                self.say("bad", f"answered {late.status}: {late.text}")
+                self._reply(inbound, http1.bad_bytes(late), True)
+        elif self._listener is None and self._shared:
+            return  # until the process leaves: what a client writes there now must not be turned back
+        elif waited >= (FRESH_US if inbound.fresh else patience) and _is_idle(inbound, now):
+            self._drop(inbound)
 
     # --- Inbounds ---------------------------------------------------------------------------------------
     async def _accept(self, listener: socket.socket) -> None:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -451,3 +451,25 @@
         door.close()
 
     played(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("what", ["Node._look", "_too_slow"])
+def test_a_sweep_that_breaks_over_one_looks_at_the_others(
+    tmp_path: Path, monkeypatch: Patch, what: str
+) -> None:
+    """One exception kept all that stood behind it from being swept, each time: idle connections stayed until
+    their clients left."""
+
+    async def scenario(node: Node) -> None:
+        half, idle = client_of(node), client_of(node)
+        await pushed(half, b"GET /tax")
+        await turns()
+        for inbound in node._inbounds.values():
+            inbound.at_us -= 10_000_000
+        monkeypatch.setattr(f"granitewell.net.loop.{what}", broken)
+        node._sweep()
+        await until(lambda: len(node._inbounds) <= ("_look" in what))
+        half.close()
+        idle.close()
+
+    assert any("a sweep failed" in line for line in played(tmp_path, scenario))
