--- a/granitewell/lab/day_json.py
+++ b/granitewell/lab/day_json.py
@@ -17,6 +17,7 @@
 from types import UnionType
 from typing import Any, Union, get_args, get_origin, get_type_hints
 
+from granitewell.files import BY_HAND, whole
 from granitewell.lab.day import Day
 
 VERSION = 1
@@ -52,9 +53,11 @@
 def load_file(path: str | Path) -> Day:
     """The day of a file. DayError where it can't be read or used."""
     try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise DayError(f"{path}: {getattr(error, 'strerror', None) or 'not UTF-8'}") from None
+        text = whole(path, BY_HAND).decode()
+    except UnicodeDecodeError:
+        raise DayError(f"{path}: not UTF-8") from None
+    except (OSError, ValueError) as error:
+        raise DayError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
     return load(text, str(path))
 
 
--- a/granitewell/lab/experiments/plan.py
+++ b/granitewell/lab/experiments/plan.py
@@ -29,6 +29,7 @@
 from pathlib import Path
 from typing import Any, NoReturn
 
+from granitewell.files import BY_HAND, whole
 from granitewell.lab import scenario as scenarios
 from granitewell.lab.day import Day
 from granitewell.lab.experiments.phases import Trouble, trouble
@@ -198,8 +199,8 @@
 def load(path: Path) -> Plan:
     """The plan of a file. PlanError."""
     try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
+        text = whole(path, BY_HAND).decode()
+    except (OSError, ValueError) as error:
         raise PlanError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
     return parse(text, str(path), path.parent)
 
--- a/granitewell/lab/scenario_read.py
+++ b/granitewell/lab/scenario_read.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from granitewell.files import BY_HAND, whole
 from granitewell.lab.scenario_check import combinations
 from granitewell.lab.scenario_trace import Row, TraceProblem, read_trace
 from granitewell.lab.scenario_types import ScenarioTable, Spec, Table, fields_of, spec_of
@@ -102,7 +103,7 @@
 def _whole(label: str, path: Path, problems: list[str], above: tuple[Path, ...]) -> dict[str, Any]:
     """A file's tables over those of what it extends."""
     try:
-        raw = tomllib.loads(path.read_text("utf-8"))
+        raw = tomllib.loads(whole(path, BY_HAND).decode())
     except (OSError, ValueError, RecursionError) as error:
         problems.append(f"{label}: {' '.join(str(error).split())}")
         return {}
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -7,6 +7,8 @@
 import contextlib
 import gc
 import json
+import os
+import threading
 import tracemalloc
 from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
@@ -386,6 +388,24 @@
             assert text and (str(path) in text or name == "configuration"), text
 
 
+@pytest.mark.parametrize("name", ["configuration", "operator file", "scenario", "experiment", "day"])
+def test_a_pipe_in_a_files_place_is_refused_with_its_name(tmp_path: Path, name: str) -> None:
+    """It was waited for, without a word and without end."""
+    _, reads, refused = FILES[name]
+    path, told = tmp_path / "file", list[str]()
+    os.mkfifo(path)
+
+    def read() -> None:
+        with pytest.raises(refused) as error:
+            reads(path)
+        told.append(str(error.value))
+
+    reading = threading.Thread(target=read, daemon=True)
+    reading.start()
+    reading.join(20.0)
+    assert told and (str(path) in told[0] or "LB_CONFIG" in told[0])
+
+
 def test_spoilt_heads_at_the_status_door_get_an_answer_of_its_own() -> None:
     rng, good = Random(5), b"GET /status?worst=3 HTTP/1.1\r\nHost: localhost\r\nAccept: */*\r\n\r\n"
     for data in [good[:k] for k in range(len(good))] + [spoilt(rng, good) for _ in range(4000)]:
