What Python itself has to say is a line of the log and waits for nobody

Seen: tests under -X dev and tracemalloc handed down to the programs that they start; some stood still. Ruled out: the log's own lines (they poll first) and asyncio's logger (used in debug mode alone, which is not served with). Now both are fault lines.

--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -22,7 +22,8 @@
 
 import asyncio
 import gc
-from typing import TYPE_CHECKING
+import warnings
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -62,11 +63,25 @@
         node.log.write(node.clock.now(), "reload", plan.line(), always=True)
 
 
+def _heard_of(node: Node) -> None:
+    """What Python would write to standard error by itself, and wait for whoever reads that, is a line of the
+    log, which waits for nobody."""
+
+    def warned(message: Warning | str, category: type[Warning], *_: Any, **__: Any) -> None:
+        node.say("fault", f"{category.__name__}: {message}")
+
+    def raised(what: sys.UnraisableHookArgs) -> None:
+        node.say("fault", f"{what.err_msg or 'ignored'}: {what.exc_type.__name__}: {what.exc_value}")
+
+    sys.unraisablehook, warnings.showwarning = raised, warned
+
+
 async def _serve(config: Config, live: Live | None, early: list[int]) -> None:
     loop = asyncio.get_running_loop()
     core = Core(config.settings, Balancer(config.settings, config.seed), config.most_held)
     handover = Handover(os.environ.get("TMPDIR", ""), config.name)
     node = Node(config, core, loop, handover)
+    _heard_of(node)
     if wrong := handover.enter():
         node.say("handover", wrong)
     if live is not None:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import os
+import select
 import signal
 import socket
 import threading
+import time
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -322,8 +324,8 @@
 
 
 # --- Shortages ---------------------------------------------------------------------------------------------
-def test_a_full_log_pipe_stops_neither_the_node_nor_its_end(site: Site) -> None:
-    """Nobody reads what it writes, from its first line on."""
+def full_pipe() -> tuple[int, int]:
+    """A pipe that takes no more, and blocks who writes."""
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
     try:
@@ -331,6 +333,12 @@
             os.write(writer, bytes(4096))
     except BlockingIOError:
         os.set_blocking(writer, True)
+    return reader, writer
+
+
+def test_a_full_log_pipe_stops_neither_the_node_nor_its_end(site: Site) -> None:
+    """Nobody reads what it writes, from its first line on."""
+    reader, writer = full_pipe()
     console = site.start(stderr=writer)
     site.ready(console)
     assert called(site, console, "disable") == 200 and booked(site, b"r1").startswith(b"HTTP/1.1 503")
@@ -340,6 +348,38 @@
     os.close(writer)
 
 
+ODD = """
+import sys, warnings
+from granitewell import __main__ as program
+from granitewell.net.loop import Node
+sweep = Node._sweep
+class Odd:
+    def __del__(self):
+        raise RuntimeError("no such thing")
+def odd(node):
+    Odd()
+    warnings.warn("no such thing", RuntimeWarning)
+    sweep(node)
+Node._sweep = odd
+sys.exit(program.main())
+"""
+
+
+def test_what_python_itself_has_to_say_waits_for_nobody(site: Site) -> None:
+    """A finaliser's exception, or a warning, went to a pipe that nobody read, and the node stood still."""
+    reader, writer = full_pipe()
+    console = site.start(program=("-W", "always", "-c", ODD), stderr=writer)
+    site.until(lambda: ready(site, console))
+    for k in range(30):  # for some sweeps
+        assert booked(site, b"r%d" % k).startswith(b"HTTP/1.1 200")
+        time.sleep(0.02)
+    while select.select([reader], [], [], 0)[0]:
+        os.read(reader, 65536)
+    site.until(lambda: b"RuntimeError: no such thing" in os.read(reader, 65536))
+    os.close(reader)
+    os.close(writer)
+
+
 def test_without_room_in_the_folder_a_ban_gets_no_yes_and_the_node_serves(site: Site) -> None:
     """The shortage is a limit on the size of the files that this child writes."""
     limit = "import resource, runpy; resource.setrlimit(resource.RLIMIT_FSIZE, (0, 0)); "
