The soak can count the turns of each node's loop, for what waits for a turn

Need: ROADMAP says that the longest turn of the loop under load is not measured, and the operators' console waits for it.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,7 +1,7 @@
 """A loaded day of the lab on sockets, with the nodes watched from inside: what grows, and what asyncio
 complains of.
 
-    python benchmarks/soak.py [SECONDS]
+    python benchmarks/soak.py [SECONDS] [--turns]
 
 Two real nodes, nine stand-in endpoints, a busy day of SECONDS (30) with odd answers, rude clients, a drain, a
 restart, a reload and a vanished endpoint. Each node runs under `-X dev` with ResourceWarning as an error, the
@@ -9,6 +9,10 @@
 for each node: memory traced at both moments, the lines that grew most between them, tasks and descriptors at
 both, and all complaints in its log. Tracing makes a node several times slower, so that the day's figures and
 the rules on time say nothing; the other rules do.
+
+With --turns nothing is traced; told is how long the turns of each node's loop are, the longest with their own
+work, as all that waits for a node (an operator's call, the next request) waits for a turn. A callback that
+is always due counts them, so that no turn holds a wait for something to come.
 """
 
 from __future__ import annotations
@@ -24,7 +28,42 @@
 
 PLACE = "GRANITEWELL_SOAK"
 COMPLAINTS = ("Traceback", "Warning", "never awaited", "never retrieved", "fault:", "Exception ignored")
-MOST = 8  # lines of growth that are told
+MOST = 8  # lines of growth, and longest turns, that are told
+LONG_S = 0.005  # of a turn that is counted
+
+
+def timed(place: Path, length_s: float) -> None:
+    """Count the turns of this process's loop, and tell of them near the end of the day."""
+    import uvloop
+
+    make, began = uvloop.new_event_loop, time.monotonic()
+    longest: list[tuple[float, float, float]] = []  # seconds, of them own work, when
+    turns = long = 0
+
+    def counted() -> asyncio.AbstractEventLoop:
+        loop = make()
+
+        def turn(was: float, work: float) -> None:
+            nonlocal turns, long
+            now, done = time.perf_counter(), time.thread_time()
+            turns += 1
+            if now - was >= LONG_S:
+                long += 1
+                longest.append((now - was, done - work, time.monotonic() - began))
+                longest.sort(reverse=True)
+                del longest[MOST:]
+            loop.call_soon(turn, now, done)
+
+        def tell() -> None:
+            told = [f"{turns} turns, {long} of over {LONG_S * 1e3:.0f} ms; the longest:"]
+            told += [f"    {x * 1e3:6.1f} ms, {y * 1e3:.1f} ms of own work, {z:.1f} s" for x, y, z in longest]
+            (place / f"grown-{os.environ['LB_NAME']}.txt").write_text("\n".join(told) + "\n")
+
+        loop.call_later(1.0, lambda: turn(time.perf_counter(), time.thread_time()))  # once it has started
+        loop.call_later(length_s * 0.9, tell)
+        return loop
+
+    uvloop.new_event_loop = counted
 
 
 def node() -> int:
@@ -34,7 +73,10 @@
     from granitewell import __main__ as program
     from granitewell.net.loop import Node
 
-    place, length_s = os.environ[PLACE].split("|")
+    place, length_s, turns = os.environ[PLACE].split("|")
+    if turns:
+        timed(Path(place), float(length_s))
+        return program.main()
     marks, began = [float(length_s) / 3, float(length_s) * 0.9], time.monotonic()
     told: list[str] = []
     before: list[tracemalloc.Snapshot] = []
@@ -80,7 +122,8 @@
     from granitewell.lab.socks.director import Options
     from granitewell.lab.socks.play import play_on_sockets
 
-    length_s = float(sys.argv[1]) if len(sys.argv) > 1 else 30.0
+    turns = "--turns" in sys.argv
+    length_s = next((float(x) for x in sys.argv[1:] if x != "--turns"), 30.0)
     at = [int(length_s * 1e6 * k / 10) for k in range(11)]
     day = draw(load("busy"), 3, nodes=2, endpoints=9, length_s=length_s, rate=150.0)
     names = [e.id for e in day.endpoints]
@@ -91,9 +134,9 @@
         d.Fault(at[6], -1, "node_hup", day.nodes[0].name),
     )  # fmt: skip
     place = Path(tempfile.mkdtemp(prefix="granitewell-soak-"))
-    os.environ[PLACE] = f"{place}|{length_s}"
-    watch = ("-X", "dev", "-W", "error::ResourceWarning", os.path.abspath(__file__), "--node")
-    program = (sys.executable, *watch)
+    os.environ[PLACE] = f"{place}|{length_s}|{'turns' if turns else ''}"
+    watch = () if turns else ("-X", "dev", "-W", "error::ResourceWarning")
+    program = (sys.executable, *watch, os.path.abspath(__file__), "--node")
     options = Options(program=program, rough=0.1, rude=20)
     played = play_on_sockets(replace(day, faults=faults), place, options)
     print(f"rules: {played['report']['offences'] or 'none broken'}")
