--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -52,7 +52,7 @@
 
 
 def gather(parts: Parts | deque[bytes | bytearray], data: bytes) -> None:
-    """Put it behind these parts. Small ones go together: a body in chunks of two bytes would be thirty times
+    """Put it behind these parts. Small ones go together: a body in chunks of two bytes would be twenty times
     as large as an object each."""
     if parts and isinstance(parts[-1], bytearray) and len(parts[-1]) < LEAST_PART:
         parts[-1] += data
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -17,6 +17,7 @@
 from granitewell.net.console import Console
 from granitewell.net.discovery import APART_S, MOST_SWIFT
 from granitewell.net.loop import RESERVE, Node, _Inbound
+from granitewell.net.sockets import readable
 from granitewell.net.status import Door
 from granitewell.status.terms import StatusSettings
 from tests.shell import client_of, played, silent, turns, until
@@ -385,7 +386,7 @@
         monkeypatch.setattr(f"granitewell.net.{what}", broken)
         await pushed(client, raw)
         async with asyncio.timeout(5.0):  # far less than the time of the request whose call can't begin
-            while node._inbounds and ("_answered" in what or not client_heard(client)):
+            while node._inbounds and ("_answered" in what or not readable(client)):
                 await asyncio.sleep(0.01)
         client.close()
         await until(lambda: not node._inbounds and not node._tasks)
@@ -395,17 +396,6 @@
     assert any(line.startswith("fault") for line in played(tmp_path, scenario))
 
 
-def client_heard(client: socket.socket) -> bool:
-    """Has it an answer, or the end of its connection?"""
-    try:
-        client.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        pass
-    return True
-
-
 def test_a_dial_without_a_socket_holds_none(tmp_path: Path, monkeypatch: Patch) -> None:
     """Each counted as held for good: after some hundred, of which an endpoint of an address family that the
     machine does not have is enough, the node dialed nobody any more."""
@@ -445,7 +435,7 @@
             client.setblocking(False)
             client.connect(place)
             await pushed(client, b"GET /status HTTP/1.1\r\nHost: n\r\n\r\n")
-            await until(lambda: client_heard(client))
+            await until(lambda: readable(client))
             assert client.recv(4096).startswith(b"HTTP/1.1 ")
         door.close()
 
