Nodes that talk: membership, census, roads and a folder joined in the node's process

Change: [cluster] in the operator file (name, bind, advertise, seeds, keys, role, zone, folder, streams, unheard_s); net/peers.py, the roads (datagrams and streams, bounded queues, dials with back-off, a quarter of the loop at most); net/cluster.py, the shell; cluster/census.py, how many nodes act (most: for budgets, whoever may only be cut off counts; up: for the forecast); kept.py and cluster/notes.py, the life's number and the members last known, by rename, checked; one process at a time is the member by a lock, so that an upgrade goes on with the same life. The core and the module hear of it by an event of their own (Acting). membership: a life that goes on, Forget, Rekey, Reseed, and who said what of whom. `granitewell cluster members|status|watch|explain|forget`, metrics, log lines.

--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -34,22 +34,40 @@
 from tiderelay.policy import Balancer
 
 if TYPE_CHECKING:
+    from granitewell.net.cluster import Cluster
     from granitewell.operator.load import Live
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-def _take(node: Node, live: Live) -> None:
-    """What the operator file says now. Nothing of the status is imported before it asks for one."""
+def _take(node: Node, live: Live, joined: list[Cluster]) -> None:
+    """What the operator file says now. Nothing of status and cluster is imported before it asks for them.
+    OSError: the cluster's address can't be had."""
     node.log.take(live.held.log.settings())
+    cluster = live.held.cluster.settings()
+    if cluster.name or joined:
+        from granitewell.net.cluster import join
+
+        join(joined, node, cluster)
     status = live.held.status.settings()
     if status.at or node.door is not None:
         from granitewell.net.status import serve
 
         serve(node, status)
+        for one in joined:
+            one.tell(node)
+
+
+def _stop(node: Node, joined: list[Cluster]) -> None:
+    """SIGTERM: the other nodes hear of it before the listener goes."""
+    try:
+        for cluster in joined:
+            cluster.stop()
+    finally:
+        node.stop()
 
 
-def _reload(node: Node, live: Live | None) -> None:
+def _reload(node: Node, live: Live | None, joined: list[Cluster]) -> None:
     """SIGHUP: the files have been replaced. A bad one changes nothing; the other is taken all the same."""
     try:
         node.reload(reload(os.environ, node.check))
@@ -59,7 +77,7 @@
         node.say("fault", f"the reload failed: {type(error).__name__}: {error}")
     if live is not None:
         plan = live.again()
-        _take(node, live)
+        _take(node, live, joined)
         node.log.write(node.clock.now(), "reload", plan.line(), always=True)
 
 
@@ -84,19 +102,22 @@
     _heard_of(node)
     if wrong := handover.enter():
         node.say("handover", wrong)
+    joined: list[Cluster] = []  # where an operator file has the nodes know each other
     if live is not None:
-        _take(node, live)
+        _take(node, live, joined)
     for sign in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sign, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, _reload, node, live)
+        loop.add_signal_handler(sign, _stop, node, joined)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, live, joined)
     if early:  # the files were replaced after they had been read
-        loop.call_soon(_reload, node, live)
+        loop.call_soon(_reload, node, live, joined)
     # What start-up made lives as long as the process: the collector need not walk it again, and rarely runs.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
     try:
         await node.run()
+        for cluster in joined:
+            await cluster.gone()
     finally:
         # nothing is left to be done for any of them, and without the loop each would end the process by
         # itself
--- a/granitewell/cli/main.py
+++ b/granitewell/cli/main.py
@@ -111,6 +111,7 @@
 _HERE = "granitewell.cli"
 COMMANDS = {
     "node": Entry(f"{_HERE}.node:node", "Run one node, as the platform does."),
+    "cluster": Entry(f"{_HERE}.cluster:cluster", "Ask running nodes what they believe of their fleet."),
     "check": Entry(f"{_HERE}.check:check", "Say all that is wrong with a configuration."),
     "lab": Entry(f"{_HERE}.lab:lab", "The platform as a model: simulate, load, judge, compare."),
     "completion": Entry(f"{_HERE}.main:completion", "Print the completion script of a shell."),
--- a/granitewell/cli/node.py
+++ b/granitewell/cli/node.py
@@ -24,7 +24,8 @@
 import granitewell
 from granitewell.cli.show import FOUND, NoMeans, Told, as_json, emit
 from granitewell.status import words
-from granitewell.status.terms import ALLOWED_AT, MOST_ANSWER, MOST_WORST, Place, Snapshot, place
+from granitewell.status.terms import ALLOWED_AT, MOST_ANSWER, MOST_WORST, Place, Snapshot
+from granitewell.status.terms import place as placed
 
 WAIT_S = 3.0  # for a node that answers within one
 
@@ -90,9 +91,9 @@
     Exit code 0 where it is ready and nobody is ill, 1 where it is not ready or something is ill, 2 for bad
     arguments, 3 where nobody answers. What each figure means is on docs/operate/status.md.
     """
-    where = _where(at, operator or above or os.environ.get("LB_OPERATOR"))
+    place = where(at, operator or above or os.environ.get("LB_OPERATOR"))
     while True:
-        data = ask(where, worst)
+        data = ask(place, worst)
         if watch is not None and not as_json:
             click.clear()  # nothing where standard output is no terminal
         emit(data, as_json, partial(_print, data))
@@ -104,13 +105,14 @@
         raise click.exceptions.Exit(FOUND)
 
 
-def _where(at: str | None, operator: str | None) -> Place:
+def where(at: str | None, operator: str | None) -> Place:
+    """Where a node's status is: as named, or by its operator file. Told says why that is none."""
     if at is None and not operator:
         raise Told("where is the node's status? name --at or --operator")
     if at is None:
         at = _of_file(str(operator))
     try:
-        return place(at, os.environ.get("TMPDIR") or "/tmp")
+        return placed(at, os.environ.get("TMPDIR") or "/tmp")
     except ValueError as error:
         raise Told(f"--at: found {words.plain(at[:200])}, {error}, allowed: {ALLOWED_AT}") from None
 
@@ -132,7 +134,7 @@
     """One snapshot; NoMeans where nobody answers, or somebody else does."""
     query = "" if worst is None else f"?worst={worst}"
     try:
-        code, raw = _get(where, f"/status{query}")
+        code, raw = get(where, f"/status{query}")
         if code != 200:
             why = raw[:200].decode(errors="replace").strip()
             raise ValueError(f"answered {code}: {words.plain(why)}")
@@ -144,12 +146,13 @@
         raise NoMeans(f"{where}: no status of a node: {error}") from None
 
 
-def _get(where: Place, target: str) -> tuple[int, bytes]:
+def get(where: Place, target: str, method: str = "GET") -> tuple[int, bytes]:
+    """Status code and body of a node's answer. OSError, HTTPException: nobody answers as a node does."""
     link = http.client.HTTPConnection("127.0.0.1", where.port or None, timeout=WAIT_S)
     if where.path:
         link.sock = _connected(where.path)
     try:
-        link.request("GET", target)
+        link.request(method, target)
         answer = link.getresponse()
         return answer.status, answer.read(2 * MOST_ANSWER)
     finally:
--- /dev/null
+++ b/granitewell/cluster/terms.py
@@ -0,0 +1,114 @@
+"""What may be set of a node in a fleet, and the forms of its file of keys.
+
+It owns the settings, their defaults and the text of the keys' file. It must never read that file or open a
+socket. Times are whole microseconds, and in the settings seconds where a person writes them.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from granitewell.protocols.peers.frames import LEAST_SECRET, MAX_NAME, MOST_SECRET, Key, Keys
+from granitewell.protocols.peers.gossip import MOST_ROLE, MOST_ZONE, word
+
+MOST_SEEDS = 64
+MOST_KEYS_FILE = 4_096  # bytes
+LEAST_STREAMS, MOST_STREAMS = 2, 256  # each way
+LEAST_UNHEARD_S, MOST_UNHEARD_S = 60.0, 30 * 86_400.0
+ROLE = "forwarder"
+ALLOWED_NAME = f"1 to {MAX_NAME} of a-z, 0-9, - and ., a letter or figure first"
+ALLOWED_ADDRESS = "HOST:PORT, HOST an address in figures, PORT from 1 to 65535"
+ALLOWED_KEYS = f"a file with one or two lines, each a key of {LEAST_SECRET} to {MOST_SECRET} bytes in hex"
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}\Z")
+_V4 = re.compile(r"(?:(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(?:\.(?!\Z)|\Z)){4}\Z")
+_V6 = re.compile(r"[0-9a-f:.]{2,45}\Z")
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterSettings:
+    """A node in a fleet; without a name it is in none, and nothing of it is imported or bound.
+
+    name: the member's, from the operators. bind: where datagrams and streams of other nodes come in;
+    advertise: where others reach that, bind where it is empty. seeds: who is asked at the start. keys: of all
+    nodes, None where the file can't be read now (why: `keys_why`). folder: that outlives the process, "" for
+    none. streams: to others at a time, and as many from them. unheard_s: after so long without a word a node
+    that has not left counts no more."""
+
+    name: str = ""
+    bind: str = ""
+    advertise: str = ""
+    seeds: tuple[str, ...] = ()
+    keys: Keys | None = field(default=None, repr=False)
+    keys_why: str = ""
+    role: str = ROLE
+    zone: str = ""
+    folder: str = ""
+    streams: int = 32
+    unheard_s: float = 3_600.0
+
+    @property
+    def address(self) -> str:
+        """As others are to know it."""
+        return self.advertise or self.bind
+
+
+def name_fits(name: str) -> bool:
+    """Whether a member may have this name: it also names files."""
+    return _NAME.match(name) is not None
+
+
+def word_fits(text: str, most: int) -> bool:
+    """Whether it is a role or zone of at most so many bytes."""
+    return len(text) <= most and word(text)
+
+
+def role_fits(role: str) -> bool:
+    """Whether a member may say this of itself."""
+    return bool(role) and word_fits(role, MOST_ROLE)
+
+
+def zone_fits(zone: str) -> bool:
+    """As role_fits, and it may be empty."""
+    return word_fits(zone, MOST_ZONE)
+
+
+def address(text: str) -> tuple[str, int]:
+    """Host and port. ValueError where it is no such address: names would have to be asked for, and whoever
+    waits for an answer serves nobody."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not re.fullmatch("[0-9]{1,5}", port) or not 1 <= int(port) <= 65535:
+        raise ValueError(f"found {text[:80]!r}, allowed: {ALLOWED_ADDRESS}")
+    inner = host.removeprefix("[").removesuffix("]") if host.startswith("[") else host
+    if not (_V4.match(host) or (inner != host and ":" in inner and _V6.match(inner))):
+        raise ValueError(f"found {text[:80]!r}, allowed: {ALLOWED_ADDRESS}")
+    return inner, int(port)
+
+
+def spelt(host: str, port: int) -> str:
+    """The same back again."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def keys_of(raw: bytes) -> Keys:
+    """What a file of keys holds: one key a line in hex, the first seals, a second opens too; empty lines and
+    lines that begin with # are passed over. ValueError says what was found, and never shows a key."""
+    try:
+        lines = [x.strip() for x in raw.decode("ascii").splitlines()]
+    except UnicodeDecodeError as error:
+        found = f"found a byte at {error.start} that is not ASCII"
+        raise ValueError(f"{found}, allowed: {ALLOWED_KEYS}") from None
+    keys = [x for x in lines if x and not x.startswith("#")]
+    if not 1 <= len(keys) <= 2:
+        raise ValueError(f"found {len(keys)} keys, allowed: {ALLOWED_KEYS}")
+    made = []
+    for k, line in enumerate(keys):
+        if not re.fullmatch("(?:[0-9a-fA-F]{2})+", line):
+            raise ValueError(f"found a key (number {k + 1}) that is not hex, allowed: {ALLOWED_KEYS}")
+        size = len(line) // 2
+        if not LEAST_SECRET <= size <= MOST_SECRET:
+            raise ValueError(f"found a key (number {k + 1}) of {size} bytes, allowed: {ALLOWED_KEYS}")
+        made.append(Key(bytes.fromhex(line)))
+    if len(made) == 2 and made[0].id == made[1].id:
+        raise ValueError("found one key twice, allowed are two different ones")
+    return Keys(*made)
--- a/granitewell/core/__init__.py
+++ b/granitewell/core/__init__.py
@@ -15,6 +15,7 @@
 )
 from granitewell.core.terms import (
     AbandonCall,
+    Acting,
     Answer,
     Arrived,
     BanAsked,
@@ -54,7 +55,7 @@
 )
 
 __all__ = [
-    "AbandonCall", "ACCEPT_US", "Answer", "Arrived", "BanAsked", "BanLifted", "BansHeard", "Begin",
+    "AbandonCall", "ACCEPT_US", "Acting", "Answer", "Arrived", "BanAsked", "BanLifted", "BansHeard", "Begin",
     "CallBegan", "CallDialed", "CallDialing", "CallEnded", "CallPart", "CloseIdle", "Core", "Decider",
     "DRAIN_MARGIN_US", "Effects", "Event", "Finish", "FleetNews", "GUARD_US", "HEAR_US", "InboundGone",
     "KeepBan", "LEAST_MOST_US", "Leave", "LetGo", "Listening", "Member", "NEVER_RAN", "Note", "Pass", "Phase",
--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -19,6 +19,7 @@
 from granitewell.core.tables import Call, Endpoint, Held
 from granitewell.core.terms import (
     AbandonCall,
+    Acting,
     Answer,
     Arrived,
     BanAsked,
@@ -110,6 +111,7 @@
         self._timers: list[tuple[int, int, str, Any]] = []
         self._last_id = self._seq = 0
         self._listening = self._beating = False
+        self._nodes: t.Acting | None = None  # as the nodes see themselves; None where nobody says so
         self._module_us = -1  # when the module's timer is due; -1: none
 
     # --- The only way in --------------------------------------------------------------------------------
@@ -168,6 +170,11 @@
         elif isinstance(event, Settled):
             self._set, self._most_held = event.settings, event.most_held
             self._work.append(t.Resettled(event.settings))
+            if self._nodes is not None:
+                self._work.append(self._nodes)
+        elif isinstance(event, Acting):
+            self._nodes = t.Acting(max(event.most, 1), max(event.up, 1.0))
+            self._work.append(self._nodes)
         else:
             self._stop(event)
         self._think()
--- a/granitewell/core/terms.py
+++ b/granitewell/core/terms.py
@@ -196,9 +196,20 @@
     most_held: int
 
 
+@dataclass(frozen=True, slots=True)
+class Acting:
+    """How many nodes act on the same endpoints, as the nodes themselves see it: the most that may (budgets
+    are divided by it), and those that share the traffic, smoothed (the forecast counts with them). Until it
+    is told the settings say so; it outlives other settings."""
+
+    most: int
+    up: float
+
+
 Event = (
     Arrived | Whole | LetGo | InboundGone | CallDialing | CallDialed | CallBegan | CallPart | CallEnded
     | FleetNews | Listening | Woken | StopAsked | BanAsked | BanLifted | BansHeard | Settled
+    | Acting
 )
 
 
--- a/granitewell/membership/claims.py
+++ b/granitewell/membership/claims.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from granitewell.machine import Road
+from granitewell.membership.history import History, Told
 from granitewell.membership.own import Own
 from granitewell.membership.probes import Rounds
 from granitewell.membership.seat import Seat
@@ -20,13 +22,15 @@
 
 
 class Claims:
-    """suspicions: of those who are suspected now."""
+    """suspicions: of those who are suspected now. history: what has changed, by whose word."""
 
-    __slots__ = ("_own", "_rounds", "_seat", "suspicions")
+    __slots__ = ("_own", "_rounds", "_seat", "_teller", "history", "suspicions")
 
     def __init__(self, seat: Seat, own: Own, rounds: Rounds) -> None:
         self._seat, self._own, self._rounds = seat, own, rounds
         self.suspicions = Suspicions(seat.figures)
+        self.history = History()
+        self._teller: tuple[str, str] = ("", "")  # whose word is being taken in, by what road; ours: nobody's
 
     def start(self) -> None:
         """We are a member: those whom we know as suspects have their time from now on."""
@@ -34,7 +38,7 @@
             if record.standing.state is State.SUSPECT:
                 self.doubt(record.name, record.standing, record.by, False)
 
-    def hear(self, claim: Claim, teller: str) -> None:
+    def hear(self, claim: Claim, teller: str, road: Road = Road.DATAGRAM) -> None:
         """What is said of a name, by somebody who may be wrong."""
         record = self._seat.table.records.get(claim.name)
         if record is not None and _stale(record, claim):
@@ -46,7 +50,18 @@
         if sure:
             gen, birth, inc = claim.gen, claim.birth, claim.inc
             claim = Claim(claim.name, gen, birth, inc, State.SUSPECT, by=claim.by or teller)
+        self._teller = teller, road.value
         self.merge(claim, sure)
+        self._teller = "", ""
+
+    def forget(self, name: str) -> None:
+        """An operator knows that it is gone for good; only of the dead."""
+        record = self._seat.table.records.get(name)
+        if record is not None and record.standing.state is State.DEAD:
+            gen, birth, inc, _ = record.standing
+            self._teller = "an operator", ""
+            self.merge(Claim(name, gen, birth, inc, State.LEFT, by=self._seat.config.name))
+            self._teller = "", ""
 
     def _second_hand(self, claim: Claim) -> bool:
         """Whether it says of somebody we have up, in that life, that it is dead."""
@@ -83,6 +98,8 @@
 
     def _changed(self, change: Change, sure: bool) -> None:
         seat, record = self._seat, change.record
+        if change.stands:
+            self.history.put(record.name, Told(seat.now_us, *self._teller, record.by, record.standing))
         if record.name == seat.config.name:
             self._own.look()
             if record.standing.birth == seat.birth:
--- a/granitewell/membership/machine.py
+++ b/granitewell/membership/machine.py
@@ -13,18 +13,30 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 from granitewell.machine import Heard, Woken
 from granitewell.membership import health
 from granitewell.membership.claims import Claims
+from granitewell.membership.history import Told
 from granitewell.membership.limits import OwnTime
 from granitewell.membership.own import Own
 from granitewell.membership.probes import Probes
 from granitewell.membership.seat import Opened, Seat
-from granitewell.membership.states import Phase, State
+from granitewell.membership.states import GONE, Phase, State
 from granitewell.membership.sync import SOON_US, Sync
-from granitewell.membership.terms import Config, Describe, Leave, Member, check_payload
+from granitewell.membership.terms import (
+    Config,
+    Describe,
+    Entry,
+    Forget,
+    Leave,
+    Member,
+    Rekey,
+    Reseed,
+    check_payload,
+)
 from granitewell.protocols.peers.gossip import (
     Ack,
     Claim,
@@ -92,6 +104,19 @@
         """What is known of a name, up or gone; None for nothing."""
         return self.seat.table.member(name)
 
+    def everyone(self) -> tuple[Entry, ...]:
+        """All names that are known, up or gone, in order; of one that was dead before we came it is not known
+        what it said of itself."""
+        records = self.seat.table.records
+        return tuple(
+            Entry(r.name, r.standing, r.about, r.by, r.gone_us if r.standing.state in GONE else -1)
+            for r in (records[name] for name in sorted(records))
+        )
+
+    def history(self, name: str) -> tuple[Told, ...]:
+        """What has changed of a name, by whose word, the newest last; a bounded number of them."""
+        return self._claims.history.of(name)
+
     def alive(self, name: str) -> bool:
         """Whether it is up (alive or suspect)."""
         member = self.seat.table.member(name)
@@ -116,6 +141,12 @@
         elif isinstance(event, Describe):
             check_payload(event.payload)
             self.own.describe(event.payload)
+        elif isinstance(event, Forget):
+            self._claims.forget(event.name)
+        elif isinstance(event, Rekey):
+            seat.config = replace(seat.config, keys=event.keys)
+        elif isinstance(event, Reseed):
+            seat.config = replace(seat.config, seeds=event.seeds)
         elif not isinstance(event, Woken):
             raise TypeError(f"event: found {type(event).__name__}, allowed are those of terms and machine")
         self._due()
@@ -132,6 +163,8 @@
         others = [s for s in seat.config.seeds if s != seat.config.address]
         self._sync.within(0)
         self.own.alone_after(figures.alone_us if others else 0)
+        if seat.goes_on:  # our name is ours already, and whoever asks wants an answer from a member
+            self.own.enter()
 
     def _stood(self, stood_us: int) -> None:
         """Nobody else is to blame for what came too late."""
@@ -208,7 +241,7 @@
         believed, whole = self._compare(opened)
         if opened.letter.to and (opened.known or believed):
             for claim in opened.letter.claims:
-                self._claims.hear(claim, opened.sender)
+                self._claims.hear(claim, opened.sender, opened.road)
             self._missed(opened)
         if whole:
             self.own.compared()
--- a/granitewell/membership/own.py
+++ b/granitewell/membership/own.py
@@ -31,7 +31,7 @@
 
 
 class Own:
-    """gen, inc: of the claim that we make, 0 before the first."""
+    """gen, inc: of the claim that we make; before the first, the least that it may have."""
 
     __slots__ = ("_about", "_due_us", "_numbers", "_quiet_us", "_rounds", "_seat", "_twins", "gen", "inc",
                  "phase")  # fmt: skip
@@ -39,7 +39,11 @@
     def __init__(self, seat: Seat) -> None:
         self._seat, self._about = seat, seat.config.about
         self.phase = Phase.JOINING
+        former = seat.config.former
         self.gen = self.inc = 0
+        if former is not None:
+            self.gen = former.gen if former.goes_on else min(former.gen + 1, MOST_GEN)
+            self.inc = former.inc if former.goes_on else 0
         self._due_us = self._quiet_us = -1
         self._rounds = 0  # unanswered
         self._numbers: list[int] = []
@@ -141,7 +145,8 @@
         if self.phase is not Phase.JOINING:
             return
         record = self.record
-        if record is None or record.standing.state in GONE:
+        mine = record is not None and record.standing.birth == self._seat.birth
+        if record is None or mine or record.standing.state in GONE:
             self.enter()
         else:
             self.dispute()
--- a/granitewell/membership/seat.py
+++ b/granitewell/membership/seat.py
@@ -50,18 +50,25 @@
     """counts: of what was dropped, by reason."""
 
     __slots__ = ("_loud", "_number", "_raw", "_refusals", "_seq", "_strangers", "_total", "birth", "config",
-                 "counts", "figures", "health", "now_us", "out", "rng", "spread", "table")  # fmt: skip
+                 "counts", "figures", "goes_on", "health", "letters", "now_us", "out", "rng", "spread",
+                 "table")  # fmt: skip
 
     def __init__(self, config: Config, rng: Random) -> None:
         self.config, self.figures, self.rng = config, config.figures, rng
+        former = config.former
+        self.goes_on = former is not None and former.goes_on
         self.birth = 1 + (int(rng.random() * (1 << 31)) << 31 | int(rng.random() * (1 << 31)))
+        if former is not None and former.goes_on:
+            self.birth = former.birth
         self.now_us = 0
         self.out: list[object] = []
         self.table = Table(config.figures)
         self.spread = Spread(config.figures.spread, 2 * config.figures.most)
         self.health = Health(config.figures.lifeguard)
         self.counts: dict[str, int] = {}
-        self._seq = self._number = 0
+        self.letters: dict[tuple[str, str], int] = {}  # heard and said, by kind
+        # a life that goes on never uses a number again: others would take its letters for old ones
+        self._seq = self._number = former.seq if former is not None and former.goes_on else 0
         self.begin(0)
 
     def begin(self, now_us: int) -> None:
@@ -79,6 +86,11 @@
         """Up, ourselves included."""
         return len(self.table.up)
 
+    @property
+    def seq(self) -> int:
+        """Above every number used so far, of letters and of questions."""
+        return max(self._seq, self._number) + 1
+
     def count(self, reason: str) -> None:
         """Something was dropped."""
         self.counts[reason] = self.counts.get(reason, 0) + 1
@@ -129,8 +141,13 @@
 
     def _letter(self, to: int, said: Said) -> Letter:
         self._seq += 1
+        self._letter_of("said", said)
         return Letter(self.birth, to, self._seq, said)
 
+    def _letter_of(self, way: str, said: Said) -> None:
+        key = way, type(said).__name__.lower()
+        self.letters[key] = self.letters.get(key, 0) + 1
+
     def _against(self, name: str, to: int) -> list[bytes]:
         record = self.table.records.get(name)
         if record is None or record.standing.birth != to or record.standing.state is State.ALIVE:
@@ -152,6 +169,7 @@
         """The letter, if it verifies, is for us, is new and not too much; nothing else has changed."""
         found = self._opened(heard)
         if isinstance(found, Opened):
+            self._letter_of("heard", found.letter.said)
             return found
         self.count(found)
         return None
--- a/granitewell/membership/states.py
+++ b/granitewell/membership/states.py
@@ -80,7 +80,7 @@
     None: {_A: (News.JOINED,), _S: (News.JOINED, News.SUSPECTED), _D: (), _L: ()},
     _A: {_A: (News.CHANGED,), _S: (News.SUSPECTED,), _D: (News.DIED,), _L: (News.LEFT,)},
     _S: {_A: (News.CHANGED,), _S: (), _D: (News.DIED,), _L: (News.LEFT,)},
-    _D: {_A: (News.JOINED,), _S: (News.JOINED, News.SUSPECTED), _D: (), _L: ()},
+    _D: {_A: (News.JOINED,), _S: (News.JOINED, News.SUSPECTED), _D: (), _L: (News.LEFT,)},
     _L: {_A: (News.JOINED,), _S: (News.JOINED, News.SUSPECTED), _D: (), _L: ()},
 }
 UP = (_A, _S)
--- a/granitewell/membership/terms.py
+++ b/granitewell/membership/terms.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from granitewell.membership.states import UP, Phase, State
+from granitewell.membership.states import UP, Phase, Standing, State
 from granitewell.protocols.peers import gossip
 from granitewell.protocols.peers.frames import MAX_NAME, VERSIONS, Keys
 from granitewell.protocols.peers.gossip import About, word
@@ -30,6 +30,18 @@
         return self.state in UP
 
 
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A name as the table has it. about: None where it was gone before we came; by: who was the first to
+    suspect it or call it dead; gone_us: since when it is dead or has left, -1 for up."""
+
+    name: str
+    standing: Standing
+    about: About | None
+    by: str
+    gone_us: int
+
+
 # --- Events ---------------------------------------------------------------------------------------------
 @dataclass(frozen=True, slots=True)
 class Leave:
@@ -44,6 +56,28 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """An operator says that the process of this name is gone for good: as if it had said so itself. Taken of
+    the dead alone; one that lives all the same refutes it."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rekey:
+    """Other keys count from now on."""
+
+    keys: Keys
+
+
+@dataclass(frozen=True, slots=True)
+class Reseed:
+    """Other seeds count from now on. Raises ValueError where one is no word."""
+
+    seeds: tuple[str, ...]
+
+
 # --- Effects --------------------------------------------------------------------------------------------
 @dataclass(frozen=True, slots=True)
 class Joined:
@@ -163,10 +197,23 @@
 )  # fmt: skip
 
 
+@dataclass(frozen=True, slots=True)
+class Former:
+    """The process that had the name before, as it was written down. gen, birth, inc: of its last claim; seq:
+    above every number that it has used. goes_on: it has handed its life over, to this process and to no
+    other, and uses it no more; else it is over, and the next life begins above it."""
+
+    gen: int
+    birth: int
+    inc: int
+    seq: int
+    goes_on: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """One process. name and address: as others are to know it. seeds: addresses, its own may be among them.
-    Raises ValueError naming the field."""
+    former: who had the name, None where that is not known. Raises ValueError naming the field."""
 
     name: str
     address: str
@@ -177,6 +224,7 @@
     payload: bytes = b""
     seeds: tuple[str, ...] = ()
     figures: Figures = field(default_factory=Figures)
+    former: Former | None = None
 
     def __post_init__(self) -> None:
         _word("name", self.name, 1, MAX_NAME)
--- a/granitewell/net/logs.py
+++ b/granitewell/net/logs.py
@@ -34,7 +34,8 @@
     "discovery": "warning", "known": "warning", "handover": "warning", "dial": "warning", "budget": "warning",
     "accept": "warning", "stall": "warning", "full": "warning", "bad": "warning", "same-id": "warning",
     "spoilt": "warning", "inbound": "warning",
-    "guard": "error", "overdue": "error", "fault": "error",
+    "member": "info", "cluster": "warning", "lost": "warning",
+    "guard": "error", "overdue": "error", "fault": "error", "twin": "error",
 }  # fmt: skip
 KEPT = ("phase", "reload")  # written whatever `level` and `mute` say: what was asked of the node
 KEYS = ("time", "seconds", "node", "level", "topic", "text", "more", "figures", "cut")  # of a JSON line
--- a/granitewell/net/status.py
+++ b/granitewell/net/status.py
@@ -19,7 +19,7 @@
 
 from granitewell.net.logs import HEAD_START_US
 from granitewell.net.loop import RESERVE, Node
-from granitewell.status import wire
+from granitewell.status import fleet, wire
 from granitewell.status.look import look
 from granitewell.status.terms import MOST_WORST, About, Place, Snapshot, Sockets, StatusSettings, place
 
@@ -49,6 +49,7 @@
         self._kept: Snapshot | None = None  # of the last look, good for as long as the rest,
         self._forms: dict[wire.Asked, bytes] = {}  # and the answers made of it
         self._cost_us = self._done_us = self._rest_us = 0  # what it took, its end, and until when to rest
+        self.cluster: wire.Fleet | None = None  # whom to ask of the other nodes; None where there are none
 
     # --- Opening and closing ----------------------------------------------------------------------------
     def take(self, settings: StatusSettings) -> None:
@@ -167,6 +168,8 @@
     async def _answer(self, asked: wire.Asked) -> bytes:
         """A whole answer: of the look that the node rests of, in a form that there is or can still be made,
         or of a new one."""
+        if asked.path in wire.CLUSTER:
+            return wire.of_cluster(asked, self.cluster, self._bound is not None)
         async with self._lane:
             resting = self._kept is not None and self._clock.fresh() < self._rest_us
             if resting and asked in self._forms:
@@ -176,6 +179,8 @@
             assert self._kept is not None
             try:
                 made = await self._driven(wire.body(asked, self._kept))
+                if asked.path == wire.METRICS and self.cluster is not None:
+                    made += fleet.text(self.cluster.view()).encode()
             finally:
                 self._rest()
             self._forms[asked] = wire.answer(made, wire.KINDS[asked.path])
--- /dev/null
+++ b/granitewell/operator/cluster.py
@@ -0,0 +1,157 @@
+"""The `[cluster]` table.
+
+It owns what an operator may say of a node in a fleet, and the reading of the keys that it names. It must
+never hold a default (those are `ClusterSettings`'), and never show a key.
+"""
+
+from __future__ import annotations
+
+import os
+import stat
+from collections.abc import Iterator
+from typing import Annotated
+
+from msgspec import Meta
+
+from granitewell.cluster.terms import (
+    ALLOWED_ADDRESS,
+    ALLOWED_KEYS,
+    ALLOWED_NAME,
+    LEAST_STREAMS,
+    LEAST_UNHEARD_S,
+    MOST_KEYS_FILE,
+    MOST_SEEDS,
+    MOST_STREAMS,
+    MOST_UNHEARD_S,
+    ClusterSettings,
+    address,
+    keys_of,
+    name_fits,
+    role_fits,
+    zone_fits,
+)
+from granitewell.files import whole
+from granitewell.operator.problem import Problem, shown
+from granitewell.operator.table import Table
+from granitewell.protocols.peers.frames import Keys
+from granitewell.protocols.peers.gossip import MOST_ROLE, MOST_ZONE
+
+PLAIN = ClusterSettings()
+OTHERS = stat.S_IRWXG | stat.S_IRWXO  # of a mode: what anybody but the owner may do
+
+Seed = Annotated[str, Meta(max_length=64, extra={"allowed": ALLOWED_ADDRESS})]
+
+
+class ClusterTable(Table, frozen=True, kw_only=True):
+    """How this node and the others of the fleet know each other (docs/operate/cluster.md); without `name` it
+    knows nobody, and nothing is bound or said."""
+
+    name: Annotated[str, Meta(
+        max_length=63, description="The member's name, the same after a restart, unlike any other's.",
+        extra={"restart": True, "allowed": f"{ALLOWED_NAME}, or empty"},
+    )] = PLAIN.name  # fmt: skip
+    bind: Annotated[str, Meta(
+        max_length=64, description="Where other nodes' datagrams and streams come in.",
+        extra={"restart": True, "allowed": f"{ALLOWED_ADDRESS}, or empty"},
+    )] = PLAIN.bind  # fmt: skip
+    advertise: Annotated[str, Meta(
+        max_length=64, description="Where others reach `bind`, if that is not the same (address "
+        "translation); empty: `bind`.",
+        extra={"restart": True, "allowed": f"{ALLOWED_ADDRESS}, or empty"},
+    )] = PLAIN.advertise  # fmt: skip
+    seeds: Annotated[tuple[Seed, ...], Meta(
+        max_length=MOST_SEEDS, description="Addresses that are asked who is there, the node's own may be "
+        "among them. Two or three that are rarely down at a time are enough.",
+    )] = PLAIN.seeds  # fmt: skip
+    keys: Annotated[str, Meta(
+        max_length=4096, description="The file with the fleet's keys, which nobody but its owner may read: a "
+        "key a line, 16 to 64 bytes in hex; the first seals, a second opens too. Read again at SIGHUP.",
+        extra={"allowed": "the path of a file, or empty"},
+    )] = ""  # fmt: skip
+    role: Annotated[str, Meta(
+        max_length=MOST_ROLE, description="Nodes of one role share budgets.",
+        extra={"restart": True, "allowed": f"1 to {MOST_ROLE} bytes of printable ASCII without blanks"},
+    )] = PLAIN.role  # fmt: skip
+    zone: Annotated[str, Meta(
+        max_length=MOST_ZONE, description="Shown to operators.",
+        extra={"restart": True, "allowed": f"at most {MOST_ZONE} bytes of printable ASCII without blanks"},
+    )] = PLAIN.zone  # fmt: skip
+    folder: Annotated[str, Meta(
+        max_length=4096, description="A folder on a disk that lasts, of this node alone, for its life's "
+        "number and the members last known. Empty: one in `TMPDIR`, which outlives an upgrade.",
+        extra={"restart": True, "allowed": "the path of a folder, or empty"},
+    )] = PLAIN.folder  # fmt: skip
+    streams: Annotated[int, Meta(
+        ge=LEAST_STREAMS, le=MOST_STREAMS, description="Connections to other nodes at a time, and as many "
+        "from them. Clients and endpoints have that many descriptors fewer.", extra={"restart": True},
+    )] = PLAIN.streams  # fmt: skip
+    unheard_s: Annotated[float, Meta(
+        ge=LEAST_UNHEARD_S, le=MOST_UNHEARD_S, description="A node that is silent and has not left counts in "
+        "all budgets for so long: it may only be cut off, and go on serving.",
+    )] = PLAIN.unheard_s  # fmt: skip
+
+    def settings(self) -> ClusterSettings:
+        """The same for the node, which knows nothing of this file, with the keys as they are on the disk
+        now."""
+        keys, why = None, ""
+        if self.name:
+            try:
+                keys = read_keys(self.keys)
+            except ValueError as error:
+                why = str(error)
+        return ClusterSettings(
+            self.name, self.bind, self.advertise, self.seeds, keys, why, self.role, self.zone, self.folder,
+            self.streams, self.unheard_s,
+        )  # fmt: skip
+
+    def check(self) -> Iterator[Problem]:
+        """Names, addresses, role and zone are words of their kind; with `name` there are `bind` and `keys`,
+        and the keys can be read, by their owner alone."""
+        if not self.name:
+            if self != type(self)():
+                yield Problem(("name",), "nothing", "this node is in no fleet", note=True)
+            return
+        if not name_fits(self.name):
+            yield Problem(("name",), shown(self.name), ALLOWED_NAME)
+        for field, text in (("bind", self.bind), ("advertise", self.advertise or self.bind)):
+            if (why := _address(text)) and not (field == "advertise" and not self.advertise):
+                yield Problem((field,), why, ALLOWED_ADDRESS)
+        for k, seed in enumerate(self.seeds):
+            if why := _address(seed):
+                yield Problem(("seeds", k), why, ALLOWED_ADDRESS)
+        if not role_fits(self.role):
+            yield Problem(("role",), shown(self.role), f"1 to {MOST_ROLE} bytes of printable ASCII")
+        if not zone_fits(self.zone):
+            yield Problem(("zone",), shown(self.zone), f"at most {MOST_ZONE} bytes of printable ASCII")
+        try:
+            read_keys(self.keys)
+        except ValueError as error:
+            found, _, allowed = str(error).partition(", allowed: ")
+            yield Problem(("keys",), found.removeprefix("found "), allowed or ALLOWED_KEYS)
+
+
+def _address(text: str) -> str:
+    try:
+        address(text)
+    except ValueError:
+        return shown(text) if text else "nothing"
+    return ""
+
+
+def read_keys(path: str) -> Keys:
+    """The keys in that file. ValueError in words that show none of them: it is missing, others may read it,
+    it belongs to another user, or what it holds is not one or two keys."""
+    if not path:
+        raise ValueError(f"found nothing, allowed: {ALLOWED_KEYS}")
+    try:
+        about = os.stat(path)
+        if stat.S_ISREG(about.st_mode) and about.st_mode & OTHERS:
+            raise ValueError(f"found a file that others may use (mode {about.st_mode & 0o777:03o}), "
+                             f"allowed: mode 600 or 400")  # fmt: skip
+        if about.st_uid not in (os.geteuid(), 0):
+            raise ValueError("found a file of another user, allowed: one of the node's own user")
+        raw = whole(path, MOST_KEYS_FILE)
+    except OSError as error:
+        found = f"found nothing that can be read ({error.strerror})"
+        raise ValueError(f"{found}, allowed: {ALLOWED_KEYS}") from None
+    return keys_of(raw)
--- a/granitewell/status/wire.py
+++ b/granitewell/status/wire.py
@@ -10,7 +10,7 @@
 import re
 from collections.abc import Generator, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 from granitewell.status import metrics
 from granitewell.status.terms import MOST_ANSWER, MOST_WORST, EndpointRow, PairRow, Snapshot
@@ -20,10 +20,12 @@
 SPARE = 64 * 1024  # bytes of an answer for all that is no row
 STATUS, METRICS = "/status", "/metrics"
 KINDS = {STATUS: "application/json", METRICS: metrics.CONTENT_TYPE}
+MEMBERS, EXPLAIN, FORGET = "/cluster", "/cluster/explain", "/cluster/forget"
+CLUSTER = (MEMBERS, EXPLAIN, FORGET)  # of the other nodes; without any they are not found
 LOCAL = ("127.0.0.1", "localhost")  # names in Host by which a port of this machine is asked
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           421: "Misdirected Request", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error"}  # fmt: skip
+REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+           405: "Method Not Allowed", 409: "Conflict", 421: "Misdirected Request",
+           431: "Request Header Fields Too Large", 500: "Internal Server Error"}  # fmt: skip
 _LINE = re.compile(rb"([!-~]{1,32}) (/[!-~]{0,1000}) HTTP/1\.[01]")
 
 
@@ -33,6 +35,7 @@
 
     path: str
     worst: int
+    name: str = ""  # of a member
 
 
 class Refused(Exception):
@@ -71,6 +74,8 @@
     if local and _host(headers) not in LOCAL:
         raise Refused(421, f"Host must be one of {', '.join(LOCAL)}")
     path, _, query = found[2].decode().partition("?")
+    if path in CLUSTER:
+        return _of_cluster(path, found[1], query, worst)
     if path not in KINDS:
         raise Refused(404, f"there are {' and '.join(KINDS)}")
     if found[1] != b"GET":
@@ -78,6 +83,44 @@
     return Asked(path, _worst(query, worst))
 
 
+def _of_cluster(path: str, method: bytes, query: str, worst: int) -> Asked:
+    """What is asked of the fleet: all members, one of them by name, or that one is gone for good."""
+    wanted = b"POST" if path == FORGET else b"GET"
+    if method != wanted:
+        raise Refused(405, f"{wanted.decode()} only", f"Allow: {wanted.decode()}\r\n")
+    if path == MEMBERS:
+        if query:
+            raise Refused(400, "found a query, allowed: none")
+        return Asked(path, worst)
+    found = re.fullmatch("name=([!-%'-~]{1,63})", query)
+    if not found:
+        raise Refused(400, "name: found no name of a member, allowed: name=NAME, 1 to 63 characters")
+    return Asked(path, worst, found[1])
+
+
+class Fleet(Protocol):
+    """Whoever answers for the fleet."""
+
+    def view(self) -> dict[str, Any]: ...
+
+    def explain(self, name: str) -> dict[str, Any]: ...
+
+    def forget(self, name: str) -> str: ...
+
+
+def of_cluster(asked: Asked, fleet: Fleet | None, own_user: bool) -> bytes:
+    """The whole answer of a node in a fleet. own_user: nobody but the node's own user can have asked."""
+    if fleet is None:
+        return plainly("this node is in no fleet: its operator file has no [cluster]", 404)
+    if asked.path == FORGET:
+        if not own_user:
+            return plainly("only on a unix socket, which the node's own user alone may use", 403)
+        wrong = fleet.forget(asked.name)
+        return plainly(wrong, 409) if wrong else plainly(f"{asked.name} counts no more", 200)
+    made = fleet.view() if asked.path == MEMBERS else fleet.explain(asked.name)
+    return answer(f"{_dumps(made)}\n".encode(), KINDS[STATUS])
+
+
 def _host(headers: Iterable[bytes]) -> str:
     values = [v.strip() for k, _, v in (h.partition(b":") for h in headers) if k.lower() == b"host"]
     host, _, _ = values[0].partition(b":") if len(values) == 1 else (b"", b"", b"")
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -83,7 +83,7 @@
     log = {"levl": 1, "rate": 0, "rates": {"dial": 10**400, "dail": 1}, "mute": ["phase", 7], "to": True}
     found = said({"form": "json", "log": log | {"fields": {"A b": "x"}}})
     for text in (
-        "form: found an unknown key, allowed: log, status; the nearest known one is log.form",
+        "form: found an unknown key, allowed: log, status, cluster; the nearest known one is log.form",
         "log.levl: found an unknown key, allowed: form, level, mute, rate, rates, to, fields; "
         "the nearest known one is level",
         "log.rate: found 0, allowed: a number from 0.01 to 1000",
@@ -181,7 +181,7 @@
 def test_an_empty_file_is_the_node_without_one_and_the_example_names_every_field(tmp_path: Path) -> None:
     (tmp_path / "empty.toml").write_text("")
     assert load(str(tmp_path / "empty.toml"), Operator)[0].log.settings() == PLAIN
-    assert load(str(EXAMPLE), Operator)[1] == []
+    assert [(p.field, p.note) for p in load(str(EXAMPLE), Operator)[1]] == [("cluster.name", True)]
     data = tomllib.loads(EXAMPLE.read_text())
     for table in type_of(Operator).fields:
         made: Any = type(getattr(Operator(), table.name))
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -36,6 +36,7 @@
     "granitewell.machine": "machine",  # the terms between pure machines and their shells
     "granitewell.files": "files",  # that others put there,
     "granitewell.handover": "files",  # and those of the private temporary folder
+    "granitewell.kept": "files",  # or of a lasting one
     "granitewell.pace": "start",
     "granitewell.net": "net",
     "granitewell.net.logs": "logs",
@@ -63,7 +64,7 @@
     "start": {"net", "files", "operator", "config", "core", "tiderelay"},
     "net": {"logs", "files", "subject", "machine", "protocols", "config", "core", "tiderelay"},
     "protocols": {"config", "core", "tiderelay"},
-    "operator": {"logs", "subject", "config", "core", "tiderelay"},
+    "operator": {"logs", "files", "protocols", "subject", "config", "core", "tiderelay"},
     "config": {"files", "tiderelay"},
     "subject": {"machine", "protocols", "core", "tiderelay"},
     "machine": set(),
--- a/tiderelay/interface.py
+++ b/tiderelay/interface.py
@@ -98,6 +98,16 @@
         self.actions = actions
 
 
+@dataclass(frozen=True, slots=True)
+class Acting:
+    """How many gateways act on the same hosts, this one included. most: the most that may; every budget that
+    they share is divided by it. up: those that share the traffic, smoothed; the forecast is multiplied by
+    it. Until it is told both are Settings.proxies, and again from each Resettled on."""
+
+    most: int
+    up: float
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that a balancer is told at its start."""
@@ -129,6 +139,11 @@
     connection_price: float = 0.0
     weights_live: bool = False
 
+    @property
+    def acting(self) -> Acting:
+        """The gateways that act, where nobody tells."""
+        return Acting(self.proxies, float(self.proxies))
+
 
 @dataclass(frozen=True, slots=True)
 class Host:
@@ -238,7 +253,10 @@
     due_ms: float
 
 
-Event = Resettled | Uploaded | Hosts | Request | Abandoned | FirstByte | Ended | Probed | PeerMessage | Timer
+Event = (
+    Resettled | Acting | Uploaded | Hosts | Request | Abandoned | FirstByte | Ended | Probed | PeerMessage
+    | Timer
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -20,9 +20,9 @@
 
 from tiderelay.health import FULL_SHARE, SICK, Call, Health, Pair
 from tiderelay.interface import (
-    Abandoned, Action, Broken, Cancel, Effect, Ended, Event, Fail, Field, FirstByte, Host, Hosts, Log,
-    Outcome, PeerMessage, Probed, Refuse, Request, RequestClass, Resettled, Scope, Send, SetTimer, Settings,
-    State, Timer, Uploaded, View, Watch,
+    Abandoned, Acting, Action, Broken, Cancel, Effect, Ended, Event, Fail, Field, FirstByte, Host, Hosts,
+    Log, Outcome, PeerMessage, Probed, Refuse, Request, RequestClass, Resettled, Scope, Send, SetTimer,
+    Settings, State, Timer, Uploaded, View, Watch,
 )  # fmt: skip
 from tiderelay.validate import validate
 
@@ -154,9 +154,9 @@
         self._now = -math.inf
         self._do: list[Action] = []
         self._handlers: dict[type, Callable[[Any], None]] = {
-            Request: self._request, Ended: self._ended, Timer: self._timer, Hosts: self._hosts,
-            Abandoned: self._abandoned, FirstByte: self._first_byte, Probed: _never_asked_for,
-            PeerMessage: _never_asked_for, Resettled: self._resettled, Uploaded: self._uploaded,
+            Request: self._request, Ended: self._ended, Timer: self._timer, Abandoned: self._abandoned,
+            Hosts: self._hosts, Probed: _never_asked_for, Uploaded: self._uploaded, Acting: self._acting,
+            FirstByte: self._first_byte, PeerMessage: _never_asked_for, Resettled: self._resettled,
         }  # fmt: skip
         self._held: dict[int, _Held] = {}
         self._out: dict[tuple[int, int], _Try] = {}
@@ -185,11 +185,10 @@
         self._rows: list[tuple[list[Pair], int]] = []  # the hosts in order, as health takes them
         self._servers: dict[bytes, _Server] = {}
         self._order: list[_Server] = []
-        self._size = 0
         self._slots, self._even, self._floor, self._share_late = 0.0, 0.0, math.inf, 0.0
         self._served, self._most, self._warm_rate, self._rate_now = 0, 0, 0.0, 0.0  # most hosts at a time
         self._others = self._least = 0.0  # requests of others at a mean host; what a warm one bears at least
-        self._asks, self._arrived, self._started = 0, 0, False
+        self._asks, self._arrived, self._size, self._started = 0, 0, 0, False
         self._told, self._told_at = (0, 0.0), -math.inf
         # admission
         self._late = self._judged = self._level = self._rate_ok = 0.0
@@ -203,7 +202,7 @@
 
     def _resettled(self, event: Resettled) -> None:
         """Other settings: what is known of the classes stays, rows for new ones come behind."""
-        self._set, kinds = event.settings, event.settings.classes
+        self._set, self._nodes, kinds = event.settings, event.settings.acting, event.settings.classes
         for row in (self._mix, self._shed):
             row += ([0.0, 0.0] for _ in kinds[len(row) :])
         self._allow += ([0.0, 0.0] for _ in event.settings.tenants[len(self._allow) :])
@@ -215,6 +214,9 @@
                           (s.pairs for s in self._servers.values()))  # fmt: skip
         self._weigh()
 
+    def _acting(self, event: Acting) -> None:
+        self._nodes = event
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """The only way in. The clock may stand still; where it steps back, the latest time counts."""
         self._now = max(now, self._now)
@@ -299,7 +301,7 @@
     def _resize(self) -> None:
         """Grow the prefix at once, shrink it seldom (4.4)."""
         self._sized_at = self._now
-        rate = BURST * self._set.proxies * self._forecast()
+        rate = BURST * self._nodes.up * self._forecast()
         need = self._model(rate)
         even = need / max(len(self._order), 1)  # the c at which the model asks for the whole fleet,
         self._even += (even - self._even) * (0.1 if self._even else 1.0)  # smoothed: forecasts are noisy
@@ -322,7 +324,6 @@
     def _period(self, _: None) -> None:
         self._at(self._now + PERIOD, self._period, None)  # first: no defect below may end this for good
         self._bins.append(self._arrived)
-        self._arrived = 0
         worth = self._worth[self._size - 1] if 0 < self._size <= len(self._worth) else 0.0
         if worth > 0.0:
             self._rate_now += (self._served / PERIOD / worth - self._rate_now) * min(PERIOD / RATE_TAU, 1.0)
@@ -330,8 +331,8 @@
             # with the demand, nor where the ill or shedding keep answers away: the cold would get ever less
             self._warm_rate = max(self._rate_now, self._warm_rate * (1.0 - PERIOD / BEAR_TAU))
         self._rate_ok += (self._served / PERIOD - self._rate_ok) * 0.2
-        self._served = 0
-        self._others = (self._set.proxies - 1) * len(self._out) / max(self._size, 1)
+        self._arrived = self._served = 0
+        self._others = (self._nodes.most - 1) * len(self._out) / max(self._size, 1)
         for n, k, pair in self._health.review(self._rows, self._now):
             name = self._order[n].id
             text = name.decode() if name.isascii() and name.decode().isprintable() else name.hex()
@@ -376,7 +377,7 @@
         # known or not, a warm host bears one request after the other, and its part of the allowances
         aim, self._most = max(c.aim_ms for c in self._set.classes), max(self._most, len(self._order))
         allowed = sum(t.allowance_per_s for t in self._set.tenants) / 1000 * ALLOWED / max(self._most, 1)
-        self._least = max(1.0 / (self._latency or aim or 500.0), allowed) / self._set.proxies
+        self._least = max(1.0 / (self._latency or aim or 500.0), allowed) / self._nodes.most
 
     def _draw(self, low: int, high: int, cum: list[float]) -> _Server:
         """A host of the order's part, by its odds."""
@@ -551,7 +552,7 @@
         """Is the request beyond its tenant's allowance, by this gateway's part of it?"""
         if tenant >= len(self._set.tenants):
             return False
-        rate = self._set.tenants[tenant].allowance_per_s / 1000 / self._set.proxies
+        rate = self._set.tenants[tenant].allowance_per_s / 1000 / self._nodes.most
         bucket = self._allow[tenant]
         tokens = min(bucket[0] + (self._now - bucket[1]) * rate, max(rate * ALLOWANCE, 1.0))
         over = tokens < 1.0
