The rig of processes: many nodes, a switch between them, a judge of views, a page

Need: what is promised of the fleet's view has to be shown by started processes with faults between them.

Change: `granitewell lab fleet` (lab/fleet): the switch carries every datagram and stream between nodes (loss, delay, doubling, reordering, cuts both ways and one way, torn and half-open streams, bandwidth, held datagrams, noise); kills, stops, leaves, upgrades, twins, other addresses, key changes by the schedule; lab/judge/view holds what each node believes against who lives; the same schedule plays in virtual time; a page with a strip a node. Found and mended with it: one in a hundred joins was seen by one member only 4 to 9 s later (news is told a bounded number of times): members now compare a digest of who is up with every probe, and news goes to all in turn; a suspicion is looked at by some others at once, and is told round once more before its end; the status socket of a process that begins beside another is tried again until the other is gone.

--- a/granitewell/cli/lab.py
+++ b/granitewell/cli/lab.py
@@ -24,6 +24,7 @@
     "load": Entry(f"{_HERE}_load:load", "Offer an open-loop load to a target, and measure its latency."),
     "cluster": Entry(f"{_HERE}_cluster:cluster", "Play leases in virtual time, or search every state."),
     "membership": Entry(f"{_HERE}_membership:membership", "Play members in virtual time: what they notice."),
+    "fleet": Entry(f"{_HERE}_fleet:fleet", "Nodes that know each other, as processes, with faults between."),
     "run": Entry(f"{_HERE}_run:run", "Play an experiment: variants, scenarios, seeds."),
     "report": Entry(f"{_HERE}_run:report", "Write the report of an experiment that was run."),
 }
--- /dev/null
+++ b/granitewell/cli/lab_fleet.py
@@ -0,0 +1,168 @@
+"""`granitewell lab fleet`: many processes of the program, faults between them, and a page on it.
+
+It owns the options, the tables and the exit codes. It must never start a process or judge by itself: that is
+`granitewell.lab.fleet`. Exit codes: 0 all rules kept; 1 a rule was broken; 2 a scenario or option can't be
+used; 3 the machine does not give what is needed, or was too busy for a verdict.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+
+from granitewell.cli import show
+from granitewell.lab.fleet.terms import FleetError, Schedule, builtin, load, replayed, schedule
+from granitewell.lab.socks.plan import SocksError
+
+
+@click.command(
+    epilog="Examples:\n\n  granitewell lab fleet demo --out demo\n\n"
+    "  granitewell lab fleet partition --nodes 12 --seed 3 --json\n\n"
+    "  granitewell lab fleet --replay demo/schedule.json"
+)
+@click.argument("scenario", required=False)
+@click.option("--nodes", type=click.IntRange(1, 100), help="In place of the scenario's number.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Of all draws.")
+@click.option("--seconds", type=click.FloatRange(1, 86_400), help="Of load, in place of the scenario's.")
+@click.option("--rate", type=click.FloatRange(0, 100_000), help="First tries a second; 0: no clients.")
+@click.option("--severity", type=click.FloatRange(0, 1), help="Of troubles that the seed draws.")
+@click.option("--replay", type=click.Path(dir_okay=False, path_type=Path), help="Play this schedule again.")
+@click.option("--plant", default="", help="Start the nodes with this planted defect; `list` names them.")
+@click.option("--without", is_flag=True, help="The same load on nodes without [cluster].")
+@click.option("--virtual", is_flag=True, help="The same schedule in virtual time, without load.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="For page, files and logs.")
+@click.option("--keep", is_flag=True, help="Keep files and logs of a run whose rules were kept, too.")
+@show.as_json
+def fleet(
+    scenario: str | None, nodes: int | None, seed: int, seconds: float | None, rate: float | None,
+    severity: float | None, replay: Path | None, plant: str, without: bool, virtual: bool, out: Path | None,
+    keep: bool, as_json: bool,
+) -> None:  # fmt: skip
+    """Start many nodes that know each other, play SCENARIO's troubles between them, and judge what they
+    believe and what they serve. Without SCENARIO the built-in ones are listed.
+
+    A run writes the schedule that it played, and a page with a strip a node.
+    """
+    if plant == "list" or (scenario is None and replay is None):
+        _list(plant, as_json)
+        return
+    played = _schedule(scenario, replay, seed, nodes, seconds, severity, rate)
+    if without:
+        played = replace(played, cluster=False)
+    if virtual:
+        _virtual(played, as_json)
+        return
+    _processes(played, plant, out, keep, as_json)
+
+
+def _list(plant: str, as_json: bool) -> None:
+    if plant:
+        from granitewell.lab.fleet.plants import PLANTS
+
+        rows = list(PLANTS.items())
+    else:
+        rows = [(name, load(name)[1].about) for name in builtin()]
+    columns = ("plant" if plant else "scenario", "about")
+    show.emit(dict(rows), as_json, lambda console: console.print(show.table("", columns, rows)))
+
+
+def _schedule(
+    scenario: str | None, replay: Path | None, seed: int, nodes: int | None, seconds: float | None,
+    severity: float | None, rate: float | None,
+) -> Schedule:  # fmt: skip
+    try:
+        if replay is not None:
+            return replayed(replay)
+        name, table = load(scenario or "")
+        return schedule(name, table, seed, nodes=nodes, seconds=seconds, severity=severity, rate=rate)
+    except FleetError as error:
+        raise show.Told(str(error)) from None
+
+
+def _virtual(played: Schedule, as_json: bool) -> None:
+    from granitewell.lab.fleet.virtual import play
+
+    try:
+        found = play(played)
+    except FleetError as error:
+        raise show.Told(str(error)) from None
+    show.emit(found, as_json, lambda console: _render_view(console, played, found))
+    if not found["kept"]:
+        raise show.Found(f"rules were broken: {found['view']['broken']}")
+
+
+def _processes(played: Schedule, plant: str, out: Path | None, keep: bool, as_json: bool) -> None:
+    from granitewell.lab.fleet import page
+    from granitewell.lab.fleet.plants import PLANTS
+    from granitewell.lab.fleet.play import play
+
+    if plant and plant not in PLANTS:
+        raise show.Told(f"--plant: found {plant!r}, allowed: {', '.join(PLANTS)}")
+    place = out if out is not None else Path(tempfile.mkdtemp(prefix="granitewell-fleet-"))
+    command = f"granitewell lab fleet --replay {place}/schedule.json"
+    try:
+        with show.progress("playing", int(played.seconds)) as bar:
+            found = play(played, place, plant, _ticker(bar))
+        html = page.write(played, found, command, place)
+    except SocksError as error:
+        raise show.NoMeans(str(error)) from None
+    except OSError as error:
+        raise show.NoMeans(f"{place}: {error.strerror or error}") from None
+    data = {k: v for k, v in found.items() if k not in ("looks", "done", "day", "played")}
+    data["html"] = str(html)
+    show.emit(data, as_json, lambda console: _render(console, played, data))
+    if out is None and not keep and found["kept"]:
+        _clean(place)
+    if not found["kept"]:
+        broken = f"rules were broken: {found['view']['broken']} {found['rules']}; see {html}"
+        if found["busy"]:
+            raise show.NoMeans(f"this machine was too busy to say whose fault it is: {broken}")
+        raise show.Found(broken)
+
+
+def _clean(place: Path) -> None:
+    """All but the page and the schedule."""
+    for path in place.iterdir():
+        if path.is_file() and path.name not in ("fleet.html", "fleet.png", "schedule.json"):
+            path.unlink()
+
+
+def _ticker(bar: show.Steps) -> Any:
+    done = 0
+
+    def watch(now_us: int) -> None:
+        nonlocal done
+        if now_us // 1_000_000 > done:
+            bar.step(now_us // 1_000_000 - done)
+            done = now_us // 1_000_000
+
+    return watch
+
+
+def _render_view(console: Console, played: Schedule, found: dict[str, Any]) -> None:
+    view = found["view"]
+    rows = [
+        (s["cause"], f"{s['at_s']:.2f}", "-" if s["took_s"] is None else f"{s['took_s']:.2f}")
+        for s in view["settled"][:60]
+    ]
+    title = f"{played.name}, {len(played.names)} nodes, seed {played.seed}: until all agreed"
+    console.print(show.table(title, ("what had changed", "at s", "took s"), rows))
+    if view["settled_s"]:
+        s = view["settled_s"]
+        console.print(f"settled {s['count']} times: median {s['median']:.2f} s, worst {s['worst']:.2f} s")
+    most = f"budgets at most {view['budget_most']:.2f} of the whole"
+    console.print(f"false deaths {view['false_deaths']}; {most}")
+    for o in view["offences"][:10]:
+        console.print(f"{o['at_us'] / 1e6:.2f} s {o['rule']}: {o['text']}", markup=False, highlight=False)
+
+
+def _render(console: Console, played: Schedule, found: dict[str, Any]) -> None:
+    _render_view(console, played, found)
+    console.print(f"{found['requests']} requests, {found['in_time']:.2%} of the tries in time, rules broken: "
+                  f"{found['rules'] or 'none'}; busy: {found['busy']}", highlight=False)  # fmt: skip
+    console.print(f"Page: {found['html']}", highlight=False, soft_wrap=True)
--- /dev/null
+++ b/granitewell/lab/fleet/plants.py
@@ -0,0 +1,2 @@
+"""Planted defects. (placeholder until the next commit)"""
+PLANTS: dict[str, str] = {}
--- /dev/null
+++ b/granitewell/lab/fleet/play.py
@@ -0,0 +1,91 @@
+"""One run of a fleet from its schedule to its figures: `play(schedule, out)`.
+
+It owns the joining of the day, the rig and both judges, and the files that a run leaves: the schedule that it
+played (`schedule.json`, which `--replay` takes), `fleet-run.json` with all figures, the page. It must never
+judge by itself.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import asdict, replace
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from granitewell.lab.day import Day, LoadDay
+from granitewell.lab.fleet.rig import Rig
+from granitewell.lab.fleet.terms import Schedule
+from granitewell.lab.judge.view import ViewJudge, ViewReport
+from granitewell.lab.scenario import draw, load
+from granitewell.lab.socks.director import Options
+from granitewell.lab.socks.plan import SocksError
+from granitewell.lab.socks.play import play_on_sockets
+from granitewell.lab.socks.seats import PROGRAM
+
+DAY = "fleet"
+PLANTED = "granitewell.lab.fleet.planted"
+
+
+def day_of(schedule: Schedule) -> Day:
+    """The load that goes on beside the troubles."""
+    names = len(schedule.names)
+    day = draw(load(DAY), schedule.seed, nodes=names, endpoints=schedule.endpoints,
+               rate=schedule.rate or None, length_s=schedule.seconds)  # fmt: skip
+    if not schedule.rate:
+        day = replace(day, load=replace(day.load, rate=((0, 0.0),), trace=()))
+    assert isinstance(day.load, LoadDay)
+    return replace(day, nodes=tuple(replace(n, name=schedule.names[k]) for k, n in enumerate(day.nodes)))
+
+
+def play(
+    schedule: Schedule, out: Path, plant: str = "", watch: Callable[[int], None] | None = None
+) -> dict[str, Any]:
+    """Play it; the dict of all figures, plain JSON but for `looks` and `done`, which the page is made of.
+    SocksError: the machine does not give what is needed."""
+    day = day_of(schedule)
+    judge = ViewJudge(schedule.names, int(schedule.bound_s * 1e6))
+    rig = Rig(schedule, out, judge)
+    out.mkdir(parents=True, exist_ok=True)
+    try:
+        (out / "schedule.json").write_text(schedule.text())
+    except OSError as error:
+        raise SocksError(f"{out}: {error.strerror}") from None
+    program = (sys.executable, "-m", PLANTED, plant) if plant else PROGRAM
+    options = Options(program=program, watch=watch, beside=rig)
+    played = play_on_sockets(day, out, options)
+    found = figures(schedule, played, judge.report, rig)
+    (out / "fleet-run.json").write_text(json.dumps(found, indent=1))
+    return found | {"looks": rig.looks, "done": rig.done, "day": day, "played": played}
+
+
+def figures(schedule: Schedule, played: dict[str, Any], view: ViewReport, rig: Rig) -> dict[str, Any]:
+    """What is told of a run."""
+    report = played["report"]
+    took = [s.took_us / 1e6 for s in view.settled if s.took_us >= 0]
+    return {
+        "scenario": schedule.name, "seed": schedule.seed, "nodes": len(schedule.names),
+        "seconds": schedule.seconds, "cluster": schedule.cluster,
+        "kept": view.kept and report["kept"], "busy": played["busy"],
+        "view": {
+            "broken": dict(sorted(view.broken.items())),
+            "offences": [asdict(o) for o in view.offences[:20]],
+            "looks": view.looks, "unanswered": view.unanswered, "false_deaths": view.false_deaths,
+            "budget_most": round(view.budget_most, 4),
+            "settled": [{"at_s": s.at_us / 1e6, "cause": s.cause,
+                         "took_s": s.took_us / 1e6 if s.took_us >= 0 else None} for s in view.settled],
+            "settled_s": {"median": median(took), "worst": max(took), "count": len(took)} if took else None,
+        },
+        "rules": report["offences"], "broken": report["broken"][:5], "totals": report["totals"],
+        "requests": report["requests"], "in_time": in_time(report), "g": report["g"], "fell": report["fell"],
+        "late_orders_ms": rig.late_us / 1e3, "cpu_s": rig.cpu_s, "switch": rig.seen.get("counts", {}),
+        "notes": played["notes"], "exits": played["exits"], "cores": played["cores"], "out": played["out"],
+    }  # fmt: skip
+
+
+def in_time(report: dict[str, Any]) -> float:
+    """The part of the tries that was served in time."""
+    served, tries = int(report["totals"].get("served", 0)), int(report["tries"])
+    return served / max(tries, 1)
--- a/granitewell/lab/socks/children.py
+++ b/granitewell/lab/socks/children.py
@@ -38,9 +38,9 @@
     """One process. `code` is its exit code once it has ended (negative: by that signal), else None."""
 
     def __init__(self, name: str, command: Sequence[str], env: Mapping[str, str], log: Path, on_exit: Exit,
-                 on_news: News | None = None) -> None:  # fmt: skip
-        """Start it; with on_news it is a stand-in that is told and tells JSON lines. SocksError: it can't be
-        started."""
+                 on_news: News | None = None, pass_fds: Sequence[int] = ()) -> None:  # fmt: skip
+        """Start it; with on_news it is a stand-in that is told and tells JSON lines. pass_fds: descriptors
+        that it gets under the same numbers. SocksError: it can't be started."""
         self.name, self.log, self._on_exit, self._on_news = name, log, on_exit, on_news
         self.code: int | None = None
         self._held = bytearray()
@@ -49,7 +49,7 @@
             with log.open("ab") as errors:
                 self._process = subprocess.Popen(
                     command, env=dict(env), stdin=pipe, stdout=pipe if on_news else errors, stderr=errors,
-                    process_group=0, preexec_fn=_die_with_parent,
+                    process_group=0, preexec_fn=_die_with_parent, pass_fds=pass_fds,
                 )  # fmt: skip
         except OSError as error:
             raise SocksError(f"{name}: could not be started: {error}") from None
--- a/granitewell/membership/claims.py
+++ b/granitewell/membership/claims.py
@@ -15,19 +15,23 @@
 from granitewell.membership.suspicion import Suspicions
 from granitewell.membership.table import Change, Record, bare, said
 from granitewell.membership.terms import Changed, Died, Joined, Left, Member, Suspected
-from granitewell.protocols.peers.gossip import Claim, packed, sound
+from granitewell.protocols.peers.gossip import Claim, Ping, packed, sound
 
 _EFFECTS = {News.JOINED: Joined, News.SUSPECTED: Suspected, News.DIED: Died, News.LEFT: Left,
             News.CHANGED: Changed}  # fmt: skip
 
 
+LOOKERS, FEW = 8, 3  # members that ask a suspect at once, on average; suspects at a time, at most
+
+
 class Claims:
     """suspicions: of those who are suspected now. history: what has changed, by whose word."""
 
-    __slots__ = ("_own", "_rounds", "_seat", "_teller", "history", "suspicions")
+    __slots__ = ("_own", "_rounds", "_seat", "_teller", "_turns", "history", "suspicions")
 
-    def __init__(self, seat: Seat, own: Own, rounds: Rounds) -> None:
-        self._seat, self._own, self._rounds = seat, own, rounds
+    def __init__(self, seat: Seat, own: Own, rounds: Rounds, turns: Rounds) -> None:
+        """rounds, turns: who is probed next, and who is told news next."""
+        self._seat, self._own, self._rounds, self._turns = seat, own, rounds, turns
         self.suspicions = Suspicions(seat.figures)
         self.history = History()
         self._teller: tuple[str, str] = ("", "")  # whose word is being taken in, by what road; ours: nobody's
@@ -42,6 +46,7 @@
         """What is said of a name, by somebody who may be wrong."""
         record = self._seat.table.records.get(claim.name)
         if record is not None and _stale(record, claim):
+            self._behind(record, claim)
             return
         if not sound(claim):
             self._seat.count("unsound")
@@ -54,6 +59,23 @@
         self.merge(claim, sure)
         self._teller = "", ""
 
+    def _behind(self, record: Record, claim: Claim) -> None:
+        """Whoever still doubts an incarnation that has been left behind has missed the refutation: the answer
+        carries it."""
+        gen, birth, inc, state = record.standing
+        doubted = claim.state in (State.SUSPECT, State.DEAD) and state is State.ALIVE
+        older = (claim.gen, claim.birth) == (gen, birth) and claim.inc < inc
+        if doubted and older and record.about is not None:
+            self._seat.spread.put(record.name, packed(said(record, self._seat.now_us)[0]))
+
+    def ask_round(self, name: str) -> None:
+        """The time of a suspect of ours is nearly over: has anybody heard from it?"""
+        seat, record = self._seat, self._seat.table.records.get(name)
+        if record is not None and record.standing.state is State.SUSPECT:
+            seat.spread.put(name, packed(bare(record, seat.now_us)))
+            for member in seat.draw(1, name):
+                seat.tell(member, Ping(seat.number()))
+
     def forget(self, name: str) -> None:
         """An operator knows that it is gone for good; only of the dead."""
         record = self._seat.table.records.get(name)
@@ -109,10 +131,19 @@
             return
         if record.standing.state is State.SUSPECT and record.name != seat.config.name:
             self.doubt(record.name, record.standing, record.by, sure)
+            self._look(record)
         else:
             self.suspicions.clear(record.name)
         self._pass_on(change)
 
+    def _look(self, record: Record) -> None:
+        """Somebody else suspects it: some of us, a few in all, ask it next, so that it has the shortest time
+        if nobody reaches it (its time shrinks with each who says so), and a living one hears of it soon."""
+        seat = self._seat
+        few = len(self.suspicions) <= FEW  # of many at once each would wait for all those before it
+        if few and record.by != seat.config.name and seat.rng.random() * seat.members < LOOKERS:
+            self._rounds.ahead(record.name)
+
     def _pass_on(self, change: Change) -> None:
         record, seat = change.record, self._seat
         if record.standing.state is not State.ALIVE:
@@ -136,6 +167,7 @@
                 out.append(_EFFECTS[news](now))
         if now.up and (before is None or not before.up):
             self._rounds.joined(now.name)
+            self._turns.joined(now.name)
 
 
 def _stale(record: Record, claim: Claim) -> bool:
--- a/granitewell/membership/machine.py
+++ b/granitewell/membership/machine.py
@@ -22,7 +22,7 @@
 from granitewell.membership.history import Told
 from granitewell.membership.limits import OwnTime
 from granitewell.membership.own import Own
-from granitewell.membership.probes import Probes
+from granitewell.membership.probes import Probes, Rounds
 from granitewell.membership.seat import Opened, Seat
 from granitewell.membership.states import GONE, Phase, State
 from granitewell.membership.sync import SOON_US, Sync
@@ -51,6 +51,7 @@
 )
 
 HEART_US = 500_000  # woken so often at least, so that standing still shows
+APART_US = 750_000  # between two looks at a digest that is not ours, after which tables are compared
 FORGET_US = 30_000_000  # between two looks at who is to be forgotten
 _ACTIVE = (Phase.IN, Phase.LEAVING)
 
@@ -59,18 +60,19 @@
     """A member. rng: its own; the birth of the process is drawn from it, so it must differ with each start.
     Effects besides the shared ones are those of `terms`. Raises nothing on what comes from outside."""
 
-    __slots__ = ("_before", "_begun", "_claims", "_forget_us", "_gossip_us", "_probes", "_sync", "_time",
-                 "own", "seat", "stood_us")  # fmt: skip
+    __slots__ = ("_apart_us", "_before", "_begun", "_claims", "_forget_us", "_gossip_us", "_probes", "_sync",
+                 "_time", "_turns", "own", "seat", "stood_us")  # fmt: skip
 
     def __init__(self, config: Config, rng: Random) -> None:
         self.seat = Seat(config, rng)
         self.own = Own(self.seat)
         self._probes, self._sync = Probes(self.seat), Sync(self.seat)
-        self._claims = Claims(self.seat, self.own, self._probes.rounds)
+        self._turns = Rounds(self.seat)  # of those who are told news: all in turn, so that none is missed
+        self._claims = Claims(self.seat, self.own, self._probes.rounds, self._turns)
         self._time = OwnTime(config.figures.stall_us)
         self._begun = False
         self._before = self.phase
-        self._forget_us = self._gossip_us = -1
+        self._forget_us = self._gossip_us = self._apart_us = -1
         self.stood_us = 0  # in all
 
     # --- What others see --------------------------------------------------------------------------------
@@ -192,6 +194,7 @@
                 self._claims.merge(Claim(name, *standing[:3], State.DEAD, by=seat.config.name))
             elif member is not None:
                 seat.tell(member, Ping(seat.number()))
+                self._claims.ask_round(name)
         self._gossip()
         self._sync.run(self.phase)
         self.own.run()
@@ -207,8 +210,9 @@
             self._gossip_us = seat.now_us + seat.some(seat.figures.gossip_us)
         elif seat.now_us >= self._gossip_us:
             self._gossip_us = seat.now_us + seat.figures.gossip_us
-            for member in seat.draw(seat.figures.fanout):
-                if len(seat.spread):
+            for _ in range(seat.figures.fanout):
+                member = self._turns.next() if len(seat.spread) else None
+                if member is not None:
                     seat.tell(member, Rumour())
 
     def _next(self) -> int:
@@ -274,18 +278,36 @@
     def _said(self, opened: Opened) -> None:
         said, seat = opened.letter.said, self.seat
         if isinstance(said, Ping):
-            seat.send(opened.address, opened.letter.birth, Ack(said.number), opened.sender, opened.road)
+            ack = Ack(said.number, seat.table.up_digest)
+            seat.send(opened.address, opened.letter.birth, ack, opened.sender, opened.road)
             self.own.asked(opened)
+            self._differs(opened, said.seen)
             if not opened.known and opened.sender != seat.config.name:
                 self._sync.soon(opened.address)
         elif isinstance(said, Ack):
             self._probes.ack(opened, said.number)
             self.own.ack(opened, said.number)
+            self._differs(opened, said.seen)
         elif isinstance(said, Nack):
             self._probes.nack(opened, said.number)
         elif isinstance(said, Relay):
             self._probes.relay(opened, said)
 
+    def _differs(self, opened: Opened, seen: int) -> None:
+        """Whoever has missed a piece of news differs from all others, and finds out here: for news is told so
+        often and no more, and the next comparison may be far. While news is on its way all differ for a
+        moment: once is no reason to ask."""
+        seat = self.seat
+        if self.phase is not Phase.IN or not opened.known or not seen:
+            return
+        if seen == seat.table.up_digest:
+            self._apart_us = -1
+        elif self._apart_us < 0:
+            self._apart_us = seat.now_us
+        elif seat.now_us - self._apart_us >= APART_US:
+            self._apart_us = -1
+            self._sync.soon(opened.address)
+
     def _again(self, opened: Opened, before: Member | None) -> None:
         """Somebody we took for dead talks to us: we were cut off from each other, and have much to
         compare."""
--- a/granitewell/membership/probes.py
+++ b/granitewell/membership/probes.py
@@ -72,6 +72,10 @@
         left = len(self._order) - self._at
         self._order.insert(self._at + self._seat.some(left + 1), name)
 
+    def ahead(self, name: str) -> None:
+        """Its turn is next; the one that it still has stays."""
+        self._order.insert(self._at, name)
+
     def next(self) -> Member | None:
         """The next that is up; None where there is nobody else."""
         seat = self._seat
@@ -168,7 +172,8 @@
         if step is Step.ASK:
             self._ask(probe)
         member = seat.table.member(probe.member.name) or probe.member
-        seat.tell(member if member.birth == probe.member.birth else probe.member, Ping(probe.number))
+        there = member if member.birth == probe.member.birth else probe.member
+        seat.tell(there, Ping(probe.number, seat.table.up_digest))
         return None
 
     def _ask(self, probe: Probe) -> None:
--- a/granitewell/membership/suspicion.py
+++ b/granitewell/membership/suspicion.py
@@ -3,8 +3,9 @@
 It owns the time-outs of suspects. It must never change a member. The first suspicion alone waits long, since
 it may be whoever suspects that is ill; each further member that suspects independently shortens the wait, on
 a log scale, to what plain SWIM would wait. Shortly before the end comes the last call, which is ours: nobody
-is called dead by a member that has not asked it. Under loss now and then a member misses a refutation that
-all others have heard; it would be the one to bury somebody who lives.
+is called dead by a member that has not asked it, and told some others of its doubt once more. Under loss now
+and then a member misses a refutation that all others have heard; it would be the one to bury somebody who
+lives, and whoever has heard it says so.
 """
 
 from __future__ import annotations
@@ -18,8 +19,9 @@
 
 
 def scale(members: int) -> float:
-    """By how much figures grow with the members: log10, 1 at least."""
-    return max(log10(max(members, 1)), 1.0)
+    """By how much figures grow with the members: two thirds of log10, 1 at least. SWIM's whole log10 is the
+    time in which gossip alone gets round; here whoever differs finds out by the next probe, too."""
+    return max(log10(max(members, 1)) * 2.0 / 3.0, 1.0)
 
 
 def timeout_us(figures: Figures, members: int, confirmed: int) -> int:
@@ -57,6 +59,9 @@
         self._doubts: dict[str, Doubt] = {}
         self._heap: list[tuple[int, str]] = []
 
+    def __len__(self) -> int:
+        return len(self._doubts)
+
     @property
     def due_us(self) -> int:
         """When there is something to do; -1 for never."""
--- a/granitewell/membership/table.py
+++ b/granitewell/membership/table.py
@@ -34,6 +34,9 @@
     def __len__(self) -> int:
         return len(self.names)
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._at
+
     def put(self, name: str, there: bool) -> None:
         """Have it there, or not."""
         at = self._at.get(name, -1)
@@ -72,6 +75,7 @@
     about_inc: int = -1
     gone_us: int = 0  # since when it is dead or has left
     digest: int = 0
+    up_digest: int = 0  # of the process alone, 0 for one that is not up
     member: Member | None = None
     window: Window | None = None
     bucket: Bucket | None = None
@@ -90,13 +94,14 @@
 class Table:
     """refused: claims of new names that found no room."""
 
-    __slots__ = ("_figures", "_gone", "_parts", "dead", "digests", "records", "refused", "up")
+    __slots__ = ("_figures", "_gone", "_parts", "dead", "digests", "records", "refused", "up", "up_digest")
 
     def __init__(self, figures: Figures) -> None:
         self._figures = figures
         self.records: dict[str, Record] = {}
         self.up, self.dead = Roll(), Roll()  # dead: whom it is known how to reach
         self.digests = [0] * BUCKETS
+        self.up_digest = 0  # of all that are up: two members that see the same have the same
         self.refused = 0
         self._parts: list[dict[str, Record]] = [{} for _ in range(BUCKETS)]
         self._gone: dict[str, None] = {}  # dead and left, longest known first
@@ -166,6 +171,11 @@
         self.digests[record.part] ^= record.digest
         record.digest = digest(record)
         self.digests[record.part] ^= record.digest
+        self._up_is(record, up_digest(record) if record.name in self.up else 0)
+
+    def _up_is(self, record: Record, digest: int) -> None:
+        self.up_digest ^= record.up_digest ^ digest
+        record.up_digest = digest
 
     # --- Bounds -----------------------------------------------------------------------------------------
     def _room(self, new: Standing, claim: Claim) -> bool:
@@ -187,6 +197,7 @@
         self._gone.pop(name, None)
         del self._parts[record.part][name]
         self.digests[record.part] ^= record.digest
+        self._up_is(record, 0)
         self.up.put(name, False)
         self.dead.put(name, False)
 
@@ -225,6 +236,12 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=DIGEST).digest(), "big")
 
 
+def up_digest(record: Record) -> int:
+    """Of the process that goes by the name; suspects count as the living do."""
+    text = f"{record.name} {record.standing[:2]}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=7).digest(), "big")
+
+
 def said(record: Record, now_us: int) -> list[Claim]:
     """The claims that give this record to whoever has none of it."""
     standing = record.standing
--- a/granitewell/net/status.py
+++ b/granitewell/net/status.py
@@ -27,6 +27,7 @@
 MOST_REST_US = 500_000  # unless it took more than a part of this
 MOST_FORMS = 8  # made of one look: two paths, and what `worst` asks for
 MOST_PER_S = 200  # connections taken a second, also where answers are there already
+AGAIN_S = 0.25  # between two tries to have the place
 BACKLOG = 16  # that wait for a seat; a unix socket turns further ones away at once
 CHUNK = 2048  # bytes of a request read at a time
 MOST_REST_BYTES = 64 * 1024  # read behind a request, so that closing does not reset its answer away
@@ -42,6 +43,7 @@
         self._settings = StatusSettings()
         self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
+        self._again: asyncio.TimerHandle | None = None  # until the place can be had
         self._bound: tuple[str, int, int] | None = None  # the path of its socket, and that file's identity
         self._held = 0  # connections
         self._freed = asyncio.Event()
@@ -67,11 +69,23 @@
                 line = f"the status is at {where}"
             except (OSError, ValueError) as error:
                 line = f"no status at {settings.at}: {getattr(error, 'strerror', None) or error}"
+                self._again = self._loop.call_later(AGAIN_S, self._retry)
         else:
             line = "the status is served no longer"
         if settings.at or was_open:
             self._node.log.write(self._clock.now(), "reload", line, always=True)
 
+    def _retry(self) -> None:
+        """The process before this one, of an upgrade, may be gone from there by now."""
+        if self._listener is not None or not self._settings.at:
+            return
+        try:
+            where = place(self._settings.at, folder())
+            self._open(where)
+            self._node.log.write(self._clock.now(), "reload", f"the status is at {where}", always=True)
+        except (OSError, ValueError):
+            self._again = self._loop.call_later(AGAIN_S, self._retry)
+
     def _open(self, where: Place) -> None:
         sock = socket.socket(socket.AF_UNIX if where.path else socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -93,6 +107,9 @@
     def close(self) -> None:
         """Take no more connections, and take the path away if it is still this node's own. Those that are
         held end by themselves."""
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
         if self._accepting is not None:
             self._accepting.cancel()
         if self._listener is not None:
--- a/granitewell/protocols/peers/gossip.py
+++ b/granitewell/protocols/peers/gossip.py
@@ -69,15 +69,17 @@
 
 
 class Ping(Body, frozen=True, tag="ping"):
-    """Are you there?"""
+    """Are you there? seen: a digest of those whom the asker has as up, 0 where it does not say."""
 
     number: Count
+    seen: Count = 0
 
 
 class Ack(Body, frozen=True, tag="ack"):
-    """Yes; or, from a helper: it is."""
+    """Yes; or, from a helper: it is. seen: as in a ping."""
 
     number: Count
+    seen: Count = 0
 
 
 class Nack(Body, frozen=True, tag="nack"):
