--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 #   make test    lint, types and tests; what .ci/run calls
 #   make lint    lint and types alone
 #   make demo    three nodes, twelve stand-in dispatch servers and a discovery agent on loopback
+#   make fleet-demo  five nodes that know each other, a kill, a partition and its healing, and a page on it
 #   make bench   the measurements under benchmarks/
 SHELL := /bin/bash
 .SHELLFLAGS := -eu -o pipefail -c
@@ -11,7 +12,7 @@
 WANT := requirements.txt requirements-dev.txt
 PIP := $(VENV)/bin/pip -q --disable-pip-version-check
 
-.PHONY: test lint demo bench venv
+.PHONY: test lint demo fleet-demo bench venv
 
 # One seed for all generated examples, so that a verdict stands; `python -m pytest` alone looks further. Each
 # file stays whole in one of four processes.
@@ -25,6 +26,9 @@
 demo: venv
 	$(VENV)/bin/granitewell lab demo
 
+fleet-demo: venv
+	$(VENV)/bin/granitewell lab fleet demo
+
 bench: venv
 	@for script in benchmarks/*.py; do echo "== $$script"; $(PYTHON) "$$script"; done
 
--- a/granitewell/cli/lab_scenario.py
+++ b/granitewell/cli/lab_scenario.py
@@ -12,7 +12,7 @@
 from granitewell.cli.show import Told, as_json, emit, table
 from granitewell.lab.day import Day, Fault
 from granitewell.lab.scenario import Scenario, ScenarioError, builtin, draw, load, schedule
-from granitewell.lab.scenario_text import toml
+from granitewell.lab.scenarios.text import toml
 
 
 class BadScenario(Told):
--- a/granitewell/lab/faults.py
+++ b/granitewell/lab/faults.py
@@ -1,7 +1,7 @@
 """The catalogue of faults: what a scenario file may let go wrong, and what is left of it for the shells.
 
 It owns the kinds with their targets, params and defaults, by which files are checked and the reference page is
-made. It must never draw a number or know a shell. `scenario_expand` turns a day's schedule of these kinds into
+made. It must never draw a number or know a shell. `scenarios.expand` turns a day's schedule of these kinds into
 elementary faults, sorted by time, and those alone stand in `Day.faults`:
 
 | kind | target | span | params |
@@ -37,7 +37,7 @@
 from dataclasses import dataclass
 
 from granitewell.lab.day import Fault
-from granitewell.lab.scenario_types import Spec, figure, flag, names, part, whole, word
+from granitewell.lab.scenarios.types import Spec, figure, flag, names, part, whole, word
 
 EFFECTS = (
     "hang", "slow", "late", "error", "full", "reset", "spoilt", "silent_head", "refuse", "mute", "lying",
--- a/granitewell/lab/scenario_check.py
+++ b/granitewell/lab/scenarios/check.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from granitewell.lab.faults import CATALOGUE, Entry
-from granitewell.lab.scenario_types import FaultTable, Figure, GoalTable, LoadTable, ScenarioTable
-from granitewell.lab.scenario_values import allowed, fits, shown, unknown
+from granitewell.lab.scenarios.types import FaultTable, Figure, GoalTable, LoadTable, ScenarioTable
+from granitewell.lab.scenarios.values import allowed, fits, shown, unknown
 
 NAME = re.compile(r"[^\s,>:]+")
 OWN_NAME = re.compile(r"(.*-)?[dn]\d+.*")  # endpoints and nodes are called so
--- a/granitewell/lab/scenario_draw.py
+++ b/granitewell/lab/scenarios/draw.py
@@ -13,16 +13,16 @@
 import msgspec
 
 from granitewell.lab import day as d
-from granitewell.lab import scenario_load as load
 from granitewell.lab.chaos import chaos
 from granitewell.lab.engine import lognormal, stream
 from granitewell.lab.faults import CATALOGUE
-from granitewell.lab.scenario_check import PART, combinations, high, low
-from granitewell.lab.scenario_expand import expand
-from granitewell.lab.scenario_fleet import endpoint_id
-from granitewell.lab.scenario_pen import Drawn, Pen
-from granitewell.lab.scenario_read import Scenario, ScenarioError
-from granitewell.lab.scenario_types import FaultTable, ScenarioTable
+from granitewell.lab.scenarios import load
+from granitewell.lab.scenarios.check import PART, combinations, high, low
+from granitewell.lab.scenarios.expand import expand
+from granitewell.lab.scenarios.fleet import endpoint_id
+from granitewell.lab.scenarios.pen import Drawn, Pen
+from granitewell.lab.scenarios.read import Scenario, ScenarioError
+from granitewell.lab.scenarios.types import FaultTable, ScenarioTable
 
 CHAOS_ENDS = 0.85  # part of the day
 
--- a/granitewell/lab/scenario_expand.py
+++ b/granitewell/lab/scenarios/expand.py
@@ -1,8 +1,8 @@
 """From the schedule of a scenario to elementary faults: whom each befalls, and what it comes down to.
 
 It owns the batches of a deploy, the staggering and flapping of conditions, the endpoints that come later, and
-what faults make of the load; `scenario_fleet` chooses targets. What is left is the table in `faults`. It must
-never draw from a stream that another fault shares: one that is left out changes nothing for the others.
+what faults make of the load; `scenarios.fleet` chooses targets. What is left is the table in `faults`. It
+must never draw from a stream that another fault shares: one that is left out changes nothing for the others.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 
 from granitewell.lab.day import Day, EndpointDay, Fault, LoadDay
 from granitewell.lab.engine import lognormal, stream
-from granitewell.lab.scenario_fleet import Fleet, in_batches, round_up
-from granitewell.lab.scenario_load import Hot, Swell, arrivals, heated, resampled, swollen
+from granitewell.lab.scenarios.fleet import Fleet, in_batches, round_up
+from granitewell.lab.scenarios.load import Hot, Swell, arrivals, heated, resampled, swollen
 
 HOT_KEY = 1 << 40  # above all keys of the day, however they churn
 LEAST_TERM_US, TERM_GRACE_US = 3_000_000, 700_000  # the platform's: SIGKILL comes no sooner after SIGTERM
--- a/granitewell/lab/scenario_pen.py
+++ b/granitewell/lab/scenarios/pen.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from granitewell.lab.engine import stream
-from granitewell.lab.scenario_types import Spec, Table, fields_of, spec_of
+from granitewell.lab.scenarios.types import Spec, Table, fields_of, spec_of
 
 Value = float | str | bool
 UNITS = {"_ms": 1e3, "_s": 1e6}
--- a/granitewell/lab/scenario_read.py
+++ b/granitewell/lab/scenarios/read.py
@@ -17,12 +17,12 @@
 import msgspec
 
 from granitewell.files import BY_HAND, whole
-from granitewell.lab.scenario_check import combinations
-from granitewell.lab.scenario_trace import Row, TraceProblem, read_trace
-from granitewell.lab.scenario_types import ScenarioTable, Spec, Table, fields_of, spec_of
-from granitewell.lab.scenario_values import allowed, fits, nearest, shown, unknown
+from granitewell.lab.scenarios.check import combinations
+from granitewell.lab.scenarios.trace import Row, TraceProblem, read_trace
+from granitewell.lab.scenarios.types import ScenarioTable, Spec, Table, fields_of, spec_of
+from granitewell.lab.scenarios.values import allowed, fits, nearest, shown, unknown
 
-BUILTIN = Path(__file__).parent / "scenarios"
+BUILTIN = Path(__file__).parent
 _BY_NAME = ("class", "tenant", "kind")  # lists whose entries are merged by their name
 _ONE_OF = ("rate_per_s", "utilisation", "trace")
 
--- a/granitewell/lab/scenario_text.py
+++ b/granitewell/lab/scenarios/text.py
@@ -1,7 +1,7 @@
 """Scenarios as text: a file with all that it leaves open written out, and the reference page of the form.
 
 It owns the wording of the page; what a key takes comes from the types and the catalogue. It must never state
-a default by itself. `python -m granitewell.lab.scenario_text` prints the page that docs/operate/scenarios.md
+a default by itself. `python -m granitewell.lab.scenarios.text` prints the page that docs/operate/scenarios.md
 holds.
 """
 
@@ -14,9 +14,9 @@
 import msgspec
 
 from granitewell.lab.faults import CATALOGUE, EFFECTS, GROUPS, TARGETS, Entry, Param
-from granitewell.lab.scenario_read import Scenario, builtin, load
-from granitewell.lab.scenario_trace import HEADER
-from granitewell.lab.scenario_types import ScenarioTable, Spec, Table, fields_of, spec_of
+from granitewell.lab.scenarios.read import Scenario, builtin, load
+from granitewell.lab.scenarios.trace import HEADER
+from granitewell.lab.scenarios.types import ScenarioTable, Spec, Table, fields_of, spec_of
 
 
 def toml(scenario: Scenario) -> str:
@@ -62,7 +62,7 @@
 def _intro() -> Iterator[str]:
     yield from """# Scenarios
 
-<!-- Made by `python -m granitewell.lab.scenario_text`. Don't edit: change the types or the catalogue. -->
+<!-- Made by `python -m granitewell.lab.scenarios.text`. Don't edit: change the types or the catalogue. -->
 
 A scenario is a TOML file of ranges; each seed draws one day from it, the same on any machine. Names end with
 their unit (`_ms`, `_s`, `_us`, `_per_s`); shares and the like are parts of 1.
--- a/granitewell/lab/scenario_trace.py
+++ b/granitewell/lab/scenarios/trace.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from granitewell.lab.scenario_types import ScenarioTable
+from granitewell.lab.scenarios.types import ScenarioTable
 
 Row = tuple[int, int, int, int, int]  # at_us, class, tenant, key, zone
 HEADER = ["at_s", "class", "tenant", "key", "zone"]
--- a/granitewell/lab/scenario_types.py
+++ b/granitewell/lab/scenarios/types.py
@@ -1,8 +1,8 @@
 """The form of a scenario file: one typed table each, with its words, bounds and defaults.
 
 It owns the names that people write, their units (the last part of a name), what is allowed and what holds
-where nothing is written. It must never read a file or draw a number; `scenario_read` checks files against it,
-`scenario_draw` draws from it, and the reference page is made from it. A figure is a number or a range
+where nothing is written. It must never read a file or draw a number; `scenarios.read` checks files against
+it, `scenarios.draw` draws from it, and the reference page is made from it. A figure is a number or a range
 `[low, high]`, which each seed draws from evenly; a word or a flag may be a list to choose from.
 """
 
--- a/granitewell/lab/scenario_values.py
+++ b/granitewell/lab/scenarios/values.py
@@ -12,7 +12,7 @@
 from math import isfinite
 from typing import Any
 
-from granitewell.lab.scenario_types import Spec
+from granitewell.lab.scenarios.types import Spec
 
 ABOVE = "a range whose low end is not above its high end"
 
--- a/granitewell/net/peers.py
+++ b/granitewell/net/peers.py
@@ -35,9 +35,11 @@
 REST = 3  # and so many times what they took until they may again: a quarter of the time at most
 PIECE = 16 * 1024  # bytes of a stream read at a time, after which others have their turn
 BACKLOG = 64
+SEND = 128 * 1024  # bytes of a stream that the kernel is asked to hold, so that a stuck one costs no more,
 RECEIVE = 512 * 1024  # bytes of datagrams that the kernel is asked to hold
-MOST_FRAMES, MOST_BYTES = 64, 256 * 1024  # queued for one address, beside the frame that is being written
-MOST_QUEUES = 1_024  # addresses that something is queued for
+MOST_FRAMES, MOST_BYTES = 128, 2 * 1024 * 1024  # queued for one address: a whole table, in pages
+MOST_QUEUES = 1_024  # addresses that something is queued for,
+MOST_ALL = 16 * 1024 * 1024  # and bytes for all of them together
 DIAL_S, WRITE_S = 2.0, 5.0  # for a connection to come up, and for a frame to be taken
 GIVE_UP_US = 15_000_000  # for which frames wait for a road; what they say is no news any more
 IDLE_US = 10_000_000  # for which a stream of ours stands without a frame
@@ -208,6 +210,9 @@
         self._queue(queue, say.data)
 
     def _queue(self, queue: Queue, frame: bytes) -> None:
+        if sum(q.bytes for q in self._queues.values()) + len(frame) > MOST_ALL:
+            self.counts["full"] += 1
+            return
         self.counts["pushed_out"] += queue.put(frame, self._clock.now())
         self._go(queue)
 
@@ -244,6 +249,7 @@
         up = False
         try:
             sock = tcp(queue.address)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND)
             if self._host not in ("0.0.0.0", "::") and (":" in self._host) == (":" in queue.address[0]):
                 # from the address that we go by: the other side, and what lies between, can tell whose it is
                 sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -23,10 +23,10 @@
 from granitewell.lab.day import Day, Fault
 from granitewell.lab.faults import CATALOGUE, ELEMENTARY, fault
 from granitewell.lab.scenario import Scenario, ScenarioError, builtin, draw, expand, load, parse, schedule
-from granitewell.lab.scenario_fleet import label
-from granitewell.lab.scenario_load import arrivals, swollen, value
-from granitewell.lab.scenario_text import EFFECT_TEXTS, reference, toml
-from granitewell.lab.scenario_types import ScenarioTable, Spec, fields_of, spec_of
+from granitewell.lab.scenarios.fleet import label
+from granitewell.lab.scenarios.load import arrivals, swollen, value
+from granitewell.lab.scenarios.text import EFFECT_TEXTS, reference, toml
+from granitewell.lab.scenarios.types import ScenarioTable, Spec, fields_of, spec_of
 
 ROOT = Path(__file__).parents[2]
 PLAIN: dict[str, Any] = {
@@ -555,7 +555,7 @@
 
 def test_the_reference_page_is_up_to_date() -> None:
     page = (ROOT / "docs/operate/scenarios.md").read_text()
-    assert page == reference(), "run python -m granitewell.lab.scenario_text > docs/operate/scenarios.md"
+    assert page == reference(), "run python -m granitewell.lab.scenarios.text > docs/operate/scenarios.md"
     assert all(f"**`{kind}`**" in page for kind in CATALOGUE) and len(EFFECT_TEXTS) == 12
     block = page.split("```toml\n")[1].split("```")[0]
     raw = tomllib.loads(block)
