--- a/granitewell/cli/lab_fleet.py
+++ b/granitewell/cli/lab_fleet.py
@@ -35,13 +35,14 @@
 @click.option("--plant", default="", help="Start the nodes with this planted defect; `list` names them.")
 @click.option("--without", is_flag=True, help="The same load on nodes without [cluster].")
 @click.option("--virtual", is_flag=True, help="The same schedule in virtual time, without load.")
+@click.option("--hunt", type=click.IntRange(1, 1_000_000), help="So many seeds from --seed on, virtual.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="For page, files and logs.")
 @click.option("--keep", is_flag=True, help="Keep files and logs of a run whose rules were kept, too.")
 @show.as_json
 def fleet(
     scenario: str | None, nodes: int | None, seed: int, seconds: float | None, rate: float | None,
-    severity: float | None, replay: Path | None, plant: str, without: bool, virtual: bool, out: Path | None,
-    keep: bool, as_json: bool,
+    severity: float | None, replay: Path | None, plant: str, without: bool, virtual: bool, hunt: int | None,
+    out: Path | None, keep: bool, as_json: bool,
 ) -> None:  # fmt: skip
     """Start many nodes that know each other, play SCENARIO's troubles between them, and judge what they
     believe and what they serve. Without SCENARIO the built-in ones are listed.
@@ -51,6 +52,9 @@
     if plant == "list" or (scenario is None and replay is None):
         _list(plant, as_json)
         return
+    if hunt is not None:
+        _hunt(scenario or "", hunt, seed, nodes, seconds, severity, as_json)
+        return
     played = _schedule(scenario, replay, seed, nodes, seconds, severity, rate)
     if without:
         played = replace(played, cluster=False)
@@ -84,6 +88,41 @@
         raise show.Told(str(error)) from None
 
 
+def _hunt(
+    scenario: str, count: int, seed: int, nodes: int | None, seconds: float | None, severity: float | None,
+    as_json: bool,
+) -> None:  # fmt: skip
+    from granitewell.lab.fleet.hunt import Case, Hunt, hunt
+
+    try:
+        name, table = load(scenario)
+        schedule(name, table, seed, nodes=nodes, seconds=seconds, severity=severity)
+    except FleetError as error:
+        raise show.Told(str(error)) from None
+    cases = [Case(name, table, seed + k, nodes, seconds, severity) for k in range(count)]
+    found = Hunt()
+    with show.progress("playing", count) as bar:
+        for so_far in hunt(cases):
+            found = so_far
+            bar.step()
+    data = found.as_dict()
+    show.emit(data, as_json, lambda console: _render_hunt(console, scenario, data))
+    if found.broken:
+        which = ", ".join(map(str, list(found.broken)[:50]))
+        raise show.Found(f"{len(found.broken)} of {count} seeds broke a rule: {which}")
+
+
+def _render_hunt(console: Console, scenario: str, data: dict[str, Any]) -> None:
+    rows = [(c, t["count"], f"{t['median']:.2f}", f"{t['worst']:.2f}") for c, t in data["took_s"].items()]
+    title = f"{scenario}, {data['seeds']} seeds in virtual time: until all agreed"
+    console.print(show.table(title, ("what had changed", "times", "median s", "worst s"), rows))
+    most = f"budgets at most {data['budget_most']:.2f} of the whole"
+    console.print(f"false deaths {data['false_deaths']}; {most}; {data['unsettled']} changes came before all "
+                  "had agreed on the one before")  # fmt: skip
+    for seed, what in list(data["broken"].items())[:20]:
+        console.print(f"seed {seed}: {what['first']}", markup=False, highlight=False)
+
+
 def _virtual(played: Schedule, as_json: bool) -> None:
     from granitewell.lab.fleet.virtual import play
 
--- a/granitewell/cluster/census.py
+++ b/granitewell/cluster/census.py
@@ -8,7 +8,9 @@
 
 - `most` divides what all nodes together may push: at a cold endpoint, of a tenant's allowance. A node that we
   hear nothing of may only be cut off from us and go on serving, so it counts until it has left by its own
-  word, an operator has said that it is gone, or a long time has passed. And a node that the settings count
+  word and stays away, an operator has said that it is gone, or a long time has passed. One that has left may
+  come back (a restart) while we are cut off, so it counts until it has been away for some minutes in which we
+  had everybody else in sight. And a node that the settings count
   and nobody has ever named may be cut off as well: while any is unaccounted for, `most` is never below what
   the settings say.
 - `up` multiplies what this node sees of the traffic, for a forecast of all of it. Who is dead brings no
@@ -16,10 +18,11 @@
   this program does, since after a death the traffic of the dead comes to us first and the news of it later.
   Those whom nobody has ever named are held to be up: that nothing was heard of them proves nothing.
 
-Each name is up, silent (dead as far as we know), or out (has left, was called gone, or was silent for too
-long). What names are up or silent is written down and read again at the next start, where all begin as
-silent. Nodes that nobody has named are those that the settings count beyond the most that were ever up or
-silent at a time: so neither a name that has gone nor a new one in its place hides one that was never seen.
+Each name is up, silent (dead as far as we know), away (has left), or out (has left for long enough, was
+called gone, or was silent for too long). What names are not out is written down and read again at the next
+start, where all begin as silent. Nodes that nobody has named are those that the settings count beyond the
+most that were ever up or silent at a time: so neither a name that has gone nor a new one in its place hides
+one that was never seen.
 """
 
 from __future__ import annotations
@@ -33,6 +36,7 @@
 
 STEP_US = 500_000  # between two steps of a fall
 FALL_US = 10_000_000  # in which a fall has done two thirds of its way
+AWAY_US = 300_000_000  # for which one that has left may come back
 NEAR = 0.05  # of a node; a fall that is so near its end is over
 MOST_NAMES = 20_000  # in all states; the membership shows half as many at a time
 
@@ -42,9 +46,14 @@
 
     UP = "up"
     SILENT = "silent"
+    AWAY = "away"
     OUT = "out"
 
 
+GONE = (Place.SILENT, Place.AWAY)
+STILL = {Place.SILENT: (Place.AWAY, Place.OUT), Place.AWAY: (Place.OUT,)}  # what such news leaves as it is
+
+
 # --- Events ---------------------------------------------------------------------------------------------
 @dataclass(frozen=True, slots=True)
 class Seen:
@@ -79,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Known:
-    """A name as it is written down. silent_us: for how long it had been silent then; -1 for up."""
+    """A name as it is written down. silent_us: for how long it had been silent or away; -1 for up."""
 
     name: str
     silent_us: int
@@ -89,6 +98,7 @@
 class _Name:
     place: Place
     since_us: int  # when it fell silent, or when it went
+    clear_us: int = 0  # since it left, with everybody else in sight
 
 
 class Census:
@@ -114,7 +124,10 @@
     @property
     def wake_us(self) -> int:
         """When Woken is wanted; -1 for never."""
-        ends = [x.since_us + self.unheard_us for x in self._names.values() if x.place is Place.SILENT]
+        ends = [x.since_us + self.unheard_us for x in self._names.values() if x.place in GONE]
+        away = [x for x in self._names.values() if x.place is Place.AWAY]
+        if away and self._clear:
+            ends += [self._now_us + AWAY_US - x.clear_us for x in away]
         return min((x for x in (*ends, self._falls_us) if x >= 0), default=-1)
 
     @property
@@ -142,6 +155,10 @@
     def handle(self, now_us: int, event: object) -> list[object]:
         """Apply one event; a Count where one has changed, and lines."""
         first = self._at_us < 0
+        passed_us = max(now_us - self._now_us, 0)
+        if not first and self._clear:
+            for one in self._names.values():
+                one.clear_us += passed_us if one.place is Place.AWAY else 0
         self._now_us = max(now_us, self._now_us)
         if first:
             self._at_us = self._now_us
@@ -170,14 +187,14 @@
         if name == self._own:
             return
         one = self._names.get(name)
-        if one is not None and one.place is Place.OUT and place is Place.SILENT:
-            return  # who went does not come back silent
+        if one is not None and one.place in STILL.get(place, ()):
+            return  # who went does not come back silent, nor leaves twice
         if one is None:
             if len(self._names) >= MOST_NAMES and not self._room():
                 return
             self._names[name] = _Name(place, self._now_us)
         elif one.place is not place:
-            one.place, one.since_us = place, self._now_us
+            one.place, one.since_us, one.clear_us = place, self._now_us, 0
 
     def _room(self) -> bool:
         """Let go of the name that has been out for longest; whether there was one."""
@@ -188,20 +205,28 @@
 
     def _expire(self, out: list[object]) -> None:
         for name, one in self._names.items():
-            if one.place is Place.SILENT and self._now_us - one.since_us >= self.unheard_us:
+            if one.place in GONE and self._now_us - one.since_us >= self.unheard_us:
+                if one.place is Place.SILENT:
+                    hours = self.unheard_us / 3.6e9
+                    out.append(Line("lost", f"{name} has been silent for {hours:.1f} h: it counts no more"))
+                one.place, one.since_us = Place.OUT, self._now_us
+            elif one.place is Place.AWAY and one.clear_us >= AWAY_US:
                 one.place, one.since_us = Place.OUT, self._now_us
-                hours = self.unheard_us / 3.6e9
-                out.append(Line("lost", f"{name} has been silent for {hours:.1f} h: it counts no more"))
 
     # --- Counts -----------------------------------------------------------------------------------------
     def _in(self, place: Place) -> int:
         return sum(x.place is place for x in self._names.values())
 
     def _most(self) -> int:
-        unaccounted = self._in(Place.SILENT) + self.unseen
+        unaccounted = self._in(Place.SILENT) + self._in(Place.AWAY) + self.unseen
         found = self._in(Place.UP) + unaccounted
         return max(found, self._configured) if unaccounted else max(found, 1)
 
+    @property
+    def _clear(self) -> bool:
+        """Is everybody who may act in sight, but for those who have left?"""
+        return not self._in(Place.SILENT) and not self.unseen and self._in(Place.UP) > 1
+
     def _target(self) -> int:
         return max(self._in(Place.UP) + self.unseen, 1)
 
--- a/granitewell/lab/fleet/virtual.py
+++ b/granitewell/lab/fleet/virtual.py
@@ -27,7 +27,7 @@
 EVERY_US = 250_000  # between two looks, as at processes
 LEAD_US = 2_000_000  # before the day, in which all start
 DAY_US = 10_000_000  # of virtual time at which the day begins
-PLACES = {State.ALIVE: Place.UP, State.SUSPECT: Place.UP, State.DEAD: Place.SILENT, State.LEFT: Place.OUT}
+PLACES = {State.ALIVE: Place.UP, State.SUSPECT: Place.UP, State.DEAD: Place.SILENT, State.LEFT: Place.AWAY}
 OWN = ("term", "mute", "deaf")  # done here, beside what chaos knows
 
 
--- a/granitewell/membership/machine.py
+++ b/granitewell/membership/machine.py
@@ -29,6 +29,7 @@
 from granitewell.membership.terms import (
     Config,
     Describe,
+    Died,
     Entry,
     Forget,
     Leave,
@@ -152,6 +153,8 @@
         elif not isinstance(event, Woken):
             raise TypeError(f"event: found {type(event).__name__}, allowed are those of terms and machine")
         self._due()
+        if any(isinstance(effect, Died) for effect in out):
+            self._sync.stirred()
         self._settle()
         self._time.want(self._next())
         return out
@@ -185,6 +188,9 @@
     def _due(self) -> None:
         seat = self.seat
         failed = self._probes.run()
+        if self._probes.lost:
+            self._sync.soon(self._probes.lost)
+            self._probes.lost = ""
         if failed is not None:
             life = (failed.name, failed.gen, failed.birth, failed.inc)
             self._claims.merge(Claim(*life, State.SUSPECT, by=seat.config.name))
--- a/granitewell/membership/probes.py
+++ b/granitewell/membership/probes.py
@@ -101,13 +101,14 @@
 class Probes:
     """due_us: when there is something to do; -1 for never."""
 
-    __slots__ = ("_errands", "_next_us", "_probe", "_revive_us", "_seat", "rounds")
+    __slots__ = ("_errands", "_next_us", "_probe", "_revive_us", "_seat", "lost", "rounds")
 
     def __init__(self, seat: Seat) -> None:
         self._seat, self.rounds = seat, Rounds(seat)
         self._probe: Probe | None = None
         self._errands: dict[int, Errand] = {}
         self._next_us = self._revive_us = -1
+        self.lost = ""  # the address of one of the dead: it may be another process's by now
 
     def start(self) -> None:
         """We are a member: begin somewhere in the period, so that members who start together do not ask
@@ -215,14 +216,15 @@
             probe.nacked.append(sender)
 
     def _revive(self, now: int) -> None:
-        """Ask one of the dead: it may be back, or we were cut off from it. It hears with the ping that it is
-        dead, and refutes that."""
+        """Ask one of the dead: we may have been cut off from it. It hears with the ping that it is dead, and
+        refutes that; a process that has begun there since hears no ping for the one before it."""
         seat = self._seat
         self._revive_us = now + seat.figures.revive_us
         for name in seat.table.dead.draw(seat.rng, 1, (seat.config.name,)):
             member = seat.table.member(name)
             if member is not None:
                 seat.tell(member, Ping(seat.number()))
+                self.lost = member.about.address
 
     # --- For others -------------------------------------------------------------------------------------
     def relay(self, opened: Opened, said: Relay) -> None:
--- a/granitewell/membership/sync.py
+++ b/granitewell/membership/sync.py
@@ -80,6 +80,13 @@
         many start together most letters come from members whom the hearer does not know yet, and are lost."""
         self._pause_us, self.due_us = SOON_US, self._seat.now_us
 
+    def stirred(self) -> None:
+        """Somebody is lost to us: it may be we who are, so compare soon, and again after ever longer
+        pauses."""
+        if self._pause_us > SOON_US:
+            self._pause_us = SOON_US
+            self.within(SOON_US)
+
     # --- Whom and when ----------------------------------------------------------------------------------
     def run(self, phase: Phase) -> None:
         """Say hello, if it is time."""
--- a/granitewell/net/cluster.py
+++ b/granitewell/net/cluster.py
@@ -71,7 +71,7 @@
 FIGURES = Figures()
 MOST_ROWS = 1_000  # members in an answer, those first who are not well: a look is made in one turn
 ORDER = {State.SUSPECT: 0, State.DEAD: 1, State.ALIVE: 2, State.LEFT: 3}
-PLACES = {State.ALIVE: Place.UP, State.SUSPECT: Place.UP, State.DEAD: Place.SILENT, State.LEFT: Place.OUT}
+PLACES = {State.ALIVE: Place.UP, State.SUSPECT: Place.UP, State.DEAD: Place.SILENT, State.LEFT: Place.AWAY}
 
 
 class Turn(Enum):
@@ -430,7 +430,8 @@
             "configured": self._node._config.settings.proxies, "most": None, "up": None, "unseen": None,
             "changed_s": (now - self._changed_us) / 1e6 if self._changed_us >= 0 else None,
             "phase": None, "life": None, "incarnation": None, "health": None, "stood_s": None,
-            "members": [], "silent": [], "letters": {}, "dropped": {}, "roads": {}, "streams": None,
+            "members": [], "silent": [], "away": [], "letters": {}, "dropped": {}, "roads": {},
+            "streams": None,
         }  # fmt: skip
         if machine is None or census is None or self.roads is None:
             return made
@@ -438,7 +439,7 @@
         made |= {
             "phase": machine.phase.value, "life": own.gen, "incarnation": own.inc, "health": machine.health,
             "stood_s": machine.stood_us / 1e6, "most": count.most, "up": count.up, "unseen": census.unseen,
-            "silent": census.names(Place.SILENT),
+            "silent": census.names(Place.SILENT), "away": census.names(Place.AWAY),
             "letters": {f"{kind} {way}": n for (way, kind), n in sorted(seat.letters.items())},
             "dropped": dict(sorted(machine.counts.items())), "roads": dict(sorted(self.roads.counts.items())),
             "streams": dict(zip(("ours", "theirs"), self.roads.streams, strict=True)),
@@ -480,8 +481,8 @@
         """An operator says that a node is gone for good; what is wrong with that, or nothing."""
         if self.machine is None or self.census is None:
             return "this process is no member now"
-        if name not in self.census.names(Place.SILENT):
-            return f"{name} is not silent here: only who is dead, and has not left, can be called gone"
+        if name not in (*self.census.names(Place.SILENT), *self.census.names(Place.AWAY)):
+            return f"{name} is neither silent nor away here: only who is dead or has left can be called gone"
         self.say("member", f"{name} is called gone by an operator")
         self._tell(Forget(name))
         self._ask(Out(name))
