--- a/granitewell/lab/fleet/virtual.py
+++ b/granitewell/lab/fleet/virtual.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from granitewell.cluster.census import Census, Count, Known, Place, Seen
+from granitewell.cluster.notes import MOST_ADDRESSES
 from granitewell.lab.cluster.chaos import Chaos, Trouble
 from granitewell.lab.cluster.links import Cut, Quality
 from granitewell.lab.cluster.membership import KEYS
@@ -42,7 +43,7 @@
         self.cluster = Cluster(schedule.seed, Quality(**given))  # type: ignore[arg-type]
         self._census: dict[str, Census] = {}
         self._count: dict[str, Count] = {}
-        self._kept: dict[str, tuple[Former, list[Known]]] = {}
+        self._kept: dict[str, tuple[Former | None, list[Known], tuple[str, ...]]] = {}  # as notes have it
         self._skipped: list[str] = []
         self._cuts: dict[Trouble, Cut] = {}
         for k, name in enumerate(schedule.names):
@@ -61,8 +62,9 @@
     def _make(self, boot: Boot) -> list[Membership]:
         """What the program's shell does at a start."""
         schedule, name = self.schedule, boot.id
-        former, known = self._kept.get(name, (None, [])) if schedule.lasting else (None, [])
-        seeds = schedule.names[: schedule.seeds]
+        nothing: tuple[Former | None, list[Known], tuple[str, ...]] = (None, [], ())
+        former, known, there = self._kept.get(name, nothing) if schedule.lasting else nothing
+        seeds = tuple(dict.fromkeys((*schedule.names[: schedule.seeds], *there)))
         config = Config(name, name, KEYS, seeds=seeds, figures=Figures(), former=former)
         self._census[name] = Census(name, schedule.configured, 86_400_000_000, known)
         self._count[name] = self._census[name].count
@@ -77,7 +79,8 @@
         self._counted(node, Seen(there))
         own = machine.own
         former = Former(own.gen, machine.seat.birth, own.inc, machine.seat.seq)
-        self._kept[node.id] = former, self._census[node.id].known()
+        near = tuple(m.about.address for m in machine.members() if m.name != node.id)
+        self._kept[node.id] = former, self._census[node.id].known(), near[:MOST_ADDRESSES]
 
     def _counted(self, node: Node, event: object) -> None:
         for effect in self._census[node.id].handle(node.clock.local(self.cluster.now_us), event):
@@ -124,7 +127,7 @@
                 self.cluster.tell(node, Leave())
                 self._at(now + Figures().leave_us, self._end, node)
             elif t.kind == "term" and not on:
-                self._start(node)
+                self._again(node)
         if t.kind in ("mute", "deaf"):
             rest = tuple(n for n in self.schedule.names if n not in t.nodes)
             groups = (t.nodes, rest) if t.kind == "mute" else (rest, t.nodes)
@@ -134,6 +137,13 @@
             else:
                 self.cluster.links.heal(self._cuts.pop(t))
 
+    def _again(self, node: Node) -> None:
+        """Start it, once the process before is gone."""
+        if node.up:
+            self._at(self.now_us + 10_000, self._again, node)
+        else:
+            self._start(node)
+
     def _end(self, node: Node) -> None:
         self.judge.down(self.now_us, node.id)
         self.cluster.kill(node)
