--- a/granitewell/lab/fleet/rig.py
+++ b/granitewell/lab/fleet/rig.py
@@ -40,6 +40,7 @@
 BIND_S = 20.0
 TELL_S = 10.0
 KNOCK_S = 0.02  # between two tries whether a listener is gone
+MOST_RUMOURS, MOST_RUMOURS_S = 200, 8  # letters of news alone that a node may send, and more a second
 AHEAD_NS = 600_000_000_000
 ROADS = frozenset({"cut", "oneway", "alone", "mute", "deaf", "link", "band", "snap", "torn", "half", "hold",
                    "noise"})  # fmt: skip
@@ -106,6 +107,7 @@
             self.seen = words["seen"]
 
     def _saw(self, look: Look) -> None:
+        """To the judge, and for the page."""
         verdict = self.judge.look(look.at_us, look.node, look.whole, look.up, look.gone, look.most, look.life)
         self.looks.append((look, verdict))
 
@@ -171,9 +173,18 @@
         for text in self.seen.get("offences", ()):
             rule, _, what = text.partition(": ")
             self.judge.tell(self.now(), rule, what)
+        self._chatter()
         if self._doors is not None:
             self._doors.end()
 
+    def _chatter(self) -> None:
+        """Does anybody pass on news without end?"""
+        counts = self.seen.get("counts", {})
+        for name in self.schedule.names:
+            said = counts.get(f"{name} rumour", 0)
+            if said > MOST_RUMOURS + MOST_RUMOURS_S * self.schedule.seconds:
+                self.judge.tell(self.now(), "chatter", f"{name} has sent {said} letters of news alone")
+
     def down(self) -> None:
         """Nothing stays behind."""
         if self._doors is not None:
@@ -326,6 +337,7 @@
         assert director is not None
         for name in t.nodes:
             key = name, t.at_us
+            self.judge.twin(name, on)
             if not on:
                 if key in self._twins:
                     self._twins[key].signal(signal.SIGKILL)
--- a/granitewell/lab/judge/view.py
+++ b/granitewell/lab/judge/view.py
@@ -11,7 +11,9 @@
     life      a name's life number never falls, and a process that was killed never goes on with its life
     upgrade   while two processes of a node change over nobody sees it die, leave, or begin another life
     leave     a node that was asked to stop is not called dead by who could not but hear that it leaves
+    elder     a second process of a name does not take it from the first
     first     a node that was asked to stop says so before its clients' listener is gone
+    chatter   news is passed on for a while and no more
     number, frames     see the switch
 """
 
@@ -21,7 +23,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-RULES = ("settle", "buried", "budget", "life", "upgrade", "leave", "first", "number", "frames")
+RULES = ("settle", "buried", "budget", "life", "upgrade", "leave", "elder", "first", "chatter", "number", "frames")
 GRACE_US = 45_000_000  # after a trouble, for which it explains what is believed
 NEW_US = 10_000_000  # for which a node that has come may count on fewer than there are
 CALM_US = 10_000_000  # without a trouble, after which a node hears all that is said to it
@@ -95,6 +97,7 @@
         self._apart_us: dict[frozenset[str], int] = {}  # pair: when they were last cut off from each other
         self._unclear: set[object] = set()  # troubles under which no view is expected
         self._upgrades: dict[str, tuple[int, int]] = {}  # node: since when, and the life that it had
+        self._elders: dict[str, str] = {}  # names that two processes go by: the birth of the first
         self._latest: dict[str, tuple[int, bool, dict[str, str], bool]] = {}
         self._changed_us, self._cause, self._open = 0, "", False
         self._buried: set[tuple[str, str, int]] = set()
@@ -177,6 +180,14 @@
         else:
             self._upgrades.pop(name, None)
 
+    def twin(self, name: str, on: bool) -> None:
+        """A second process goes by the name of one that runs, or does no more."""
+        births = [up[name] for _, whole, up, _ in self._latest.values() if whole and name in up]
+        if on and births:
+            self._elders[name] = births[0]
+        elif not on:
+            self._elders.pop(name, None)
+
     def _change(self, at_us: int, cause: str) -> None:
         if self._open and self._settling:
             self.report.settled.append(Settled(self._changed_us, self._cause, -1))
@@ -247,6 +258,10 @@
                 self.report.false_deaths += 1
 
     def _births(self, at_us: int, by: Process, up: Mapping[str, str], gone: Mapping[str, str]) -> None:
+        for name, birth in self._elders.items():
+            if up.get(name, birth) != birth:
+                text = f"{by.name} takes a second process for {name}, whose first one lives"
+                self._once("elder", at_us, by, self._nodes[name], text)
         for name in self._upgrades:
             if gone.get(name) == "left" and self._nodes[name].asked_us < 0:
                 node = self._nodes[name]
--- a/tests/fleet/test_view_judge.py
+++ b/tests/fleet/test_view_judge.py
@@ -139,6 +139,19 @@
     t.look(10, "a", "ac", {"b": "left"})
 
 
+def _elder(t: Told) -> None:
+    t.judge.twin("b", True)
+    t.births["b"] = "2"
+    t.look(3, "a")
+
+
+def _elder_gone(t: Told) -> None:
+    t.judge.twin("b", True)
+    t.judge.twin("b", False)
+    t.births["b"] = "2"
+    t.look(3, "a")
+
+
 def _told(rule: str) -> Callable[[Told], None]:
     return lambda t: t.judge.tell(S, rule, "told by somebody else")
 
@@ -153,7 +166,8 @@
     "life goes on": (_life_goes_on, {"life"}), "life begins": (_life_begins, set()),
     "life lost": (_life_lost, set()),
     "upgrade": (_upgrade, {"upgrade"}), "upgrade, left": (_upgrade_left, {"upgrade"}),
-    "leave": (_leave, {"leave"}), "left": (_left, set()), "first": (_told("first"), {"first"}),
+    "elder": (_elder, {"elder"}), "elder gone": (_elder_gone, set()), "leave": (_leave, {"leave"}),
+    "left": (_left, set()), "first": (_told("first"), {"first"}), "chatter": (_told("chatter"), {"chatter"}),
     "number": (_told("number"), {"number"}), "frames": (_told("frames"), {"frames"}),
 }  # fmt: skip
 
