--- a/granitewell/lab/judge/view.py
+++ b/granitewell/lab/judge/view.py
@@ -23,7 +23,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-RULES = ("settle", "buried", "budget", "life", "upgrade", "leave", "elder", "first", "chatter", "number", "frames")
+RULES = ("settle", "buried", "budget", "life", "upgrade", "leave", "elder", "first", "chatter", "number",
+         "frames")  # fmt: skip
 GRACE_US = 45_000_000  # after a trouble, for which it explains what is believed
 NEW_US = 10_000_000  # for which a node that has come may count on fewer than there are
 CALM_US = 10_000_000  # without a trouble, after which a node hears all that is said to it
