--- a/granitewell/net/cluster.py
+++ b/granitewell/net/cluster.py
@@ -360,6 +360,8 @@
         role = self._settings.role
         ours = [e for e in machine.everyone() if e.about is None or e.about.role == role]
         there = {e.name: PLACES[e.standing.state] for e in ours}
+        # whom an operator has called gone, at whatever node: it did not say so itself
+        there |= {e.name: Place.OUT for e in ours if e.standing.state is State.LEFT and e.by}
         self._ask(Seen(there))
 
     def _ask(self, event: object) -> None:
