--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -102,6 +102,13 @@
     assert play(made) == found
 
 
+@pytest.mark.parametrize("seed", [112, 197, 391, 401, 464, 506, 520, 836, 967])
+def test_a_seed_that_once_broke_a_rule_keeps_it(seed: int) -> None:
+    """Found by `granitewell lab fleet chaos --hunt 1000 --severity 0.5`."""
+    found = play(schedule(*load("chaos"), seed, severity=0.5))
+    assert found["kept"], found["view"]["offences"]
+
+
 def test_every_planted_defect_has_a_patch_and_a_scenario_that_there_is() -> None:
     assert set(PLANTS) == set(SHELL) | set(MACHINE)
     assert set(SCENARIO.values()) <= set(builtin())
