A request's Idempotency-Key goes on to its endpoint

Ruled out: body, method, target, Request-Id (as sent); Affinity-Key and Client-Retry (passed).

A key that comes twice is refused like the other single headers.

--- a/granitewell/net/http1.py
+++ b/granitewell/net/http1.py
@@ -34,8 +34,10 @@
 _NUMBERS = re.compile(r"[0-9.]+\Z|[0-9A-Fa-f:.]+(%\w+)?\Z")  # an address that is no name
 _MS = re.compile(rb"[0-9]{1,9}\Z")
 _SINGLE = frozenset({b"request-id", b"request-class", b"tenant", b"affinity-key", b"request-timeout-ms",
-                     b"client-retry"})  # fmt: skip
-_PASSED = (b"request-class", b"tenant", b"affinity-key", b"client-retry", b"request-info", b"content-type")
+                     b"client-retry", b"idempotency-key"})  # fmt: skip
+# by its idempotency key an endpoint knows a repeat of a class that may be repeated within its scope and window
+_PASSED = (b"request-class", b"tenant", b"affinity-key", b"client-retry", b"request-info", b"content-type",
+           b"idempotency-key")  # fmt: skip
 # all that is read of a head: what is not is not held, as a head of 16 KiB may name thousands
 _ASKED = frozenset({*_SINGLE, *_PASSED, b"content-length", b"expect"})
 _TOLD = frozenset({b"content-length", b"transfer-encoding", b"content-type", b"server-load", b"not-started"})
