A stop answers what was written ahead, ends connections half-closed first, and leaves in order

A request that crosses a close is met by a reset, which takes with it an answer that is still under way. Now they are half-closed, what still comes is taken and goes nowhere, and the client's end closes them (part). - Inbounds.close gave the last answers 200 ms whatever was still to be written, and the process's end reset whoever wrote just then. Now answers have until shortly before SIGKILL can come (Core.leave_by_us), and a request that arrives as the process leaves is refused. - A stop during the start: Listening set the core to listening again behind it, so that it left only by its last timer, and the start's own debt of CPU time was waited out.

Ruled out: what is read behind the half-close was never sent on (closing is looked at behind the read); a cancelled read gives up its bytes (the task ends there); a second SIGTERM, SIGTERM in a reload (one event at a time).

The time-outs in net/inbounds.py have the field's names.

--- a/granitewell/core/reducer.py
+++ b/granitewell/core/reducer.py
@@ -69,7 +69,8 @@
 LAST_US = 700_000  # the same where the listener is shared, for the last requests on connections kept so long
 HEAR_US = 100_000  # after the listener has closed, for requests on connections taken at the last moment
 LONGEST_US = 3_000_000  # the longest deadline that the platform waits out before SIGKILL
-STOP_SPARE_US = 450_000  # of the 700 ms that follow it, what may pass before the node leaves by itself
+STOP_SPARE_US = 450_000  # of the 700 ms that follow it, what may pass before the node leaves by itself,
+PARTING_US = 150_000  # and what more until its process is gone, for answers that its clients are slow to take
 MOST_NAMED = 10_000  # endpoints that an operator may name although no list has them now
 FORGET_US = 60_000_000  # how long a gone endpoint stays known
 BEAT_US = 5_000_000  # between two lines of figures
@@ -112,6 +113,7 @@
         self._listening = self._beating = False
         self._nodes: t.Acting | None = None  # as the nodes see themselves; None where nobody says so
         self._module_us = -1  # when the module's timer is due; -1: none
+        self.leave_by_us = -1  # once it is asked to stop: when the process must be gone
 
     # --- The only way in --------------------------------------------------------------------------------
     def handle(self, now_us: int, event: Event) -> list[Effects]:
@@ -161,7 +163,8 @@
         elif isinstance(event, FleetNews):
             self._news(event)
         elif isinstance(event, Listening):
-            self._listening = True
+            if self.phase is Phase.STARTING:  # else a stop has come before
+                self._listening = True
         elif isinstance(event, BanAsked | BanLifted):
             self._ruled(event)
         elif isinstance(event, BansHeard):
@@ -279,6 +282,7 @@
         else:
             self._at(self._now + ACCEPT_US, "accepted")
         self._at(end, "leave")
+        self.leave_by_us = end + PARTING_US
 
     # --- Requests ---------------------------------------------------------------------------------------
     def _arrived(self, event: Arrived) -> None:
--- a/granitewell/lab/sim/street.py
+++ b/granitewell/lab/sim/street.py
@@ -20,7 +20,7 @@
     from granitewell.lab.sim.node import Node
     from granitewell.lab.sim.world import World
 
-SPENT_US = 2_000_000  # after which a node closes a client's idle connection (granitewell.net.loop)
+IDLE_US = 2_000_000  # after which a node closes a client's idle connection (granitewell.net.loop)
 ADMIT_AGAIN_US = 20_000  # and after which it looks again whether it has room for one more
 VERDICTS = {
     c.Verdict.SERVED: "served", c.Verdict.FAIL_FAST: "refused", c.Verdict.FAILED: "failed",
@@ -114,7 +114,7 @@
         lines = node.kept.get(zone)
         while lines:
             line = lines.pop()
-            if line.open and self._engine.now_us - line.idle_us < SPENT_US:
+            if line.open and self._engine.now_us - line.idle_us < IDLE_US:
                 return line
             node.drop(line)
         return None
--- a/granitewell/net/inbounds.py
+++ b/granitewell/net/inbounds.py
@@ -27,24 +27,25 @@
 MOST_ACCEPTED = 64  # connections taken in one turn of the loop
 # A client that sends nothing of use is owed an error or a close within 3 s of connecting; a usual client's
 # first request is there within milliseconds.
-SLOW_US = 2_400_000  # for a client to get the head of a begun request across; on a new connection, since it
-BODY_US = 2_500_000  # came; and between two pieces of its body, which has to come at
+HEAD_US = 2_400_000  # for a client to get the head of a begun request across; on a new connection, since it
+BODY_GAP_US = 2_500_000  # came; and between two pieces of its body, which has to come at
 BODY_PER_S = 16 * 1024  # bytes a second at least, from so long after its head on
 BODY_SPARE_US = 3_000_000
 FLOW_STILL_US = 10_000_000  # without a byte, after which a body that flows comes no more; it has to come at
 FLOW_PER_S = 4 * 1024  # bytes a second at least, once as long has passed since its head
-HUSH_US = 200_000  # after which a connection that has said nothing goes first where descriptors are short,
-HALF_US = 500_000  # and after which one with half a request goes with those that are idle
+EVICT_IDLE_US = 200_000  # after which a connection that has said nothing goes first where descriptors are
+EVICT_HALF_US = 500_000  # short, and after which one with half a request goes with those that are idle
 # Clients hold a third of the descriptors at most, and some ask once and keep their connection for good: those
 # keep requests out, which then never get here.
-SPENT_US = 2_000_000  # for a client to ask again
-ONCE_US = 100_000  # the same on a connection with one answer, where inbounds are more than
+IDLE_US = 2_000_000  # for a client to ask again
+SHORT_IDLE_US = 100_000  # the same on a connection with one answer, where inbounds are more than
 ONCE_PART = 8  # one in so many descriptors
 SCRAP = bytearray(64 * 1024)  # takes what comes in behind an error; never read
 MOST_SCRAP = 1024 * 1024  # of that, bytes that are taken before the connection ends: some clients send 60 MB
-STUCK_S = 5.0  # for a client to take its answer,
-PARTING_S = 0.2  # and for the last ones of a process
-FRESH_US = 2_000_000  # for the first byte of the first request on a new connection
+WRITE_TIMEOUT_S = 5.0  # for a client to take its answer,
+SHUTDOWN_STEP_S = 0.01  # between two looks at them
+PARTING_US = 200_000  # for the clients of a process that leaves to close, once nothing is owed to any
+FIRST_REQUEST_US = 2_000_000  # for the first byte of the first request on a new connection
 LINGER_US = 1_000_000  # for a client to close after our last answer on a connection
 MOST_QUEUED = 4  # requests written ahead on one inbound, after which it is read on once one is answered
 
@@ -112,12 +113,21 @@
         if self.accepting is None and self.listener is not None:
             self.accepting = self._spawn(self.accept(self.listener))
 
-    async def close(self) -> None:
-        """Take nobody any more; the last answers are given a moment to get out."""
+    async def close(self, by_us: int) -> None:
+        """Take nobody any more, and end all of them: the process goes. Answers have until by_us to get out;
+        what a client has written by now is read and gets one, as a close over unread bytes would reset it."""
         if self.accepting is not None:
             self.accepting.cancel()
-        if self._replies:
-            await asyncio.wait(self._replies, timeout=PARTING_S)
+        soon_us = self._clock.fresh() + PARTING_US
+        while any(i.busy for i in self.held.values()) or self._clock.fresh() < soon_us:
+            for inbound in list(self.held.values()):
+                if not inbound.closing and is_idle(inbound, self._clock.now()):
+                    self.part(inbound)
+            if not self.held or self._clock.fresh() >= by_us:
+                break
+            await asyncio.sleep(SHUTDOWN_STEP_S)
+        for inbound in list(self.held.values()):
+            self.drop(inbound)
 
     async def accept(self, listener: socket.socket) -> None:
         """Take clients from it for as long as it is open."""
@@ -168,10 +178,10 @@
         now = self._clock.now()
         free = [i for i in self.held.values() if not i.busy]
         for inbound in sorted(free, key=lambda i: (not i.fresh or i.parser.partial, i.at_us)):
-            spent = (inbound.closing or inbound.parser.partial) and now - inbound.at_us >= HALF_US
-            if inbound.parser.in_body and now - inbound.heard_us < HALF_US:
+            spent = (inbound.closing or inbound.parser.partial) and now - inbound.at_us >= EVICT_HALF_US
+            if inbound.parser.in_body and now - inbound.heard_us < EVICT_HALF_US:
                 continue  # a request that comes slowly, yet comes
-            if spent or is_idle(inbound, now, HUSH_US):
+            if spent or is_idle(inbound, now, EVICT_IDLE_US):
                 self.drop(inbound)
                 return True
         return len(self.held) < self._limits.inbound and self._pool.shed_idle()
@@ -193,7 +203,7 @@
         for inbound in list(self.held.values()):
             # one that has written something is heard first: what it wrote may be a whole request
             if is_idle(inbound, self._clock.now()):
-                self.drop(inbound)
+                self.part(inbound)
 
     def _release(self, listener: socket.socket) -> None:
         """Close the listener, or leave a shared one to the others. It must be out of the loop's poll before:
@@ -215,7 +225,7 @@
     def tend(self, inbound: Inbound, now: int, many: bool) -> None:
         """Is it time for this one to end? many: descriptors are short."""
         waited = now - inbound.at_us
-        patience = ONCE_US if many and inbound.answered == 1 else SPENT_US
+        patience = SHORT_IDLE_US if many and inbound.answered == 1 else IDLE_US
         if inbound.closing and waited >= LINGER_US:
             self.drop(inbound)
         elif inbound.busy and inbound.flow is not None and not inbound.flow.done:
@@ -233,8 +243,8 @@
                 self.reply(inbound, http1.bad_bytes(late), True)
         elif self.listener is None and self._shared:
             return  # until the process leaves: what a client writes there now must not be turned back
-        elif waited >= (FRESH_US if inbound.fresh else patience) and is_idle(inbound, now):
-            self.drop(inbound)
+        elif waited >= (FIRST_REQUEST_US if inbound.fresh else patience) and is_idle(inbound, now):
+            self.part(inbound)
 
     def waits(self, number: int) -> bool:
         """Does this inbound's client still wait? The kernel is asked: what tells of its leaving may stand
@@ -358,8 +368,10 @@
         """Write the core's answer, if its client is still there."""
         inbound = self.held.get(effect.inbound)
         if inbound is not None:
-            # behind an answer that came before the whole request nothing can be read in step
-            close = effect.close or not inbound.keep or inbound.flow is not None
+            # behind an answer that came before the whole request nothing can be read in step; what was
+            # written ahead has been taken, and it is the last answer that ends the connection
+            ends = effect.close and not inbound.queue
+            close = ends or not inbound.keep or inbound.flow is not None
             self.reply(inbound, http1.answer_bytes(effect, close), close)
 
     def finished(self, effect: c.Finish) -> None:
@@ -383,7 +395,7 @@
         if inbound.id not in self.held:
             return  # the client has left in this very turn
         try:
-            async with asyncio.timeout(STUCK_S):  # a client that does not read holds nothing for long
+            async with asyncio.timeout(WRITE_TIMEOUT_S):  # a client that does not read holds nothing for long
                 await self._loop.sock_sendall(inbound.sock, data)
             self.answered(inbound, close)
         except Exception as error:
@@ -400,17 +412,23 @@
         self._count(inbound)
         if inbound.turn is not None:
             inbound.turn.set()
-        if close or self.listener is None:
-            # half-closed first: closing with bytes unread would reset the answer away
-            inbound.closing = True
-            if inbound.flow is not None:
-                inbound.flow.owner.room.set()
-                inbound.flow.unread = 0
-            with contextlib.suppress(OSError):
-                inbound.sock.shutdown(socket.SHUT_WR)
+        if close or (self.listener is None and not inbound.queue):
+            self.part(inbound)
         else:
             self._next(inbound)
 
+    def part(self, inbound: Inbound) -> None:
+        """End it from this side: half-closed first, since closing with bytes unread, or before bytes that are
+        on their way, would reset the last answer away. What still comes is taken and goes nowhere: its client
+        sees an end without an answer, and asks on another connection."""
+        inbound.closing = True
+        inbound.at_us = self._clock.now()
+        if inbound.flow is not None:
+            inbound.flow.owner.room.set()
+            inbound.flow.unread = 0
+        with contextlib.suppress(OSError):
+            inbound.sock.shutdown(socket.SHUT_WR)
+
     def drop(self, inbound: Inbound) -> None:
         """End a client's connection, and whatever its reading task waits for: a body that nobody takes any
         more gets no room."""
@@ -440,9 +458,9 @@
 def too_slow(inbound: Inbound, now_us: int) -> bool:
     """Has a request that has begun taken longer than its client may?"""
     if not inbound.parser.in_body:
-        return now_us - inbound.at_us >= SLOW_US
+        return now_us - inbound.at_us >= HEAD_US
     due = (now_us - inbound.head_us - BODY_SPARE_US) * BODY_PER_S / 1e6
-    return now_us - inbound.heard_us >= BODY_US or inbound.parser.size < due
+    return now_us - inbound.heard_us >= BODY_GAP_US or inbound.parser.size < due
 
 
 def trickles(inbound: Inbound, flow: http1.Flow, now_us: int) -> bool:
@@ -467,7 +485,7 @@
     return len(inbound.queue) >= MOST_QUEUED or _written_ahead(inbound) > 0
 
 
-def is_idle(inbound: Inbound, now_us: int, fresh_us: int = FRESH_US) -> bool:
+def is_idle(inbound: Inbound, now_us: int, fresh_us: int = FIRST_REQUEST_US) -> bool:
     """Nothing is owed there, and nothing has come in that could be a request: neither bytes still with the
     kernel, nor bytes that the loop took from it a turn before the reading task goes on. A new connection is
     not idle for so long: its first request is on the way, and only between requests may a node close."""
--- a/granitewell/net/loop.py
+++ b/granitewell/net/loop.py
@@ -128,12 +128,13 @@
         debt_s = start_debt(time.process_time(), age_s(), self._config.cores)
         if debt_s > 0.0:
             self.say("start", f"ready {debt_s * 1000:.0f} ms later: the start is not paid for yet")
-            await asyncio.sleep(debt_s)
+            with contextlib.suppress(TimeoutError):  # a stop does not wait for it
+                await asyncio.wait_for(self._left.wait(), debt_s)
         self.dispatch(c.Listening())
         await self._left.wait()
         if self.console is not None:
             self.console.close()
-        await self.clients.close()
+        await self.clients.close(self._core.leave_by_us)
 
     async def _fleet(self) -> None:
         """The first list. What discovery has counts as told from this process's first moment, so the one in
@@ -496,7 +497,8 @@
         try:
             if len(conn.buffer) < self._budget.piece():
                 conn.buffer = bytearray(self._budget.piece())
-            closing = not inbound.keep or self.clients.listener is None or inbound.flow is not None
+            last = self.clients.listener is None and not inbound.queue
+            closing = last or not inbound.keep or inbound.flow is not None
             pour = Pour(self._loop, inbound.sock, head, inbound.old, closing)
             inbound.keep = inbound.keep and not pour.closes
             await pour.write(parser.take())
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -88,6 +88,15 @@
     await asyncio.get_running_loop().sock_sendall(client, data)
 
 
+async def ends_well(client: socket.socket) -> bool:
+    """The connection ends with nothing further on it, and is not reset."""
+    async with asyncio.timeout(20.0):
+        try:
+            return await asyncio.get_running_loop().sock_recv(client, 4096) == b""
+        except ConnectionError:
+            return False
+
+
 async def heard(client: socket.socket, end: bytes = b"\r\n\r\n") -> bytes:
     """What comes up to and with these bytes, or up to the end of the connection."""
     loop, data = asyncio.get_running_loop(), b""
@@ -106,7 +115,8 @@
 class Bureau:
     """Discovery's agent, whose list changes by `lists`. mute: it takes calls and says nothing; empty: each
     watch is answered with nothing in it, at once; piecemeal: a whole list comes in so many pieces, with a
-    pause between each two. wholes: calls for the whole list."""
+    pause between each two; hold: what answers wait for. wholes: calls for the whole list; watches: the
+    revisions that have been watched from."""
 
     def __init__(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
@@ -116,7 +126,9 @@
         self.revision = 1
         self.mute = self.empty = False
         self.piecemeal = 1
-        self.wholes = self.watches = 0
+        self.wholes = 0
+        self.watches: list[int] = []
+        self.hold: asyncio.Event | None = None
         self._news = asyncio.Event()
         self._tasks = [asyncio.create_task(self._accept())]
 
@@ -138,7 +150,8 @@
         with conn, contextlib.suppress(OSError):
             while (head := await heard(conn)).endswith(b"\r\n\r\n"):
                 watch = re.search(rb"after=(\d+)&wait_ms=(\d+)", head)
-                self.watches, self.wholes = self.watches + bool(watch), self.wholes + (not watch)
+                self.watches += [int(watch[1])] if watch else []
+                self.wholes += not watch
                 body = self._body(not watch)
                 if watch and not self.empty and int(watch[1]) >= self.revision:
                     with contextlib.suppress(TimeoutError):
@@ -147,6 +160,8 @@
                             body = self._body(True)
                 if self.mute:
                     await asyncio.Event().wait()
+                if self.hold is not None:
+                    await self.hold.wait()
                 text = OK % (len(body), body)
                 size = -(-len(text) // self.piecemeal)
                 for at in range(0, len(text), size):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,11 +15,11 @@
 from granitewell.net.bodies import COPIES, LEAST_PIECE, MOST_PIECE, Budget
 from granitewell.net.http1 import MOST_KEPT, Ask, Flow, InboundParser, Names
 from granitewell.net.inbounds import (
+    BODY_GAP_US,
     BODY_PER_S,
     BODY_SPARE_US,
-    BODY_US,
     FLOW_STILL_US,
-    SLOW_US,
+    HEAD_US,
     Inbound,
     too_slow,
     trickles,
@@ -80,11 +80,11 @@
     ours, theirs = socket.socketpair()
     one = Inbound(1, ours, InboundParser(Names(load(write(tmp_path)))), 0)
     one.parser.feed(b"POST /ride-assign/1 HTTP/1.1\r\n")
-    assert not too_slow(one, SLOW_US - 1) and too_slow(one, SLOW_US)
+    assert not too_slow(one, HEAD_US - 1) and too_slow(one, HEAD_US)
     one.parser.feed(b"Content-Length: 60000\r\n\r\n" + bytes(BODY_PER_S))
-    one.head_us = one.heard_us = SLOW_US
-    assert not too_slow(one, SLOW_US + BODY_US - 1) and too_slow(one, SLOW_US + BODY_US)
-    one.heard_us = late = SLOW_US + BODY_SPARE_US + 2_000_000
+    one.head_us = one.heard_us = HEAD_US
+    assert not too_slow(one, HEAD_US + BODY_GAP_US - 1) and too_slow(one, HEAD_US + BODY_GAP_US)
+    one.heard_us = late = HEAD_US + BODY_SPARE_US + 2_000_000
     assert too_slow(one, late)  # it has had time for twice as much
     one.parser.feed(bytes(BODY_PER_S))
     assert not too_slow(one, late)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,11 +10,14 @@
 
 import pytest
 
+from granitewell import core as c
+from granitewell.net import loop as loop_module
 from granitewell.net import pool as pool_module
 from granitewell.net.discovery import ASKED, PUSHED, RENEW_S, Patience
+from granitewell.net.inbounds import IDLE_US
 from granitewell.net.loop import Node
-from granitewell.net.sockets import has_left
-from tests.desk import GET, OK, POST, Bureau, Desk, heard, row, sent, serves
+from granitewell.net.sockets import has_left, readable
+from tests.desk import GET, OK, POST, Bureau, Desk, ends_well, heard, row, sent, serves
 from tests.play import settings
 from tests.shell import client_of, played, turns, until
 
@@ -127,7 +130,8 @@
         bureau.lists((desk, "ready"))
         node.discovery.at(bureau.address, PUSHED)
         await until(lambda: sendable(node, desk) and bureau.watches)
-        bureau.empty = True
+        bureau.empty, calls = True, len(bureau.watches)
+        await until(lambda: len(bureau.watches) > calls + 1)  # the watch that was open is over
         bureau.lists((desk, "draining"))
         await until(lambda: sendable(node, desk) is False)
         await ended(node, bureau, desk)
@@ -144,7 +148,9 @@
         node.discovery.at(bureau.address, PUSHED)
         await until(lambda: sendable(node, desk) and bureau.watches)
         bureau.members, bureau.revision = [row(desk, "draining")], 2
-        await until(lambda: sendable(node, desk) is False)
+        await until(lambda: sendable(node, desk) is False and bureau.watches[-1] == 2)
+        # the answer to a watch from 900 was 2, with nothing in it: the next call was for the whole list
+        assert bureau.watches.count(2) == 1 and bureau.wholes == 2
         await ended(node, bureau, desk)
 
     played(tmp_path, scenario)
@@ -206,14 +212,19 @@
 
 
 @pytest.mark.parametrize("mute", [False, True])
-def test_a_start_serves_by_what_discovery_has_not_by_the_list_of_before(tmp_path: Path, mute: bool) -> None:
+def test_a_start_serves_by_what_discovery_has_not_by_the_list_of_before(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, mute: bool
+) -> None:
     """The list in the configuration may be old, and what the agent has counts as told from the process's
     first moment. It is for where the agent does not answer."""
 
     async def scenario(node: Node) -> None:
         old, new, bureau = Desk(b"s-0"), Desk(b"s-1"), Bureau()
         bureau.lists((old, "draining"), (new, "ready"))
-        bureau.mute = mute
+        bureau.mute, bureau.hold = mute, asyncio.Event()
+        if not mute:  # its word comes after a client's request, however slow this machine is
+            monkeypatch.setattr(loop_module, "PUSHED", replace(PUSHED, list_s=60.0))
+            monkeypatch.setattr(loop_module, "FIRST_S", 60.0)
         known = {"revision": 1, "complete": True, "members": [row(old, "ready")]}
         node._config = replace(node._config, known=known)
         running = begins(node, bureau)
@@ -221,6 +232,8 @@
         client = socket.create_connection(node.clients.listener.getsockname())  # type: ignore[union-attr]
         client.setblocking(False)
         await sent(client, GET % b"r0")
+        await turns(3000)  # in which a node that takes clients too soon has sent it on
+        bureau.hold.set()
         await until(lambda: old.asked or new.asked)
         assert (old.ids, new.ids) == (([b"r0"], []) if mute else ([], [b"r0"]))
         bureau.mute = False
@@ -279,3 +292,155 @@
         await desk.close()
 
     played(tmp_path, scenario)
+
+
+# --- The stop -----------------------------------------------------------------------------------------------
+def stopping(node: Node) -> None:
+    """As 500 ms after the stop signal: the listener has gone, what is held is served to its end."""
+    node.stop()
+    node.clients.listener = None
+
+
+def test_requests_written_ahead_are_answered_though_the_stop_comes_between(tmp_path: Path) -> None:
+    """The answer after the stop ended the connection, and with it whole requests that had been read."""
+
+    async def scenario(node: Node) -> None:
+        desk, client = Desk(), client_of(node)
+        serves(node, desk)
+        (inbound,) = node.clients.held.values()
+        await sent(client, b"".join(POST % b"r%d" % k for k in range(3)))
+        await until(lambda: desk.asked and len(inbound.queue) == 2)
+        stopping(node)
+        heads = []
+        for k in range(3):
+            await until(lambda k=k: len(desk.asked) > k)  # type: ignore[misc]
+            await desk.answer(b"%d" % k)
+            heads.append(await heard(client, b"%d" % k))
+        assert [b"200 OK" in head for head in heads] == [True] * 3
+        assert [b"Connection: close" in head for head in heads] == [False, False, True]
+        assert await heard(client) == b""  # the end
+        client.close()
+        await desk.close()
+
+    played(tmp_path, scenario)
+
+
+def test_what_crosses_the_end_of_an_idle_connection_is_not_sent_on(tmp_path: Path) -> None:
+    """A client's request arrives in the moment in which the node ends its idle connection. The client hears
+    an end without an answer, never a reset: a reset would take the answer before it away, where that is still
+    under way; and it asks elsewhere, so that nothing may go on from here."""
+
+    async def scenario(node: Node) -> None:
+        desk, client = Desk(), client_of(node)
+        serves(node, desk)
+        (inbound,) = node.clients.held.values()
+        await sent(client, GET % b"r0")
+        await until(lambda: desk.asked)
+        await desk.answer()
+        await until(lambda: inbound.answered and readable(client))  # written, and not read by its client yet
+        node.clients.tend(inbound, inbound.at_us + IDLE_US, False)
+        await sent(client, GET % b"crosses")
+        assert (await heard(client, b"ok")).endswith(b"ok")
+        assert await ends_well(client)
+        client.close()
+        await until(lambda: not node.clients.held)
+        assert desk.ids == [b"r0"]
+        await desk.close()
+
+    played(tmp_path, scenario)
+
+
+def test_the_same_when_the_listener_closes(tmp_path: Path) -> None:
+    async def scenario(node: Node) -> None:
+        desk, client = Desk(), client_of(node)
+        serves(node, desk)
+        (inbound,) = node.clients.held.values()
+        await sent(client, GET % b"r0")
+        await until(lambda: desk.asked)
+        await desk.answer()
+        await until(lambda: inbound.answered and readable(client))
+        node.clients.listener, listener = socket.create_server(("127.0.0.1", 0)), node.clients.listener
+        node.clients.listener.setblocking(False)
+        node.clients.stop_listening()
+        await sent(client, GET % b"crosses")
+        assert (await heard(client, b"ok")).endswith(b"ok")
+        assert await ends_well(client)
+        client.close()
+        await until(lambda: not node.clients.held)
+        assert desk.ids == [b"r0"]
+        node.clients.listener = listener
+        await desk.close()
+
+    played(tmp_path, scenario)
+
+
+def test_a_process_that_leaves_waits_for_the_clients_that_take_their_answers_slowly(tmp_path: Path) -> None:
+    """The process ended 200 ms after its last answer was made, whatever of it was still to be written."""
+
+    async def scenario(node: Node) -> None:
+        desk, bureau = Desk(), Bureau()
+        bureau.lists((desk, "ready"))
+        running = begins(node, bureau)
+        await until(lambda: node.phase is c.Phase.READY and node.clients.listener is not None)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(node.clients.listener.getsockname())  # type: ignore[union-attr]
+        client.setblocking(False)
+        await sent(client, GET % b"r0")
+        await until(lambda: desk.asked)
+        (inbound,) = node.clients.held.values()
+        inbound.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        node.stop()
+        body = bytes(60_000)
+        await desk.answer(body)
+        await until(lambda: node._left.is_set())
+        data = await heard(client, b"nothing such")
+        assert len(data) - data.index(b"\r\n\r\n") - 4 == len(body)
+        client.close()
+        await running
+        await ended(node, bureau, desk)
+
+    played(tmp_path, scenario)
+
+
+def test_a_request_that_comes_as_the_process_leaves_is_refused_not_reset(tmp_path: Path) -> None:
+    """On a connection taken at the last moment, whose request comes when all else is answered."""
+
+    async def scenario(node: Node) -> None:
+        desk, bureau = Desk(), Bureau()
+        bureau.lists((desk, "ready"))
+        running = begins(node, bureau)
+        await until(lambda: node.phase is c.Phase.READY and node.clients.listener is not None)
+        client = socket.create_connection(node.clients.listener.getsockname())  # type: ignore[union-attr]
+        client.setblocking(False)
+        await until(lambda: node.clients.held)
+        node.stop()
+        await until(lambda: node._left.is_set())
+        await sent(client, POST % b"late")
+        assert (await heard(client)).startswith(b"HTTP/1.1 503")
+        client.close()
+        await running
+        assert desk.ids == []
+        await ended(node, bureau, desk)
+
+    played(tmp_path, scenario)
+
+
+def test_a_stop_during_the_start_is_a_stop(tmp_path: Path) -> None:
+    """The start went on, took the node for listening again, and left only when no time was left at all."""
+
+    async def scenario(node: Node) -> None:
+        desk, bureau = Desk(), Bureau()
+        bureau.lists((desk, "ready"))
+        bureau.mute = True
+        running = begins(node, bureau)
+        await until(lambda: bureau.wholes)
+        node.stop()
+        await until(lambda: node.phase is c.Phase.STOPPED)
+        node.dispatch(c.Listening())
+        assert not node._core._listening
+        await running
+        await ended(node, bureau, desk)
+
+    said = played(tmp_path, scenario)
+    assert "phase: all is answered: leaving" in said
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,7 +14,15 @@
 from granitewell.config import load
 from granitewell.core import Core
 from granitewell.net.http1 import InboundParser, ResponseParser, outcome, report
-from granitewell.net.inbounds import FRESH_US, HALF_US, HUSH_US, ONCE_PART, ONCE_US, Inbound, is_idle
+from granitewell.net.inbounds import (
+    EVICT_HALF_US,
+    EVICT_IDLE_US,
+    FIRST_REQUEST_US,
+    ONCE_PART,
+    SHORT_IDLE_US,
+    Inbound,
+    is_idle,
+)
 from granitewell.net.listener import start_debt
 from granitewell.net.loop import HEAD_START_US, Log, Node
 from granitewell.net.sockets import readable
@@ -66,7 +74,8 @@
         (inbound,) = node.clients.held.values()
         await asyncio.sleep(0)
         at = inbound.at_us
-        seen.append((is_idle(inbound, at), is_idle(inbound, at + FRESH_US)))  # a new one; one left lying
+        # a new one; one left lying
+        seen.append((is_idle(inbound, at), is_idle(inbound, at + FIRST_REQUEST_US)))
         inbound.fresh = False
         seen.append((readable(ours), is_idle(inbound, at)))
         client.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
@@ -170,14 +179,17 @@
             ours, theirs = socket.socketpair()
             ends.append(theirs)
             ours.setblocking(False)
-            one = Inbound(k, ours, InboundParser(node._names), node.clock.now() - ONCE_US)
+            one = Inbound(k, ours, InboundParser(node._names), node.clock.now() - SHORT_IDLE_US)
             node.clients.held[k] = one
             one.answered, one.fresh = 1 if k < 10 else 2, False
             if k == 9:
                 node._sweep()  # not many yet: who asked once may ask again
+                assert not any(x.closing for x in node.clients.held.values())
                 assert len(node.clients.held) == 10
         node._sweep()
-        left.extend(node.clients.held)
+        left.extend(k for k, one in node.clients.held.items() if not one.closing)
+        for end in ends[:10]:  # each hears the end of its connection
+            assert end.recv(1) == b""
         for end in ends:
             end.close()
 
@@ -205,7 +217,8 @@
             node.clients.held[one.id] = one
             names[one.id] = name
             one.busy, one.fresh = name == "busy", name != "kept"
-            one.at_us -= {"new": 0, "half": HALF_US + 1, "silent": HUSH_US}.get(name, HALF_US)
+            ages = {"new": 0, "half": EVICT_HALF_US + 1, "silent": EVICT_IDLE_US}
+            one.at_us -= ages.get(name, EVICT_HALF_US)
             if name == "half":
                 one.parser.feed(b"GET /ta")
         while node.clients.evict():
