--- a/tests/desk.py
+++ b/tests/desk.py
@@ -15,6 +15,7 @@
 
 from granitewell import core as c
 from granitewell.net.loop import Node
+from tests.shell import turns
 from tiderelay.interface import State, View
 
 GET = b"GET /taxi-lookup/1 HTTP/1.1\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: 5000\r\n\r\n"
@@ -92,9 +93,12 @@
     """The connection ends with nothing further on it, and is not reset."""
     async with asyncio.timeout(20.0):
         try:
-            return await asyncio.get_running_loop().sock_recv(client, 4096) == b""
+            over = await asyncio.get_running_loop().sock_recv(client, 4096) == b""
         except ConnectionError:
             return False
+    await turns()
+    # behind an end a reset shows in the socket's error alone
+    return over and client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
 
 
 async def heard(client: socket.socket, end: bytes = b"\r\n\r\n") -> bytes:
