--- a/granitewell/lab/mutants/catalogue.py
+++ b/granitewell/lab/mutants/catalogue.py
@@ -131,6 +131,7 @@
         "dialed-unchecked", "a connection that comes up is written to, whether or not anyone waits still",
         ("after",), ("busy+impatient+far",),
         (_core("if self._may_write(call):", "if True:"),
+         _core(" or request.forgotten or call.dialing", " or request.forgotten"),
          _policy("self._drop(self._held[event.id])", "del self._held[event.id]")),
     ),
     _record("same-id", "a second request with an open request's id is taken", "same_id",
