A figure of the settings that is no number is refused by its name

Seen: tests/test_customers.py, written for the settings of other customers (unknown keys, optional ones left out, no tenants, one class, absurd but legal figures: all served): aimMs "soon" was refused with "could not convert string to float", no field. wire.parse_settings read its figures with float(); _figure names the key, for the simulator's wire, the start and a reload alike. A figure with a default may be null.

--- a/tiderelay/wire.py
+++ b/tiderelay/wire.py
@@ -184,6 +184,16 @@
     return obj[key]
 
 
+def _figure(obj: Any, key: str, path: str, default: float | None = None) -> float:
+    """A number; without a default it has to be there, with one it may be null. WireError names the key."""
+    value = _need(obj, key, path) if default is None else obj.get(key)
+    value = default if value is None else value
+    try:
+        return float(value)
+    except (TypeError, ValueError):
+        raise WireError(f"settings: {path}{key}: {str(value)[:40]!r} is not a number") from None
+
+
 def _class(c: Any, path: str) -> t.RequestClass:
     effect, scope = _need(c, "effect", path), c.get("keyScope", "all")
     if effect not in _EFFECTS:
@@ -191,9 +201,9 @@
     if effect == "token" and scope not in _SCOPES:
         raise WireError(f"settings: {path}keyScope {scope!r} is unknown")
     return t.RequestClass(
-        float(_need(c, "aimMs", path)), float(_need(c, "giveUpMs", path)), _EFFECTS[effect],
-        float(c.get("value", 1.0)), float(c.get("lateShare", 0.0)),
-        _SCOPES.get(scope, t.Scope.CELL), float(c.get("windowMs", 0.0)), bool(c.get("stream")),
+        _figure(c, "aimMs", path), _figure(c, "giveUpMs", path), _EFFECTS[effect],
+        _figure(c, "value", path, 1.0), _figure(c, "lateShare", path, 0.0),
+        _SCOPES.get(scope, t.Scope.CELL), _figure(c, "windowMs", path, 0.0), bool(c.get("stream")),
     )  # fmt: skip
 
 
@@ -212,34 +222,34 @@
     try:
         settings = t.Settings(
             classes=tuple(_class(c, f"classes[{k}].") for k, c in enumerate(_need(d, "classes"))),
-            proxies=int(_need(d, "balancers")),
-            max_attempts=int(_need(allowed, "maxAttempts", "allowed.")),
-            drain_grace_ms=float(_need(rules, "drainGraceMs", "contract.")),
-            cold_from=float(_need(rules, "coldFrom", "contract.")),
-            ramp_ms=float(_need(rules, "rampTimeMs", "contract.")),
-            fall_multiple=float(_need(rules, "fallMultiple", "contract.")),
-            fall_ms=float(_need(rules, "fallMs", "contract.")),
+            proxies=int(_figure(d, "balancers", "")),
+            max_attempts=int(_figure(allowed, "maxAttempts", "allowed.")),
+            drain_grace_ms=_figure(rules, "drainGraceMs", "contract."),
+            cold_from=_figure(rules, "coldFrom", "contract."),
+            ramp_ms=_figure(rules, "rampTimeMs", "contract."),
+            fall_multiple=_figure(rules, "fallMultiple", "contract."),
+            fall_ms=_figure(rules, "fallMs", "contract."),
             tenants=tuple(
-                t.Tenant(float(_need(x, "share", f"tenants[{k}].")), float(x["allowancePerS"]))
+                t.Tenant(_figure(x, "share", f"tenants[{k}]."), _figure(x, "allowancePerS", f"tenants[{k}]."))
                 for k, x in enumerate(d.get("tenants", []))
                 if _need(x, "allowancePerS", f"tenants[{k}].") is not None
             ),
             index=int(d.get("selfIndex", 0)),
             zone=int(d.get("zone", 0)),
             must_ask=d.get("discovery") == "on_request",
-            must_ask_in_ms=float(rules.get("mustAskInMs", 10000.0)),
+            must_ask_in_ms=_figure(rules, "mustAskInMs", "contract.", 10000.0),
             parallel_tries=bool(allowed.get("parallelTries", False)),
             may_cancel=bool(allowed.get("cancel", False)),
             may_probe=bool(allowed.get("probes", False)),
             retry_after=bool(allowed.get("retryAfter", False)),
-            max_retry_after_ms=float(allowed.get("maxRetryAfterMs", 0.0)),
-            over_share_worth=float(d.get("overShareWorth", 1.0)),
+            max_retry_after_ms=_figure(allowed, "maxRetryAfterMs", "allowed.", 0.0),
+            over_share_worth=_figure(d, "overShareWorth", "", 1.0),
             worth_by_work=d.get("worthBy") == "work",
             report_fields=tuple(_FIELDS.get(f, t.Field.UNKNOWN) for f in fields),
             warm_keys=bool(d.get("familyInfo", {}).get("warmKeys", False)),
-            cross_zone_price=float(price.get("crossZone", 0.0)),
-            handshake_price=float(price.get("handshake", 0.0)),
-            connection_price=float(price.get("connection", 0.0)),
+            cross_zone_price=_figure(price, "crossZone", "penalties.", 0.0),
+            handshake_price=_figure(price, "handshake", "penalties.", 0.0),
+            connection_price=_figure(price, "connection", "penalties.", 0.0),
             weights_live=d.get("weightKind") == "live",
         )
         validate(settings)
