The recorded exchanges check discovery's calls as strictly as before

Checked by planting: another path, a watch on after a failure, an old watch that is not cancelled, a reset taken for an end, the key not passed on: each fails its exchange (reload, discovery_garbage, served, until_reset, idempotency_key).

Inbounds._replies has had no reader since close waits for busy clients; test_crossings says once how cancelling is allowed.

--- a/granitewell/net/inbounds.py
+++ b/granitewell/net/inbounds.py
@@ -105,7 +105,6 @@
         # asked of each request's tenant and class, where there is a limit: -1, or when to come again
         self.limit: Callable[[int, int], int] | None = None
         self._last = 0
-        self._replies: set[asyncio.Task[None]] = set()
 
     # --- The listener -----------------------------------------------------------------------------------
     def open(self) -> None:
@@ -387,9 +386,7 @@
 
     def reply(self, inbound: Inbound, data: bytes, close: bool) -> None:
         inbound.busy = True
-        task = self._spawn(self._write(inbound, data, close))
-        self._replies.add(task)
-        task.add_done_callback(self._replies.discard)
+        self._spawn(self._write(inbound, data, close))
 
     async def _write(self, inbound: Inbound, data: bytes, close: bool) -> None:
         if inbound.id not in self.held:
--- a/tests/play.py
+++ b/tests/play.py
@@ -26,6 +26,7 @@
 
 REST_S = 2 * REST_US / 1e6
 LIMIT_S = 20.0  # for any one thing to happen; only a failing exchange waits so long
+CALL = re.compile(rb"GET /api/targets(?:\?after=(\d+)&wait_ms=(\d+))? HTTP/1\.1\r\n(?:[^\r\n]+\r\n)*\r\n")
 FOLDER = Path(__file__).parent / "exchanges"
 
 
@@ -78,10 +79,10 @@
         self._members: dict[str, tuple[int, dict[str, Any]]] = {}  # by id: as of which revision
         self._revision = 0
         self._whole_at = 0  # revision as of which a watch is answered with the whole list
-        self._raw = b""
+        self._raw, self._said_at = b"", 0  # bytes to be said; how many calls had come when they were
         self._closed = False
-        self.heard: set[int] = set()  # revisions from which the program has watched
-        self.wholes = 0  # calls for the whole list
+        self.calls: list[int] = []  # as they came: the revision watched from, -1 for the whole list
+        self.wrong: list[bytes] = []  # what is no call of the protocol
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
@@ -96,6 +97,14 @@
             self.server.shutdown(socket.SHUT_RDWR)
         self.server.close()
 
+    def left(self) -> None:
+        """Back once the program has closed all that it had to this address. One call may have been under way:
+        a watch that goes on makes several before its connection is renewed."""
+        with self._lock:
+            calls = len(self.calls)
+            ended = self._lock.wait_for(lambda: not self._socks, LIMIT_S)
+            assert ended and len(self.calls) <= calls + 1, "the watch at the old address goes on"
+
     def tell(self, complete: bool, members: list[dict[str, Any]]) -> None:
         """News; back once the program watches for what is newer, as it has read them by then."""
         with self._lock:
@@ -105,14 +114,18 @@
             self._members |= {m["id"]: (self._revision, m) for m in members}
             self._lock.notify_all()
             mine = self._revision
-            assert self._lock.wait_for(lambda: mine in self.heard, LIMIT_S), "nobody watches"
+            assert self._lock.wait_for(lambda: mine in self.calls, LIMIT_S), "nobody watches"
+            assert self.calls[0] == -1 and not self.wrong, (self.calls[:3], self.wrong)
 
     def say(self, body: bytes) -> None:
         """These bytes answer the next call, and its connection ends; back once there is another call."""
         with self._lock:
-            self._raw, wholes = body, self.wholes
+            self._raw = body
             self._lock.notify_all()
-            assert self._lock.wait_for(lambda: not self._raw and self.wholes > wholes, LIMIT_S), "no call"
+            assert self._lock.wait_for(lambda: not self._raw, LIMIT_S), "no call"
+            at = self._said_at
+            assert self._lock.wait_for(lambda: len(self.calls) > at, LIMIT_S), "no call anew"
+            assert self.calls[at] == -1 and not self.wrong, "the next call is not for the whole list"
 
     def _accept(self) -> None:
         while not self._closed:
@@ -125,29 +138,31 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
-        sock.settimeout(LIMIT_S)
         with contextlib.suppress(OSError), sock:
             while head := self._head(sock):
-                found = re.search(rb"after=(\d+)&wait_ms=(\d+)", head)
-                body, ends = self._answer(*map(int, found.groups())) if found else self._answer(-1, 0)
+                found = CALL.fullmatch(head)
+                if found is None:
+                    self.wrong.append(head)
+                    break
+                after, wait_ms = (int(x) if x else -1 for x in found.groups())
+                body, ends = self._answer(after, wait_ms)
                 sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                 if ends:
-                    return
+                    break
         with self._lock:
             self._socks.discard(sock)
+            self._lock.notify_all()
 
     def _answer(self, after: int, wait_ms: int) -> tuple[bytes, bool]:
         """The body for this call, and whether its connection ends behind it."""
         with self._lock:
-            if after < 0:
-                self.wholes += 1
-            else:
-                self.heard.add(after)
+            self.calls.append(after)
             self._lock.notify_all()
             self._lock.wait_for(lambda: self._closed or self._raw or self._revision > max(after, 0),
                                 wait_ms / 1000 if after >= 0 else LIMIT_S)  # fmt: skip
             if self._raw:
-                body, self._raw = self._raw, b""
+                body, self._raw, self._said_at = self._raw, b"", len(self.calls)
+                self._lock.notify_all()
                 return body, True
             whole = after < self._whole_at
             members = [m for at, m in self._members.values() if whole or at > after]
@@ -318,7 +333,7 @@
         path.write_text(json.dumps(text))
         self.program.send_signal(signal.SIGHUP)
         self.agent.tell(True, self.members(words))
-        assert self.agent.wholes > 0
+        old.left()
         old.close()
 
     def step_exit(self, words: str, _: bytes) -> None:
@@ -330,7 +345,7 @@
 
     def nothing_more(self) -> None:
         """No call, byte or connection that the exchange does not name; and the program still lives."""
-        assert self.program is not None
+        assert self.program is not None and not self.agent.wrong, self.agent.wrong
         for name, sock in self.socks.items():
             sock.setblocking(False)
             try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 import socket
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -22,6 +23,13 @@
 from tests.shell import client_of, played, turns, until
 
 
+def cancelling(allowed: bool) -> dict[str, Any]:
+    """Settings under which the module may cancel what is out, or not."""
+    text = settings()
+    text["allowed"]["cancel"] = allowed
+    return text
+
+
 # --- A client leaves ------------------------------------------------------------------------------------
 @pytest.mark.parametrize("cancel", [True, False])
 def test_what_a_client_wrote_ahead_goes_nowhere_once_it_has_left(tmp_path: Path, cancel: bool) -> None:
@@ -43,9 +51,7 @@
         assert desk.ids == [b"r0"] and not node._core.held
         await desk.close()
 
-    said = settings()
-    said["allowed"]["cancel"] = cancel
-    played(tmp_path, scenario, settings=said)
+    played(tmp_path, scenario, settings=cancelling(cancel))
 
 
 def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent_on(tmp_path: Path) -> None:
@@ -74,9 +80,7 @@
         assert desk.ids == []
         await desk.close()
 
-    said = settings()
-    said["allowed"]["cancel"] = False
-    played(tmp_path, scenario, settings=said)
+    played(tmp_path, scenario, settings=cancelling(False))
 
 
 def test_nor_on_a_connection_that_stands_idle(tmp_path: Path) -> None:
