--- a/tests/fleet/test_kept.py
+++ b/tests/fleet/test_kept.py
@@ -60,7 +60,7 @@
         writer.wait()
         raw, wrong = Kept(str(tmp_path)).read(1 << 20)
         # of the very first write all may be missing, after it never
-        assert raw == raw[:8] * 5_000 and (wrong == "" or k == 0), (k, wrong)
+        assert raw == raw[:8] * 5_000 and ((wrong == "" and len(raw) == 40_000) or k == 0), (k, wrong)
     assert raw and not raw.startswith(b"00000000")
 
 
--- a/tests/fleet/test_processes_roads.py
+++ b/tests/fleet/test_processes_roads.py
@@ -9,7 +9,7 @@
 
 from granitewell.lab.cluster.chaos import Trouble
 from granitewell.lab.fleet.play import play
-from tests.fleet.played import causes, kept, made, trouble
+from tests.fleet.played import TIMED, causes, kept, made, trouble
 
 
 def test_roads_that_tear_stand_half_open_hold_and_double(tmp_path: Path) -> None:
@@ -54,4 +54,4 @@
     base = made("counts" if rule == "counts" else "kill")
     played = replace(base, names=names, seconds=seconds, configured=1, troubles=scenario)
     found = play(played, tmp_path / "out", plant)
-    assert rule in {**found["view"]["broken"], **found["rules"]}, found["view"]
+    assert rule in (found["rules"] if rule in TIMED else found["view"]["broken"]), found["view"]
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -92,7 +92,7 @@
     theirs.close()
 
 
-def test_a_large_body_thattrickles_does_not_hold_an_endpoint_for_good(tmp_path: Path) -> None:
+def test_a_large_body_that_trickles_does_not_hold_an_endpoint_for_good(tmp_path: Path) -> None:
     """A byte each nine seconds kept a client's connection, a call and an endpoint's connection for years."""
     ours, theirs = socket.socketpair()
     one = Inbound(1, ours, InboundParser(Names(load(write(tmp_path)))), 0)
