--- /dev/null
+++ b/granitewell/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that others could embed: consensus, durable logs, leases, sharding. Knows no route or model."""
--- /dev/null
+++ b/granitewell/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: routes, dispatch, streams, connections to servers, readiness and drain."""
--- /dev/null
+++ b/granitewell/model/configuration.py
@@ -0,0 +1,119 @@
+"""The operator's configuration, typed. Field names on the wire are aliases here and nowhere else.
+
+The store keeps what the operator sent (plain JSON, unknown fields included); these types are what the planes
+read from it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mashumaro import DataClassDictMixin, field_options
+
+
+class RouteKind(Enum):
+    """What may be done with a request of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True)
+class WeightedService(DataClassDictMixin):
+    """One of several services of a route and its share."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route(DataClassDictMixin):
+    """One route. Times in milliseconds; prefix begins and ends with a slash."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: float = field(metadata=field_options(alias="timeout-ms"))
+    target_ms: float = field(default=0.0, metadata=field_options(alias="target-ms"))
+    priority: int = 5
+    service: str | None = None
+    weighted_services: tuple[WeightedService, ...] = field(
+        default=(), metadata=field_options(alias="weighted-services")
+    )
+    max_attempts: int = field(default=1, metadata=field_options(alias="max-attempts"))
+    sticky: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+    @property
+    def services(self) -> tuple[WeightedService, ...]:
+        """All services that this route may reach, weighted."""
+        if self.weighted_services:
+            return self.weighted_services
+        return (WeightedService(self.service or "", 1.0),)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (self.kind is RouteKind.STREAMING and self.resumable)
+
+
+@dataclass(frozen=True)
+class Model(DataClassDictMixin):
+    """A model of an engine. weights_mb: its weights; adapters: how many it has, named a1, a2 and so on."""
+
+    name: str
+    weights_mb: float = field(metadata=field_options(alias="weights-mb"))
+    load_time_s: float = field(default=1.0, metadata=field_options(alias="load-time-s"))
+    adapters: int = 0
+    adapter_mb: float = field(default=0.0, metadata=field_options(alias="adapter-mb"))
+
+
+@dataclass(frozen=True)
+class Engine(DataClassDictMixin):
+    """What the servers of a service that runs models have. weights_mb: a server's memory for weights and
+    adapters together; loads_per_s: from the weight store, over all servers."""
+
+    slots: int
+    models: tuple[Model, ...]
+    weights_mb: float = field(metadata=field_options(alias="weights-mb"))
+    max_adapters: int = field(default=0, metadata=field_options(alias="max-adapters"))
+    loads_per_s: float = field(default=1.0, metadata=field_options(alias="loads-per-s"))
+    kv_capacity: int = field(default=0, metadata=field_options(alias="kv-capacity"))
+    stride: int = 1
+
+
+@dataclass(frozen=True)
+class Service(DataClassDictMixin):
+    """A service that requests are sent to. engine: None where it runs no models."""
+
+    name: str
+    health_path: str = field(default="/healthz", metadata=field_options(alias="health-path"))
+    max_connections: int = field(default=100, metadata=field_options(alias="max-connections"))
+    protocol: str = "h1"
+    tls: bool = False
+    engine: Engine | None = None
+
+
+@dataclass(frozen=True)
+class Limits(DataClassDictMixin):
+    """Bounds on what a client may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = field(default=16_384, metadata=field_options(alias="max-header-bytes"))
+    max_body_bytes: int = field(default=4_194_304, metadata=field_options(alias="max-body-bytes"))
+    header_timeout_ms: float = field(default=3_000, metadata=field_options(alias="header-timeout-ms"))
+    idle_timeout_ms: float = field(default=15_000, metadata=field_options(alias="idle-timeout-ms"))
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the configuration, as the planes read it."""
+
+    version: int
+    routes: Mapping[str, Route]
+    services: Mapping[str, Service]
+    limits: Limits = field(default_factory=Limits)
--- /dev/null
+++ b/granitewell/model/servers.py
@@ -0,0 +1,64 @@
+"""Servers as both planes know them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+
+class ServerState(IntEnum):
+    """What the platform's list says of a server."""
+
+    READY = 1
+    DRAINING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class HeldModel:
+    """A model that a server holds, loaded and ready. adapters: of it, loaded too."""
+
+    name: str
+    adapters: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One server. address: `host:port`. slots: requests at once. leaves_in_ms: time left when this was
+    listed, -1 for no end in sight. models: by name, what requests may be sent for."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: ServerState
+    leaves_in_ms: int = -1
+    models: Mapping[str, HeldModel] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelRef:
+    """A model, or an adapter of it ("" for the model alone)."""
+
+    model: str
+    adapter: str = ""
+
+    @classmethod
+    def parse(cls, header: str) -> ModelRef:
+        """From the request header: `model` or `model/adapter`."""
+        model, _, adapter = header.partition("/")
+        return cls(model, adapter)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """What one edge saw of a model since its last report. requests: arrived; waiting: held now because no
+    server has it; in_flight: being run now; priority: of the most urgent waiting request, 0 first."""
+
+    service: str
+    ref: ModelRef
+    requests: int
+    waiting: int
+    in_flight: int
+    priority: int = 5
--- /dev/null
+++ b/granitewell/model/settings.py
@@ -0,0 +1,147 @@
+"""The settings file of a process of the system, checked. Unknown fields are ignored."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from mashumaro import DataClassDictMixin, field_options
+from mashumaro.exceptions import InvalidFieldValue, MissingField
+
+from granitewell.model.errors import InvalidSettings
+
+PATH_VARIABLE = "GRANITEWELL_NODE_FILE"
+DEFAULT_PATH = "/etc/granitewell/boot.json"
+
+
+@dataclass(frozen=True)
+class Listen(DataClassDictMixin):
+    """Addresses (`ip:port`) for what the role serves; None for what it doesn't."""
+
+    front: str | None = None
+    ready: str | None = None
+    control: str | None = None
+
+
+@dataclass(frozen=True)
+class ProcessLimits(DataClassDictMixin):
+    """What this process may use."""
+
+    cpu_share: float = field(default=1.0, metadata=field_options(alias="cpu-share"))
+    cores: float = 1
+    memory_mb: float = field(default=256, metadata=field_options(alias="memory-mb"))
+    max_fds: int = field(default=1024, metadata=field_options(alias="max-fds"))
+    link_mbps: float = field(default=1000.0, metadata=field_options(alias="link-mbps"))
+    disk_mb: float = field(default=0, metadata=field_options(alias="disk-mb"))
+
+
+@dataclass(frozen=True)
+class FaultTolerance(DataClassDictMixin):
+    """What may be lost at once."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(frozen=True)
+class Bounds(DataClassDictMixin):
+    """The figures of the rules that the programs use; the file has more."""
+
+    seed_lag_s: float = field(default=3, metadata=field_options(alias="seed-lag-s"))
+    reuse_after_s: float = field(default=2, metadata=field_options(alias="reuse-after-s"))
+    contact_ms: float = field(default=3_000, metadata=field_options(alias="contact-ms"))
+    ack_ms: float = field(default=4_000, metadata=field_options(alias="ack-ms"))
+    catch_up_s: float = field(default=4, metadata=field_options(alias="catch-up-s"))
+    drain_ms: float = field(default=3_000, metadata=field_options(alias="drain-ms"))
+    grace_s: float = field(default=8, metadata=field_options(alias="grace-s"))
+    config_apply_ms: float = field(default=2_000, metadata=field_options(alias="config-apply-ms"))
+    retry_budget_ratio: float = field(default=0.2, metadata=field_options(alias="retry-budget-ratio"))
+    retry_window_s: float = field(default=10, metadata=field_options(alias="retry-window-s"))
+    retry_budget_slack: float = field(default=0, metadata=field_options(alias="retry-budget-slack"))
+    pass_ms: float = 120
+    fencing: bool = True
+    lease_ms: float = field(default=3_000, metadata=field_options(alias="lease-ms"))
+    thaw_ms: float = field(default=300, metadata=field_options(alias="thaw-ms"))
+    ceiling_window_s: float = field(default=5, metadata=field_options(alias="ceiling-window-s"))
+    ceiling_overage: float = field(default=1.1, metadata=field_options(alias="ceiling-overage"))
+
+
+@dataclass(frozen=True)
+class Platform(DataClassDictMixin):
+    """Where the platform's list of servers is. rate_per_s: calls a second from all nodes together."""
+
+    address: str
+    rate_per_s: float = field(default=10.0, metadata=field_options(alias="rate-per-s"))
+    lag_ms: float = field(default=1_000, metadata=field_options(alias="lag-ms"))
+
+
+@dataclass(frozen=True)
+class Settings(DataClassDictMixin):
+    """All that a process is told at its start, and again whenever the file changes."""
+
+    node_name: str = field(metadata=field_options(alias="node-name"))
+    ip: str
+    zone: str
+    region: str
+    listen: Listen
+    internal_ports: tuple[int, int] = field(metadata=field_options(alias="internal-ports"))
+    seeds: tuple[str, ...]
+    cloud: Platform
+    role: str = ""
+    zones: Mapping[str, str] = field(default_factory=dict)
+    bootstrap: bool = False
+    counts_for_quorum: bool = field(default=False, metadata=field_options(alias="counts-for-quorum"))
+    limits: ProcessLimits = field(default_factory=ProcessLimits)
+    data_dir: str | None = field(default=None, metadata=field_options(alias="data-dir"))
+    heartbeat_ms: float = field(default=1_000, metadata=field_options(alias="heartbeat-ms"))
+    contracts: tuple[str, ...] = ()
+    fault_tolerance: FaultTolerance = field(
+        default_factory=FaultTolerance, metadata=field_options(alias="fault-tolerance")
+    )
+    bounds: Bounds = field(default_factory=Bounds)
+
+    @property
+    def control_rpc_port(self) -> int:
+        """The internal port of the control role, the same on every machine."""
+        return self.internal_ports[0]
+
+    @property
+    def edge_rpc_port(self) -> int:
+        """The internal port of the edge role, the same on every machine."""
+        return self.internal_ports[0] + 1
+
+
+def settings_path() -> Path:
+    """Where the settings of this process are."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_settings(path: Path) -> Settings:
+    """The checked settings; raises InvalidSettings, which names the field."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise InvalidSettings(str(path), error.strerror or "can't be read") from error
+    return parse_settings(text)
+
+
+def parse_settings(text: bytes) -> Settings:
+    """Settings from JSON; raises InvalidSettings, which names the field."""
+    try:
+        document = json.loads(text)
+    except ValueError as error:
+        raise InvalidSettings("file", f"not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise InvalidSettings("file", "not an object")
+    try:
+        return Settings.from_dict(document)
+    except MissingField as error:
+        raise InvalidSettings(error.field_name, "missing") from error
+    except InvalidFieldValue as error:
+        raise InvalidSettings(error.field_name, f"not of its type: {error.field_value!r}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise InvalidSettings("file", str(error)) from error
--- /dev/null
+++ b/granitewell/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""The internal protocol: thrift messages, frames, connections between nodes. Decides nothing."""
--- /dev/null
+++ b/granitewell/rpc/transport.py
@@ -0,0 +1,280 @@
+"""Frames between nodes over TCP: calls with a reply, and messages without one.
+
+A frame is a head of 14 bytes (magic, version, kind, method, call id, length) and a payload. Unknown versions and
+lengths over the bound end the connection. One connection a pair of nodes and direction; it is dialed when it is
+wanted, and a peer that says nothing is given up by TCP_USER_TIMEOUT. Queues are bounded: a message for a peer
+that does not read is dropped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+
+from granitewell.model.errors import BadFrame, PeerUnreachable, RpcError, RpcTimeout
+
+HEAD = struct.Struct("!HBBHII")
+MAGIC = 0x6757
+VERSION = 1
+MOST_PAYLOAD = 32 * 1024 * 1024
+MOST_BUFFERED = 8 * 1024 * 1024  # bytes waiting for one peer, beyond which one-way messages are dropped
+CONNECT_TIMEOUT_S = 0.4
+USER_TIMEOUT_MS = 1_500
+
+
+class Kind(IntEnum):
+    """What a frame is."""
+
+    CALL = 1
+    REPLY = 2
+    FAILURE = 3
+    ONE_WAY = 4
+
+
+class Method(IntEnum):
+    """What a call or message is for."""
+
+    WATCH = 1
+    DEMAND = 2
+    GROUP = 3
+
+
+Handler = Callable[[bytes, str], Awaitable[bytes]]
+"""Takes a payload and the peer's ip; gives the reply's payload (ignored for a one-way message)."""
+
+
+def _tune(transport: asyncio.BaseTransport) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
+class _FrameProtocol(asyncio.Protocol):
+    """Cuts a connection's bytes into frames."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        _tune(transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        try:
+            self._cut()
+        except BadFrame:
+            self.close()
+
+    def _cut(self) -> None:
+        buffer = self._buffer
+        while len(buffer) >= HEAD.size:
+            magic, version, kind, method, call, length = HEAD.unpack_from(buffer)
+            if magic != MAGIC or version != VERSION or length > MOST_PAYLOAD:
+                raise BadFrame(f"magic {magic:#x}, version {version}, length {length}")
+            end = HEAD.size + length
+            if len(buffer) < end:
+                return
+            payload = bytes(buffer[HEAD.size : end])
+            del buffer[:end]
+            self.frame(kind, method, call, payload)
+
+    def frame(self, kind: int, method: int, call: int, payload: bytes) -> None:
+        """One whole frame has come."""
+        raise NotImplementedError
+
+    def write(self, kind: Kind, method: int, call: int, payload: bytes) -> None:
+        """Send one frame."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(HEAD.pack(MAGIC, VERSION, kind, method, call, len(payload)) + payload)
+
+    def buffered(self) -> int:
+        """Bytes that wait for the peer."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """Drop the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class _ServerProtocol(_FrameProtocol):
+    def __init__(self, server: RpcServer) -> None:
+        super().__init__()
+        self._server = server
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._peer = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._peer = (transport.get_extra_info("peername") or ("",))[0]
+        self._server.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._server.connections.discard(self)
+        for task in self._tasks:
+            task.cancel()
+
+    def frame(self, kind: int, method: int, call: int, payload: bytes) -> None:
+        task = asyncio.get_running_loop().create_task(self._answer(kind, method, call, payload))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, kind: int, method: int, call: int, payload: bytes) -> None:
+        handler = self._server.handlers.get(method)
+        try:
+            if handler is None:
+                raise BadFrame(f"no method {method}")
+            reply = await handler(payload, self._peer)
+        except Exception as error:  # a bad call ends here; the connection and the process go on
+            if kind == Kind.CALL:
+                self.write(Kind.FAILURE, method, call, f"{type(error).__name__}: {error}".encode()[:500])
+            return
+        if kind == Kind.CALL:
+            self.write(Kind.REPLY, method, call, reply)
+
+
+class RpcServer:
+    """Listens for the frames of other nodes. handlers: by method."""
+
+    def __init__(self, handlers: dict[int, Handler]) -> None:
+        self.handlers = handlers
+        self.connections: set[_ServerProtocol] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _ServerProtocol(self), host, port, backlog=512)
+
+    async def stop(self) -> None:
+        """Listen no more and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close()
+
+
+class _ClientProtocol(_FrameProtocol):
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self.closed = False
+
+    def frame(self, kind: int, method: int, call: int, payload: bytes) -> None:
+        future = self.waiting.pop(call, None)
+        if future is None or future.done():
+            return
+        if kind == Kind.REPLY:
+            future.set_result(payload)
+        else:
+            future.set_exception(RpcError(payload.decode(errors="replace")))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.closed = True
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerUnreachable("connection lost"))
+        self.waiting.clear()
+
+
+class RpcClient:
+    """Calls to one node; connects when it must. address: `ip:port`."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._protocol: _ClientProtocol | None = None
+        self._connecting: asyncio.Task[_ClientProtocol] | None = None
+        self._next_call = 0
+
+    async def _dial(self) -> _ClientProtocol:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, protocol = await loop.create_connection(_ClientProtocol, self._host, self._port)
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachable(f"{self.address}: {error!r}") from error
+        self._protocol = protocol
+        return protocol
+
+    async def _connected(self) -> _ClientProtocol:
+        if self._protocol is not None and not self._protocol.closed:
+            return self._protocol
+        if self._connecting is None or self._connecting.done():
+            self._connecting = asyncio.get_running_loop().create_task(self._dial())
+        return await asyncio.shield(self._connecting)
+
+    async def call(self, method: Method, payload: bytes, timeout_s: float) -> bytes:
+        """A call and its reply; raises RpcTimeout, PeerUnreachable, or RpcError with what the peer said."""
+        call = self._next_call = (self._next_call + 1) & 0xFFFFFFFF
+        protocol: _ClientProtocol | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                protocol = await self._connected()
+                future = protocol.waiting[call] = asyncio.get_running_loop().create_future()
+                protocol.write(Kind.CALL, method, call, payload)
+                return await future
+        except TimeoutError as error:
+            raise RpcTimeout(f"{self.address}: no reply in {timeout_s} s") from error
+        finally:
+            if protocol is not None:
+                protocol.waiting.pop(call, None)
+
+    def send(self, method: Method, payload: bytes) -> None:
+        """A message without a reply; lost where there is no connection or the peer does not read."""
+        if self._protocol is None or self._protocol.closed:
+            if self._connecting is None or self._connecting.done():
+                self._connecting = asyncio.get_running_loop().create_task(self._dial())
+                self._connecting.add_done_callback(lambda task: task.exception())
+            connecting = self._connecting
+            connecting.add_done_callback(lambda task: self._send_after(task, method, payload))
+            return
+        if self._protocol.buffered() < MOST_BUFFERED:
+            self._protocol.write(Kind.ONE_WAY, method, 0, payload)
+
+    def _send_after(self, task: asyncio.Task[_ClientProtocol], method: Method, payload: bytes) -> None:
+        if not task.cancelled() and task.exception() is None:
+            task.result().write(Kind.ONE_WAY, method, 0, payload)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._protocol is not None:
+            self._protocol.close()
+
+
+class RpcPeers:
+    """The clients of this node, one an address."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, RpcClient] = {}
+
+    def __getitem__(self, address: str) -> RpcClient:
+        """The client for an address, made when it is first wanted."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(address)
+        return client
+
+    def keep(self, addresses: set[str]) -> None:
+        """Drop the clients of all other addresses."""
+        for address in set(self._clients) - addresses:
+            self._clients.pop(address).close()
+
+    def close(self) -> None:
+        """Drop all connections."""
+        self.keep(set())
