Publication, ownership of shards, the platform's list, and the assembly of both roles

Not started by anything yet: the planes' other parts are being written. Tested without sockets where there is a decision, on loopback where there is a transport.

--- /dev/null
+++ b/granitewell/cli/system/edge.py
@@ -0,0 +1,5 @@
+"""`edge`: thin main of the edge role."""
+
+from granitewell.nodes.edge import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/granitewell/controlplane/publication/publisher.py
@@ -0,0 +1,192 @@
+"""Answers long-polls: a watcher says what it has, and is answered once there is more, or after its time.
+
+Every control node publishes: the configuration from its replica of the log, the tables of servers from its
+own shards or from the copies that it keeps of the others'.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Protocol
+
+from granitewell.controlplane.publication.table import ServerTable, Update, Version
+from granitewell.model.errors import GranitewellError
+from granitewell.rpc.messages import (
+    ConfigurationUpdate,
+    TableUpdate,
+    TableVersion,
+    WatchReply,
+)
+from granitewell.rpc.translation import server_from_message, server_to_message
+
+MOST_HOLD_S = 2.0
+GATHER_S = 0.015  # changes that come so close together are told together
+EDGE_FORGOTTEN_S = 4.0  # an edge that has not asked for so long is not counted
+PEAK_FORGOTTEN_S = 120.0
+MOST_CONTACT_AGE_S = 0.6  # without word from a leader for longer, this node may be out of date
+
+
+class OutOfTouch(GranitewellError):
+    """This control node may be behind: the watcher should ask another."""
+
+
+class Deltas(Protocol):
+    """The configuration and what leads to it."""
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 for none."""
+
+    def changes_since(self, version: int) -> Any:
+        """version, whole, documents."""
+
+
+def members_digest(nodes: Sequence[str]) -> int:
+    """A number that tells two lists of control nodes apart."""
+    text = ",".join(sorted(nodes)).encode()
+    return int.from_bytes(hashlib.sha256(text).digest()[:7], "big")
+
+
+class EdgeCounter:
+    """How many edges there are: those that ask here, and what other control nodes tell of theirs."""
+
+    def __init__(self) -> None:
+        self._asked_at: dict[str, float] = {}
+        self._others: dict[str, tuple[int, float]] = {}
+        self._peak = 0
+        self._peak_at = 0.0
+
+    def asked(self, edge: str, now: float) -> None:
+        """An edge has asked."""
+        self._asked_at[edge] = now
+
+    def told(self, node: str, edges: int, now: float) -> None:
+        """Another control node says how many ask there."""
+        self._others[node] = (edges, now)
+
+    def here(self, now: float) -> int:
+        """Edges that ask here."""
+        self._asked_at = {e: at for e, at in self._asked_at.items() if now - at < EDGE_FORGOTTEN_S}
+        return len(self._asked_at)
+
+    def all(self, now: float) -> int:
+        """Edges that ask anywhere, at least one."""
+        others = sum(edges for edges, at in self._others.values() if now - at < EDGE_FORGOTTEN_S)
+        return max(self.here(now) + others, 1)
+
+    def most(self, now: float) -> int:
+        """The most seen of late: what shared budgets are divided by."""
+        count = self.all(now)
+        if count >= self._peak or now - self._peak_at > PEAK_FORGOTTEN_S:
+            self._peak, self._peak_at = count, now
+        return self._peak
+
+
+class Publisher:
+    """The long-polls of one control node."""
+
+    def __init__(
+        self,
+        configuration: Deltas,
+        tables: Mapping[int, ServerTable],
+        control_nodes: Callable[[], Sequence[str]],
+        contact_age_s: Callable[[], float],
+        edges: EdgeCounter,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._configuration = configuration
+        self._tables = tables
+        self._control_nodes = control_nodes
+        self._contact_age_s = contact_age_s
+        self._edges = edges
+        self._clock = clock
+        self._changed = asyncio.Event()
+
+    def changed(self) -> None:
+        """Something that is published has changed: answer those that wait."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def watch(self, request: Any) -> Any:
+        """The reply to a long-poll; raises OutOfTouch."""
+        deadline = self._clock() + min(max(request.hold_ms, 0) / 1000.0, MOST_HOLD_S)
+        while True:
+            changed = self._changed
+            if request.edge:
+                self._edges.asked(request.node, self._clock())
+                if self._contact_age_s() > MOST_CONTACT_AGE_S:
+                    raise OutOfTouch("no word from a leader")
+            reply = self._reply(request)
+            left = deadline - self._clock()
+            if reply is not None or left <= 0:
+                return reply if reply is not None else self._reply(request, empty=True)
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(min(GATHER_S, left))
+
+    def _reply(self, request: Any, empty: bool = False) -> Any | None:
+        """What the watcher lacks; None where that is nothing and `empty` is not wanted."""
+        configuration = self._configuration_update(request)
+        updates = list(self._table_updates(request))
+        nodes = list(self._control_nodes())
+        digest = members_digest(nodes)
+        news = configuration is not None or any(lacks for _, lacks in updates)
+        if not news and digest == request.members_digest and not empty:
+            return None
+        now = self._clock()
+        return WatchReply(
+            configuration=configuration,
+            tables=[update for update, _ in updates],
+            control_nodes=nodes if digest != request.members_digest else [],
+            members_digest=digest,
+            edges=self._edges.all(now),
+            most_edges=self._edges.most(now),
+        )
+
+    def _configuration_update(self, request: Any) -> Any | None:
+        if not request.edge or self._configuration.version <= request.configuration_version:
+            return None
+        delta = self._configuration.changes_since(request.configuration_version)
+        return ConfigurationUpdate(version=delta.version, whole=delta.whole, documents=list(delta.documents))
+
+    def _table_updates(self, request: Any) -> Sequence[tuple[Any, bool]]:
+        """An update of each shard that was asked for (all for an edge), and whether it says anything new."""
+        had = {version.shard: Version(version.epoch, version.sequence) for version in request.tables or ()}
+        shards = self._tables if request.edge else had
+        updates = []
+        for shard in shards:
+            table = self._tables.get(shard)
+            if table is None or table.version == Version():
+                continue
+            version = had.get(shard, Version())
+            if version > table.version:  # the watcher is ahead of this copy
+                continue
+            updates.append((self._table_update(shard, table, version), version != table.version))
+        return updates
+
+    def _table_update(self, shard: int, table: ServerTable, had: Version) -> Any:
+        update = table.since(had)
+        age = -1 if table.listed_at is None else int((self._clock() - table.listed_at) * 1000)
+        return TableUpdate(
+            version=TableVersion(shard=shard, epoch=update.version.epoch, sequence=update.version.sequence),
+            whole=update.whole,
+            changed=[server_to_message(server) for server in update.changed],
+            removed=list(update.removed),
+            list_age_ms=age,
+        )
+
+
+def update_from_message(message: Any) -> Update:
+    """The typed update of a message."""
+    return Update(
+        Version(message.version.epoch, message.version.sequence),
+        bool(message.whole),
+        tuple(server_from_message(server) for server in message.changed or ()),
+        tuple(message.removed or ()),
+    )
--- /dev/null
+++ b/granitewell/controlplane/publication/table.py
@@ -0,0 +1,110 @@
+"""The table of servers of one shard, versioned, with changes since any version. Pure.
+
+The owner of the shard writes it under its term (the epoch); every other control node keeps a copy by updates.
+Both give the same answers for the same version, so that a watcher can move from one control node to another.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from granitewell.model.servers import Server
+
+MOST_REMOVED = 2_000  # removals remembered; a watcher from before them gets the whole table
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Version:
+    """epoch: the owner's term; sequence: counts changes in it. (0, 0) is a watcher that has nothing."""
+
+    epoch: int = 0
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """What leads to `version`. whole: servers that are not in `changed` are gone."""
+
+    version: Version
+    whole: bool
+    changed: tuple[Server, ...]
+    removed: tuple[str, ...]
+
+
+class ServerTable:
+    """The servers of a shard's services, by id."""
+
+    def __init__(self) -> None:
+        self.version = Version()
+        self.listed_at: float | None = None  # when the platform's list behind this was read
+        self._servers: dict[str, Server] = {}
+        self._changed_at: dict[str, int] = {}
+        self._removed_at: dict[str, int] = {}
+        self._complete_from = 0  # the sequence from which removals are all remembered
+
+    @property
+    def servers(self) -> Mapping[str, Server]:
+        """All servers by id."""
+        return self._servers
+
+    def begin(self, epoch: int) -> None:
+        """The owner starts a new epoch with what it knows."""
+        self.version = Version(epoch, 1)
+        self._changed_at = dict.fromkeys(self._servers, 1)
+        self._removed_at = {}
+        self._complete_from = 1
+
+    def replace(self, servers: Iterable[Server], now: float) -> bool:
+        """The owner has made out all servers anew, from a list read at `now`. Whether anything changed."""
+        self.listed_at = now
+        return self.assign(servers)
+
+    def assign(self, servers: Iterable[Server]) -> bool:
+        """These are all servers now. Whether anything changed."""
+        wanted = {server.id: server for server in servers}
+        changed = [server for key, server in wanted.items() if self._servers.get(key) != server]
+        removed = [key for key in self._servers if key not in wanted]
+        if not changed and not removed:
+            return False
+        self._take(Version(self.version.epoch, self.version.sequence + 1), changed, removed)
+        return True
+
+    def update(self, update: Update, listed_at: float | None) -> None:
+        """Follow the owner's table."""
+        if update.version < self.version:
+            return
+        if listed_at is not None:
+            self.listed_at = max(self.listed_at or listed_at, listed_at)
+        if update.whole:
+            kept = {server.id for server in update.changed}
+            removed = [key for key in self._servers if key not in kept]
+            if update.version.epoch != self.version.epoch:
+                self._removed_at, self._changed_at = {}, {}
+            self._take(update.version, update.changed, removed)
+            self._complete_from = update.version.sequence
+            return
+        self._take(update.version, update.changed, update.removed)
+
+    def _take(self, version: Version, changed: Iterable[Server], removed: Iterable[str]) -> None:
+        self.version = version
+        for server in changed:
+            self._servers[server.id] = server
+            self._changed_at[server.id] = version.sequence
+            self._removed_at.pop(server.id, None)
+        for key in removed:
+            self._servers.pop(key, None)
+            self._changed_at.pop(key, None)
+            self._removed_at.pop(key, None)
+            self._removed_at[key] = version.sequence
+        while len(self._removed_at) > MOST_REMOVED:
+            self._complete_from = self._removed_at.pop(next(iter(self._removed_at))) + 1
+
+    def since(self, version: Version) -> Update:
+        """What a watcher that has `version` needs; nothing in it where it is up to date."""
+        same_epoch = version.epoch == self.version.epoch
+        if not same_epoch or not self._complete_from <= version.sequence <= self.version.sequence:
+            return Update(self.version, True, tuple(self._servers.values()), ())
+        changed = tuple(self._servers[key] for key, at in self._changed_at.items() if at > version.sequence)
+        removed = tuple(key for key, at in self._removed_at.items() if at > version.sequence)
+        return Update(self.version, False, changed, removed)
--- /dev/null
+++ b/granitewell/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of servers: what it says, and how it is read."""
--- /dev/null
+++ b/granitewell/discovery/instances.py
@@ -0,0 +1,82 @@
+"""Entries of the platform's list of servers, checked. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from granitewell.model.errors import GranitewellError
+from granitewell.model.servers import HeldModel, ServerState
+
+DRAINING = "draining"
+NO_END = -1
+
+
+class BadList(GranitewellError):
+    """The platform's answer is no list of servers."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """One server as the platform lists it. leaves_in_ms: time left, -1 for no end in sight."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: ServerState
+    leaves_in_ms: int
+    models: tuple[HeldModel, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """One page of the list. next_token: of the page behind it, None on the last."""
+
+    instances: tuple[ListedInstance, ...]
+    next_token: str | None
+
+
+def held_models(entries: object) -> tuple[HeldModel, ...]:
+    """The models of an entry or report; what has no name is left out."""
+    if not isinstance(entries, list):
+        return ()
+    return tuple(
+        HeldModel(entry["name"], frozenset(str(adapter) for adapter in entry.get("adapters") or ()))
+        for entry in entries
+        if isinstance(entry, Mapping) and isinstance(entry.get("name"), str)
+    )
+
+
+def _instance(entry: Mapping[str, Any]) -> ListedInstance:
+    leaves = entry.get("remaining-ms")
+    return ListedInstance(
+        id=str(entry["id"]),
+        service=str(entry["service"]),
+        address=str(entry["address"]),
+        zone=str(entry.get("zone", "")),
+        slots=int(entry.get("slots") or 1),
+        state=ServerState.DRAINING if entry.get("state") == DRAINING else ServerState.READY,
+        leaves_in_ms=NO_END if leaves is None else max(int(leaves), 0),
+        models=held_models(entry.get("models")),
+    )
+
+
+def _instances(entries: Iterable[object]) -> Iterable[ListedInstance]:
+    for entry in entries:
+        if not isinstance(entry, Mapping):
+            raise BadList("an instance is not an object")
+        yield _instance(entry)
+
+
+def parse_page(document: object) -> Page:
+    """A page from its JSON; raises BadList."""
+    if not isinstance(document, Mapping) or not isinstance(document.get("instances"), list):
+        raise BadList("no list of instances")
+    token = document.get("next-page-token")
+    try:
+        return Page(tuple(_instances(document["instances"])), str(token) if token else None)
+    except (KeyError, ValueError, TypeError) as error:
+        raise BadList(f"bad instance: {error!r}") from error
--- /dev/null
+++ b/granitewell/discovery/reader.py
@@ -0,0 +1,53 @@
+"""Reads the platform's list of servers, page by page."""
+
+from __future__ import annotations
+
+import json
+
+import aiohttp
+
+from granitewell.discovery.instances import BadList, ListedInstance, parse_page
+from granitewell.model.errors import GranitewellError
+
+MOST_PAGES = 200
+PAGE_TIMEOUT_S = 0.8
+OVER_RATE = 429
+
+
+class ListUnavailable(GranitewellError):
+    """The platform gave no list: it is down, slow or over its rate."""
+
+
+class InstanceReader:
+    """Asks the platform at `address` (`ip:port`)."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        self._url = f"http://{address}/instances"
+        self._session = session
+
+    async def read(self) -> list[ListedInstance]:
+        """The whole list; raises ListUnavailable or BadList."""
+        instances: list[ListedInstance] = []
+        token: str | None = None
+        for _ in range(MOST_PAGES):
+            page = parse_page(await self._page(token))
+            instances += page.instances
+            token = page.next_token
+            if token is None:
+                return instances
+        raise BadList(f"over {MOST_PAGES} pages")
+
+    async def _page(self, token: str | None) -> object:
+        query = {"page-token": token} if token else {}
+        timeout = aiohttp.ClientTimeout(total=PAGE_TIMEOUT_S)
+        try:
+            async with self._session.get(self._url, params=query, timeout=timeout) as response:
+                body = await response.read()
+                if response.status != 200:
+                    raise ListUnavailable(f"status {response.status}")
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise ListUnavailable(repr(error)) from error
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise BadList(f"not JSON: {error}") from error
--- a/granitewell/model/configuration.py
+++ b/granitewell/model/configuration.py
@@ -1,16 +1,99 @@
 """The operator's configuration, typed. Field names on the wire are aliases here and nowhere else.
 
 The store keeps what the operator sent (plain JSON, unknown fields included); these types are what the planes
-read from it.
+read from it. Each field is read strictly: a number in quotes, or true for a 1, is not of its type.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from mashumaro import DataClassDictMixin, field_options
+from mashumaro.config import BaseConfig
+
+from granitewell.model.errors import GranitewellError
+
+
+class WrongType(GranitewellError):
+    """A value is not of its field's type."""
+
+
+class WrongItem(GranitewellError):
+    """An item of a list can't be read; the cause says why."""
+
+    def __init__(self, index: int) -> None:
+        super().__init__(f"item {index}")
+        self.index = index
+
+
+def _text(value: Any) -> str:
+    if type(value) is not str:
+        raise WrongType("not a string")
+    return value
+
+
+def _truth(value: Any) -> bool:
+    if type(value) is not bool:
+        raise WrongType("not true or false")
+    return value
+
+
+def _number(value: Any) -> float:
+    kind = type(value)
+    if kind is not float and kind is not int:
+        raise WrongType("not a number")
+    return float(value)
+
+
+def _whole_number(value: Any) -> int:
+    kind = type(value)
+    if kind is int:
+        return int(value)
+    if kind is float and value.is_integer():
+        return int(value)
+    raise WrongType("not a whole number")
+
+
+def _list_of(kind: type[DataClassDictMixin]) -> Callable[[Any], tuple[Any, ...]]:
+    """Reads a list of objects; null is an empty list. Raises WrongItem, which names the index."""
+
+    def read(value: Any) -> tuple[Any, ...]:
+        if value is None:
+            return ()
+        if type(value) is not list:
+            raise WrongType("not a list")
+        items = []
+        for index, item in enumerate(value):
+            items.append(_item(kind, index, item))
+        return tuple(items)
+
+    return read
+
+
+def _item(kind: type[DataClassDictMixin], index: int, value: Any) -> DataClassDictMixin:
+    try:
+        if type(value) is not dict:
+            raise WrongType("not an object")
+        return kind.from_dict(value)
+    except (ValueError, LookupError, GranitewellError) as error:  # mashumaro's errors are of the first two
+        raise WrongItem(index) from error
+
+
+class StrictFields(DataClassDictMixin):
+    """A dataclass that is read from JSON without turning one type into another."""
+
+    class Config(BaseConfig):
+        """What mashumaro reads each plain type with."""
+
+        serialization_strategy = {  # noqa: RUF012 (mashumaro reads it as a plain attribute)
+            str: {"deserialize": _text},
+            bool: {"deserialize": _truth},
+            int: {"deserialize": _whole_number},
+            float: {"deserialize": _number},
+        }
 
 
 class RouteKind(Enum):
@@ -22,7 +105,7 @@
 
 
 @dataclass(frozen=True)
-class WeightedService(DataClassDictMixin):
+class WeightedService(StrictFields):
     """One of several services of a route and its share."""
 
     service: str
@@ -30,7 +113,7 @@
 
 
 @dataclass(frozen=True)
-class Route(DataClassDictMixin):
+class Route(StrictFields):
     """One route. Times in milliseconds; prefix begins and ends with a slash."""
 
     name: str
@@ -42,7 +125,8 @@
     priority: int = 5
     service: str | None = None
     weighted_services: tuple[WeightedService, ...] = field(
-        default=(), metadata=field_options(alias="weighted-services")
+        default=(),
+        metadata=field_options(alias="weighted-services", deserialize=_list_of(WeightedService)),
     )
     max_attempts: int = field(default=1, metadata=field_options(alias="max-attempts"))
     sticky: bool = False
@@ -63,24 +147,24 @@
 
 
 @dataclass(frozen=True)
-class Model(DataClassDictMixin):
+class Model(StrictFields):
     """A model of an engine. weights_mb: its weights; adapters: how many it has, named a1, a2 and so on."""
 
     name: str
-    weights_mb: float = field(metadata=field_options(alias="weights-mb"))
+    weights_mb: float = field(default=0.0, metadata=field_options(alias="weights-mb"))
     load_time_s: float = field(default=1.0, metadata=field_options(alias="load-time-s"))
     adapters: int = 0
     adapter_mb: float = field(default=0.0, metadata=field_options(alias="adapter-mb"))
 
 
 @dataclass(frozen=True)
-class Engine(DataClassDictMixin):
+class Engine(StrictFields):
     """What the servers of a service that runs models have. weights_mb: a server's memory for weights and
     adapters together; loads_per_s: from the weight store, over all servers."""
 
-    slots: int
-    models: tuple[Model, ...]
-    weights_mb: float = field(metadata=field_options(alias="weights-mb"))
+    slots: int = 1
+    models: tuple[Model, ...] = field(default=(), metadata=field_options(deserialize=_list_of(Model)))
+    weights_mb: float = field(default=0.0, metadata=field_options(alias="weights-mb"))
     max_adapters: int = field(default=0, metadata=field_options(alias="max-adapters"))
     loads_per_s: float = field(default=1.0, metadata=field_options(alias="loads-per-s"))
     kv_capacity: int = field(default=0, metadata=field_options(alias="kv-capacity"))
@@ -88,7 +172,7 @@
 
 
 @dataclass(frozen=True)
-class Service(DataClassDictMixin):
+class Service(StrictFields):
     """A service that requests are sent to. engine: None where it runs no models."""
 
     name: str
@@ -100,7 +184,7 @@
 
 
 @dataclass(frozen=True)
-class Limits(DataClassDictMixin):
+class Limits(StrictFields):
     """Bounds on what a client may send, and how long it may take or stay idle."""
 
     max_header_bytes: int = field(default=16_384, metadata=field_options(alias="max-header-bytes"))
--- /dev/null
+++ b/granitewell/nodes/process.py
@@ -0,0 +1,108 @@
+"""What both roles do as processes: the loop, signals, settings that change."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from granitewell.model.errors import InvalidSettings
+from granitewell.model.settings import Settings, read_settings, settings_path
+
+SETTINGS_LOOK_S = 1.0
+BAD_SETTINGS = 2  # exit code, as docs/operate/exit-codes.md has it
+
+
+class SettingsFile:
+    """The settings file, read again when it changes."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._stamp: tuple[int, int, int] | None = None
+        self.settings = self._read()
+
+    def _read(self) -> Settings:
+        settings = read_settings(self._path)
+        self._stamp = self._look()
+        return settings
+
+    def _look(self) -> tuple[int, int, int] | None:
+        try:
+            stat = self._path.stat()
+        except OSError:
+            return None
+        return (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+
+    def reread(self, force: bool = False) -> Settings | None:
+        """The new settings where the file has changed and can be taken; None otherwise."""
+        if not force and self._look() == self._stamp:
+            return None
+        try:
+            fresh = self._read()
+        except InvalidSettings:
+            return None
+        if fresh == self.settings:
+            return None
+        self.settings = fresh
+        return fresh
+
+
+class Signals:
+    """SIGTERM and SIGINT end the process; SIGHUP has the settings read again at once."""
+
+    def __init__(self) -> None:
+        self.stop = asyncio.Event()
+        self.reread = asyncio.Event()
+
+    def install(self) -> None:
+        """Take the signals over on the running loop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reread.set)
+
+
+async def follow_settings(file: SettingsFile, signals: Signals, take: Callable[[Settings], None]) -> None:
+    """Hand on new settings, until cancelled."""
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_LOOK_S):
+                await signals.reread.wait()
+        except TimeoutError:
+            pass
+        forced = signals.reread.is_set()
+        signals.reread.clear()
+        fresh = file.reread(force=forced)
+        if fresh is not None:
+            take(fresh)
+
+
+def run_process(serve: Callable[[SettingsFile, Signals], Awaitable[None]]) -> int:
+    """Run a role until it ends; the exit code."""
+    try:
+        file = SettingsFile(settings_path())
+    except InvalidSettings as error:
+        print(f"granitewell: {error}", file=sys.stderr)
+        return BAD_SETTINGS
+
+    async def main() -> None:
+        signals = Signals()
+        signals.install()
+        await serve(file, signals)
+
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    _run(main)
+    return 0
+
+
+def _run(main: Callable[[], Awaitable[None]]) -> None:
+    import uvloop
+
+    async def wrapped() -> None:
+        await main()
+
+    uvloop.run(wrapped())
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -3,7 +3,7 @@
 
 struct HeldModel { 1: string name, 2: list<string> adapters }
 struct Server {
-  1: string id, 2: string service, 3: string address, 4: string zone, 5: i32 slots,
+  1: string id, 2: string service_name, 3: string address, 4: string zone, 5: i32 slots,
   6: i32 state, 7: i32 leaves_in_ms, 8: list<HeldModel> models
 }
 
@@ -26,10 +26,16 @@
 }
 
 struct Demand {
-  1: string service, 2: string model, 3: string adapter, 4: i32 requests, 5: i32 waiting, 6: i32 in_flight,
+  1: string service_name, 2: string model, 3: string adapter, 4: i32 requests, 5: i32 waiting, 6: i32 in_flight,
   7: i32 priority
 }
-struct DemandReport { 1: string node, 2: string zone, 3: list<Demand> demands }
+struct DemandReport {
+  1: string node, 2: string zone, 3: list<Demand> demands,
+  4: bool forwarded   // by a control node to the owner: never forwarded again
+}
 
 // One datagram of a replica group; payload is a message of the consensus library.
 struct GroupMessage { 1: string group, 2: string sender_address, 3: binary payload }
+
+// How many edges a control node hears from, told to the other control nodes.
+struct EdgeCount { 1: string node, 2: i32 edges }
--- a/granitewell/rpc/messages.py
+++ b/granitewell/rpc/messages.py
@@ -24,6 +24,7 @@
 Demand: Any = _IDL.Demand
 DemandReport: Any = _IDL.DemandReport
 GroupMessage: Any = _IDL.GroupMessage
+EdgeCount: Any = _IDL.EdgeCount
 
 
 def encode(message: Any) -> bytes:
--- /dev/null
+++ b/granitewell/rpc/translation.py
@@ -0,0 +1,65 @@
+"""Between the typed servers of the model and their messages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from granitewell.model.servers import HeldModel, ModelDemand, ModelRef, Server, ServerState
+from granitewell.rpc.messages import Demand, HeldModelMessage, ServerMessage
+
+
+def server_to_message(server: Server) -> Any:
+    """The message of a server."""
+    return ServerMessage(
+        id=server.id,
+        service_name=server.service,
+        address=server.address,
+        zone=server.zone,
+        slots=server.slots,
+        state=int(server.state),
+        leaves_in_ms=server.leaves_in_ms,
+        models=[
+            HeldModelMessage(name=held.name, adapters=sorted(held.adapters))
+            for held in server.models.values()
+        ],
+    )
+
+
+def server_from_message(message: Any) -> Server:
+    """The server of a message."""
+    held = [HeldModel(entry.name, frozenset(entry.adapters or ())) for entry in message.models or ()]
+    return Server(
+        id=message.id,
+        service=message.service_name,
+        address=message.address,
+        zone=message.zone,
+        slots=message.slots,
+        state=ServerState(message.state),
+        leaves_in_ms=message.leaves_in_ms,
+        models={entry.name: entry for entry in held},
+    )
+
+
+def demand_to_message(demand: ModelDemand) -> Any:
+    """The message of a demand."""
+    return Demand(
+        service_name=demand.service,
+        model=demand.ref.model,
+        adapter=demand.ref.adapter,
+        requests=demand.requests,
+        waiting=demand.waiting,
+        in_flight=demand.in_flight,
+        priority=demand.priority,
+    )
+
+
+def demand_from_message(message: Any) -> ModelDemand:
+    """The demand of a message."""
+    return ModelDemand(
+        service=message.service_name,
+        ref=ModelRef(message.model, message.adapter or ""),
+        requests=message.requests,
+        waiting=message.waiting,
+        in_flight=message.in_flight,
+        priority=message.priority,
+    )
--- a/granitewell/rpc/transport.py
+++ b/granitewell/rpc/transport.py
@@ -1,9 +1,9 @@
 """Frames between nodes over TCP: calls with a reply, and messages without one.
 
-A frame is a head of 14 bytes (magic, version, kind, method, call id, length) and a payload. Unknown versions and
-lengths over the bound end the connection. One connection a pair of nodes and direction; it is dialed when it is
-wanted, and a peer that says nothing is given up by TCP_USER_TIMEOUT. Queues are bounded: a message for a peer
-that does not read is dropped.
+A frame is a head of 14 bytes (magic, version, kind, method, call id, length) and a payload. Unknown versions
+and lengths over the bound end the connection. One connection a pair of nodes and direction; it is dialed when
+it is wanted, and a peer that says nothing is given up by TCP_USER_TIMEOUT. Queues are bounded: a message for
+a peer that does not read is dropped.
 """
 
 from __future__ import annotations
@@ -41,6 +41,7 @@
     WATCH = 1
     DEMAND = 2
     GROUP = 3
+    EDGES = 4
 
 
 Handler = Callable[[bytes, str], Awaitable[bytes]]
--- /dev/null
+++ b/tests/controlplane/test_publication.py
@@ -0,0 +1,225 @@
+"""Versioned tables: what a watcher has after updates is what the owner has, however it got there."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import pytest
+
+from granitewell.controlplane.publication import table as table_module
+from granitewell.controlplane.publication.publisher import (
+    EdgeCounter,
+    OutOfTouch,
+    Publisher,
+    members_digest,
+    update_from_message,
+)
+from granitewell.controlplane.publication.table import ServerTable, Update, Version
+from granitewell.model.servers import HeldModel, Server, ServerState
+from granitewell.rpc.messages import TableVersion, WatchReply, WatchRequest, decode, encode
+
+
+def server(name: str, *models: str) -> Server:
+    return Server(
+        name, "svc", "10.0.0.1:80", "z", 4, ServerState.READY, -1, {m: HeldModel(m) for m in models}
+    )
+
+
+def random_servers(rng: Random) -> list[Server]:
+    return [server(f"s{n}", *rng.sample("abcd", rng.randrange(3))) for n in range(8) if rng.random() < 0.7]
+
+
+class Watcher:
+    """Keeps servers by updates, as an edge does."""
+
+    def __init__(self) -> None:
+        self.version = Version()
+        self.servers: dict[str, Server] = {}
+
+    def take(self, update: Update) -> None:
+        if update.whole:
+            self.servers = {}
+        for key in update.removed:
+            self.servers.pop(key, None)
+        self.servers.update({one.id: one for one in update.changed})
+        self.version = update.version
+
+
+def play(seed: int, most_removed: int = 2_000) -> None:
+    """Owner, a copy, and watchers that ask either of them now and then; owners change."""
+    rng = Random(seed)
+    owner, copy, watchers = ServerTable(), ServerTable(), [Watcher() for _ in range(3)]
+    epoch = 1
+    owner.begin(epoch)
+    for step in range(120):
+        if rng.random() < 0.05:
+            epoch += 1
+            owner.begin(epoch)
+        if rng.random() < 0.5:
+            owner.replace(random_servers(rng), float(step))
+        if rng.random() < 0.5:
+            copy.update(owner.since(copy.version), owner.listed_at)
+        watcher = rng.choice(watchers)
+        source = rng.choice([owner, copy])
+        if source.version >= watcher.version and source.version != Version():
+            watcher.take(source.since(watcher.version))
+            assert watcher.servers == dict(source.servers), f"seed {seed}, step {step}"
+            assert watcher.version == source.version
+
+
+@pytest.mark.parametrize("block", range(8))
+def test_watchers_end_with_what_the_owner_has(block: int) -> None:
+    for seed in range(block * 50, block * 50 + 50):
+        play(seed)
+
+
+def test_removals_are_bounded_and_a_watcher_from_before_gets_the_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(table_module, "MOST_REMOVED", 2)
+    for seed in range(100):
+        play(seed)
+
+
+def test_a_table_that_forgets_removals_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = ServerTable.since
+
+    def since(self: ServerTable, version: Version) -> Update:
+        update = real(self, version)
+        return Update(update.version, update.whole, update.changed, ())
+
+    monkeypatch.setattr(ServerTable, "since", since)
+    with pytest.raises(AssertionError):
+        for seed in range(100):
+            play(seed)
+
+
+def test_an_unchanged_list_is_no_change() -> None:
+    table = ServerTable()
+    table.begin(3)
+    assert table.replace([server("a", "m")], 1.0)
+    version = table.version
+    assert not table.replace([server("a", "m")], 2.0)
+    assert table.version == version
+    assert table.listed_at == 2.0
+
+
+# --- Long-polls ---------------------------------------------------------------------------------------------
+
+
+@dataclass
+class Delta:
+    version: int
+    whole: bool = True
+    documents: tuple[bytes, ...] = (b"{}",)
+
+
+class FakeStore:
+    version = 0
+
+    def changes_since(self, version: int) -> Delta:
+        return Delta(self.version)
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def publisher(contact: float = 0.0) -> tuple[Publisher, FakeStore, ServerTable, EdgeCounter, Clock]:
+    store, table, edges, clock = FakeStore(), ServerTable(), EdgeCounter(), Clock()
+    made = Publisher(store, {0: table}, lambda: ["10.0.0.1:7660"], lambda: contact, edges, clock)
+    return made, store, table, edges, clock
+
+
+def request(edge: bool = True, version: int = 0, hold_ms: int = 0, **more: Any) -> Any:
+    return WatchRequest(
+        node="e1", zone="z", edge=edge, configuration_version=version, hold_ms=hold_ms,
+        tables=more.get("tables", []), members_digest=more.get("digest", 0),
+    )  # fmt: skip
+
+
+def over_the_wire(reply: Any) -> Any:
+    return decode(WatchReply, encode(reply))
+
+
+def test_a_new_watcher_gets_everything_at_once() -> None:
+    made, store, table, _, clock = publisher()
+    store.version = 7
+    table.begin(2)
+    table.replace([server("a", "m")], clock.now - 0.25)
+    reply = over_the_wire(asyncio.run(made.watch(request(hold_ms=1000))))
+    assert reply.configuration.version == 7
+    assert reply.control_nodes == ["10.0.0.1:7660"]
+    update = update_from_message(reply.tables[0])
+    assert update.whole and [one.id for one in update.changed] == ["a"]
+    assert reply.tables[0].list_age_ms == 250
+    assert reply.edges == 1
+
+
+def test_a_watcher_that_is_up_to_date_waits_until_there_is_news() -> None:
+    made, _, table, _, clock = publisher()
+    table.begin(2)
+    table.replace([server("a")], clock.now)
+    version = TableVersion(shard=0, epoch=2, sequence=table.version.sequence)
+    asked = request(hold_ms=1000, tables=[version], digest=members_digest(["10.0.0.1:7660"]))
+
+    async def play_it() -> Any:
+        task = asyncio.create_task(made.watch(asked))
+        await asyncio.sleep(0)
+        assert not task.done()
+        table.replace([server("a"), server("b")], clock.now)
+        made.changed()
+        return await task
+
+    reply = asyncio.run(play_it())
+    assert [one.id for one in update_from_message(reply.tables[0]).changed] == ["b"]
+    assert not reply.tables[0].whole
+
+
+def test_without_news_the_reply_after_the_hold_tells_the_age_of_the_list() -> None:
+    made, _, table, _, clock = publisher()
+    table.begin(2)
+    table.replace([server("a")], clock.now - 1.0)
+    version = TableVersion(shard=0, epoch=2, sequence=table.version.sequence)
+    reply = asyncio.run(made.watch(request(tables=[version], digest=members_digest(["10.0.0.1:7660"]))))
+    assert reply.tables[0].list_age_ms == 1000
+    assert not reply.tables[0].changed and not reply.control_nodes
+
+
+def test_out_of_touch_an_edge_is_sent_elsewhere() -> None:
+    made, *_ = publisher(contact=5.0)
+    with pytest.raises(OutOfTouch):
+        asyncio.run(made.watch(request()))
+
+
+def test_a_copy_that_is_behind_its_watcher_says_nothing_of_the_shard() -> None:
+    made, _, table, _, clock = publisher()
+    table.begin(2)
+    table.replace([server("a")], clock.now)
+    reply = asyncio.run(made.watch(request(tables=[TableVersion(shard=0, epoch=3, sequence=1)])))
+    assert reply.tables == []
+
+
+def test_edges_are_counted_over_control_nodes_and_forgotten() -> None:
+    edges = EdgeCounter()
+    edges.asked("e1", 0.0)
+    edges.asked("e2", 0.0)
+    edges.told("core-2", 3, 0.0)
+    assert edges.all(1.0) == 5
+    edges.asked("e1", 5.0)
+    assert edges.all(5.0) == 1
+    assert edges.most(5.0) == 1
+
+
+def test_the_peak_of_edges_divides_shared_budgets() -> None:
+    edges = EdgeCounter()
+    edges.told("core-2", 8, 0.0)
+    assert edges.most(0.0) == 8
+    assert edges.all(10.0) == 1
+    assert edges.most(10.0) == 8
--- /dev/null
+++ b/tests/discovery/test_instances.py
@@ -0,0 +1,78 @@
+"""The platform's list: entries checked, pages followed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from granitewell.discovery.instances import BadList, parse_page
+from granitewell.discovery.reader import InstanceReader, ListUnavailable
+from granitewell.model.servers import HeldModel, ServerState
+
+ENTRY: dict[str, Any] = {
+    "id": "i-1", "service": "svc", "address": "10.0.0.9:80", "zone": "z1", "version": "v1", "slots": 64,
+    "state": "ready", "cold-remaining-ms": 0, "phase": "mixed",
+    "models": [{"name": "m1", "version": 1, "adapters": ["a1"]}],
+}  # fmt: skip
+
+
+def test_an_entry_is_read_whole() -> None:
+    page = parse_page({"instances": [ENTRY], "next-page-token": None})
+    (one,) = page.instances
+    assert (one.id, one.slots, one.state, one.leaves_in_ms) == ("i-1", 64, ServerState.READY, -1)
+    assert one.models == (HeldModel("m1", frozenset({"a1"})),)
+    assert page.next_token is None
+
+
+def test_a_server_that_is_taken_away_says_how_long_it_stays() -> None:
+    entry = ENTRY | {"state": "draining", "remaining-ms": 1600}
+    (one,) = parse_page({"instances": [entry]}).instances
+    assert one.state is ServerState.DRAINING and one.leaves_in_ms == 1600
+
+
+@pytest.mark.parametrize(
+    "document", [None, [], {}, {"instances": 3}, {"instances": [3]}, {"instances": [{}]}]
+)
+def test_what_is_no_list_is_refused(document: object) -> None:
+    with pytest.raises(BadList):
+        parse_page(document)
+
+
+def read(handler: Any) -> Any:
+    async def play() -> Any:
+        app = web.Application()
+        app.router.add_get("/instances", handler)
+        async with TestServer(app) as server, aiohttp.ClientSession() as session:
+            return await InstanceReader(f"{server.host}:{server.port}", session).read()
+
+    return asyncio.run(play())
+
+
+def test_pages_are_followed_to_the_last() -> None:
+    async def handler(request: web.Request) -> web.Response:
+        token = request.query.get("page-token")
+        entry = ENTRY | {"id": f"i-{token or 0}"}
+        return web.json_response({"instances": [entry], "next-page-token": None if token == "2" else "2"})
+
+    assert [one.id for one in read(handler)] == ["i-0", "i-2"]
+
+
+def test_over_the_rate_there_is_no_list() -> None:
+    async def handler(request: web.Request) -> web.Response:
+        return web.Response(status=429)
+
+    with pytest.raises(ListUnavailable):
+        read(handler)
+
+
+def test_an_answer_that_is_not_json_is_a_bad_list() -> None:
+    async def handler(request: web.Request) -> web.Response:
+        return web.Response(body=b"{")
+
+    with pytest.raises(BadList):
+        read(handler)
