--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 VENV ?= $(if $(wildcard .ci-venv/bin/python),.ci-venv,.dev-venv)
 PYTHON := $(VENV)/bin/python
-WANT := requirements.txt requirements-dev.txt
+WANT := requirements.txt requirements-system.txt requirements-dev.txt
 PIP := $(VENV)/bin/pip -q --disable-pip-version-check
 
 .PHONY: test lint demo fleet-demo bench venv
--- /dev/null
+++ b/granitewell/cli/system/call_plan.py
@@ -0,0 +1,129 @@
+"""What a caller of the operator API does after each answer, or none: pure, the time is a parameter.
+
+An answer ends the call where it is clear: 2xx, a status of FINAL, any other 4xx at the third time. A 307 is
+followed at most twice in a row. Everything else (no answer in time, 5xx, 408, 429, a redirect too many) moves
+on to the next address after a pause that grows, until the caller's patience ends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+FINAL = frozenset({400, 409, 412, 413, 422})  # an operator's call ends at once on these
+RETRIED = frozenset({408, 429})
+REDIRECT = 307
+MOST_REDIRECTS = 2
+MOST_OTHER_REFUSALS = 3  # any other 4xx ends the call when it has come that often
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer of a control node. location: of a redirect."""
+
+    status: int
+    body: bytes = b""
+    location: str | None = None
+
+    @property
+    def reason(self) -> str:
+        """The start of the body, for a message."""
+        return " ".join(self.body[:300].decode(errors="replace").split())
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """No answer came, or not in time."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send the call, unchanged, to this address after a pause."""
+
+    address: str
+    pause_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The call has its answer."""
+
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Patience is at its end; reason: of the last failure."""
+
+    reason: str
+
+
+Step = SendTo | Answered | GiveUp
+
+
+class CallPlan:
+    """One call over several addresses, from its first sending to its end."""
+
+    def __init__(self, addresses: Sequence[str], now: float, patience_s: float) -> None:
+        self._addresses = tuple(addresses)
+        self._ends_at = now + patience_s
+        self._at = 0
+        self._redirects = 0
+        self._refusals = 0
+        self._pause_s = FIRST_PAUSE_S
+
+    def first(self) -> SendTo:
+        """Where the call goes first."""
+        return SendTo(self._addresses[0], 0.0)
+
+    def after(self, outcome: Reply | Unanswered, now: float) -> Step:
+        """What to do now that a sending has had this outcome."""
+        if isinstance(outcome, Unanswered):
+            return self._next(outcome.reason, now)
+        if outcome.status == REDIRECT:
+            return self._follow(outcome, now)
+        if self._is_clear(outcome.status):
+            return Answered(outcome)
+        return self._next(f"answered {outcome.status} {outcome.reason}".strip(), now)
+
+    def _is_clear(self, status: int) -> bool:
+        if 200 <= status < 300 or status in FINAL:
+            return True
+        if not 400 <= status < 500 or status in RETRIED:
+            return False
+        self._refusals += 1
+        return self._refusals >= MOST_OTHER_REFUSALS
+
+    def _follow(self, reply: Reply, now: float) -> Step:
+        address = _address_of(reply.location)
+        if address is None:
+            return self._next(f"redirected to {reply.location!r}", now)
+        if self._redirects >= MOST_REDIRECTS:
+            return self._next("redirected too often", now)
+        self._redirects += 1
+        return SendTo(address, 0.0)
+
+    def _next(self, reason: str, now: float) -> Step:
+        if now + self._pause_s > self._ends_at:
+            return GiveUp(reason)
+        self._redirects = 0
+        self._at = (self._at + 1) % len(self._addresses)
+        pause_s, self._pause_s = self._pause_s, min(LONGEST_PAUSE_S, 2.0 * self._pause_s)
+        return SendTo(self._addresses[self._at], pause_s)
+
+
+def _address_of(location: str | None) -> str | None:
+    """The `ip:port` of a redirect, None where it can't be followed."""
+    try:
+        parts = urlsplit(location or "")
+        port = parts.port
+    except ValueError:
+        return None
+    if parts.scheme != "http" or not parts.hostname:
+        return None
+    return f"{parts.hostname}:{port or 80}"
--- /dev/null
+++ b/granitewell/cli/system/control_client.py
@@ -0,0 +1,146 @@
+"""Calls of the operator API: runs `call_plan`, and offers what the commands ask for."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+import orjson
+
+from granitewell.cli.system.call_plan import Answered, CallPlan, GiveUp, Reply, SendTo, Unanswered
+from granitewell.cli.system.errors import (
+    NoConfiguration,
+    NoControlNode,
+    OtherVersionInForce,
+    RefusedByControl,
+)
+
+ANSWER_S = 1.0  # without an answer for that long, another node is asked
+BYTES_PER_S = 1e6  # a body that needs longer than that to arrive is given more time
+PATIENCE_S = 15.0  # an election and a leader that is being replaced fit in
+
+
+class Method(Enum):
+    """What is done with the configuration."""
+
+    GET = "GET"
+    PUT = "PUT"
+    PATCH = "PATCH"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call of the operator API. if_match: the version that a change builds on."""
+
+    method: Method
+    body: bytes = b""
+    if_match: int | None = None
+
+    @property
+    def timeout_s(self) -> float:
+        """How long an answer may take."""
+        return ANSWER_S + len(self.body) / BYTES_PER_S
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Of the HTTP request."""
+        headers = {"Content-Type": "application/json"} if self.body else {}
+        if self.if_match is not None:
+            headers["If-Match"] = str(self.if_match)
+        return headers
+
+
+Send = Callable[[str, Call], Awaitable[Reply | Unanswered]]  # to an address, once
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class ControlClient:
+    """The configuration, by way of whichever control node answers."""
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        send: Send,
+        patience_s: float = PATIENCE_S,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        self._addresses = addresses
+        self._send = send
+        self._patience_s = patience_s
+        self._clock = clock
+        self._sleep = sleep
+
+    async def get(self) -> bytes:
+        """The newest configuration, as JSON; raises NoConfiguration, NoControlNode."""
+        reply = await self._call(Call(Method.GET))
+        if reply.status == 404:
+            raise NoConfiguration
+        _raise_refusal(reply)
+        return reply.body
+
+    async def version(self) -> int:
+        """The newest version, 0 before the first; raises NoControlNode."""
+        try:
+            version = _version_in(Reply(200, await self.get()))
+        except NoConfiguration:
+            return 0
+        if version is None:
+            raise NoControlNode("the configuration that was answered has no version")
+        return version
+
+    async def change(self, method: Method, body: bytes, if_match: int) -> int | None:
+        """Put or patch; the version that is in force after it, where the node says so. Raises
+        OtherVersionInForce, RefusedByControl, NoControlNode."""
+        reply = await self._call(Call(method, body, if_match))
+        if reply.status == 412:
+            raise OtherVersionInForce(if_match, _reason(reply))
+        _raise_refusal(reply)
+        return _version_in(reply)
+
+    async def _call(self, call: Call) -> Reply:
+        plan = CallPlan(self._addresses, self._clock(), self._patience_s)
+        step: SendTo | Answered | GiveUp = plan.first()
+        while isinstance(step, SendTo):
+            if step.pause_s:
+                await self._sleep(step.pause_s)
+            outcome = await self._send(step.address, call)
+            step = plan.after(outcome, self._clock())
+        if isinstance(step, Answered):
+            return step.reply
+        raise _no_control_node(call, step)
+
+
+def _no_control_node(call: Call, step: GiveUp) -> NoControlNode:
+    if call.method is Method.GET:
+        return NoControlNode(f"no control node answers: {step.reason}")
+    return NoControlNode(f"no clear answer, the change may have been taken: {step.reason}")
+
+
+def _raise_refusal(reply: Reply) -> None:
+    if not 200 <= reply.status < 300:
+        raise RefusedByControl(reply.status, _reason(reply))
+
+
+def _version_in(reply: Reply) -> int | None:
+    try:
+        document = orjson.loads(reply.body)
+    except orjson.JSONDecodeError:
+        return None
+    version = document.get("version") if isinstance(document, dict) else None
+    return version if isinstance(version, int) else None
+
+
+def _reason(reply: Reply) -> str:
+    """What a control node says is wrong, with the field where it names one; else the start of its answer."""
+    try:
+        document = orjson.loads(reply.body)
+    except orjson.JSONDecodeError:
+        return reply.reason
+    if not isinstance(document, dict) or not isinstance(document.get("error"), str):
+        return reply.reason
+    words = [document.get("field"), document["error"], document.get("version")]
+    return ": ".join(str(word) for word in words if word is not None)
--- /dev/null
+++ b/granitewell/cli/system/differences.py
@@ -0,0 +1,82 @@
+"""What differs between two whole configurations: pure."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+LISTS = ("routes", "services")  # items with a name; everything else is compared as one value
+ABSENT = object()
+
+
+class Change(Enum):
+    """What has become of an item or value."""
+
+    ADDED = "+"
+    REMOVED = "-"
+    CHANGED = "~"
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One thing that differs. path: such as `routes[r-1].timeout-ms`."""
+
+    change: Change
+    path: str
+    before: object = None
+    after: object = None
+
+    def text(self) -> str:
+        """One line."""
+        if self.change is not Change.CHANGED:
+            return f"{self.change.value} {self.path}"
+        return f"{self.change.value} {self.path}: {_json(self.before)} -> {_json(self.after)}"
+
+
+def differences(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[Difference]:
+    """Everything that differs, in the order of the first, then of the second."""
+    found: list[Difference] = []
+    for key in _keys(before, after):
+        if key in LISTS:
+            found += _fields(_by_name(before.get(key)), _by_name(after.get(key)), key)
+        else:
+            found += _values(key, before.get(key, ABSENT), after.get(key, ABSENT))
+    return found
+
+
+def _fields(before: Mapping[str, Any], after: Mapping[str, Any], group: str) -> Iterator[Difference]:
+    for name in _keys(before, after):
+        yield from _values(f"{group}[{name}]", before.get(name, ABSENT), after.get(name, ABSENT))
+
+
+def _values(path: str, before: object, after: object) -> Iterator[Difference]:
+    """Objects are compared field by field, all else whole."""
+    if before is ABSENT:
+        yield Difference(Change.ADDED, path)
+    elif after is ABSENT:
+        yield Difference(Change.REMOVED, path)
+    elif isinstance(before, dict) and isinstance(after, dict):
+        for key in _keys(before, after):
+            yield from _values(f"{path}.{key}", before.get(key, ABSENT), after.get(key, ABSENT))
+    elif before != after or isinstance(before, bool) is not isinstance(after, bool):
+        yield Difference(Change.CHANGED, path, before, after)
+
+
+def _keys(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[str]:
+    return [*before, *(key for key in after if key not in before)]
+
+
+def _by_name(items: object) -> dict[str, Any]:
+    """Items by name; an item without one by its place."""
+    named: dict[str, Any] = {}
+    for index, item in enumerate(items if isinstance(items, list) else ()):
+        name = item.get("name") if isinstance(item, dict) else None
+        named[name if isinstance(name, str) else str(index)] = item
+    return named
+
+
+def _json(value: object) -> str:
+    return json.dumps(value, separators=(",", ":"))
--- /dev/null
+++ b/granitewell/cli/system/ends.py
@@ -0,0 +1,68 @@
+"""Turns every end of a program or command into an exit code; but for defects, it is told in one line."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import sys
+from collections.abc import Callable
+
+from granitewell.cli.system.errors import CommandError
+from granitewell.cli.system.exit_codes import ExitCode
+from granitewell.model.errors import GranitewellError, InvalidField
+
+INSTALL = "pip install 'granitewell[system]'"
+
+
+def ended(run: Callable[[], int]) -> int:
+    """Run it; the exit code that its end stands for."""
+    try:
+        code = run()
+        sys.stdout.flush()
+        return code
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+    except BrokenPipeError:
+        _drop_output()
+        return ExitCode.INTERRUPTED
+    except CommandError as error:
+        return _say(str(error), error.exit_code)
+    except InvalidField as error:
+        return _say(str(error), ExitCode.BAD_INPUT)
+    except GranitewellError as error:
+        return _say(str(error), ExitCode.BAD_OUTCOME)
+    except ModuleNotFoundError as error:
+        return _missing(error)
+    except OSError as error:
+        _drop_output()
+        return _say(f"{error.filename or 'address or output'}: {error.strerror or error}", _code_of(error))
+    except Exception:
+        import traceback
+
+        traceback.print_exc()
+        return ExitCode.DEFECT
+
+
+def _code_of(error: OSError) -> ExitCode:
+    """An address that can't be had is an outcome of the program; all else is a lack of the machine's."""
+    taken = error.errno in (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+    return ExitCode.BAD_OUTCOME if taken else ExitCode.NO_MEANS
+
+
+def _missing(error: ModuleNotFoundError) -> int:
+    root = (error.name or "").partition(".")[0]
+    if root == "granitewell":
+        return _say(f"this installation has no {error.name}: install granitewell whole", ExitCode.NO_MEANS)
+    return _say(f"this needs {root}, which is not installed: {INSTALL}", ExitCode.NO_MEANS)
+
+
+def _say(text: str, code: ExitCode) -> int:
+    print("granitewell: " + " ".join(text.split()), file=sys.stderr)
+    return code
+
+
+def _drop_output() -> None:
+    """The interpreter flushes at its end: what is left, and can't be written, goes nowhere."""
+    with contextlib.suppress(OSError, AttributeError, ValueError):
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- /dev/null
+++ b/granitewell/cli/system/http_sender.py
@@ -0,0 +1,49 @@
+"""Sends calls of the operator API over HTTP: the shell below `control_client`."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+import aiohttp
+
+from granitewell.cli.system.call_plan import Reply, Unanswered
+from granitewell.cli.system.control_client import Call, ControlClient
+
+PATH = "/config"
+
+Result = TypeVar("Result")
+
+
+class HttpSender:
+    """Sends calls over HTTP, each on a connection of its own."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def __call__(self, address: str, call: Call) -> Reply | Unanswered:
+        """Send once; whatever goes wrong on the way is Unanswered."""
+        timeout = aiohttp.ClientTimeout(total=call.timeout_s)
+        url = f"http://{address}{PATH}"
+        try:
+            async with self._session.request(
+                call.method.value, url, data=call.body or None, headers=call.headers,
+                timeout=timeout, allow_redirects=False,
+            ) as response:  # fmt: skip
+                body = await response.read()
+                return Reply(response.status, body, response.headers.get("Location"))
+        except TimeoutError:
+            return Unanswered(f"{address}: no answer in {call.timeout_s:g} s")
+        except aiohttp.ClientConnectorError as error:
+            return Unanswered(f"{address}: {error.os_error.strerror or error.os_error}")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return Unanswered(f"{address}: {error}")
+
+
+async def ask_control(
+    addresses: Sequence[str], patience_s: float, ask: Callable[[ControlClient], Awaitable[Result]]
+) -> Result:
+    """The result of one or more calls to the control nodes."""
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        return await ask(ControlClient(addresses, HttpSender(session), patience_s))
--- /dev/null
+++ b/granitewell/controlplane/configuration/answers.py
@@ -0,0 +1,81 @@
+"""The answers of the operator API: JSON bodies, typed failures."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from granitewell.controlplane.configuration.store import ChangeResult, Outcome
+
+RETRY_AFTER_S = 1  # an election, or a change that is under way, is over by then
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Why a request is refused. field: of the body, where one is to blame."""
+
+    status: int
+    error: str
+    field: str | None = None
+
+
+def changed(result: ChangeResult) -> web.Response:
+    """The answer to a change that has an outcome."""
+    if result.outcome in (Outcome.TAKEN, Outcome.REPEATED):
+        return _json(200, {"version": result.version})
+    if result.outcome is Outcome.STALE:
+        return _json(412, {"error": "another version is current", "version": result.version})
+    if result.error is None:
+        return failure(Failure(400, "invalid"))
+    return failure(Failure(400, result.error.reason, result.error.field))
+
+
+def document(body: bytes) -> web.Response:
+    """The configuration."""
+    return web.Response(status=200, body=body, content_type="application/json")
+
+
+def failure(reason: Failure) -> web.Response:
+    """The answer to a request that is refused."""
+    content: dict[str, Any] = {"error": reason.error}
+    if reason.field is not None:
+        content["field"] = reason.field
+    response = _json(reason.status, content)
+    if reason.status == 503:
+        response.headers["Retry-After"] = str(RETRY_AFTER_S)
+    return response
+
+
+def unavailable(error: str) -> web.Response:
+    """No answer can be given here now."""
+    return failure(Failure(503, error))
+
+
+def redirect(location: str) -> web.Response:
+    """Another node answers this."""
+    response = _json(307, {"error": "another node leads"})
+    response.headers["Location"] = location
+    return response
+
+
+@web.middleware
+async def typed_failures(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turns the library's own failures (no such path, no such method) into JSON."""
+    try:
+        return await handler(request)
+    except web.HTTPMethodNotAllowed as error:
+        response = failure(Failure(error.status, f"{request.method} is not served here"))
+        response.headers["Allow"] = ",".join(sorted(error.allowed_methods))
+        return response
+    except web.HTTPNotFound as error:
+        return failure(Failure(error.status, "no such path"))
+
+
+def _json(status: int, content: dict[str, Any]) -> web.Response:
+    return web.Response(status=status, body=orjson.dumps(content), content_type="application/json")
--- /dev/null
+++ b/granitewell/controlplane/configuration/body.py
@@ -0,0 +1,58 @@
+"""Reads the bodies of changes, bounded in size, in time and over all requests together."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from granitewell.controlplane.configuration.answers import Failure
+
+MOST_BODY = 16 * 1024 * 1024  # bytes; 10,000 routes take 4 MiB
+MOST_BODIES = 2 * MOST_BODY  # bytes held for all requests that are being read
+BODY_TIMEOUT_S = 10.0  # a client that has not sent all by then is given up
+
+TOO_LARGE = Failure(413, f"the body is above {MOST_BODY} bytes")
+TOO_SLOW = Failure(408, f"the body was not there after {BODY_TIMEOUT_S:g} s")
+TOO_MANY = Failure(503, "too many bodies at once")
+BROKEN = Failure(400, "the body broke off or can't be decoded")
+
+
+class BodyReader:
+    """Reads whole bodies; sleep tells when the time is over."""
+
+    def __init__(self, sleep: Callable[[float], Awaitable[None]]) -> None:
+        self._sleep = sleep
+        self._held = 0
+
+    async def read(self, request: web.Request) -> bytes | Failure:
+        """The body, or why there is none."""
+        if (request.content_length or 0) > MOST_BODY:
+            return TOO_LARGE
+        reading = asyncio.ensure_future(self._read_all(request))
+        timing = asyncio.ensure_future(self._sleep(BODY_TIMEOUT_S))
+        try:
+            await asyncio.wait((reading, timing), return_when=asyncio.FIRST_COMPLETED)
+            return reading.result() if reading.done() else TOO_SLOW
+        finally:
+            reading.cancel()
+            timing.cancel()
+
+    async def _read_all(self, request: web.Request) -> bytes | Failure:
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in request.content.iter_any():
+                size += len(chunk)
+                self._held += len(chunk)
+                chunks.append(chunk)
+                if size > MOST_BODY:
+                    return TOO_LARGE
+                if self._held > MOST_BODIES:
+                    return TOO_MANY
+        except (web.RequestPayloadError, web.PayloadAccessError, OSError):
+            return BROKEN
+        finally:
+            self._held -= size
+        return b"".join(chunks)
--- /dev/null
+++ b/granitewell/controlplane/configuration/change.py
@@ -0,0 +1,59 @@
+"""A change as an operator asks for it, and its form in the replicated log."""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from dataclasses import dataclass
+from enum import Enum
+
+from granitewell.controlplane.configuration.errors import UnreadableChange
+
+FORMAT = 1
+HEAD = struct.Struct("!BBq")  # format, operation, base version
+MOST_VERSION = 2**63 - 1  # versions travel as signed 64-bit numbers
+
+
+class Operation(Enum):
+    """How a change is made: a whole configuration, or an alteration of the current one."""
+
+    PUT = "put"
+    PATCH = "patch"
+
+
+_CODES = {Operation.PUT: 1, Operation.PATCH: 2}
+_OPERATIONS = {code: operation for operation, code in _CODES.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change. base_version: the version it builds on (If-Match); body: the bytes as they were sent."""
+
+    operation: Operation
+    base_version: int
+    body: bytes
+
+    def encode(self) -> bytes:
+        """The form in the log, and in what edges are sent."""
+        return HEAD.pack(FORMAT, _CODES[self.operation], self.base_version) + self.body
+
+    @classmethod
+    def decode(cls, data: bytes) -> Change:
+        """A change from its form in the log; raises UnreadableChange."""
+        if len(data) < HEAD.size:
+            raise UnreadableChange(f"{len(data)} bytes are too few")
+        version, code, base_version = HEAD.unpack_from(data)
+        if version != FORMAT:
+            raise UnreadableChange(f"format {version} is not known")
+        operation = _OPERATIONS.get(code)
+        if operation is None:
+            raise UnreadableChange(f"operation {code} is not known")
+        if base_version < 0:
+            raise UnreadableChange(f"base version {base_version} is below 0")
+        return cls(operation, base_version, bytes(data[HEAD.size :]))
+
+    def digest(self) -> bytes:
+        """What tells this change from others. The body holds the new version, so that it alone identifies the
+        change: a change that is sent again is the same one whatever its If-Match says."""
+        code = _CODES[self.operation]
+        return hashlib.sha256(bytes((code,)) + self.body).digest()
--- /dev/null
+++ b/granitewell/controlplane/configuration/checks.py
@@ -0,0 +1,309 @@
+"""Reads what an operator sends and checks it; InvalidConfiguration names the field that is wrong.
+
+Checked here: all that can be seen in the body alone. What depends on the rest of the configuration (services
+that are known, hosts and prefixes) is checked by `state`.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import orjson
+from mashumaro.exceptions import InvalidFieldValue, MissingField
+
+from granitewell.controlplane.configuration.change import MOST_VERSION
+from granitewell.model.configuration import Limits, Route, Service, StrictFields, WrongItem, WrongType
+from granitewell.model.errors import InvalidConfiguration
+
+WHOLE_FIELDS = frozenset({"version", "routes", "services", "limits"})
+PATCH_FIELDS = frozenset({"version", "upsert", "remove", "limits"})
+MOST_SHOWN = 60  # characters of a wrong value in a message
+
+Named = TypeVar("Named", Route, Service)
+
+
+@dataclass(frozen=True, slots=True)
+class Item(Generic[Named]):
+    """A route or service: as the planes read it, as it was sent, and where in the body it stood."""
+
+    value: Named
+    document: bytes
+    group: str
+    index: int
+
+    @property
+    def path(self) -> str:
+        """The field's path in the body, for messages."""
+        return f"{self.group}[{self.index}]"
+
+
+@dataclass(frozen=True, slots=True)
+class HeldItems(Generic[Named]):
+    """Items of the current configuration by name. One that is sent again unaltered isn't read again."""
+
+    values: Mapping[str, Named]
+    documents: Mapping[str, bytes]
+
+    def same(self, document: Mapping[str, Any], encoded: bytes) -> Named | None:
+        """The item that was read from the same JSON, if it is there."""
+        name = document.get("name")
+        if type(name) is str and self.documents.get(name) == encoded:
+            return self.values[name]
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class WholeConfiguration:
+    """The body of a PUT. other: top-level fields that are not known here, as JSON."""
+
+    version: int
+    routes: tuple[Item[Route], ...]
+    services: tuple[Item[Service], ...]
+    limits: Mapping[str, Any] | None
+    other: Mapping[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownItems:
+    """Named items of a kind that is not known here, to be added or replaced, and names to be removed."""
+
+    upsert: tuple[Mapping[str, Any], ...] = ()
+    remove: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPatch:
+    """The body of a PATCH. limits: those to alter; other: top-level fields that are not known here, as JSON;
+    unknown_items: by the name of their kind."""
+
+    version: int
+    routes: tuple[Item[Route], ...]
+    services: tuple[Item[Service], ...]
+    removed_routes: frozenset[str]
+    removed_services: frozenset[str]
+    limits: Mapping[str, Any]
+    other: Mapping[str, bytes]
+    unknown_items: Mapping[str, UnknownItems]
+
+
+def read_whole(
+    body: bytes, current_version: int, held_routes: HeldItems[Route], held_services: HeldItems[Service]
+) -> WholeConfiguration:
+    """The body of a PUT; raises InvalidConfiguration."""
+    document = _read_object(body)
+    version = _read_version(document, current_version)
+    routes = _read_items(Route, _required(document, "routes"), "routes", held_routes)
+    services = _read_items(Service, _required(document, "services"), "services", held_services)
+    limits = document.get("limits")
+    return WholeConfiguration(
+        version=version,
+        routes=routes,
+        services=services,
+        limits=None if limits is None else _as_object(limits, "limits"),
+        other=_encode_others(document, WHOLE_FIELDS),
+    )
+
+
+def read_patch(
+    body: bytes, current_version: int, held_routes: HeldItems[Route], held_services: HeldItems[Service]
+) -> ConfigurationPatch:
+    """The body of a PATCH; raises InvalidConfiguration."""
+    document = _read_object(body)
+    version = _read_version(document, current_version)
+    for misplaced in ("routes", "services"):
+        if misplaced in document:
+            raise InvalidConfiguration(misplaced, "a PATCH has this under upsert or remove")
+    upsert = _optional_object(document, "upsert")
+    remove = _optional_object(document, "remove")
+    limits = _optional_object(document, "limits") | _optional_object(upsert, "limits", "upsert.")
+    return ConfigurationPatch(
+        version=version,
+        routes=_read_items(Route, _optional(upsert, "routes"), "upsert.routes", held_routes),
+        services=_read_items(Service, _optional(upsert, "services"), "upsert.services", held_services),
+        removed_routes=_read_names(remove, "routes"),
+        removed_services=_read_names(remove, "services"),
+        limits=limits,
+        other=_encode_others(document, PATCH_FIELDS),
+        unknown_items=_read_unknown_items(upsert, remove),
+    )
+
+
+def read_limits(document: Mapping[str, Any] | None) -> Limits:
+    """Limits as the planes read them, defaults where there are none; raises InvalidConfiguration."""
+    if document is None:
+        return Limits()
+    try:
+        return Limits.from_dict(document)
+    except (ValueError, LookupError) as error:
+        raise _wrong_field(error, Limits, "limits") from error
+
+
+def encode_value(value: Any, path: str) -> bytes:
+    """JSON of a value that was read from JSON; raises InvalidConfiguration where it nests too deeply."""
+    try:
+        encoded = orjson.dumps(value)
+    except orjson.JSONEncodeError as error:
+        raise InvalidConfiguration(path, f"can't be kept: {error}") from error
+    return memoryview(encoded).tobytes()  # a copy, as each result of orjson takes up 4 KB
+
+
+def _read_object(body: bytes) -> dict[str, Any]:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise InvalidConfiguration("body", f"not JSON: {error}") from error
+    return _as_object(document, "body")
+
+
+def _read_version(document: Mapping[str, Any], current_version: int) -> int:
+    version = _required(document, "version")
+    if type(version) is not int:
+        raise InvalidConfiguration("version", f"not a whole number: {_shown(version)}")
+    if version <= current_version:
+        raise InvalidConfiguration("version", f"{version} is not above {current_version}")
+    if version > MOST_VERSION:
+        raise InvalidConfiguration("version", f"{version} is above {MOST_VERSION}")
+    return version
+
+
+def _required(document: Mapping[str, Any], name: str) -> Any:
+    if name not in document:
+        raise InvalidConfiguration(name, "missing")
+    return document[name]
+
+
+def _optional(document: Mapping[str, Any], name: str) -> Any:
+    value = document.get(name)
+    return [] if value is None else value
+
+
+def _as_object(value: Any, path: str) -> dict[str, Any]:
+    if type(value) is not dict:
+        raise InvalidConfiguration(path, f"not an object: {_shown(value)}")
+    return value
+
+
+def _as_list(value: Any, path: str) -> list[Any]:
+    if type(value) is not list:
+        raise InvalidConfiguration(path, f"not a list: {_shown(value)}")
+    return value
+
+
+def _optional_object(document: Mapping[str, Any], name: str, parent: str = "") -> dict[str, Any]:
+    value = document.get(name)
+    return {} if value is None else _as_object(value, parent + name)
+
+
+def _read_items(
+    kind: type[Named], value: Any, group: str, held: HeldItems[Named]
+) -> tuple[Item[Named], ...]:
+    items = []
+    names = set()
+    for index, document in enumerate(_as_list(value, group)):
+        item = _read_item(kind, document, group, index, held)
+        name = item.value.name
+        if name in names:
+            raise InvalidConfiguration(f"{item.path}.name", f"{_shown(name)} is there already")
+        names.add(name)
+        items.append(item)
+    return tuple(items)
+
+
+def _read_item(
+    kind: type[Named], document: Any, group: str, index: int, held: HeldItems[Named]
+) -> Item[Named]:
+    path = f"{group}[{index}]"
+    encoded = encode_value(_as_object(document, path), path)
+    value = held.same(document, encoded)
+    if value is None:
+        value = _read_new(kind, document, path)
+    return Item(value, encoded, group, index)
+
+
+def _read_new(kind: type[Named], document: Mapping[str, Any], path: str) -> Named:
+    try:
+        value = kind.from_dict(document)
+    except (ValueError, LookupError) as error:
+        raise _wrong_field(error, kind, path) from error
+    if isinstance(value, Route):
+        _check_route(value, path)
+    return value
+
+
+def _check_route(route: Route, path: str) -> None:
+    if route.timeout_ms <= 0:
+        raise InvalidConfiguration(f"{path}.timeout-ms", f"{route.timeout_ms:g} is not above 0")
+    if route.weighted_services:
+        _check_weights(route, path)
+    elif route.service is None:
+        raise InvalidConfiguration(f"{path}.service", "missing")
+
+
+def _check_weights(route: Route, path: str) -> None:
+    weights = [weighted.weight for weighted in route.weighted_services]
+    for index, weight in enumerate(weights):
+        if not weight >= 0:  # neither is NaN
+            raise InvalidConfiguration(f"{path}.weighted-services[{index}].weight", f"{weight:g} is below 0")
+    total = sum(weights)
+    if not 0 < total < math.inf:
+        raise InvalidConfiguration(f"{path}.weighted-services", f"the weights add up to {total:g}")
+
+
+def _read_names(remove: Mapping[str, Any], kind: str) -> frozenset[str]:
+    names = _as_list(_optional(remove, kind), f"remove.{kind}")
+    for index, name in enumerate(names):
+        if type(name) is not str:
+            raise InvalidConfiguration(f"remove.{kind}[{index}]", f"not a name: {_shown(name)}")
+    return frozenset(names)
+
+
+def _encode_others(document: Mapping[str, Any], known: frozenset[str]) -> dict[str, bytes]:
+    return {name: encode_value(value, name) for name, value in document.items() if name not in known}
+
+
+def _read_unknown_items(upsert: Mapping[str, Any], remove: Mapping[str, Any]) -> dict[str, UnknownItems]:
+    kinds = [kind for kind in upsert if kind not in WHOLE_FIELDS]
+    kinds += [kind for kind in remove if kind not in WHOLE_FIELDS and kind not in upsert]
+    return {kind: _read_unknown_kind(upsert, remove, kind) for kind in kinds}
+
+
+def _read_unknown_kind(upsert: Mapping[str, Any], remove: Mapping[str, Any], kind: str) -> UnknownItems:
+    items = _as_list(_optional(upsert, kind), f"upsert.{kind}")
+    for index, item in enumerate(items):
+        path = f"upsert.{kind}[{index}]"
+        if type(_as_object(item, path).get("name")) is not str:
+            raise InvalidConfiguration(f"{path}.name", "missing or not a string")
+    return UnknownItems(tuple(items), _read_names(remove, kind))
+
+
+def _wrong_field(error: BaseException, kind: type[StrictFields], path: str) -> InvalidConfiguration:
+    """What mashumaro found, by the field's path on the wire."""
+    if isinstance(error, MissingField):
+        return InvalidConfiguration(f"{path}.{_wire_name(kind, error.field_name)}", "missing")
+    if not isinstance(error, InvalidFieldValue):
+        return InvalidConfiguration(path, f"can't be read: {error}")
+    path = f"{path}.{_wire_name(kind, error.field_name)}"
+    cause = error.__cause__ or error.__context__
+    if isinstance(cause, WrongItem):
+        path = f"{path}[{cause.index}]"
+        cause = cause.__cause__
+    if isinstance(cause, MissingField | InvalidFieldValue):
+        return _wrong_field(cause, cause.holder_class, path)
+    reason = str(cause) if isinstance(cause, WrongType) else "not of its type"
+    return InvalidConfiguration(path, f"{reason}: {_shown(error.field_value)}")
+
+
+def _wire_name(kind: type[Any], name: str) -> str:
+    for field in dataclasses.fields(kind):
+        if field.name == name:
+            return str(field.metadata.get("alias") or name)
+    return name
+
+
+def _shown(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= MOST_SHOWN else text[:MOST_SHOWN] + "..."
--- /dev/null
+++ b/granitewell/controlplane/configuration/errors.py
@@ -0,0 +1,17 @@
+"""Failures of this package, beside InvalidConfiguration of granitewell.model.errors."""
+
+from __future__ import annotations
+
+from granitewell.model.errors import GranitewellError
+
+
+class UnreadableChange(GranitewellError):
+    """Bytes that are no change of a format that is known here."""
+
+
+class UnreadableSnapshot(GranitewellError):
+    """Bytes that are no snapshot of a format that is known here."""
+
+
+class DeltaMismatch(GranitewellError):
+    """A delta does not lead from the version that is held here to the one that it names."""
--- /dev/null
+++ b/granitewell/controlplane/configuration/if_match.py
@@ -0,0 +1,26 @@
+"""The version that a change builds on, from its If-Match header."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+from granitewell.controlplane.configuration.answers import Failure
+from granitewell.controlplane.configuration.change import MOST_VERSION
+
+_VERSION = re.compile(r'(?:W/)?"([0-9]{1,19})"|([0-9]{1,19})')
+
+
+def base_version(headers: Sequence[str]) -> int | Failure:
+    """A version as a bare number, in quotes, or as a weak tag."""
+    if not headers:
+        return Failure(428, "If-Match is missing: it names the version that the change builds on")
+    if len(headers) > 1:
+        return Failure(400, "more than one If-Match")
+    match = _VERSION.fullmatch(headers[0].strip())
+    if match is None:
+        return Failure(400, "If-Match is not a version")
+    version = int(match[1] or match[2])
+    if version > MOST_VERSION:
+        return Failure(400, "If-Match is no version")
+    return version
--- /dev/null
+++ b/granitewell/controlplane/configuration/state.py
@@ -0,0 +1,263 @@
+"""One version of the configuration, with all that the next change is judged by.
+
+States are never altered: a change gives a new one that shares what it did not touch.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import orjson
+
+from granitewell.controlplane.configuration.change import Change, Operation
+from granitewell.controlplane.configuration.checks import (
+    ConfigurationPatch,
+    HeldItems,
+    Item,
+    UnknownItems,
+    WholeConfiguration,
+    encode_value,
+    read_limits,
+    read_patch,
+    read_whole,
+)
+from granitewell.model.configuration import Configuration, Limits, Route, Service
+from granitewell.model.errors import InvalidConfiguration
+
+
+class MatchKey(NamedTuple):
+    """What a request is matched by. host: in lower case."""
+
+    host: str
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationState:
+    """A configuration, the JSON of its parts as the operator sent them, and the routes by what they match.
+
+    route_documents, service_documents: by name, in order. limits_document: None where none were ever sent.
+    other: top-level fields that are not known here, as JSON.
+    """
+
+    configuration: Configuration
+    route_documents: Mapping[str, bytes] = field(default_factory=dict)
+    service_documents: Mapping[str, bytes] = field(default_factory=dict)
+    limits_document: bytes | None = None
+    other: Mapping[str, bytes] = field(default_factory=dict)
+    matches: Mapping[MatchKey, str] = field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """The version, 0 where there is no configuration yet."""
+        return self.configuration.version
+
+    def held_routes(self) -> HeldItems[Route]:
+        """The routes, for reading those that are sent again."""
+        return HeldItems(self.configuration.routes, self.route_documents)
+
+    def held_services(self) -> HeldItems[Service]:
+        """The services, for reading those that are sent again."""
+        return HeldItems(self.configuration.services, self.service_documents)
+
+    def items_size(self) -> int:
+        """The bytes of all routes and services as JSON: nearly those of the whole document."""
+        sizes = map(len, self.route_documents.values())
+        return sum(sizes) + sum(map(len, self.service_documents.values()))
+
+    def document(self) -> bytes:
+        """The whole configuration as JSON."""
+        parts = [
+            b'"version":%d' % self.version,
+            b'"routes":[' + b",".join(self.route_documents.values()) + b"]",
+            b'"services":[' + b",".join(self.service_documents.values()) + b"]",
+        ]
+        if self.limits_document is not None:
+            parts.append(b'"limits":' + self.limits_document)
+        for name, value in self.other.items():
+            parts.append(orjson.dumps(name) + b":" + value)
+        return b"{" + b",".join(parts) + b"}"
+
+
+EMPTY = ConfigurationState(Configuration(version=0, routes={}, services={}, limits=Limits()))
+"""Before the first configuration."""
+
+
+def changed(state: ConfigurationState, change: Change) -> ConfigurationState:
+    """The state after a change on top of this one; raises InvalidConfiguration."""
+    if change.operation is Operation.PUT:
+        return whole_state(state, change.body)
+    patch = read_patch(change.body, state.version, state.held_routes(), state.held_services())
+    return _patched(state, patch)
+
+
+def whole_state(state: ConfigurationState, document: bytes) -> ConfigurationState:
+    """The state that a whole configuration stands for, on top of this one; raises InvalidConfiguration."""
+    return _whole(read_whole(document, state.version, state.held_routes(), state.held_services()))
+
+
+def difference(before: ConfigurationState, after: ConfigurationState) -> bytes | None:
+    """The body of a PATCH that leads the planes from one state to another; None where limits or unknown
+    fields differ, which a patch can only add to."""
+    if before.limits_document != after.limits_document or before.other != after.other:
+        return None
+    routes, gone_routes = _difference(before.route_documents, after.route_documents)
+    services, gone_services = _difference(before.service_documents, after.service_documents)
+    upsert = b'{"routes":[%b],"services":[%b]}' % (routes, services)
+    remove = orjson.dumps({"routes": gone_routes, "services": gone_services})
+    return b'{"version":%d,"upsert":%b,"remove":%b}' % (after.version, upsert, remove)
+
+
+def _difference(before: Mapping[str, bytes], after: Mapping[str, bytes]) -> tuple[bytes, list[str]]:
+    upserted = [document for name, document in after.items() if before.get(name) != document]
+    removed = [name for name in before if name not in after]
+    return b",".join(upserted), removed
+
+
+def _whole(whole: WholeConfiguration) -> ConfigurationState:
+    services = _values(whole.services)
+    for item in whole.routes:
+        _check_services(item, services)
+    matches: dict[MatchKey, str] = {}
+    _add_matches(matches, whole.routes)
+    return ConfigurationState(
+        configuration=Configuration(
+            version=whole.version,
+            routes=_values(whole.routes),
+            services=services,
+            limits=read_limits(whole.limits),
+        ),
+        route_documents=_documents(whole.routes),
+        service_documents=_documents(whole.services),
+        limits_document=None if whole.limits is None else encode_value(whole.limits, "limits"),
+        other=whole.other,
+        matches=matches,
+    )
+
+
+def _patched(state: ConfigurationState, patch: ConfigurationPatch) -> ConfigurationState:
+    """Removes first, then adds and replaces. What is not named in the patch is not looked at again."""
+    before = state.configuration
+    services = _merged(before.services, patch.removed_services, _values(patch.services))
+    routes = _merged(before.routes, patch.removed_routes, _values(patch.routes))
+    for item in patch.routes:
+        _check_services(item, services)
+    _check_removed_services(before.services.keys() - services.keys(), routes)
+    limits, limits_document = _patched_limits(state, patch.limits)
+    return ConfigurationState(
+        configuration=Configuration(patch.version, routes, services, limits),
+        route_documents=_merged(state.route_documents, patch.removed_routes, _documents(patch.routes)),
+        service_documents=_merged(
+            state.service_documents, patch.removed_services, _documents(patch.services)
+        ),
+        limits_document=limits_document,
+        other=_patched_other(state.other, patch),
+        matches=_patched_matches(state, patch),
+    )
+
+
+def _values(items: Iterable[Item[Any]]) -> dict[str, Any]:
+    return {item.value.name: item.value for item in items}
+
+
+def _documents(items: Iterable[Item[Any]]) -> dict[str, bytes]:
+    return {item.value.name: item.document for item in items}
+
+
+def _merged(
+    old: Mapping[str, Any], removed: frozenset[str], upserted: Mapping[str, Any]
+) -> Mapping[str, Any]:
+    if not removed and not upserted:
+        return old
+    merged = dict(old)
+    for name in removed:
+        merged.pop(name, None)
+    merged.update(upserted)
+    return merged
+
+
+def _check_services(item: Item[Route], services: Mapping[str, Service]) -> None:
+    """Every service that a route names is known."""
+    route = item.value
+    if route.service is not None and route.service not in services:
+        raise InvalidConfiguration(f"{item.path}.service", f"no service is named {route.service!r}")
+    for index, weighted in enumerate(route.weighted_services):
+        if weighted.service not in services:
+            path = f"{item.path}.weighted-services[{index}].service"
+            raise InvalidConfiguration(path, f"no service is named {weighted.service!r}")
+
+
+def _check_removed_services(removed: set[str], routes: Mapping[str, Route]) -> None:
+    """No route that stays names a service that goes."""
+    if not removed:
+        return
+    for route in routes.values():
+        for name in _named_services(route):
+            if name in removed:
+                raise InvalidConfiguration("remove.services", f"route {route.name!r} names {name!r}")
+
+
+def _named_services(route: Route) -> list[str]:
+    names = [weighted.service for weighted in route.weighted_services]
+    if route.service is not None:
+        names.append(route.service)
+    return names
+
+
+def _match_key(route: Route) -> MatchKey:
+    return MatchKey(route.host.lower(), route.prefix)
+
+
+def _add_matches(matches: dict[MatchKey, str], items: Iterable[Item[Route]]) -> None:
+    for item in items:
+        name = item.value.name
+        key = _match_key(item.value)
+        other = matches.setdefault(key, name)
+        if other != name:
+            raise InvalidConfiguration(f"{item.path}.prefix", f"route {other!r} has the same host and prefix")
+
+
+def _patched_matches(state: ConfigurationState, patch: ConfigurationPatch) -> Mapping[MatchKey, str]:
+    """All that go are taken out before any is added, so that routes may exchange what they match."""
+    if not patch.routes and not patch.removed_routes:
+        return state.matches
+    matches = dict(state.matches)
+    gone = patch.removed_routes.union(item.value.name for item in patch.routes)
+    for name in gone:
+        route = state.configuration.routes.get(name)
+        if route is not None:
+            del matches[_match_key(route)]
+    _add_matches(matches, patch.routes)
+    return matches
+
+
+def _patched_limits(state: ConfigurationState, altered: Mapping[str, Any]) -> tuple[Limits, bytes | None]:
+    if not altered:
+        return state.configuration.limits, state.limits_document
+    before = {} if state.limits_document is None else orjson.loads(state.limits_document)
+    document = {**before, **altered}
+    return read_limits(document), encode_value(document, "limits")
+
+
+def _patched_other(other: Mapping[str, bytes], patch: ConfigurationPatch) -> Mapping[str, bytes]:
+    if not patch.other and not patch.unknown_items:
+        return other
+    merged = {**other, **patch.other}
+    for kind, items in patch.unknown_items.items():
+        merged[kind] = _patched_unknown(merged.get(kind), items, kind)
+    return merged
+
+
+def _patched_unknown(document: bytes | None, items: UnknownItems, kind: str) -> bytes:
+    """The list of a kind of items that is not known here, altered by name as the known kinds are."""
+    before = [] if document is None else orjson.loads(document)
+    if not isinstance(before, list):
+        raise InvalidConfiguration(f"upsert.{kind}", "not a list in the current configuration")
+    merged = _merged(_by_name(before), items.remove, _by_name(items.upsert))
+    return encode_value(list(merged.values()), f"upsert.{kind}")
+
+
+def _by_name(items: Iterable[Any]) -> dict[str, Any]:
+    return {item["name"]: item for item in items if isinstance(item, dict) and "name" in item}
--- /dev/null
+++ b/granitewell/controlplane/configuration/store.py
@@ -0,0 +1,214 @@
+"""The configuration as a replicated state machine: compare-and-set by version, a history of what was taken.
+
+A change is judged in this order: taken before -> REPEATED; built on another version -> STALE; invalid ->
+INVALID; else TAKEN. By the history, a change that is sent again after its acknowledgement was lost is the
+same change; it is part of the snapshot. Nothing here reads a clock or anything else that replicas differ in.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from granitewell.controlplane.configuration.change import Change, Operation
+from granitewell.controlplane.configuration.errors import UnreadableSnapshot
+from granitewell.controlplane.configuration.state import (
+    EMPTY,
+    ConfigurationState,
+    changed,
+    difference,
+    whole_state,
+)
+from granitewell.model.configuration import Configuration
+from granitewell.model.errors import InvalidConfiguration
+
+__all__ = ["Change", "ChangeResult", "ConfigurationDelta", "ConfigurationStore", "Operation", "Outcome"]
+
+SNAPSHOT_FORMAT = 1
+SNAPSHOT_HEAD = struct.Struct("!BIII")  # format, checksum of the rest, length of the document, changes taken
+TAKEN_CHANGE = struct.Struct("!32sq")  # digest, version
+MOST_TAKEN = 10_000  # changes remembered: weeks at some hundred changes a day, in 400 KB of a snapshot
+MOST_STEPS = 128  # patches kept for edges that lag; one further behind is sent the whole
+
+
+class Outcome(Enum):
+    """What became of a change."""
+
+    TAKEN = "taken"
+    REPEATED = "repeated"
+    STALE = "stale"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeResult:
+    """What became of a change. version: the current one after it; error: why it is INVALID."""
+
+    outcome: Outcome
+    version: int
+    error: InvalidConfiguration | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationDelta:
+    """What leads to a version: one whole configuration (JSON), or encoded patches (Change) in order."""
+
+    version: int
+    whole: bool
+    documents: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """A change that can be taken on top of the current state, and the state that it gives."""
+
+    digest: bytes
+    after: ConfigurationState
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    """What leads from one version to the next, as a patch; data: as edges are sent it."""
+
+    base_version: int
+    version: int
+    data: bytes
+
+
+class ConfigurationStore:
+    """One replica of the configuration. on_taken: called after each change of the version."""
+
+    def __init__(self, on_taken: Callable[[], None] | None = None) -> None:
+        self._state = EMPTY
+        self._taken: dict[bytes, int] = {}
+        self._steps: deque[_Step] = deque(maxlen=MOST_STEPS)
+        self._document: bytes | None = None
+        self._whole_size = 0
+        self._checked: _Candidate | None = None  # the last that check passed, on the current state
+        self._on_taken = on_taken
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The current configuration, None before the first."""
+        return self._state.configuration if self._state.version else None
+
+    @property
+    def version(self) -> int:
+        """The current version, 0 before the first."""
+        return self._state.version
+
+    def document(self) -> bytes:
+        """The current configuration whole, as JSON; an empty one before the first."""
+        if self._document is None:
+            self._document = self._state.document()
+        return self._document
+
+    def check(self, change: Change) -> ChangeResult | None:
+        """What apply would say of a change now, None if it would be taken. Changes nothing."""
+        verdict = self._judge(change)
+        if isinstance(verdict, ChangeResult):
+            return verdict
+        self._checked = verdict
+        return None
+
+    def apply(self, index: int, data: bytes) -> ChangeResult:
+        """A committed entry of the log; raises UnreadableChange."""
+        change = Change.decode(data)
+        verdict = self._judge(change)
+        if isinstance(verdict, ChangeResult):
+            return verdict
+        self._take(change, verdict, data)
+        return ChangeResult(Outcome.TAKEN, self.version)
+
+    def changes_since(self, version: int) -> ConfigurationDelta:
+        """What leads from a version to the current one: patches where they are still kept, else the whole."""
+        if version >= self.version:
+            return ConfigurationDelta(self.version, False, ())
+        steps = [step for step in self._steps if step.version > version]
+        if steps and steps[0].base_version == version:
+            return ConfigurationDelta(self.version, False, tuple(step.data for step in steps))
+        return ConfigurationDelta(self.version, True, (self.document(),))
+
+    def snapshot(self) -> bytes:
+        """All that a replica needs to go on from here."""
+        document = self.document() if self.version else b""
+        taken = b"".join(TAKEN_CHANGE.pack(digest, version) for digest, version in self._taken.items())
+        rest = document + taken
+        return SNAPSHOT_HEAD.pack(SNAPSHOT_FORMAT, zlib.crc32(rest), len(document), len(self._taken)) + rest
+
+    def restore(self, data: bytes) -> None:
+        """Goes on from a snapshot instead of what was held; raises UnreadableSnapshot and then keeps it."""
+        if len(data) < SNAPSHOT_HEAD.size:
+            raise UnreadableSnapshot(f"{len(data)} bytes are too few")
+        version, checksum, length, count = SNAPSHOT_HEAD.unpack_from(data)
+        if version != SNAPSHOT_FORMAT:
+            raise UnreadableSnapshot(f"format {version} is not known")
+        rest = data[SNAPSHOT_HEAD.size :]
+        if len(rest) != length + count * TAKEN_CHANGE.size or zlib.crc32(rest) != checksum:
+            raise UnreadableSnapshot("damaged")
+        state = _restored_state(bytes(rest[:length]))
+        self._taken = dict(TAKEN_CHANGE.iter_unpack(rest[length:]))
+        self._steps.clear()
+        self._set_state(state)
+
+    def _judge(self, change: Change) -> ChangeResult | _Candidate:
+        digest = change.digest()
+        if digest in self._taken:
+            return ChangeResult(Outcome.REPEATED, self.version)
+        if change.base_version != self.version:
+            return ChangeResult(Outcome.STALE, self.version)
+        if self._checked is not None and self._checked.digest == digest:
+            return self._checked
+        try:
+            return _Candidate(digest, changed(self._state, change))
+        except InvalidConfiguration as error:
+            return ChangeResult(Outcome.INVALID, self.version, error)
+
+    def _take(self, change: Change, candidate: _Candidate, data: bytes) -> None:
+        before, after = self._state, candidate.after
+        self._remember(candidate.digest, after.version)
+        patch = bytes(data) if change.operation is Operation.PATCH else _as_patch(before, after)
+        if patch is None:
+            self._steps.clear()
+        else:
+            self._steps.append(_Step(before.version, after.version, patch))
+        self._set_state(after)
+
+    def _remember(self, digest: bytes, version: int) -> None:
+        self._taken[digest] = version
+        while len(self._taken) > MOST_TAKEN:
+            del self._taken[next(iter(self._taken))]
+
+    def _drop_long_steps(self) -> None:
+        """Keeps no more than is of use: together no longer than the whole."""
+        size = sum(len(step.data) for step in self._steps)
+        while self._steps and size >= self._whole_size:
+            size -= len(self._steps.popleft().data)
+
+    def _set_state(self, state: ConfigurationState) -> None:
+        self._state = state
+        self._document = None
+        self._whole_size = state.items_size()
+        self._checked = None
+        self._drop_long_steps()
+        if self._on_taken is not None:
+            self._on_taken()
+
+
+def _as_patch(before: ConfigurationState, after: ConfigurationState) -> bytes | None:
+    """A whole configuration told as an encoded patch of the one before, None where that can't be."""
+    body = difference(before, after)
+    return None if body is None else Change(Operation.PATCH, before.version, body).encode()
+
+
+def _restored_state(document: bytes) -> ConfigurationState:
+    if not document:
+        return EMPTY
+    try:
+        return whole_state(EMPTY, document)
+    except InvalidConfiguration as error:
+        raise UnreadableSnapshot(f"holds no configuration: {error}") from error
--- /dev/null
+++ b/granitewell/controlplane/configuration/view.py
@@ -0,0 +1,66 @@
+"""The configuration as an edge holds it: made of what control nodes publish, with the store's own merge."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from granitewell.controlplane.configuration.change import Change
+from granitewell.controlplane.configuration.errors import DeltaMismatch, UnreadableChange
+from granitewell.controlplane.configuration.state import EMPTY, ConfigurationState, changed, whole_state
+from granitewell.model.configuration import Configuration
+from granitewell.model.errors import InvalidConfiguration
+
+
+class ConfigurationView:
+    """The newest configuration that was seen here. Its version only rises."""
+
+    def __init__(self) -> None:
+        self._state = EMPTY
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The newest configuration, None before the first."""
+        return self._state.configuration if self._state.version else None
+
+    @property
+    def version(self) -> int:
+        """The newest version, 0 before the first."""
+        return self._state.version
+
+    def apply(self, version: int, whole: bool, documents: Sequence[bytes]) -> Configuration | None:
+        """Goes on to a version by what changes_since gave; None where that is not newer than what is held.
+        Raises DeltaMismatch, and then holds what it held: ask for the whole (as from version 0)."""
+        if version <= self.version:
+            return None
+        state = _from_whole(self._state, documents) if whole else _from_changes(self._state, documents)
+        if state.version != version:
+            raise DeltaMismatch(f"leads to version {state.version} instead of {version}")
+        self._state = state
+        return state.configuration
+
+
+def _from_whole(state: ConfigurationState, documents: Sequence[bytes]) -> ConfigurationState:
+    if len(documents) != 1:
+        raise DeltaMismatch(f"{len(documents)} documents where one whole was expected")
+    try:
+        return whole_state(state, documents[0])
+    except InvalidConfiguration as error:
+        raise DeltaMismatch(f"the whole can't be read: {error}") from error
+
+
+def _from_changes(state: ConfigurationState, documents: Sequence[bytes]) -> ConfigurationState:
+    """Changes on top of a state."""
+    for document in documents:
+        try:
+            state = _next(state, Change.decode(document))
+        except (InvalidConfiguration, UnreadableChange) as error:
+            raise DeltaMismatch(f"a change can't be read: {error}") from error
+    return state
+
+
+def _next(state: ConfigurationState, change: Change) -> ConfigurationState:
+    if change.base_version < state.version:
+        return state  # there is one history: what was built on an older version than this is held already
+    if change.base_version > state.version:
+        raise DeltaMismatch(f"builds on version {change.base_version}, held is {state.version}")
+    return changed(state, change)
--- /dev/null
+++ b/granitewell/controlplane/placement/__init__.py
@@ -0,0 +1,6 @@
+"""Which engine server holds which models and adapters: observe, plan, order.
+
+observation: what is known of each server. demand: what is asked for. limits: memory, the weight store's rate.
+planner: servers and demand in, orders out. reconciler: the pure loop around them. orders: the wire.
+controller: the asyncio shell that the control process runs.
+"""
--- /dev/null
+++ b/granitewell/controlplane/placement/demand.py
@@ -0,0 +1,224 @@
+"""How much each model and adapter is asked for: decayed rates, and who waits now. Pure.
+
+The rate rises with the first report of a rising model and falls within seconds of silence, because demand
+moves to other models at once while a model that was merely asked for rarely keeps its small rate.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from granitewell.model.servers import ModelDemand, ModelRef
+
+FAST_S = 2.0  # time constant of the rate that shows a rise
+SLOW_S = 20.0  # time constant of the rate of models that are asked for rarely
+LEAST_FAST_REQUESTS = 2.5  # within FAST_S, below which a rise may be chance
+SILENCE_SCALE_S = 10.0  # a rate is believed to be at most this / idle time squared
+MISS_S = 5.0  # time constant of the rate of misses
+GAUGE_LASTS_S = 2.0  # edges report every second at the latest; an older figure is taken for zero
+GAUGE_HOLDS_S = 0.4  # a smaller figure within this may be that of another edge
+FORGET_S = 90.0  # a model not asked for in this time is forgotten
+NEVER = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class RefDemand:
+    """Demand for one model (its adapters included) or one adapter. rate: requests a second; idle_s: since the
+    last request; waiting_since: steady time since when requests have waited; priority: of the most urgent."""
+
+    rate: float = 0.0
+    idle_s: float = math.inf
+    in_flight: int = 0
+    waiting: int = 0
+    waiting_since: float = math.inf
+    priority: int = 9
+
+
+NO_DEMAND = RefDemand()
+
+
+@dataclass(frozen=True, slots=True)
+class DemandView:
+    """All demand at one moment, `at`. misses_per_s: how often a model began to be waited for."""
+
+    models: Mapping[str, RefDemand] = field(default_factory=dict)
+    adapters: Mapping[ModelRef, RefDemand] = field(default_factory=dict)
+    misses_per_s: float = 0.0
+    at: float = 0.0
+
+    def of(self, ref: ModelRef) -> RefDemand:
+        """Demand for a model with its adapters, or for one adapter."""
+        if ref.adapter:
+            return self.adapters.get(ref, NO_DEMAND)
+        return self.models.get(ref.model, NO_DEMAND)
+
+
+class _Gauge:
+    """A figure that several reporters set: the largest of the last moment, later the newest."""
+
+    __slots__ = ("_at", "_newest", "_newest_at", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0
+        self._at = NEVER
+        self._newest = 0
+        self._newest_at = NEVER
+
+    def set(self, now: float, value: int) -> None:
+        if value >= self.read(now):
+            self._value = value
+            self._at = now
+        self._newest = value
+        self._newest_at = now
+
+    def read(self, now: float) -> int:
+        if now - self._at <= GAUGE_HOLDS_S:
+            return self._value
+        return self._newest if now - self._newest_at <= GAUGE_LASTS_S else 0
+
+
+class _Arrivals:
+    """Two decayed counts of requests and the time of the last."""
+
+    __slots__ = ("_at", "_fast", "_slow", "last_at")
+
+    def __init__(self) -> None:
+        self._fast = 0.0
+        self._slow = 0.0
+        self._at = NEVER
+        self.last_at = NEVER
+
+    def add(self, now: float, requests: int) -> None:
+        if requests <= 0:
+            return
+        if self._at != NEVER:
+            passed = max(0.0, now - self._at)
+            self._fast *= math.exp(-passed / FAST_S)
+            self._slow *= math.exp(-passed / SLOW_S)
+        self._fast += requests
+        self._slow += requests
+        self._at = now
+        self.last_at = now
+
+    def rate(self, now: float) -> float:
+        if self.last_at == NEVER:
+            return 0.0
+        passed = max(0.0, now - self._at)
+        fast = self._fast * math.exp(-passed / FAST_S)
+        rate = self._slow * math.exp(-passed / SLOW_S) / SLOW_S
+        if fast >= LEAST_FAST_REQUESTS:
+            rate = max(rate, fast / FAST_S)
+        if passed > 1.0:
+            rate = min(rate, SILENCE_SCALE_S / (passed * passed))
+        return rate
+
+
+class _Entry:
+    """What was reported of one model or adapter by name."""
+
+    __slots__ = ("arrivals", "in_flight", "priority", "waiting", "waiting_since")
+
+    def __init__(self) -> None:
+        self.arrivals = _Arrivals()
+        self.in_flight = _Gauge()
+        self.waiting = _Gauge()
+        self.waiting_since = math.inf
+        self.priority = 9
+
+
+class DemandTable:
+    """Takes what edges report; gives the demand at a moment. Holds only models that were asked for lately."""
+
+    def __init__(self) -> None:
+        self._entries: dict[ModelRef, _Entry] = {}
+        self._models: dict[str, _Arrivals] = {}
+        self._misses = 0.0
+        self._misses_at = NEVER
+
+    def add(self, now: float, demands: Iterable[ModelDemand]) -> bool:
+        """Take a report. True when something began to be waited for."""
+        urgent = False
+        for demand in demands:
+            urgent |= self._add_one(now, demand)
+        return urgent
+
+    def _add_one(self, now: float, demand: ModelDemand) -> bool:
+        if demand.requests <= 0 and demand.waiting <= 0 and demand.in_flight <= 0:
+            entry = self._entries.get(demand.ref)
+            if entry is None:
+                return False
+        else:
+            entry = self._entries.setdefault(demand.ref, _Entry())
+        entry.arrivals.add(now, demand.requests)
+        if demand.requests > 0:
+            self._models.setdefault(demand.ref.model, _Arrivals()).add(now, demand.requests)
+        entry.in_flight.set(now, demand.in_flight)
+        waited = entry.waiting.read(now) > 0
+        entry.waiting.set(now, demand.waiting)
+        return self._note_waiting(now, entry, demand, waited)
+
+    def _note_waiting(self, now: float, entry: _Entry, demand: ModelDemand, waited: bool) -> bool:
+        if demand.waiting <= 0:
+            return False
+        if waited:
+            entry.priority = min(entry.priority, demand.priority)
+            return False
+        entry.priority = demand.priority
+        entry.waiting_since = now
+        if demand.ref.adapter == "":
+            self._misses = self._misses_now(now) + 1.0
+            self._misses_at = now
+        return True
+
+    def _misses_now(self, now: float) -> float:
+        if self._misses_at == NEVER:
+            return 0.0
+        return self._misses * math.exp(-max(0.0, now - self._misses_at) / MISS_S)
+
+    def view(self, now: float) -> DemandView:
+        """The demand at this moment."""
+        adapters: dict[ModelRef, RefDemand] = {}
+        by_model: dict[str, list[RefDemand]] = {}
+        with_adapters: set[str] = set()
+        for ref, entry in list(self._entries.items()):
+            seen = _read(now, entry)
+            if seen.idle_s > FORGET_S and not seen.waiting and not seen.in_flight:
+                del self._entries[ref]
+                continue
+            by_model.setdefault(ref.model, []).append(seen)
+            if ref.adapter:
+                adapters[ref] = seen
+                with_adapters.add(ref.model)
+        models = {
+            name: self._model(now, name, parts) if name in with_adapters else parts[0]
+            for name, parts in by_model.items()
+        }
+        for name in [known for known in self._models if known not in by_model]:
+            del self._models[name]
+        return DemandView(models, adapters, self._misses_now(now) / MISS_S, now)
+
+    def _model(self, now: float, name: str, parts: Sequence[RefDemand]) -> RefDemand:
+        arrivals = self._models.get(name)
+        waiting = [part for part in parts if part.waiting]
+        return RefDemand(
+            rate=arrivals.rate(now) if arrivals else 0.0,
+            idle_s=now - arrivals.last_at if arrivals else math.inf,
+            in_flight=sum(part.in_flight for part in parts),
+            waiting=sum(part.waiting for part in waiting),
+            waiting_since=min((part.waiting_since for part in waiting), default=math.inf),
+            priority=min((part.priority for part in waiting), default=9),
+        )
+
+
+def _read(now: float, entry: _Entry) -> RefDemand:
+    waiting = entry.waiting.read(now)
+    return RefDemand(
+        rate=entry.arrivals.rate(now),
+        idle_s=now - entry.arrivals.last_at,
+        in_flight=entry.in_flight.read(now),
+        waiting=waiting,
+        waiting_since=entry.waiting_since if waiting else math.inf,
+        priority=entry.priority if waiting else 9,
+    )
--- /dev/null
+++ b/granitewell/controlplane/placement/orders.py
@@ -0,0 +1,227 @@
+"""The wire of engine servers: GET /report and POST /order. Wire names stand here and nowhere else."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+import aiohttp
+
+from granitewell.model.errors import GranitewellError
+from granitewell.model.servers import HeldModel, ModelRef
+
+EXPECT_INSTANCE = "Granitewell-Expect-Instance"
+REPORT_TIMEOUT_S = 0.5  # a report takes some ms, with one packet lost some 200 ms more
+ORDER_TIMEOUT_S = 0.8  # the acceptance of an order takes some ms; the work itself is not waited for
+MOST_REPORT_BYTES = 256 * 1024  # far over a report with all models and adapters of a server
+
+MISDIRECTED = 421
+
+
+class BadReport(GranitewellError):
+    """A server's report can't be read."""
+
+
+class Operation(Enum):
+    """What an order asks a server for."""
+
+    LOAD = "load_model"
+    UNLOAD = "unload_model"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order to one server. purpose: for an unload, what the room is for. from_store: a load that counts
+    against the weight store's rate."""
+
+    server_id: str
+    operation: Operation
+    ref: ModelRef
+    purpose: ModelRef | None = None
+    from_store: bool = False
+
+    @property
+    def loads_model(self) -> bool:
+        """Whether this loads a whole model, not an adapter."""
+        return self.operation is Operation.LOAD and not self.ref.adapter
+
+
+@dataclass(frozen=True, slots=True)
+class OrderTicket:
+    """What makes an order conditional: the holder, its fence, the server's revision."""
+
+    holder: str
+    fence: int
+    revision: int
+
+
+class OrderResult(Enum):
+    """What is known of an order after it was sent."""
+
+    TAKEN = "taken"  # 202: being done
+    HELD = "held"  # 200: nothing to do
+    CONFLICT = "conflict"  # 409: another order is under way, or the revision has moved
+    FENCED = "fenced"  # 412: the server has seen a higher fence
+    INVALID = "invalid"  # 400 and every other refusal
+    OTHER_SERVER = "other server"  # 421
+    NOT_SENT = "not sent"  # the body never left: no connection, or the lease had ended
+    UNKNOWN = "unknown"  # it may have been taken
+
+
+class ReportFailure(Enum):
+    """Why there is no report."""
+
+    REFUSED = "refused"  # no connection: nobody listens there
+    NO_ANSWER = "no answer"
+    BAD_ANSWER = "bad answer"
+    OTHER_SERVER = "other server"
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a server says of itself, some hundred ms old. sequence: orders taken; busy: one is under way."""
+
+    sequence: int
+    busy: bool
+    models: Mapping[str, HeldModel]
+    running: int = 0
+    queued: int = 0
+
+
+class ServerClient(Protocol):
+    """How servers are reached; replaced in tests."""
+
+    async def report(self, server_id: str, address: str) -> Report | ReportFailure:
+        """The server's report."""
+
+    async def send(
+        self, address: str, order: Order, ticket: OrderTicket, may_send: Callable[[], bool]
+    ) -> OrderResult:
+        """Send an order; may_send is asked in the turn in which its body leaves."""
+
+
+def parse_report(body: bytes) -> Report:
+    """A report from its bytes; raises BadReport."""
+    try:
+        document = json.loads(body)
+        models = [_parse_model(entry) for entry in document["models"]]
+        return Report(
+            sequence=int(document["sequence"]),
+            busy=bool(document["busy"]),
+            models={model.name: model for model in models},
+            running=int(document.get("running", 0)),
+            queued=int(document.get("queued", 0)),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadReport(f"not a report: {error!r}") from error
+
+
+def _parse_model(entry: Mapping[str, object]) -> HeldModel:
+    name = entry["name"]
+    adapters = entry.get("adapters") or ()
+    if not isinstance(name, str) or not isinstance(adapters, list | tuple):
+        raise TypeError("a model's name or adapters are of another type")
+    return HeldModel(name, frozenset(str(adapter) for adapter in adapters))
+
+
+def encode_order(order: Order, ticket: OrderTicket) -> bytes:
+    """The body of an order."""
+    fields: dict[str, object] = {"operation": order.operation.value, "model": order.ref.model}
+    if order.ref.adapter:
+        fields["adapter"] = order.ref.adapter
+    fields["if-revision"] = ticket.revision
+    fields["holder"] = ticket.holder
+    fields["fence-token"] = ticket.fence
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+_RESULTS = {
+    200: OrderResult.HELD,
+    202: OrderResult.TAKEN,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    MISDIRECTED: OrderResult.OTHER_SERVER,
+}
+
+
+def order_result(status: int) -> OrderResult:
+    """What a status says of an order. A failure of the server itself leaves the order's fate open."""
+    if status >= 500:
+        return OrderResult.UNKNOWN
+    return _RESULTS.get(status, OrderResult.INVALID)
+
+
+class _GuardedBody:
+    """An order's body that asks for permission at the moment when it is written. After a connection had to be
+    opened first, that is later than the call."""
+
+    def __init__(self, body: bytes, may_send: Callable[[], bool]) -> None:
+        self._body = body
+        self._may_send = may_send
+        self.left = False
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """The body, or an error where it may no longer leave."""
+        if not self._may_send():
+            raise OSError("the lease ended before the order left")
+        self.left = True
+        yield self._body
+
+
+class HttpServerClient:
+    """Servers over HTTP. One call a server at a time is up to the caller, so one connection each suffices."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._report_timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        self._order_timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
+
+    async def report(self, server_id: str, address: str) -> Report | ReportFailure:
+        """The server's report."""
+        try:
+            async with self._session.get(
+                f"http://{address}/report",
+                headers={EXPECT_INSTANCE: server_id},
+                timeout=self._report_timeout,
+                allow_redirects=False,
+            ) as response:
+                if response.status == MISDIRECTED:
+                    return ReportFailure.OTHER_SERVER
+                if response.status != 200:
+                    return ReportFailure.BAD_ANSWER
+                body = await response.content.read(MOST_REPORT_BYTES)
+                while not response.content.at_eof() and len(body) < MOST_REPORT_BYTES:
+                    body += await response.content.read(MOST_REPORT_BYTES)
+                return parse_report(body)
+        except aiohttp.ClientConnectorError:
+            return ReportFailure.REFUSED
+        except BadReport:
+            return ReportFailure.BAD_ANSWER
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return ReportFailure.NO_ANSWER
+
+    async def send(
+        self, address: str, order: Order, ticket: OrderTicket, may_send: Callable[[], bool]
+    ) -> OrderResult:
+        """Send an order. Without a clear answer its fate is unknown if its body has left."""
+        body = encode_order(order, ticket)
+        guarded = _GuardedBody(body, may_send)
+        headers = {
+            EXPECT_INSTANCE: order.server_id,
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+        }
+        try:
+            async with self._session.post(
+                f"http://{address}/order",
+                data=guarded.parts(),
+                headers=headers,
+                timeout=self._order_timeout,
+                allow_redirects=False,
+            ) as response:
+                return order_result(response.status)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return OrderResult.UNKNOWN if guarded.left else OrderResult.NOT_SENT
--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -134,8 +134,8 @@
         """What the watcher lacks; None where that is nothing and `empty` is not wanted."""
         configuration = self._configuration_update(request)
         updates = list(self._table_updates(request))
-        nodes = list(self._control_nodes())
-        digest = members_digest(nodes)
+        nodes = list(self._control_nodes()) if request.edge else []
+        digest = members_digest(nodes) if request.edge else request.members_digest
         news = configuration is not None or any(lacks for _, lacks in updates)
         if not news and digest == request.members_digest and not empty:
             return None
--- /dev/null
+++ b/granitewell/coordination/consensus/codec.py
@@ -0,0 +1,154 @@
+"""Messages to bytes and back.
+
+A frame is a version, the message's kind, a checksum of the rest, and a thrift struct of consensus.thrift.
+Fields that a newer sender added are skipped; a frame of another version, of an unknown kind, damaged or with
+a field missing or out of its range raises BadFrame.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import Any
+from zlib import crc32
+
+from granitewell.coordination.consensus import messages
+from granitewell.coordination.consensus.messages import Message
+from granitewell.coordination.consensus.packing import (
+    IDL,
+    decode_struct,
+    encode_struct,
+    pack_entries,
+    pack_member,
+    pack_membership,
+    unpack_entries,
+    unpack_member,
+    unpack_membership,
+)
+from granitewell.model.errors import BadFrame
+
+VERSION = 1
+_HEAD = struct.Struct("!BBI")
+MOST_IDENTIFIER = 128
+"""Characters of a replica id."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Packing:
+    """How a field that thrift has no plain type for is packed."""
+
+    pack: Callable[[Any], bytes]
+    unpack: Callable[[bytes], Any]
+
+
+_PACKINGS = {
+    "entries": _Packing(pack_entries, unpack_entries),
+    "membership": _Packing(pack_membership, unpack_membership),
+    "member": _Packing(pack_member, unpack_member),
+}
+_TYPES = {"str": str, "int": int, "bool": bool, "bytes": bytes}
+
+
+@dataclass(frozen=True, slots=True)
+class _Field:
+    name: str
+    kind: Any
+    packing: _Packing | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Kind:
+    number: int
+    message: type[Message]
+    struct: Any
+    fields: tuple[_Field, ...]
+
+
+def _field(name: str, kind: str) -> _Field:
+    packing = _PACKINGS.get(name)
+    return _Field(name, bytes if packing else _TYPES[kind], packing)
+
+
+def _kind(number: int, message: type[Message]) -> _Kind:
+    described = tuple(_field(field.name, str(field.type)) for field in fields(message))
+    return _Kind(number, message, getattr(IDL, message.__name__), described)
+
+
+_NUMBERED: dict[int, type[Message]] = {
+    1: messages.PreVote,
+    2: messages.PreVoteReply,
+    3: messages.Vote,
+    4: messages.VoteReply,
+    5: messages.Heartbeat,
+    6: messages.HeartbeatReply,
+    7: messages.Append,
+    8: messages.AppendReply,
+    9: messages.SnapshotChunk,
+    10: messages.SnapshotReply,
+    11: messages.HandOver,
+    12: messages.Join,
+    13: messages.Removed,
+}
+_BY_NUMBER = {number: _kind(number, message) for number, message in _NUMBERED.items()}
+_BY_MESSAGE = {kind.message: kind for kind in _BY_NUMBER.values()}
+
+
+def encode(message: Message) -> bytes:
+    """The frame of a message."""
+    kind = _BY_MESSAGE[type(message)]
+    body = kind.struct()
+    for field in kind.fields:
+        value = getattr(message, field.name)
+        setattr(body, field.name, field.packing.pack(value) if field.packing else value)
+    payload = encode_struct(body)
+    return _HEAD.pack(VERSION, kind.number, crc32(payload)) + payload
+
+
+def decode(frame: bytes) -> Message:
+    """The message of a frame; raises BadFrame."""
+    if len(frame) < _HEAD.size:
+        raise BadFrame("no head")
+    version, number, checksum = _HEAD.unpack_from(frame)
+    if version != VERSION:
+        raise BadFrame(f"consensus version {version}, known: {VERSION}")
+    kind = _BY_NUMBER.get(number)
+    if kind is None:
+        raise BadFrame(f"no message of kind {number}")
+    payload = frame[_HEAD.size :]
+    if crc32(payload) != checksum:
+        raise BadFrame("checksum")
+    body = decode_struct(kind.struct, payload)
+    message = kind.message(*(_value(body, field) for field in kind.fields))
+    _check(message)
+    return message
+
+
+def _value(body: Any, field: _Field) -> Any:
+    value: Any = getattr(body, field.name)
+    if field.kind is bytes and isinstance(value, str):
+        value = value.encode()
+    if not isinstance(value, field.kind):
+        raise BadFrame(f"field {field.name}")
+    if field.kind is int and value < 0:
+        raise BadFrame(f"field {field.name} is below 0")
+    return field.packing.unpack(value) if field.packing else value
+
+
+def _check(message: Message) -> None:
+    if not message.sender or len(message.sender) > MOST_IDENTIFIER or len(message.receiver) > MOST_IDENTIFIER:
+        raise BadFrame("no proper replica ids")
+    if isinstance(message, messages.Append):
+        _check_entries(message)
+    if isinstance(message, messages.SnapshotChunk) and message.offset + len(message.data) > message.total:
+        raise BadFrame("a chunk ends after its snapshot")
+
+
+def _check_entries(message: messages.Append) -> None:
+    index = message.previous_index
+    term = message.previous_term
+    for entry in message.entries:
+        index += 1
+        if entry.index != index or not term <= entry.term <= message.term:
+            raise BadFrame("entries out of order")
+        term = entry.term
--- /dev/null
+++ b/granitewell/coordination/consensus/following.py
@@ -0,0 +1,104 @@
+"""What a follower does with the leader's entries and snapshots."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from granitewell.coordination.consensus.core import Core
+from granitewell.coordination.consensus.messages import (
+    Append,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from granitewell.coordination.consensus.terms import Entry, Snapshot
+
+
+@dataclass(slots=True)
+class _Assembly:
+    """A snapshot that is being received."""
+
+    index: int
+    index_term: int
+    total: int
+    data: bytearray = field(default_factory=bytearray)
+
+    def matches(self, chunk: SnapshotChunk) -> bool:
+        """Whether a chunk is of this snapshot."""
+        return (self.index, self.index_term, self.total) == (chunk.index, chunk.index_term, chunk.total)
+
+
+class Following:
+    """The part of a replica that takes a leader's log over."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._assembly: _Assembly | None = None
+
+    def on_append(self, address: str, message: Append) -> None:
+        """Take entries that continue the log here, and say how far both agree."""
+        core = self._core
+        if message.previous_index < core.commit_index:
+            self._append_after_commit(address, message)
+        elif core.log.term_at(message.previous_index) != message.previous_term:
+            hint = self._hint(message.previous_index)
+            core.send_in_term(address, AppendReply(core.id, message.sender, core.term, False, hint))
+        else:
+            self._take(address, message, message.entries)
+
+    def _append_after_commit(self, address: str, message: Append) -> None:
+        """What is committed here is in each later leader's log too: only the rest is looked at."""
+        rest = message.entries[self._core.commit_index - message.previous_index :]
+        self._take(address, message, rest)
+
+    def _take(self, address: str, message: Append, entries: Sequence[Entry]) -> None:
+        core = self._core
+        self._store(entries)
+        agreed = max(core.commit_index, message.previous_index + len(message.entries))
+        core.commit(min(message.commit_index, agreed))
+        core.send_synced(address, AppendReply(core.id, message.sender, core.term, True, agreed))
+
+    def _store(self, entries: Sequence[Entry]) -> None:
+        core = self._core
+        for entry in entries:
+            term = core.log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                core.truncate(entry.index)
+            core.append(entry)
+
+    def _hint(self, previous_index: int) -> int:
+        """The last index that may agree with the leader's log."""
+        core = self._core
+        if previous_index > core.log.last_index:
+            return core.log.last_index
+        return max(core.commit_index, core.log.first_of_term(previous_index) - 1)
+
+    def on_snapshot_chunk(self, address: str, chunk: SnapshotChunk) -> None:
+        """Take a piece of a snapshot; install it with the last one."""
+        core = self._core
+        if chunk.index <= core.commit_index:
+            self._assembly = None
+            reply = AppendReply(core.id, chunk.sender, core.term, True, core.commit_index)
+            core.send_synced(address, reply)
+            return
+        if chunk.total > core.settings.snapshot_most_bytes:
+            return
+        assembly = self._assembly
+        if assembly is None or not assembly.matches(chunk):
+            assembly = self._assembly = _Assembly(chunk.index, chunk.index_term, chunk.total)
+        if chunk.offset == len(assembly.data):
+            assembly.data += chunk.data
+        if len(assembly.data) == chunk.total:
+            self._install(address, chunk, bytes(assembly.data))
+            return
+        received = len(assembly.data)
+        core.send_in_term(address, SnapshotReply(core.id, chunk.sender, core.term, chunk.index, received))
+
+    def _install(self, address: str, chunk: SnapshotChunk, data: bytes) -> None:
+        core = self._core
+        self._assembly = None
+        core.install(Snapshot(chunk.index, chunk.index_term, chunk.membership, data))
+        core.send_synced(address, AppendReply(core.id, chunk.sender, core.term, True, chunk.index))
--- /dev/null
+++ b/granitewell/coordination/consensus/group.py
@@ -0,0 +1,554 @@
+"""The shell of a replica: runs it on the event loop, with a durable log, a state machine and a way to send.
+
+The contract (ready.py says why): what a batch has to persist is handed to the disk before anything of the
+batch is sent; what claims to be on the disk is sent only once the disk has synced the batch; committed
+entries are applied in order, once each. A replica that was removed, or whose log is damaged, starts anew
+under a fresh id, and only once that id is on the disk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Protocol
+
+import logbook
+
+from granitewell.coordination.consensus import codec
+from granitewell.coordination.consensus.identity import (
+    NodeIdentity,
+    first_replica_id,
+    first_state,
+    fresh_replica_id,
+    joining_state,
+)
+from granitewell.coordination.consensus.ready import Outgoing, Ready
+from granitewell.coordination.consensus.replica import Replica
+from granitewell.coordination.consensus.settings import ReplicaSettings
+from granitewell.coordination.consensus.storage import (
+    UnreadableRecords,
+    decode_records,
+    encode_records,
+    replay,
+    state_records,
+)
+from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Role, StoredState
+from granitewell.coordination.durable_log import (
+    RETRY_S,
+    CorruptLog,
+    DiskThread,
+    DurableLog,
+    Executor,
+    Files,
+    LogFile,
+    OsFiles,
+    WriteFailed,
+)
+from granitewell.model.errors import BadFrame, NotLeader, ProposalLost
+
+log = logbook.Logger("granitewell.consensus")
+
+WAKE_GRID_S = 0.05
+"""Timers of all groups fire on common multiples of this, so that one wake-up serves them all."""
+
+SUCCESSOR_KNOWN_S = 0.5
+"""After a hand-over, how long to wait until the next leader is known."""
+
+
+class StateMachine(Protocol):
+    """What a group replicates. Must be deterministic; starts empty."""
+
+    def apply(self, index: int, data: bytes) -> object:
+        """Take a committed entry; the result goes to who proposed it, on this node."""
+
+    def snapshot(self) -> bytes:
+        """All of the state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """Messages that wait for a write."""
+
+    write: int
+    batch: int
+    messages: tuple[Outgoing, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiter:
+    term: int
+    future: asyncio.Future[object]
+
+
+@dataclass(frozen=True, slots=True)
+class _View:
+    """What on_change is about."""
+
+    role: Role
+    term: int
+    leader_address: str | None
+    members: tuple[Member, ...]
+    applied_index: int
+
+
+_NOTHING_YET = _View(Role.FOLLOWER, 0, None, (), 0)
+
+
+class ReplicatedGroup:
+    """One replica group on this node. See `granitewell.coordination.consensus.replica` for what it
+    guarantees.
+
+    directory: this group's own. send: (peer's internal address, group name, payload), fire and forget.
+    on_change: leader, term, members or the applied index have changed. All calls are made on the event loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        directory: Path,
+        identity: NodeIdentity,
+        bootstrap: bool,
+        seeds: Sequence[str],
+        target_voters: int,
+        machine: StateMachine,
+        send: Callable[[str, str, bytes], None],
+        rng: Random,
+        clock: Callable[[], float] = time.monotonic,
+        settings: ReplicaSettings | None = None,
+        on_change: Callable[[], None] | None = None,
+        executor: Executor | None = None,
+        files: Files | None = None,
+    ) -> None:
+        self.name = name
+        self._directory = directory
+        self._identity = _with_first_members(identity, bootstrap, seeds)
+        self._seeds = tuple(seeds)
+        self._target_voters = target_voters
+        self._machine = machine
+        self._send = send
+        self._rng = rng
+        self._clock = clock
+        self._settings = settings or ReplicaSettings()
+        self._on_change = on_change or _nothing
+        self._executor = executor or DiskThread.shared()
+        self._file = LogFile(files or OsFiles(), str(directory), lambda: rng.getrandbits(64))
+        self._log: DurableLog | None = None
+        self._replica: Replica | None = None
+        self._empty_machine = b""
+        self._applied_index = 0
+        self._view = _NOTHING_YET
+        self._write = 0
+        self._written_bytes = 0
+        self._held: deque[_Held] = deque()
+        self._waiters: dict[int, _Waiter] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = math.inf
+        self._pump_scheduled = False
+        self._stopped = False
+        self._changed = asyncio.Event()
+        self._after_write: dict[int, Callable[[], None]] = {}
+        self._disk_failing = False
+
+    # Views
+
+    @property
+    def term(self) -> int:
+        """The newest term known here."""
+        return self._replica.term if self._replica else 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows; `holds_lease` says whether it surely does."""
+        return self._replica is not None and self._replica.role is Role.LEADER
+
+    @property
+    def leader_address(self) -> str | None:
+        """The leader's internal address, where one is known."""
+        return self._replica.leader_address if self._replica else None
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The voters in force here."""
+        return self._replica.members if self._replica else ()
+
+    @property
+    def applied_index(self) -> int:
+        """The last entry that the state machine has taken."""
+        return self._applied_index
+
+    @property
+    def replica_id(self) -> str:
+        """This replica's id in this group, "" before it is loaded."""
+        return self._replica.replica_id if self._replica else ""
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica has a vote, as far as it knows."""
+        return any(member.replica_id == self.replica_id for member in self.members)
+
+    def holds_lease(self) -> bool:
+        """Whether this replica leads, no other can now, and its state machine has all that was ever
+        committed."""
+        replica = self._replica
+        return (
+            replica is not None
+            and replica.holds_lease(self._clock())
+            and self._applied_index >= replica.commit_index
+        )
+
+    def contact_age_s(self) -> float:
+        """Seconds since a leader that held its lease was heard; 0 where this replica holds it."""
+        return self._replica.contact_age(self._clock()) if self._replica else math.inf
+
+    # Life
+
+    async def start(self) -> None:
+        """Load the log, or make it and sync it, and take part. Waits for the disk as long as it takes."""
+        loop = asyncio.get_running_loop()
+        self._empty_machine = self._machine.snapshot()
+        loaded = await self._load()
+        self._log = DurableLog(
+            self._file,
+            self._executor,
+            lambda call: _ignore(loop.call_soon_threadsafe(call)),
+            lambda delay_s, call: _ignore(loop.call_later(delay_s, call)),
+            self._on_synced,
+            self._on_failed,
+        )
+        if loaded is not None:
+            self._begin(loaded, fresh=False)
+            return
+        made = asyncio.Event()
+        self._make(self._new_state(), made.set)
+        await made.wait()
+
+    async def _load(self) -> StoredState | None:
+        """What is on the disk; None where a new log is to be made."""
+        while True:
+            loaded: asyncio.Future[StoredState | None] = asyncio.get_running_loop().create_future()
+            self._executor.submit(lambda future=loaded: self._load_on_disk_thread(future))  # type: ignore[misc]
+            try:
+                return await loaded
+            except OSError as error:
+                log.warning("group {}: the disk can't be read: {}", self.name, error)
+                await asyncio.sleep(RETRY_S)
+
+    def _load_on_disk_thread(self, future: asyncio.Future[StoredState | None]) -> None:
+        loop = future.get_loop()
+        try:
+            state = self._read_log()
+        except Exception as error:
+            loop.call_soon_threadsafe(_set_exception, future, error)
+        else:
+            loop.call_soon_threadsafe(_set_result, future, state)
+
+    def _read_log(self) -> StoredState | None:
+        try:
+            batches = self._file.load()
+            if batches is None:
+                return None
+            return replay(record for batch in batches for record in decode_records(batch))
+        except (CorruptLog, UnreadableRecords) as error:
+            log.error("group {}: {}; this replica starts anew under another id", self.name, error)
+            with suppress(OSError):
+                self._file.keep_corrupt()
+            self._identity = NodeIdentity(
+                self._identity.node_name, self._identity.address, fresh_replica_id()
+            )
+            return None
+
+    def _new_state(self) -> StoredState:
+        if self._identity.first_members:
+            return first_state(self._identity)
+        return joining_state(self._identity.replica_id)
+
+    def _make(self, state: StoredState, made: Callable[[], None]) -> None:
+        """Make a new log in place of what is there; take part once it is on the disk."""
+        assert self._log is not None
+        self._write += 1
+
+        def begin() -> None:
+            self._begin(state, fresh=True)
+            made()
+
+        self._after_write[self._write] = begin
+        payload = encode_records(state_records(state))
+        self._log.rewrite(self._write, payload, optional=False)
+        self._written_bytes = len(payload)
+
+    def _begin(self, state: StoredState, *, fresh: bool) -> None:
+        identity = self._identity
+        self._replica = Replica(
+            me=Member(state.replica_id, identity.node_name, identity.address),
+            state=state,
+            settings=self._settings,
+            target_voters=self._target_voters,
+            seeds=self._seeds,
+            rng=self._rng,
+            now=self._clock(),
+            fresh=fresh,
+        )
+        self._pump()
+
+    async def stop(self) -> None:
+        """Take no part any more. Nothing that is under way is answered."""
+        self._stopped = True
+        self._replica = None
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._log is not None:
+            self._log.close()
+        self._lose_waiters(math.inf)
+
+    async def transfer(self) -> None:
+        """Hand leadership over, where this replica has it; returns once another leads or none can."""
+        replica = self._replica
+        if replica is None or not replica.transfer(self._clock()):
+            return
+        self._pump()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.transfer_s + SUCCESSOR_KNOWN_S):
+                while self.is_leader or self.leader_address is None:
+                    self._changed.clear()
+                    await self._changed.wait()
+
+    def set_seeds(self, addresses: Sequence[str]) -> None:
+        """Internal addresses to ask, where no member is known."""
+        self._seeds = tuple(addresses)
+        if self._replica is not None:
+            self._replica.seeds = self._seeds
+
+    # Events
+
+    def receive(self, sender_address: str, payload: bytes) -> None:
+        """A message of this group has come. Bytes that are none are dropped."""
+        replica = self._replica
+        if replica is None:
+            return
+        try:
+            message = codec.decode(payload)
+        except BadFrame as error:
+            log.debug("group {}: from {}: {}", self.name, sender_address, error)
+            return
+        replica.receive(sender_address, message, self._clock())
+        self._pump()
+
+    async def propose(self, data: bytes, timeout_s: float = 3.0) -> object:
+        """Replicate an entry; the state machine's result for it on this node. Raises NotLeader (the entry is
+        nowhere) and ProposalLost (it may be committed or not)."""
+        replica = self._replica
+        if replica is None:
+            raise NotLeader(None)
+        position = replica.propose(data, self._clock())
+        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        self._replace_waiter(position.index, _Waiter(position.term, future))
+        self._pump_soon()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            raise ProposalLost(f"no outcome in {timeout_s} s") from error
+
+    def _replace_waiter(self, index: int, waiter: _Waiter) -> None:
+        older = self._waiters.get(index)
+        self._waiters[index] = waiter
+        if older is not None:
+            _set_exception(older.future, ProposalLost("another leader's entry took its place"))
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._timer_at = math.inf
+        if self._replica is not None:
+            self._replica.tick(self._clock())
+            self._pump()
+
+    def _on_synced(self, write: int) -> None:
+        self._disk_failing = False
+        batch = 0
+        released: list[Outgoing] = []
+        while self._held and self._held[0].write <= write:
+            held = self._held.popleft()
+            batch = held.batch
+            released += held.messages
+        for done in [number for number in self._after_write if number <= write]:
+            self._after_write.pop(done)()
+        if self._replica is None:
+            return
+        self._send_all(released)
+        self._replica.persisted(batch, self._clock())
+        self._pump()
+
+    def _on_failed(self, failure: WriteFailed) -> None:
+        if not self._disk_failing:
+            log.warning("group {}: the disk refuses to write: {}", self.name, failure.reason)
+        self._disk_failing = True
+        if self._replica is not None:
+            self._replica.disk_failed(self._clock())
+            self._schedule()
+
+    # Work
+
+    def _pump_soon(self) -> None:
+        """Join what is proposed in one turn of the loop."""
+        if not self._pump_scheduled:
+            self._pump_scheduled = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _pump(self) -> None:
+        """Do all that the replica has ready."""
+        self._pump_scheduled = False
+        while (replica := self._replica) is not None:
+            ready = replica.ready(self._clock())
+            if ready is not None:
+                self._do(ready)
+            elif replica.removed:
+                self._start_anew()
+            else:
+                break
+        self._compact()
+        self._schedule()
+        self._report_change()
+
+    def _do(self, ready: Ready) -> None:
+        self._persist(ready)
+        self._send_all(ready.messages)
+        self._apply(ready)
+
+    def _persist(self, ready: Ready) -> None:
+        if ready.records:
+            assert self._log is not None
+            payload = encode_records(ready.records)
+            self._write += 1
+            self._written_bytes += len(payload)
+            self._log.append(self._write, payload)
+        if ready.records or ready.synced_messages:
+            self._held.append(_Held(self._write, ready.batch, ready.synced_messages))
+
+    def _send_all(self, messages: Sequence[Outgoing]) -> None:
+        for outgoing in messages:
+            self._send(outgoing.address, self.name, codec.encode(outgoing.message))
+
+    def _apply(self, ready: Ready) -> None:
+        if ready.restore is not None:
+            self._machine.restore(ready.restore.data or self._empty_machine)
+            self._applied_index = ready.restore.index
+            self._lose_waiters(self._applied_index)
+        for entry in ready.committed:
+            self._apply_entry(entry)
+            self._applied_index = entry.index
+
+    def _apply_entry(self, entry: Entry) -> None:
+        waiter = self._waiters.pop(entry.index, None)
+        result: object = None
+        failure: Exception | None = None
+        if entry.kind is EntryKind.DATA:
+            try:
+                result = self._machine.apply(entry.index, entry.data)
+            except Exception as error:  # the same on all replicas: it goes to who proposed the entry
+                failure = error
+        if waiter is None:
+            return
+        if waiter.term != entry.term:
+            failure = ProposalLost("another leader's entry took its place")
+        if failure is not None:
+            _set_exception(waiter.future, failure)
+        else:
+            _set_result(waiter.future, result)
+
+    def _lose_waiters(self, up_to: float) -> None:
+        for index in [index for index in self._waiters if index <= up_to]:
+            waiter = self._waiters.pop(index)
+            _set_exception(waiter.future, ProposalLost("its outcome is not known here"))
+
+    def _start_anew(self) -> None:
+        """This replica is out of the group: forget all and join under a fresh id."""
+        log.info("group {}: removed as {}; joining anew", self.name, self.replica_id)
+        self._replica = None
+        self._held.clear()
+        self._lose_waiters(math.inf)
+        self._machine.restore(self._empty_machine)
+        self._applied_index = 0
+        self._make(joining_state(fresh_replica_id()), _nothing)
+
+    def _compact(self) -> None:
+        """Shorten the log and its file where they are long."""
+        replica = self._replica
+        if replica is None or self._log is None or not self._is_long(replica):
+            return
+        replica.compact(self._applied_index, self._machine.snapshot())
+        payload = encode_records(state_records(replica.stored_state()))
+        self._log.rewrite(self._write, payload, optional=True)
+        self._written_bytes = len(payload)
+
+    def _is_long(self, replica: Replica) -> bool:
+        settings = self._settings
+        if self._applied_index <= replica.snapshot_index:
+            return False
+        most_bytes = settings.compact_bytes + 2 * replica.snapshot_bytes
+        file_is_long = self._written_bytes > 2 * most_bytes
+        many_entries = replica.log_entries > settings.compact_entries
+        return replica.log_bytes > most_bytes or many_entries or file_is_long
+
+    def _schedule(self) -> None:
+        replica = self._replica
+        if replica is None or self._stopped:
+            return
+        at = math.ceil(replica.wake_at / WAKE_GRID_S) * WAKE_GRID_S
+        if at >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = max(0.0, at - self._clock())
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._tick)
+        self._timer_at = at
+
+    def _report_change(self) -> None:
+        replica = self._replica
+        if replica is None:
+            return
+        view = _View(
+            replica.role, replica.term, replica.leader_address, replica.members, self._applied_index
+        )
+        if view != self._view:
+            self._view = view
+            self._changed.set()
+            self._on_change()
+
+
+def _with_first_members(identity: NodeIdentity, bootstrap: bool, seeds: Sequence[str]) -> NodeIdentity:
+    """An identity that was made by hand for a bootstrap gets the seeds as its first members."""
+    is_first = identity.replica_id == first_replica_id(identity.address)
+    if bootstrap and is_first and not identity.first_members:
+        return NodeIdentity(identity.node_name, identity.address, identity.replica_id, tuple(seeds))
+    return identity
+
+
+def _set_result(future: asyncio.Future[object] | asyncio.Future[StoredState | None], result: object) -> None:
+    if not future.done():
+        future.set_result(result)  # type: ignore[arg-type]
+
+
+def _set_exception(
+    future: asyncio.Future[object] | asyncio.Future[StoredState | None], error: Exception
+) -> None:
+    if not future.done():
+        future.set_exception(error)
+
+
+def _nothing() -> None:
+    """Nobody wants to know."""
+
+
+def _ignore(value: object) -> None:
+    """A result that nobody wants."""
--- /dev/null
+++ b/granitewell/coordination/consensus/leadership.py
@@ -0,0 +1,390 @@
+"""What a leader does in its term: heartbeats, the lease, replication, commits, changes of members, handing
+over.
+
+- The lease lasts from the send time of the newest heartbeat round that a quorum has acknowledged, and only
+  once an entry of the leader's own term is committed.
+- Its own entries count once they are on its own disk; a majority of others may commit them before.
+- Without word from a quorum for the least election timeout it steps down.
+- Leadership is handed over only by giving it up first: who is told to stand may be told late.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from granitewell.coordination.consensus.core import Core
+from granitewell.coordination.consensus.log import ENTRY_OVERHEAD_BYTES
+from granitewell.coordination.consensus.membership import Change, MemberView, is_voter, next_change
+from granitewell.coordination.consensus.messages import (
+    Append,
+    AppendReply,
+    HandOver,
+    Heartbeat,
+    HeartbeatReply,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from granitewell.coordination.consensus.progress import (
+    HeartbeatRounds,
+    Progress,
+    SnapshotTransfer,
+    reached_by_quorum,
+)
+from granitewell.coordination.consensus.terms import Entry, EntryKind, Member
+
+PROBE_BYTES = 64 * 1024
+"""Entries that are sent along before it is known where the peer's log agrees."""
+
+RETRY_HAND_OVER_S = 2.0
+"""After a hand-over that found nobody ready in time."""
+
+
+@dataclass(slots=True)
+class _HandOver:
+    target: str
+    deadline: float
+
+
+class Leadership:
+    """A leader's state, for one term. given_up: it must become a follower now."""
+
+    def __init__(
+        self, core: Core, now: float, target_voters: int, old_leader: str | None, old_leader_heard_at: float
+    ) -> None:
+        self._core = core
+        self._target_voters = target_voters
+        self._elected_at = now
+        self._rounds = HeartbeatRounds()
+        self._progress: dict[str, Progress] = {}
+        self._hand_over: _HandOver | None = None
+        self._no_hand_over_before = now
+        self._announce_commit = False
+        self.given_up = False
+        self.heartbeat_at = now
+        self._follow_membership(now)
+        if old_leader in self._progress:
+            self._progress[old_leader].heard_at = old_leader_heard_at
+        self.first_index = core.log.last_index + 1
+        self._append(EntryKind.NO_OPERATION, b"")
+
+    # Views
+
+    @property
+    def handing_over(self) -> bool:
+        """Whether proposals are refused because another is to lead."""
+        return self._hand_over is not None
+
+    def holds_lease(self, now: float) -> bool:
+        """Whether no other replica can be leader now."""
+        if self.given_up or self._core.commit_index < self.first_index:
+            return False
+        return now < self.acknowledged_at(now) + self._core.settings.lease_s
+
+    def acknowledged_at(self, now: float) -> float:
+        """Send time of the newest heartbeat round that a quorum has acknowledged."""
+        return self._reached(now, {id: peer.acknowledged_at for id, peer in self._progress.items()})
+
+    def _reached(self, own: float, others: dict[str, float]) -> float:
+        voters = self._core.log.membership.voters
+        return reached_by_quorum(
+            [own if voter.replica_id == self._core.id else others[voter.replica_id] for voter in voters]
+        )
+
+    # Log
+
+    def propose(self, data: bytes) -> Entry:
+        """Append an entry of the state machine's."""
+        return self._append(EntryKind.DATA, data)
+
+    def _append(self, kind: EntryKind, data: bytes) -> Entry:
+        core = self._core
+        entry = Entry(core.log.last_index + 1, core.term, kind, data)
+        core.append(entry)
+        return entry
+
+    def uncommitted_bytes(self) -> int:
+        """Of entries that are not committed yet."""
+        core = self._core
+        waiting = core.log.between(core.commit_index + 1, core.log.last_index)
+        return sum(len(entry.data) for entry in waiting)
+
+    def advance_commit(self) -> None:
+        """Commit what a quorum has on disk, once that includes an entry of this term."""
+        core = self._core
+        matches = {id: float(peer.match_index) for id, peer in self._progress.items()}
+        index = int(max(0.0, self._reached(core.persistence.stable_index, matches)))
+        if index > core.commit_index and core.log.term_at(index) == core.term:
+            core.commit(index)
+            self._announce_commit = True
+            if not is_voter(core.log.membership_at(core.commit_index), core.id):
+                self.given_up = True
+
+    # Timers
+
+    def tick(self, now: float) -> None:
+        """A heartbeat round and all that is looked at once a round."""
+        if now < self.heartbeat_at:
+            return
+        if self._lost_quorum(now):
+            self.given_up = True
+            return
+        self._forget_learners(now)
+        self._send_heartbeats(now)
+        self._resend(now)
+        self._check_disk(now)
+        self._check_hand_over(now)
+        self.change_members(now)
+
+    def _lost_quorum(self, now: float) -> bool:
+        heard = self._reached(now, {id: peer.heard_at for id, peer in self._progress.items()})
+        return now - max(heard, self._elected_at) > self._core.settings.election_least_s
+
+    def _send_heartbeats(self, now: float) -> None:
+        core = self._core
+        leased = self.holds_lease(now)
+        number = self._rounds.begin(now)
+        self.heartbeat_at = now + core.settings.heartbeat_s
+        self._announce_commit = False
+        for id, peer in self._progress.items():
+            commit = min(peer.match_index, core.commit_index)
+            core.send(peer.member.address, Heartbeat(core.id, id, core.term, number, commit, leased))
+
+    def _resend(self, now: float) -> None:
+        settings = self._core.settings
+        for peer in self._progress.values():
+            if peer.silent(now, settings) or not peer.overdue(now, settings):
+                continue
+            peer.restart(peer.match_index + 1)
+            peer.moved_at = now
+            if peer.transfer is not None:
+                self._resend_chunk(peer, now)
+
+    def _resend_chunk(self, peer: Progress, now: float) -> None:
+        snapshot = self._core.log.snapshot
+        if peer.transfer is None or peer.transfer.snapshot is not snapshot:
+            peer.transfer = SnapshotTransfer(snapshot)
+        self._send_chunk(peer, now)
+
+    def _forget_learners(self, now: float) -> None:
+        expiry = self._core.settings.learner_expiry_s
+        silent = [id for id, peer in self._progress.items() if peer.learner and now - peer.heard_at > expiry]
+        for id in silent:
+            del self._progress[id]
+
+    # Replication
+
+    def flush(self, now: float) -> None:
+        """Send what the peers lack; called once for all that was appended since."""
+        if self.given_up:
+            return
+        for peer in self._progress.values():
+            self._replicate(peer, now)
+        if self._announce_commit:
+            self._send_heartbeats(now)
+
+    def _replicate(self, peer: Progress, now: float) -> None:
+        settings = self._core.settings
+        if peer.transfer is not None or peer.silent(now, settings):
+            return
+        if peer.probing:
+            if not peer.waiting and peer.next_index <= self._core.log.last_index + 1:
+                self._send_entries(peer, PROBE_BYTES, now)
+            return
+        last = self._core.log.last_index
+        while peer.next_index <= last and peer.in_flight_bytes < settings.in_flight_bytes:
+            if not self._send_entries(peer, settings.append_bytes, now):
+                return
+
+    def _send_entries(self, peer: Progress, most_bytes: int, now: float) -> bool:
+        core = self._core
+        previous = peer.next_index - 1
+        previous_term = core.log.term_at(previous)
+        if previous_term is None:
+            peer.transfer = SnapshotTransfer(core.log.snapshot)
+            self._send_chunk(peer, now)
+            return False
+        entries = core.log.batch(peer.next_index, most_bytes)
+        size = sum(len(entry.data) + ENTRY_OVERHEAD_BYTES for entry in entries)
+        if peer.probing and size > most_bytes:
+            entries, size = (), 0
+        append = Append(
+            core.id, peer.member.replica_id, core.term, previous, previous_term, core.commit_index, entries
+        )
+        core.send(peer.member.address, append)
+        peer.sent(previous + len(entries), size, now)
+        return True
+
+    def _send_chunk(self, peer: Progress, now: float) -> None:
+        core = self._core
+        assert peer.transfer is not None
+        snapshot = peer.transfer.snapshot
+        offset = peer.transfer.offset
+        data = snapshot.data[offset : offset + core.settings.snapshot_chunk_bytes]
+        chunk = SnapshotChunk(
+            core.id,
+            peer.member.replica_id,
+            core.term,
+            snapshot.index,
+            snapshot.term,
+            snapshot.membership,
+            offset,
+            len(snapshot.data),
+            data,
+        )
+        core.send(peer.member.address, chunk)
+        peer.in_flight_bytes = len(data)
+        peer.moved_at = now
+
+    # Replies
+
+    def on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
+        """A peer has heard a round."""
+        peer = self._heard(reply.sender, now)
+        if peer is not None:
+            peer.acknowledged_at = max(peer.acknowledged_at, self._rounds.sent_at(reply.round))
+
+    def on_append_reply(self, reply: AppendReply, now: float) -> None:
+        """A peer has entries on its disk, or says where it may agree."""
+        peer = self._heard(reply.sender, now)
+        if peer is None or reply.index > self._core.log.last_index:
+            return
+        if not reply.accepted:
+            if peer.transfer is None:
+                peer.rejected(reply.index)
+            return
+        peer.accepted(reply.index, now)
+        if peer.transfer is not None and reply.index >= peer.transfer.snapshot.index:
+            peer.transfer = None
+            peer.restart(peer.match_index + 1)
+        self.advance_commit()
+        self._finish_hand_over()
+        self.change_members(now)
+
+    def on_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
+        """A peer has a part of the snapshot; send the next."""
+        peer = self._heard(reply.sender, now)
+        if peer is None or peer.transfer is None or reply.index != peer.transfer.snapshot.index:
+            return
+        if reply.received <= len(peer.transfer.snapshot.data):
+            peer.transfer.offset = reply.received
+            self._send_chunk(peer, now)
+
+    def _heard(self, replica_id: str, now: float) -> Progress | None:
+        peer = self._progress.get(replica_id)
+        if peer is not None:
+            peer.heard(now, self._core.settings)
+        return peer
+
+    # Members
+
+    def on_join(self, member: Member, now: float) -> None:
+        """A replica wants to be taken in; a voter that says this has a new address."""
+        if is_voter(self._core.log.membership, member.replica_id):
+            self._move_voter(member, now)
+            return
+        if member.replica_id in self._core.log.membership.removed:
+            return
+        peer = self._progress.get(member.replica_id)
+        learners = sum(peer.learner for peer in self._progress.values())
+        if peer is None and learners < self._core.settings.most_learners:
+            next_index = self._core.log.last_index + 1
+            self._progress[member.replica_id] = Progress(member, next_index, now, learner=True)
+        elif peer is not None:
+            peer.member = member
+            peer.heard(now, self._core.settings)
+
+    def _move_voter(self, member: Member, now: float) -> None:
+        if member not in self._core.log.membership.voters and self._may_change():
+            self._change(Change(EntryKind.ADD_VOTER, member), now)
+
+    def _may_change(self) -> bool:
+        """One change at a time, and none before an entry of this term is committed."""
+        core = self._core
+        settled = core.commit_index >= max(core.log.last_change_index, self.first_index)
+        return settled and not self.handing_over and not self.given_up
+
+    def change_members(self, now: float) -> None:
+        """Propose the next change of members, where one is due."""
+        core = self._core
+        if not self._may_change() or not any(peer.learner for peer in self._progress.values()):
+            return
+        change = next_change(
+            core.log.membership,
+            [self._voter_view(voter, now) for voter in core.log.membership.voters],
+            [self._view(peer, now) for peer in self._progress.values() if peer.learner],
+            self._target_voters,
+            core.settings,
+        )
+        if change is not None:
+            self._change(change, now)
+
+    def _change(self, change: Change, now: float) -> None:
+        self._append(change.kind, change.data)
+        self._follow_membership(now)
+
+    def _follow_membership(self, now: float) -> None:
+        """Have progress of each voter in force and of the learners, and of nobody else."""
+        voters = {voter.replica_id: voter for voter in self._core.peers()}
+        for id in [id for id, peer in self._progress.items() if not peer.learner and id not in voters]:
+            del self._progress[id]
+        for id, voter in voters.items():
+            peer = self._progress.get(id)
+            if peer is None:
+                self._progress[id] = Progress(voter, self._core.log.last_index + 1, now)
+            else:
+                peer.member = voter
+                peer.learner = False
+
+    def _voter_view(self, voter: Member, now: float) -> MemberView:
+        if voter.replica_id == self._core.id:
+            return MemberView(voter, 0.0, True, True)
+        return self._view(self._progress[voter.replica_id], now)
+
+    def _view(self, peer: Progress, now: float) -> MemberView:
+        caught_up = peer.transfer is None and peer.match_index >= self._core.commit_index
+        answering = peer.answered and now - peer.heard_at <= self._core.settings.answering_s
+        return MemberView(peer.member, now - peer.heard_at, answering, caught_up)
+
+    # Handing over
+
+    def hand_over(self, now: float) -> bool:
+        """Let the best follower lead; False where none answers. Proposals are refused meanwhile."""
+        if self._hand_over is not None:
+            return True
+        if self.given_up:
+            return False
+        best = self._best_successor(now)
+        if best is None or now < self._no_hand_over_before:
+            return False
+        self._hand_over = _HandOver(best, now + self._core.settings.transfer_s)
+        self._finish_hand_over()
+        return True
+
+    def _best_successor(self, now: float) -> str | None:
+        core = self._core
+        best: Progress | None = None
+        for peer in self._progress.values():
+            answering = not peer.learner and now - peer.heard_at <= core.settings.reachable_s
+            if answering and (best is None or peer.match_index > best.match_index):
+                best = peer
+        if best is None or best.match_index < core.commit_index:
+            return None
+        return best.member.replica_id
+
+    def _finish_hand_over(self) -> None:
+        core = self._core
+        if self._hand_over is None or self.given_up:
+            return
+        peer = self._progress.get(self._hand_over.target)
+        if peer is not None and peer.match_index == core.log.last_index:
+            self.given_up = True
+            core.send(peer.member.address, HandOver(core.id, peer.member.replica_id, core.term))
+
+    def _check_hand_over(self, now: float) -> None:
+        if self._hand_over is not None and now > self._hand_over.deadline:
+            self._hand_over = None
+            self._no_hand_over_before = now + RETRY_HAND_OVER_S
+
+    def _check_disk(self, now: float) -> None:
+        if self._core.persistence.stalled_for(now) > self._core.settings.disk_stall_s:
+            self.hand_over(now)
--- /dev/null
+++ b/granitewell/coordination/consensus/messages.py
@@ -0,0 +1,121 @@
+"""Messages between the replicas of a group. sender and receiver are replica ids; receiver is "" in a Join,
+whose sender may know addresses only."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from granitewell.coordination.consensus.terms import Entry, Member, Membership
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """What all messages carry. term: the sender's, but for a pre-vote the one it would stand in."""
+
+    sender: str
+    receiver: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class PreVote(Message):
+    """Would you vote for me? Changes nothing at who is asked."""
+
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True, slots=True)
+class PreVoteReply(Message):
+    """term: the one asked for where granted, else that of who replies."""
+
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Vote(Message):
+    """A candidate asks for a vote. handed_over: the leader before gave up its lease and asked it to stand."""
+
+    last_index: int
+    last_term: int
+    handed_over: bool
+
+
+@dataclass(frozen=True, slots=True)
+class VoteReply(Message):
+    """A vote, or none."""
+
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat(Message):
+    """The leader lives. round: counted by the leader, who knows when it sent it. leased: it held its
+    lease."""
+
+    round: int
+    commit_index: int
+    leased: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply(Message):
+    """A heartbeat was heard; its sender grants nobody a vote for the least election timeout from now."""
+
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class Append(Message):
+    """Entries after a previous one."""
+
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AppendReply(Message):
+    """index: the last entry on the disk that equals the leader's; where not accepted, the last that may."""
+
+    accepted: bool
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk(Message):
+    """A piece of a snapshot. index, index_term, membership: the snapshot's. total: its length."""
+
+    index: int
+    index_term: int
+    membership: Membership
+    offset: int
+    total: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReply(Message):
+    """received: how many bytes of the snapshot at index are here."""
+
+    index: int
+    received: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver(Message):
+    """The leader has given up: stand for election at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Join(Message):
+    """A replica that is no voter asks to be taken in. forwarded: passed on by a follower."""
+
+    member: Member
+    forwarded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Removed(Message):
+    """The receiver's id was removed from the group, and that is committed."""
--- /dev/null
+++ b/granitewell/coordination/consensus/storage.py
@@ -0,0 +1,130 @@
+"""A replica's records as bytes of its durable log, and its state from them.
+
+Read in order, records add up: an entry drops all entries from its index on, a snapshot those up to its own,
+the newest hard state holds. The first record of a log says whose it is.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+
+from granitewell.coordination.consensus.log import ReplicatedLog
+from granitewell.coordination.consensus.packing import (
+    pack_entry,
+    pack_list,
+    pack_membership,
+    unpack_entries,
+    unpack_list,
+    unpack_membership,
+)
+from granitewell.coordination.consensus.terms import (
+    Entry,
+    HardState,
+    Identity,
+    Record,
+    Snapshot,
+    StoredState,
+)
+from granitewell.coordination.durable_log import DurableLogError
+from granitewell.model.errors import BadFrame
+
+_RECORD = struct.Struct("!BI")
+_SNAPSHOT = struct.Struct("!QQ")
+_TERM = struct.Struct("!Q")
+_IDENTITY_KIND = 1
+_HARD_STATE_KIND = 2
+_ENTRY_KIND = 3
+_SNAPSHOT_KIND = 4
+
+
+class UnreadableRecords(DurableLogError):
+    """A log's frames check, but what they hold does not add up to a replica's state."""
+
+
+def encode_records(records: Iterable[Record]) -> bytes:
+    """Records one after the other."""
+    pieces: list[bytes] = []
+    for record in records:
+        kind, payload = _encode(record)
+        pieces.append(_RECORD.pack(kind, len(payload)))
+        pieces.append(payload)
+    return b"".join(pieces)
+
+
+def _encode(record: Record) -> tuple[int, bytes]:
+    if isinstance(record, Entry):
+        return _ENTRY_KIND, pack_entry(record)
+    if isinstance(record, HardState):
+        return _HARD_STATE_KIND, _TERM.pack(record.term) + record.vote.encode()
+    if isinstance(record, Identity):
+        return _IDENTITY_KIND, record.replica_id.encode()
+    where = _SNAPSHOT.pack(record.index, record.term)
+    return _SNAPSHOT_KIND, pack_list((where, pack_membership(record.membership), record.data))
+
+
+def decode_records(payload: bytes) -> list[Record]:
+    """The records of a batch; raises UnreadableRecords."""
+    records: list[Record] = []
+    at = 0
+    try:
+        while at < len(payload):
+            kind, length = _RECORD.unpack_from(payload, at)
+            at += _RECORD.size
+            if at + length > len(payload):
+                raise UnreadableRecords("a record ends after its batch")
+            records.append(_decode(kind, payload[at : at + length]))
+            at += length
+    except (struct.error, UnicodeDecodeError, BadFrame, ValueError) as error:
+        raise UnreadableRecords(str(error)) from error
+    return records
+
+
+def _decode(kind: int, payload: bytes) -> Record:
+    if kind == _ENTRY_KIND:
+        (entry,) = unpack_entries(payload)
+        return entry
+    if kind == _HARD_STATE_KIND:
+        (term,) = _TERM.unpack_from(payload)
+        return HardState(term, payload[_TERM.size :].decode())
+    if kind == _IDENTITY_KIND:
+        return Identity(payload.decode())
+    if kind == _SNAPSHOT_KIND:
+        where, membership, data = unpack_list(payload)
+        index, term = _SNAPSHOT.unpack(where)
+        return Snapshot(index, term, unpack_membership(membership), data)
+    raise UnreadableRecords(f"a record of kind {kind}")
+
+
+def state_records(state: StoredState) -> list[Record]:
+    """The records that a rewritten log starts with."""
+    return [Identity(state.replica_id), state.hard_state, state.snapshot, *state.entries]
+
+
+def replay(records: Iterable[Record]) -> StoredState:
+    """The state that records add up to; raises UnreadableRecords."""
+    replica_id: str | None = None
+    hard_state = HardState()
+    log = ReplicatedLog(Snapshot())
+    for record in records:
+        if isinstance(record, Identity):
+            replica_id = record.replica_id
+        elif isinstance(record, HardState):
+            hard_state = record
+        elif isinstance(record, Snapshot):
+            log.install(record)
+        else:
+            _replay_entry(log, record)
+    if replica_id is None:
+        raise UnreadableRecords("no identity")
+    return StoredState(replica_id, hard_state, log.snapshot, tuple(log.entries))
+
+
+def _replay_entry(log: ReplicatedLog, entry: Entry) -> None:
+    if entry.index <= log.snapshot.index:
+        return
+    if entry.index > log.last_index + 1:
+        raise UnreadableRecords(f"entry {entry.index} after {log.last_index}")
+    if entry.index <= log.last_index:
+        log.truncate(entry.index)
+    log.append(entry)
--- /dev/null
+++ b/granitewell/dataplane/demand.py
@@ -0,0 +1,81 @@
+"""What this node sees of each model, for the placement. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from granitewell.model.servers import ModelDemand, ModelRef
+
+REPORT_GAP_S = 0.03  # least time between two urgent reports: many requests for one model come together
+NO_PRIORITY = 9  # of a model that nobody waits for
+
+
+@dataclass(slots=True)
+class _Seen:
+    """Of one model: requests since the last report, those that run, and the waiting by priority."""
+
+    requests: int
+    in_flight: int
+    waiting: list[int]
+
+    @property
+    def idle(self) -> bool:
+        return not (self.requests or self.in_flight or self.waiting)
+
+
+class Demand:
+    """Counts by service and model. Models without demand take no memory."""
+
+    def __init__(self) -> None:
+        self._seen: dict[tuple[str, ModelRef], _Seen] = {}
+        self._reported_at = -REPORT_GAP_S
+        self._news = False  # somebody waits who did not at the last report
+
+    def _of(self, service: str, ref: ModelRef) -> _Seen:
+        seen = self._seen.get((service, ref))
+        if seen is None:
+            seen = self._seen[(service, ref)] = _Seen(0, 0, [])
+        return seen
+
+    def arrived(self, service: str, ref: ModelRef) -> None:
+        """A request for it has come."""
+        self._of(service, ref).requests += 1
+
+    def sent(self, service: str, ref: ModelRef) -> None:
+        """A request for it runs at a server."""
+        self._of(service, ref).in_flight += 1
+
+    def ended(self, service: str, ref: ModelRef) -> None:
+        """It runs there no longer."""
+        self._of(service, ref).in_flight -= 1
+
+    def waits(self, service: str, ref: ModelRef, priority: int) -> None:
+        """A request waits because no server has the model."""
+        self._of(service, ref).waiting.append(priority)
+        self._news = True
+
+    def waits_no_more(self, service: str, ref: ModelRef, priority: int) -> None:
+        """It has been sent, or given up."""
+        self._of(service, ref).waiting.remove(priority)
+
+    def urgent(self, now: float) -> bool:
+        """Whether a report about waiting requests is due now; if so, it counts as sent."""
+        if not self._news or now - self._reported_at < REPORT_GAP_S:
+            return False
+        self._news = False
+        self._reported_at = now
+        return True
+
+    def take(self) -> list[ModelDemand]:
+        """Since the last time."""
+        self._news = False
+        taken = []
+        for (service, ref), seen in list(self._seen.items()):
+            priority = min(seen.waiting, default=NO_PRIORITY)
+            taken.append(
+                ModelDemand(service, ref, seen.requests, len(seen.waiting), seen.in_flight, priority)
+            )
+            seen.requests = 0
+            if seen.idle:
+                del self._seen[(service, ref)]
+        return taken
--- /dev/null
+++ b/granitewell/dataplane/dispatch.py
@@ -0,0 +1,312 @@
+"""Which server gets a request, and who waits for one. Pure: it knows servers and pools, no connection.
+
+Every choice counts at once as a request that is there; the caller ends it with `ended`. Requests that find no
+server wait in the line of their service and get one as soon as there is one, the most urgent first.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from granitewell.dataplane.affinity import PromptMemory
+from granitewell.dataplane.demand import Demand
+from granitewell.dataplane.headers import PromptPart
+from granitewell.dataplane.pool import Pool
+from granitewell.dataplane.retry_budget import RetryBudget
+from granitewell.dataplane.servers import ServerRecord
+from granitewell.dataplane.waiting import Place, WaitingLine
+from granitewell.model.configuration import Configuration, Service
+from granitewell.model.servers import ModelDemand, ModelRef, Server, ServerState
+from granitewell.model.settings import Bounds
+
+MOST_POOLS = 1_024  # kept at a node; beyond it those without requests go, the longest unused first
+PLAIN_SETUP_S = 2.0  # time that one more server of a service without models takes to be there
+LATEST_AIMS = 1.5  # aims in which an engine must be able to begin an answer: past it more requests there only
+# make all answers late, and the servers' own queues are too long to say so
+CONNECTIONS_PART = 0.9  # of a server's connections that all nodes together may use at once
+
+
+@dataclass(slots=True)
+class Want:
+    """What a request asks for. ref: None where the service runs no models; passed_over: ids of servers that
+    have had it; excluded: those that must not get it again; granted: called with a server as soon as there is
+    one."""
+
+    service: str
+    ref: ModelRef | None
+    priority: int
+    aim_s: float
+    parts: Sequence[PromptPart]
+    granted: Callable[[ServerRecord], None]
+    passed_over: set[str] = field(default_factory=set)
+    excluded: set[str] = field(default_factory=set)
+    missing: bool = False  # it waits because no server has the model
+
+
+class _ServiceState:
+    """Of one service: its servers, its line, its retry budget."""
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self.records: dict[str, ServerRecord] = {}
+        self.generation = 0  # of the records: pools that are older are filled anew
+        self.line: WaitingLine[Want] = WaitingLine()
+        self.budget = budget
+
+
+class _PoolEntry:
+    __slots__ = ("generation", "pool", "used_at")
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool, self.generation, self.used_at = pool, -1, 0.0
+
+
+class Dispatcher:
+    """The servers, pools and lines of one node."""
+
+    def __init__(self, bounds: Bounds, rng: Random) -> None:
+        self._bounds, self._rng = bounds, rng
+        self._services: dict[str, _ServiceState] = {}
+        self._service_of: dict[str, str] = {}
+        self._pools: dict[tuple[str, ModelRef | None], _PoolEntry] = {}
+        self._configured: dict[str, Service] = {}
+        self._edges, self._most_edges = 1, 1
+        self._memory = PromptMemory()
+        self._demand = Demand()
+
+    # --- What others tell -------------------------------------------------------------------------------
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Another configuration is in force."""
+        before, self._configured = self._configured, dict(configuration.services)
+        for key in list(self._pools):
+            service = key[0]
+            if before.get(service) != self._configured.get(service) and not self._pools[key].pool.in_flight:
+                del self._pools[key]
+
+    def set_edges(self, alive: int, most: int) -> None:
+        """How many nodes share the traffic, and how many may share the budget."""
+        self._edges, self._most_edges = max(alive, 1), max(most, alive, 1)
+        for state in self._services.values():
+            state.budget.share_among(self._bounds.retry_budget_slack, self._most_edges)
+
+    def apply_servers(
+        self,
+        changed: Sequence[Server],
+        removed: Sequence[str],
+        whole_services: frozenset[str] | None,
+        now: float,
+    ) -> list[str]:
+        """News of the table of servers; requests that waited for them get them at once. Gives the ids of
+        those that are gone."""
+        touched = {server.service for server in changed}
+        for server in changed:
+            self._put(server)
+        listed = {server.id for server in changed}
+        gone = set(removed) - listed
+        for service in whole_services or ():
+            gone |= set(self._state(service).records) - listed
+        for server_id in gone:
+            touched.add(self._drop(server_id))
+        for service in touched & set(self._services):
+            self._services[service].generation += 1
+            self.wake(service, now)
+        return sorted(gone)
+
+    def _put(self, server: Server) -> None:
+        if self._service_of.get(server.id, server.service) != server.service:
+            self._drop(server.id)
+        records = self._state(server.service).records
+        self._service_of[server.id] = server.service
+        record = records.get(server.id)
+        if record is None:
+            records[server.id] = ServerRecord(server)
+        else:
+            record.server = server
+
+    def _drop(self, server_id: str) -> str:
+        service = self._service_of.pop(server_id, "")
+        if service:
+            del self._services[service].records[server_id]
+            self._services[service].generation += 1
+        return service
+
+    def _state(self, service: str) -> _ServiceState:
+        state = self._services.get(service)
+        if state is None:
+            bounds = self._bounds
+            budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_budget_slack, self._most_edges)
+            state = self._services[service] = _ServiceState(budget)
+        return state
+
+    # --- Pools ------------------------------------------------------------------------------------------
+    def service(self, name: str) -> Service | None:
+        """A service of the configuration in force."""
+        return self._configured.get(name)
+
+    def knows(self, service: str, ref: ModelRef | None) -> bool:
+        """Whether the configuration has the model, or the service needs none."""
+        configured = self._configured.get(service)
+        if configured is None:
+            return False
+        if configured.engine is None or ref is None:
+            return True
+        model = next((model for model in configured.engine.models if model.name == ref.model), None)
+        if model is None:
+            return False
+        return not ref.adapter or _adapter_number(ref.adapter) in range(1, model.adapters + 1)
+
+    def load_time_s(self, service: str, ref: ModelRef | None) -> float:
+        """How long a load of what a pool needs takes."""
+        configured = self._configured.get(service)
+        if configured is None or configured.engine is None or ref is None:
+            return PLAIN_SETUP_S
+        models = configured.engine.models
+        return next((model.load_time_s for model in models if model.name == ref.model), PLAIN_SETUP_S)
+
+    def pool(self, service: str, ref: ModelRef | None, now: float) -> Pool:
+        """The servers that may run such requests now."""
+        entry = self._pools.get((service, ref))
+        if entry is None:
+            entry = self._pools[(service, ref)] = _PoolEntry(self._new_pool(service, ref))
+            self._forget_pools()
+        entry.used_at = now
+        state = self._state(service)
+        if entry.generation != state.generation:
+            entry.generation = state.generation
+            entry.pool.set_servers([r for r in state.records.values() if _may_run(r.server, ref)])
+        return entry.pool
+
+    def _new_pool(self, service: str, ref: ModelRef | None) -> Pool:
+        configured = self._configured.get(service)
+        engine = configured.engine if configured is not None else None
+        key = f"{service} {ref.model}/{ref.adapter}" if ref is not None else service
+        return Pool(key, engine.slots if engine else None, self.load_time_s(service, ref), self._rng)
+
+    def _forget_pools(self) -> None:
+        if len(self._pools) <= MOST_POOLS:
+            return
+        idle = [key for key, entry in self._pools.items() if not entry.pool.in_flight]
+        idle.sort(key=lambda key: self._pools[key].used_at)
+        for key in idle[: MOST_POOLS // 4]:
+            del self._pools[key]
+
+    # --- Requests ---------------------------------------------------------------------------------------
+    def arrived(self, want: Want, now: float) -> None:
+        """A request has come."""
+        self.pool(want.service, want.ref, now).arrived(now, self._edges)
+        if want.ref is not None:
+            self._demand.arrived(want.service, want.ref)
+
+    def choose(self, want: Want, now: float) -> ServerRecord | None:
+        """A server for it now, unless others wait for the same; None: it has to wait."""
+        pool = self.pool(want.service, want.ref, now)
+        for place in self._state(want.service).line:
+            first = place.request
+            if place.priority <= want.priority and first.ref == want.ref:
+                return None
+        return self._choose(pool, want, now)
+
+    def _choose(self, pool: Pool, want: Want, now: float) -> ServerRecord | None:
+        if not pool.servers:
+            return None
+        kept = self._memory.kept_tokens(pool.key, want.parts) if want.parts else None
+        room = self._room(want, pool, now)
+        record = pool.pick(now, self._edges, want.passed_over, want.excluded, kept, room)
+        if record is None:
+            return None
+        pool.sent(record, now)
+        if want.parts:
+            self._memory.sent(pool.key, want.parts, record.id)
+        if want.ref is not None:
+            self._demand.sent(want.service, want.ref)
+        return record
+
+    def _room(self, want: Want, pool: Pool, now: float) -> Callable[[ServerRecord], bool]:
+        """What a server must have room for besides a slot: a connection, and an answer not far too late."""
+        configured = self._configured.get(want.service)
+        most = configured.max_connections * CONNECTIONS_PART / self._edges if configured else math.inf
+        latest = want.aim_s * LATEST_AIMS if pool.runs_models else math.inf
+        return lambda record: (
+            record.in_flight < max(most, 1.0)
+            and (record.in_flight == 0 or record.first_byte_in(now) <= latest)
+        )
+
+    def ended(self, want: Want, record: ServerRecord, now: float) -> None:
+        """A request that was given this server is there no longer."""
+        self.pool(want.service, want.ref, now).ended(record)
+        if want.ref is not None:
+            self._demand.ended(want.service, want.ref)
+        self.wake(want.service, now)
+
+    # --- The line ---------------------------------------------------------------------------------------
+    def wait(self, want: Want, now: float) -> Place[Want]:
+        """Its place in the line; raises LineFull."""
+        place = self._state(want.service).line.join(want.priority, want)
+        want.missing = want.ref is not None and not self.pool(want.service, want.ref, now).servers
+        if want.ref is not None and want.missing:
+            self._demand.waits(want.service, want.ref, want.priority)
+        return place
+
+    def leave(self, place: Place[Want]) -> None:
+        """It waits no longer."""
+        want = place.request
+        self._state(want.service).line.leave(place)
+        if want.missing and want.ref is not None:
+            want.missing = False
+            self._demand.waits_no_more(want.service, want.ref, want.priority)
+
+    def wake(self, service: str, now: float) -> None:
+        """Give servers to those that wait, as far as there are any."""
+        line = self._state(service).line
+        if not line:
+            return
+        without: set[ModelRef | None] = set()
+        for place in line:
+            want = place.request
+            if want.ref in without:
+                continue
+            record = self._choose(self.pool(service, want.ref, now), want, now)
+            if record is None:
+                without.add(want.ref)
+                continue
+            self.leave(place)
+            want.granted(record)
+
+    def wake_all(self, now: float) -> bool:
+        """The same for all services; whether anybody still waits."""
+        for service in self._services:
+            self.wake(service, now)
+        return any(state.line for state in self._services.values())
+
+    # --- Budget and demand ------------------------------------------------------------------------------
+    def budget(self, service: str) -> RetryBudget:
+        """This node's part of the retry budget of a service."""
+        return self._state(service).budget
+
+    def overran(self, want: Want, now: float) -> None:
+        """A request took longer than its aim."""
+        self.pool(want.service, want.ref, now).overran(now, self._edges)
+
+    def urgent(self, now: float) -> bool:
+        """Whether the placement should be told now that requests wait for a model."""
+        return self._demand.urgent(now)
+
+    def take_demand(self) -> list[ModelDemand]:
+        """What has been asked for since the last time."""
+        return self._demand.take()
+
+
+def _may_run(server: Server, ref: ModelRef | None) -> bool:
+    if server.state is not ServerState.READY:
+        return False
+    if ref is None:
+        return True
+    held = server.models.get(ref.model)
+    return held is not None and (not ref.adapter or ref.adapter in held.adapters)
+
+
+def _adapter_number(name: str) -> int:
+    digits = name[1:]
+    return int(digits) if name[:1] == "a" and digits.isascii() and digits.isdigit() and len(digits) < 9 else 0
--- /dev/null
+++ b/granitewell/dataplane/events.py
@@ -0,0 +1,73 @@
+"""Cuts a stream of server-sent events into whole events, byte for byte. Pure.
+
+An event ends at a blank line; lines end with LF, CR LF or CR. What is behind the last blank line is kept back
+until the rest of it comes, so that only whole events are passed on.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+MOST_EVENT_BYTES = 4 * 1024 * 1024  # of one event: beyond it the stream is held to be broken
+
+_END = re.compile(rb"\r\n\r\n|\r\n\n|\n\r\n|\n\n|\r\r\n|\r\r(?!\n)|\n\r(?=[^\n])")
+_ID = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*))?(?=[\r\n])")
+
+
+class EventTooLong(Exception):
+    """An event goes on beyond all bounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A whole event: its bytes with the blank line, and its id (None: it has none)."""
+
+    data: bytes
+    id: str | None
+
+
+def number_of(event_id: str | None) -> int | None:
+    """An event's id as a number; None where it is none."""
+    if event_id is None or not event_id.isascii() or not event_id.isdigit():
+        return None
+    return int(event_id)
+
+
+class EventCutter:
+    """Takes bytes as they come, gives whole events."""
+
+    __slots__ = ("_rest", "_searched")
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._searched = 0  # of the rest: no blank line ends before here
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes of an event that is not whole yet."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[Event]:
+        """The events that are whole with these bytes."""
+        rest = self._rest + data if self._rest else data
+        events: list[Event] = []
+        start, search = 0, self._searched
+        while (match := _END.search(rest, search)) is not None:
+            event = rest[start : match.end()]
+            events.append(Event(event, _id_of(event)))
+            start = search = match.end()
+        self._rest = rest[start:]
+        self._searched = max(len(self._rest) - 3, 0)
+        if len(self._rest) > MOST_EVENT_BYTES:
+            raise EventTooLong(f"an event of over {MOST_EVENT_BYTES} bytes")
+        return events
+
+
+def _id_of(event: bytes) -> str | None:
+    found = None
+    if b"id" not in event:
+        return None
+    for match in _ID.finditer(event):
+        found = match.group(1) or b""
+    return found.decode("latin-1") if found is not None else None
--- /dev/null
+++ b/granitewell/dataplane/exchange.py
@@ -0,0 +1,440 @@
+"""One client request's course: choose a server, send, pass the answer on or try again. Runs the pure rules of
+request.py and dispatch.py over connections of upstream.py."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from granitewell.dataplane.dispatch import Dispatcher, Want
+from granitewell.dataplane.events import Event, EventCutter, EventTooLong, number_of
+from granitewell.dataplane.headers import (
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    LAST_EVENT_ID,
+    NOT_EXECUTED,
+    PRIORITY,
+    SEAL,
+    SERVER_LOAD,
+    PromptPart,
+    end_to_end,
+    parse_server_load,
+    request_head,
+    without,
+)
+from granitewell.dataplane.request import AttemptEnd, Attempts, passes_unchanged, proves_not_executed
+from granitewell.dataplane.servers import MOVED_FOR_S, ServerRecord
+from granitewell.dataplane.upstream import BrokenAnswer, NotWritten, UpstreamConnection, UpstreamPool
+from granitewell.dataplane.waiting import LineFull
+from granitewell.model.configuration import Route, RouteKind
+from granitewell.model.errors import GranitewellError
+from granitewell.model.servers import ModelRef
+from tiderelay.sizing import DELTA
+
+SERVER_MARGIN_S = 0.010  # a server is told that it has less time: its last word must reach the client
+MISSING_PART = 0.45  # of its time that a request waits for a model: refused after half of it, it costs more
+FULL_PART = 0.22  # of its aim that a request waits for a slot: refused within a quarter it may be in time yet
+LEAST_WAIT_S = 0.01
+RETRY_AFTER_AIM = 0.25  # of the aim after which a client that was refused for want of slots may come again
+RETRY_AFTER_MISSING_S = 0.3  # the same for want of a model: a load is about to be done
+MOST_RETRY_AFTER_S = 2.0
+STREAM_TYPE = "text/event-stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A request as the client sent it, read whole. target: path and query; headers: those that go along;
+    body: None where there is none; deadline: when its time is over, on the steady clock."""
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    request_id: str
+    last_event_id: str | None
+    body: bytes | None
+    parts: tuple[PromptPart, ...]
+    arrived_at: float
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A server's answer, to be passed on as it is."""
+
+    status: int
+    reason: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """An answer of this node."""
+
+    status: int
+    message: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnd:
+    """The answer has been passed on piece by piece; whole: up to its proper end."""
+
+    whole: bool
+
+
+Answer = WholeAnswer | OwnAnswer | StreamEnd
+
+
+class ClientStream(Protocol):
+    """Where the pieces of an answer go."""
+
+    @property
+    def began(self) -> bool:
+        """Whether the head has been passed on."""
+
+    async def begin(self, status: int, reason: str, headers: list[tuple[bytes, bytes]]) -> None:
+        """Pass the head on, with the first piece."""
+
+    async def write(self, data: bytes) -> None:
+        """Pass a piece on at once."""
+
+    async def end(self) -> None:
+        """The answer is whole."""
+
+
+class NoServer(GranitewellError):
+    """No server may have the request in time."""
+
+
+class Exchange:
+    """The course of one request on its route."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        upstreams: UpstreamPool,
+        clock: Callable[[], float],
+        waits: Callable[[], None],
+        request: ClientRequest,
+        route: Route,
+        service: str,
+        ref: ModelRef | None,
+        stream: ClientStream,
+    ) -> None:
+        """waits: called when the request has to wait for a server."""
+        self.dispatcher, self.upstreams, self.clock, self._waits = dispatcher, upstreams, clock, waits
+        self.request, self.route, self.stream = request, route, stream
+        self.attempts = Attempts(route)
+        self._paid = 0  # repeats that the budget has borne
+        self.failure: WholeAnswer | None = None  # the last failure of a server that may be passed on
+        self.resume_at: str | None = None  # id of the last event passed on, None where it has none
+        self._timeout: asyncio.Timeout | None = None
+        self.want = Want(service, ref, route.priority, self.aim_s, request.parts, self._granted)
+        self._grant: asyncio.Future[ServerRecord] | None = None
+        self._waited_for_model = False
+
+    @property
+    def aim_s(self) -> float:
+        """Within this an answer earns its full worth."""
+        return (self.route.target_ms or self.route.timeout_ms) / 1000.0
+
+    @property
+    def left_s(self) -> float:
+        """Until its time is over."""
+        return self.request.deadline - self.clock()
+
+    # --- The course -------------------------------------------------------------------------------------
+    async def run(self) -> Answer:
+        """Until its final answer, or the end of its time."""
+        self.dispatcher.arrived(self.want, self.clock())
+        try:
+            async with asyncio.timeout(max(self.left_s, 0.0)) as self._timeout:
+                return await self._attempt_until_answered()
+        except TimeoutError:
+            if self.stream.began:
+                return StreamEnd(whole=False)
+            return OwnAnswer(self.attempts.overdue_status, "no answer in time")
+
+    def expire(self) -> None:
+        """Its time is over now."""
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    async def _attempt_until_answered(self) -> Answer:
+        self.dispatcher.budget(self.want.service).earn()
+        while True:
+            try:
+                record = await self._server()
+            except NoServer as error:
+                return self._given_up(str(error))
+            answer = await self._attempt(record)
+            if answer is not None:
+                return answer
+            if self.stream.began and self.resume_at is None:
+                return self._given_up("the stream can't be continued")
+            if not self.attempts.may_repeat():
+                return self._given_up("no further attempt is allowed")
+            if not self._pay():
+                return self._given_up("no repeats left")
+            await asyncio.sleep(DELTA / 1000.0)
+
+    def _pay(self) -> bool:
+        """Whether the budget bears the next attempt; those that reached no server cost nothing."""
+        if self.attempts.arrivals <= self._paid:
+            return True
+        if not self.dispatcher.budget(self.want.service).spend():
+            return False
+        self._paid += 1
+        return True
+
+    def _given_up(self, why: str) -> Answer:
+        if self.stream.began:
+            return StreamEnd(whole=False)
+        if self.failure is not None:
+            return self.failure
+        status = self.attempts.failure_status
+        return OwnAnswer(status, why, self._retry_after_s if status == 503 else None)
+
+    @property
+    def _retry_after_s(self) -> float:
+        missing = self.want.ref is not None and self._waited_for_model
+        wait = RETRY_AFTER_MISSING_S if missing else self.aim_s * RETRY_AFTER_AIM
+        return min(wait, MOST_RETRY_AFTER_S)
+
+    # --- A server ---------------------------------------------------------------------------------------
+    def _granted(self, record: ServerRecord) -> None:
+        grant = self._grant
+        if grant is not None and not grant.done():
+            grant.set_result(record)
+        else:
+            self.dispatcher.ended(self.want, record, self.clock())
+
+    async def _server(self) -> ServerRecord:
+        """A server that may have the request; it counts as being there. Raises NoServer."""
+        now = self.clock()
+        record = self.dispatcher.choose(self.want, now)
+        if record is not None:
+            return record
+        if not self.dispatcher.knows(self.want.service, self.want.ref):
+            raise NoServer("no such model")
+        if self.want.excluded:
+            raise NoServer("no other server")
+        try:
+            place = self.dispatcher.wait(self.want, now)
+        except LineFull as error:
+            raise NoServer("too many requests wait") from error
+        self._waited_for_model = self.want.missing
+        grant = self._grant = asyncio.get_running_loop().create_future()
+        self._waits()
+        taken = False
+        try:
+            async with asyncio.timeout(self._most_wait_s()):
+                record = await grant
+                taken = True
+                return record
+        except TimeoutError as error:
+            raise NoServer("no server has room") from error
+        finally:
+            self._grant = None
+            self.dispatcher.leave(place)
+            if not taken and grant.done() and not grant.cancelled():
+                self.dispatcher.ended(self.want, grant.result(), self.clock())
+
+    def _most_wait_s(self) -> float:
+        """How long a wait may be worth it."""
+        left = self.left_s
+        if self.want.missing or self.attempts.arrivals:
+            return max(left * MISSING_PART, LEAST_WAIT_S)
+        spent = self.clock() - self.request.arrived_at
+        return min(max(self.aim_s * FULL_PART - spent, LEAST_WAIT_S), max(left * MISSING_PART, LEAST_WAIT_S))
+
+    # --- An attempt -------------------------------------------------------------------------------------
+    async def _attempt(self, record: ServerRecord) -> Answer | None:
+        """The final answer; None where the attempt gave none."""
+        attempt = _Attempt(self, record)
+        self.attempts.begin()
+        self.want.passed_over.add(record.id)
+        try:
+            return await attempt.run()
+        finally:
+            attempt.close()
+
+
+class _Attempt:
+    """One request on one connection."""
+
+    def __init__(self, exchange: Exchange, record: ServerRecord) -> None:
+        self._x, self._record = exchange, record
+        self._began_at = exchange.clock()
+        self._first_at = math.inf  # when the answer began
+        self._waiting = max(record.waiting(self._began_at) - 1.0, 0.0)  # there before it
+        self._connection: UpstreamConnection | None = None
+        self._whole: RawResponseMessage | None = None
+        self._resumes_after = number_of(exchange.resume_at)  # events up to here have been passed on
+
+    async def run(self) -> Answer | None:
+        """The final answer; None where this attempt gave none: its end is noted."""
+        try:
+            await self._send()
+        except NotWritten:
+            self._ended(AttemptEnd.NOT_CONNECTED)
+            self._record.failed(self._x.clock())
+            return None
+        try:
+            return await self._read()
+        except BrokenAnswer:
+            self._ended(AttemptEnd.BROKEN)
+            self._record.failed(self._x.clock())
+            return None
+
+    def _ended(self, end: AttemptEnd) -> None:
+        self._x.attempts.end(end)
+
+    def close(self) -> None:
+        """It is over, whichever way."""
+        x, record, now = self._x, self._record, self._x.clock()
+        if self._connection is not None:
+            x.upstreams.release(self._connection, self._whole)
+        pool = x.dispatcher.pool(x.want.service, x.want.ref, now)
+        if self._first_at == math.inf:
+            record.given_up(now, pool.patience)
+        x.dispatcher.ended(x.want, record, now)
+
+    async def _send(self) -> None:
+        x = self._x
+        self._connection = connection = await x.upstreams.connection(self._record.server)
+        connection.write(self._request_bytes(), method=x.request.method, repeatable=x.route.repeatable)
+        x.attempts.written()
+
+    def _request_bytes(self) -> bytes:
+        x, request = self._x, self._x.request
+        left_ms = max(int((x.left_s - SERVER_MARGIN_S) * 1000.0), 1)
+        extra = [
+            (DEADLINE_MS, str(left_ms)),
+            (EXPECT_INSTANCE, self._record.id),
+            (PRIORITY, str(min(max(x.route.priority, 0), 9))),
+        ]
+        headers = request.headers
+        if x.resume_at is not None:
+            headers = without(headers, LAST_EVENT_ID)
+            extra.append((LAST_EVENT_ID, x.resume_at))
+        body = request.body
+        head = request_head(
+            request.method, request.target, headers, extra, len(body) if body is not None else None
+        )
+        return head + (body or b"")
+
+    # --- The answer -------------------------------------------------------------------------------------
+    async def _read(self) -> Answer | None:
+        x, connection = self._x, self._connection
+        assert connection is not None  # _send has set it
+        message, body = await connection.read_head(x.request.request_id)
+        self._answer_began(message)
+        status, marked = message.code, NOT_EXECUTED in message.headers
+        if proves_not_executed(status, marked):
+            await self._turned_away(message, body)
+            return None
+        if status == 200 and SEAL in message.headers and self._streams(message):
+            return await self._pass_stream(message, body)
+        data = await connection.read_body(body)
+        self._whole = message
+        return self._take_whole(message, data, marked)
+
+    def _answer_began(self, message: RawResponseMessage) -> None:
+        now = self._first_at = self._x.clock()
+        self._record.answered(now)
+        self._record.first_byte_came(now - self._began_at, self._waiting)
+        load = parse_server_load(message.headers.get(SERVER_LOAD))
+        if load is not None:
+            self._record.load_told(load, now)
+
+    def _streams(self, message: RawResponseMessage) -> bool:
+        kind = message.headers.get("Content-Type", "").partition(";")[0].strip().lower()
+        return self._x.route.kind is RouteKind.STREAMING and kind == STREAM_TYPE
+
+    async def _turned_away(self, message: RawResponseMessage, body: StreamReader) -> None:
+        """The server has not run it and will not."""
+        x, now = self._x, self._x.clock()
+        pool = x.dispatcher.pool(x.want.service, x.want.ref, now)
+        self._ended(AttemptEnd.NOT_EXECUTED)
+        pool.traffic.turned_away((now - self._began_at) * 1000.0)
+        if message.code == 421:
+            pool.moved(self._record, now, MOVED_FOR_S)
+        else:
+            self._record.refused(now)
+        try:
+            assert self._connection is not None
+            await self._connection.read_body(body)
+            self._whole = message
+        except BrokenAnswer:
+            self._whole = None  # its word stands; the connection goes
+
+    def _take_whole(self, message: RawResponseMessage, data: bytes, marked: bool) -> WholeAnswer | None:
+        x, status = self._x, message.code
+        sealed = SEAL in message.headers
+        passes = passes_unchanged(status, sealed, marked)
+        answer = WholeAnswer(status, message.reason, end_to_end(message.raw_headers), data)
+        if status >= 500 or not passes:
+            self._ended(AttemptEnd.FAILED)
+            self._record.erred(x.clock())
+            x.failure = answer if passes else x.failure
+            x.want.excluded.add(self._record.id)
+            return None
+        if x.stream.began:
+            self._ended(AttemptEnd.FAILED)
+            return None
+        self._answered()
+        return answer
+
+    def _answered(self) -> None:
+        """A whole answer: the sizing learns from it."""
+        x, now = self._x, self._x.clock()
+        self._record.worked()
+        pool = x.dispatcher.pool(x.want.service, x.want.ref, now)
+        first_ms, hold_ms = (self._first_at - self._began_at) * 1000.0, (now - self._began_at) * 1000.0
+        pool.traffic.answered(first_ms, hold_ms, x.route.target_ms)
+        if self._first_at - x.request.arrived_at > x.aim_s:
+            x.dispatcher.overran(x.want, now)
+
+    # --- Streams ----------------------------------------------------------------------------------------
+    async def _pass_stream(self, message: RawResponseMessage, body: StreamReader) -> StreamEnd | None:
+        """Pass whole events on as they come, up to the proper end of the answer."""
+        x, connection = self._x, self._connection
+        assert connection is not None
+        cutter = EventCutter()
+        while part := await connection.read_part(body):
+            try:
+                events = cutter.feed(part)
+            except EventTooLong as error:
+                raise BrokenAnswer(str(error)) from error
+            if events:
+                await self._pass_events(message, events)
+        await self._pass_bytes(message, cutter.rest)
+        self._whole = message
+        await x.stream.end()
+        self._answered()
+        return StreamEnd(whole=True)
+
+    async def _pass_events(self, message: RawResponseMessage, events: list[Event]) -> None:
+        passed: list[bytes] = []
+        for event in events:
+            number = number_of(event.id)
+            if self._resumes_after is not None and number is not None and number <= self._resumes_after:
+                continue  # the run that broke off had passed it on
+            passed.append(event.data)
+            self._x.resume_at = event.id
+        await self._pass_bytes(message, b"".join(passed))
+
+    async def _pass_bytes(self, message: RawResponseMessage, data: bytes) -> None:
+        stream = self._x.stream
+        if not stream.began:
+            await stream.begin(message.code, message.reason, end_to_end(message.raw_headers))
+        if data:
+            await stream.write(data)
--- /dev/null
+++ b/granitewell/dataplane/front.py
@@ -0,0 +1,316 @@
+"""What clients connect to: aiohttp's low-level server, one handler call a request.
+
+A request is read whole, within the limits of the configuration in force, before anything is decided.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http import HttpVersion11
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from multidict import CIMultiDict
+
+from granitewell.dataplane.addresses import host_and_port
+from granitewell.dataplane.exchange import OwnAnswer, WholeAnswer
+from granitewell.dataplane.quiet import QUIET_LOGGER
+from granitewell.model.configuration import Limits
+from granitewell.model.errors import GranitewellError
+
+SWEEP_S = 0.5  # between two looks for clients that take too long over a head
+BACKLOG = 1_024  # new connections that may wait to be taken: one that is dropped comes again after seconds
+MOST_HEADERS = 512  # of a request; the limit in bytes counts besides
+LINGER_S = 2.0  # in which a refused body is read away, so that the answer isn't lost with a reset
+
+Handler = Callable[[BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class RefusedRequest(GranitewellError):
+    """A request that is not taken; status: the answer to it."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.message = message
+
+
+class ClientConnection(RequestHandler):
+    """A connection of a client; it also knows since when a request's head is incomplete."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.head_since: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """As the library does; what is neither part of a body nor a whole head begins a head."""
+        before = self._request_count
+        super().data_received(data)
+        if self._request_count != before or self._request_in_progress or self._messages:
+            self.head_since = None
+        elif self.head_since is None and data:
+            self.head_since = asyncio.get_running_loop().time()
+
+    def end_after_answer(self) -> None:
+        """Take no more requests: closed now if it is idle, else behind the answer."""
+        if self._waiter is not None and not self._waiter.done():
+            self.force_close()
+        else:
+            self.close()
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """A malformed request, or a defect of ours: an answer without details, and no line in the log."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        if isinstance(exc, LineTooLong):
+            status = 431
+        response = own_response(OwnAnswer(status, "malformed request" if status < 500 else "internal error"))
+        response.force_close()
+        return response
+
+
+class FrontServer(web.Server):
+    """Makes connections with the limits of the moment."""
+
+    def __init__(self, handler: Handler, limits: Limits) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self.limits = limits
+
+    def __call__(self) -> RequestHandler:
+        limits = self.limits
+        return ClientConnection(
+            self,
+            loop=self._loop,
+            access_log=None,
+            logger=QUIET_LOGGER,
+            keepalive_timeout=limits.idle_timeout_ms / 1000.0,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            max_headers=MOST_HEADERS,
+            lingering_time=LINGER_S,
+            auto_decompress=False,
+        )
+
+
+class Front:
+    """Listens for clients and counts the requests that are being answered."""
+
+    def __init__(self, handler: Handler, limits: Limits) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._server: FrontServer | None = None
+        self._listener: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+        self.port = 0  # where it listens
+        self._busy = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def start(self, address: str) -> None:
+        """Listen on `ip:port`."""
+        host, port = host_and_port(address)
+        loop = asyncio.get_running_loop()
+        self._server = FrontServer(self._counted, self._limits)
+        self._listener = await loop.create_server(
+            self._server, host, port, backlog=BACKLOG, reuse_address=True
+        )
+        self.port = int(self._listener.sockets[0].getsockname()[1])
+        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    def set_limits(self, limits: Limits) -> None:
+        """Other limits, for new connections and requests."""
+        self._limits = limits
+        if self._server is not None:
+            self._server.limits = limits
+
+    async def _counted(self, request: BaseRequest) -> web.StreamResponse:
+        self._busy += 1
+        self._idle.clear()
+        try:
+            return await self._handler(request)
+        finally:
+            self._busy -= 1
+            if not self._busy:
+                self._idle.set()
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+        latest = loop.time() - self._limits.header_timeout_ms / 1000.0
+        for connection in self._connections():
+            if connection.head_since is not None and connection.head_since < latest:
+                connection.force_close()
+
+    def _connections(self) -> list[ClientConnection]:
+        found = self._server.connections if self._server is not None else []
+        return [connection for connection in found if isinstance(connection, ClientConnection)]
+
+    # --- The end ----------------------------------------------------------------------------------------
+    def stop_listening(self) -> None:
+        """Take no new connections; idle ones are closed, the others after their answer."""
+        if self._listener is not None:
+            self._listener.close()
+        for connection in self._connections():
+            connection.end_after_answer()
+
+    async def wait_idle(self) -> None:
+        """Until no request is being answered."""
+        await self._idle.wait()
+
+    def abort(self) -> None:
+        """Cut what is left."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in self._connections():
+            if connection.transport is not None:
+                connection.transport.abort()
+
+
+# --- Reading a request ----------------------------------------------------------------------------------
+def check_head(request: BaseRequest, limits: Limits) -> None:
+    """Raises RefusedRequest for a head beyond the limits or one whose host is ambiguous."""
+    size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers) + len(request.raw_path)
+    if size > limits.max_header_bytes:
+        raise RefusedRequest(431, "headers beyond the limit")
+    if len(request.headers.getall("Host", ())) != 1:
+        raise RefusedRequest(400, "one Host header is needed")
+    if not request.raw_path.startswith("/"):
+        raise RefusedRequest(400, "a path is needed")
+
+
+async def read_body(request: BaseRequest, limits: Limits) -> bytes | None:
+    """The whole body, None where there is none; raises RefusedRequest."""
+    if not request.body_exists and request.content_length is None:
+        return None
+    most = limits.max_body_bytes
+    if (request.content_length or 0) > most:
+        raise RefusedRequest(413, "a body beyond the limit")
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0
+    try:
+        async with asyncio.timeout(limits.header_timeout_ms / 1000.0):
+            return await _read_parts(request, most)
+    except TimeoutError as error:
+        raise RefusedRequest(408, "the body took too long") from error
+    except (web.RequestPayloadError, ValueError) as error:
+        raise RefusedRequest(400, "a malformed body") from error
+
+
+async def _read_parts(request: BaseRequest, most: int) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while part := await request.content.readany():
+        parts.append(part)
+        size += len(part)
+        if size > most:
+            raise RefusedRequest(413, "a body beyond the limit")
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+# --- Answers --------------------------------------------------------------------------------------------
+def own_response(answer: OwnAnswer) -> web.Response:
+    """An answer of this node, as JSON."""
+    headers = {"Content-Type": "application/json"}
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = f"{answer.retry_after_s:.2f}"
+    body = json.dumps({"error": answer.message}).encode()
+    return web.Response(status=answer.status, headers=headers, body=body)
+
+
+def passed_response(answer: WholeAnswer) -> web.Response:
+    """A server's answer as it is."""
+    headers = _headers(answer.headers)
+    length = headers.pop("Content-Length", None)
+    response = web.Response(
+        status=answer.status, reason=_reason(answer.status, answer.reason), headers=headers, body=answer.body
+    )
+    if length is not None and not answer.body:
+        response.headers["Content-Length"] = length  # of an answer to HEAD, which has no body
+    return response
+
+
+def _headers(raw: list[tuple[bytes, bytes]]) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in raw:
+        headers.add(name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+    return headers
+
+
+def _reason(status: int, reason: str) -> str | None:
+    """The server's words, unless they are the usual ones."""
+    try:
+        usual = HTTPStatus(status).phrase
+    except ValueError:
+        usual = ""
+    return None if reason == usual else reason
+
+
+class StreamedAnswer:
+    """Passes the pieces of an answer to the client; see exchange.ClientStream."""
+
+    def __init__(self, request: BaseRequest, closing: Callable[[], bool]) -> None:
+        """closing: whether the connection is not to be used again."""
+        self._request, self._closing = request, closing
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def began(self) -> bool:
+        """Whether the head has been passed on."""
+        return self.response is not None
+
+    async def begin(self, status: int, reason: str, headers: list[tuple[bytes, bytes]]) -> None:
+        """Pass the head on, with the first piece."""
+        passed = _headers(headers)
+        passed.pop("Content-Length", None)
+        response = web.StreamResponse(status=status, reason=_reason(status, reason), headers=passed)
+        if self._request.version == HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        if self._closing():
+            response.force_close()
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Pass a piece on at once."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """The answer is whole."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def break_off(self) -> web.StreamResponse:
+        """The answer must not look complete. With chunks, an end without the last one doesn't; what has been
+        passed on still arrives. Without them only a reset tells."""
+        assert self.response is not None
+        transport = self._request.transport
+        if transport is not None:
+            if self._request.version != HttpVersion11:
+                _reset_on_close(transport)
+            transport.close()
+        return self.response
+
+
+def _reset_on_close(transport: asyncio.Transport) -> None:
+    """Close with a reset, which an answer without a length doesn't survive."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- /dev/null
+++ b/granitewell/dataplane/headers.py
@@ -0,0 +1,147 @@
+"""Headers of requests and answers: which go along, and what the system reads from them. Pure.
+
+Headers are pairs of bytes, as they came; names are compared in lower case.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+REQUEST_ID = "Granitewell-Request-Id"
+DEADLINE_MS = "Granitewell-Deadline-Ms"
+EXPECT_INSTANCE = "Granitewell-Expect-Instance"
+MODEL = "Granitewell-Model"
+PROMPT_PREFIX = "Granitewell-Prompt-Prefix"
+SEAL = "Granitewell-Response-Seal"
+NOT_EXECUTED = "Granitewell-Not-Executed"
+SERVER_LOAD = "Granitewell-Server-Load"
+LAST_EVENT_ID = "Last-Event-Id"
+PRIORITY = "Priority"
+
+_HOP_BY_HOP = frozenset({
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade",
+})  # fmt: skip
+_OWN = frozenset({
+    b"content-length", b"expect", b"granitewell-deadline-ms", b"granitewell-expect-instance", b"priority",
+})  # fmt: skip
+"""Of a request: written anew for each send."""
+_KEPT = frozenset({b"host", b"content-type", b"last-event-id"})
+"""What a `Connection` header may not take away, besides the system's own."""
+
+MOST_LOAD = 1_000_000  # of any figure of a server's load: beyond it it's no figure
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What a server says of itself: requests running, requests waiting, slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that requests share."""
+
+    id: str
+    tokens: int
+
+
+def end_to_end(headers: RawHeaders) -> list[tuple[bytes, bytes]]:
+    """Without those that concern one connection only."""
+    pairs = list(headers)
+    named = {name for key, value in pairs if key.lower() == b"connection" for name in _tokens(value)}
+    dropped = _HOP_BY_HOP | {name for name in named if not _essential(name)} if named else _HOP_BY_HOP
+    return [pair for pair in pairs if pair[0].lower() not in dropped]
+
+
+def for_sending(headers: RawHeaders) -> list[tuple[bytes, bytes]]:
+    """Of a client's request, those that go along unchanged to every server."""
+    return [pair for pair in end_to_end(headers) if pair[0].lower() not in _OWN]
+
+
+def without(headers: RawHeaders, name: str) -> list[tuple[bytes, bytes]]:
+    """All but those of one name."""
+    dropped = name.lower().encode()
+    return [pair for pair in headers if pair[0].lower() != dropped]
+
+
+def request_head(
+    method: str,
+    target: str,
+    headers: Iterable[tuple[bytes, bytes]],
+    extra: Iterable[tuple[str, str]],
+    body_length: int | None,
+) -> bytes:
+    """The head of a request to a server; target: path and query byte for byte as the client sent them."""
+    lines = [method.encode("ascii"), b" ", target.encode("utf-8", "surrogateescape"), b" HTTP/1.1\r\n"]
+    for name, value in headers:
+        lines += (name, b": ", value, b"\r\n")
+    for key, text in extra:
+        lines.append(f"{key}: {text}\r\n".encode("latin-1"))
+    if body_length is not None:
+        lines.append(b"Content-Length: %d\r\n" % body_length)
+    lines.append(b"\r\n")
+    return b"".join(lines)
+
+
+def parse_milliseconds(value: str | None) -> float | None:
+    """A number of milliseconds above 0; None for anything else."""
+    if value is None or len(value) > 20:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0.0 < number < 1e12 else None
+
+
+def parse_server_load(value: str | None) -> ServerLoad | None:
+    """`running,waiting,slots`."""
+    if value is None:
+        return None
+    parts = value.split(",")
+    if len(parts) != 3:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return None
+    if min(running, waiting, slots) < 0 or max(running, waiting, slots) > MOST_LOAD:
+        return None
+    return ServerLoad(running, waiting, slots)
+
+
+def parse_keep_alive(value: str | None) -> float | None:
+    """The seconds after which the server closes an idle connection."""
+    for parameter in (value or "").split(","):
+        key, _, number = parameter.partition("=")
+        if key.strip().lower() in ("timeout", "") or not number:
+            text = (number or key).strip()
+            if text.isascii() and text.isdigit() and len(text) < 9:
+                return float(text)
+    return None
+
+
+def parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+    """`ID:TOKENS,...` in order; what can't be read ends the list."""
+    parts: list[PromptPart] = []
+    for entry in (value or "").split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if not part_id or not (tokens.isascii() and tokens.isdigit()) or len(tokens) > 9:
+            break
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _tokens(value: bytes) -> Iterator[bytes]:
+    return (token.strip().lower() for token in value.split(b","))
+
+
+def _essential(name: bytes) -> bool:
+    return name in _KEPT or name in _OWN or name.startswith(b"granitewell-")
