--- /dev/null
+++ b/granitewell/dataplane/plane.py
@@ -0,0 +1,264 @@
+"""The data plane of one node: takes clients' requests, sends them to servers, passes the answers on.
+
+It holds no lasting state: configuration, servers and the number of nodes are told by `apply_configuration`,
+`apply_servers` and `set_edges`; what models are asked for is taken by `take_demand`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from random import Random
+
+import logbook
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+from granitewell.dataplane.dispatch import Dispatcher
+from granitewell.dataplane.exchange import ClientRequest, Exchange, OwnAnswer, StreamEnd, WholeAnswer
+from granitewell.dataplane.front import (
+    Front,
+    RefusedRequest,
+    StreamedAnswer,
+    check_head,
+    own_response,
+    passed_response,
+    read_body,
+)
+from granitewell.dataplane.headers import (
+    DEADLINE_MS,
+    LAST_EVENT_ID,
+    MODEL,
+    PROMPT_PREFIX,
+    REQUEST_ID,
+    for_sending,
+    parse_milliseconds,
+    parse_prompt_parts,
+)
+from granitewell.dataplane.readiness import ReadinessServer
+from granitewell.dataplane.routes import RouteTable, choose_service, host_name, path_of
+from granitewell.dataplane.upstream import UpstreamPool
+from granitewell.model.configuration import Configuration, Limits, Route
+from granitewell.model.servers import ModelDemand, ModelRef, Server
+from granitewell.model.settings import Settings
+
+DEADLINE_MARGIN_S = 0.020  # our last word must reach the client before it gives up
+WAKE_GAP_S = 0.05  # between two looks for servers while requests wait: other nodes' requests end unseen
+NO_CONFIGURATION_RETRY_S = 0.5
+LISTENS_ON_S = 2.5  # after SIGTERM: the platform asks each second and needs two misses
+END_MARGIN_S = 0.6  # before SIGKILL
+EXPIRE_MARGIN_S = 0.2  # before that: what has no answer yet gets one that promises no more than is known
+
+_log = logbook.Logger("granitewell.dataplane")
+
+
+def _nobody() -> None: ...
+
+
+class DataPlane:
+    """One node's data plane."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: Random,
+        clock: Callable[[], float] = time.monotonic,
+        on_demand: Callable[[], None] = _nobody,
+    ) -> None:
+        """on_demand: called when a request waits for a model that no server has, at most every 30 ms."""
+        self._settings, self._rng, self._clock, self._on_demand = settings, rng, clock, on_demand
+        self._configuration: Configuration | None = None
+        self._routes: RouteTable | None = None
+        self._dispatcher = Dispatcher(settings.bounds, rng)
+        self._upstreams = UpstreamPool(clock)
+        self._front = Front(self._answer, Limits())
+        self._readiness = ReadinessServer(lambda: self.ready)
+        self._servers_known = False
+        self._draining_since: float | None = None
+        self._waker: asyncio.TimerHandle | None = None
+        self._exchanges: set[Exchange] = set()
+
+    # --- What the control plane tells -------------------------------------------------------------------
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Put a newer configuration in force; it cuts no request."""
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        self._routes = RouteTable(configuration)
+        self._dispatcher.apply_configuration(configuration)
+        self._front.set_limits(configuration.limits)
+        _log.info("configuration {} in force: {} routes", configuration.version, len(configuration.routes))
+
+    def apply_servers(
+        self,
+        changed: Sequence[Server],
+        removed: Sequence[str],
+        whole_services: frozenset[str] | None = None,
+    ) -> None:
+        """News of the table of servers. whole_services: of these `changed` has all servers there are."""
+        self._servers_known = True
+        for server_id in self._dispatcher.apply_servers(changed, removed, whole_services, self._clock()):
+            self._upstreams.close_server(server_id)
+
+    def set_edges(self, alive: int, most: int) -> None:
+        """alive: nodes that share the traffic; most: those that may share the retry budget."""
+        self._dispatcher.set_edges(alive, most)
+
+    def take_demand(self) -> list[ModelDemand]:
+        """What models have been asked for since the last time."""
+        return self._dispatcher.take_demand()
+
+    # --- Life -------------------------------------------------------------------------------------------
+    @property
+    def ready(self) -> bool:
+        """Whether this node wants clients."""
+        draining = self._draining_since is not None
+        return self._configuration is not None and self._servers_known and not draining
+
+    @property
+    def front_port(self) -> int:
+        """Where clients are taken."""
+        return self._front.port
+
+    @property
+    def ready_port(self) -> int:
+        """Where readiness is told."""
+        return self._readiness.port
+
+    async def start(self) -> None:
+        """Listen for clients and for the platform's question."""
+        listen = self._settings.listen
+        if listen.ready is not None:
+            await self._readiness.start(listen.ready)
+        if listen.front is not None:
+            await self._front.start(listen.front)
+
+    def begin_drain(self) -> None:
+        """SIGTERM: not ready from now on, but clients are still taken."""
+        if self._draining_since is None:
+            self._draining_since = self._clock()
+            _log.info("draining")
+
+    async def finish(self, grace_s: float) -> None:
+        """Answer what has been taken, then end; returns before grace_s since the drain began is over."""
+        self.begin_drain()
+        began = self._draining_since or 0.0
+        end = began + grace_s - END_MARGIN_S
+        await asyncio.sleep(max(min(began + LISTENS_ON_S, end) - self._clock(), 0.0))
+        self._front.stop_listening()
+        if not await self._idle_by(end - EXPIRE_MARGIN_S):
+            _log.warning("{} requests are cut short at the end of the grace period", len(self._exchanges))
+            for exchange in list(self._exchanges):
+                exchange.expire()
+            await self._idle_by(end)
+        self._front.abort()
+        self._upstreams.close()
+        self._readiness.close()
+        if self._waker is not None:
+            self._waker.cancel()
+
+    async def _idle_by(self, when: float) -> bool:
+        """Whether all requests have their answers by then."""
+        try:
+            async with asyncio.timeout(max(when - self._clock(), 0.0)):
+                await self._front.wait_idle()
+        except TimeoutError:
+            return False
+        return True
+
+    # --- Requests that wait -----------------------------------------------------------------------------
+    def _somebody_waits(self) -> None:
+        self._tell_demand()
+        if self._waker is None:
+            self._waker = asyncio.get_running_loop().call_later(WAKE_GAP_S, self._wake)
+
+    def _wake(self) -> None:
+        self._waker = None
+        if self._dispatcher.wake_all(self._clock()):
+            self._somebody_waits()
+
+    def _tell_demand(self) -> None:
+        if self._dispatcher.urgent(self._clock()):
+            self._on_demand()
+
+    # --- Requests ---------------------------------------------------------------------------------------
+    async def _answer(self, request: BaseRequest) -> web.StreamResponse:
+        """The answer to one request of a client."""
+        arrived_at = self._clock()
+        try:
+            response = await self._routed(request, arrived_at)
+        except RefusedRequest as refused:
+            response = own_response(OwnAnswer(refused.status, refused.message))
+            if refused.status != 404:
+                response.force_close()
+        if self._draining_since is not None and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _routed(self, request: BaseRequest, arrived_at: float) -> web.StreamResponse:
+        limits = self._configuration.limits if self._configuration is not None else Limits()
+        check_head(request, limits)
+        body = await read_body(request, limits)
+        configuration, routes = self._configuration, self._routes
+        if configuration is None or routes is None:
+            return own_response(OwnAnswer(503, "no configuration yet", NO_CONFIGURATION_RETRY_S))
+        route = routes.find(host_name(request.headers["Host"]), path_of(request.raw_path))
+        if route is None:
+            raise RefusedRequest(404, "no such route")
+        request_id = request.headers.get(REQUEST_ID)
+        if not request_id:
+            raise RefusedRequest(400, f"{REQUEST_ID} is missing")
+        return await self._exchanged(request, self._client_request(request, route, body, arrived_at), route)
+
+    def _client_request(
+        self, request: BaseRequest, route: Route, body: bytes | None, arrived_at: float
+    ) -> ClientRequest:
+        headers = request.headers
+        told_ms = parse_milliseconds(headers.get(DEADLINE_MS))
+        most_ms = min(told_ms, route.timeout_ms) if told_ms is not None else route.timeout_ms
+        return ClientRequest(
+            method=request.method,
+            target=request.raw_path,
+            headers=for_sending(request.raw_headers),
+            request_id=headers[REQUEST_ID],
+            last_event_id=headers.get(LAST_EVENT_ID),
+            body=body,
+            parts=parse_prompt_parts(headers.get(PROMPT_PREFIX)),
+            arrived_at=arrived_at,
+            deadline=arrived_at + most_ms / 1000.0 - DEADLINE_MARGIN_S,
+        )
+
+    async def _exchanged(
+        self, request: BaseRequest, client_request: ClientRequest, route: Route
+    ) -> web.StreamResponse:
+        service = choose_service(route, self._rng)
+        stream = StreamedAnswer(request, lambda: self._draining_since is not None)
+        exchange = Exchange(
+            self._dispatcher, self._upstreams, self._clock, self._somebody_waits,
+            client_request, route, service, self._model(request, service), stream,
+        )
+        self._exchanges.add(exchange)
+        try:
+            answer = await exchange.run()
+        finally:
+            self._exchanges.discard(exchange)
+        match answer:
+            case WholeAnswer():
+                return passed_response(answer)
+            case OwnAnswer():
+                return own_response(answer)
+            case StreamEnd(whole=True):
+                assert stream.response is not None
+                return stream.response
+            case StreamEnd():
+                return stream.break_off()
+
+    def _model(self, request: BaseRequest, service: str) -> ModelRef | None:
+        """The model that a request needs; None where its service runs none."""
+        configured = self._dispatcher.service(service)
+        if configured is None or configured.engine is None:
+            return None
+        name = request.headers.get(MODEL)
+        return ModelRef.parse(name) if name else None
--- /dev/null
+++ b/granitewell/dataplane/pool.py
@@ -0,0 +1,295 @@
+"""The servers that may run a request, and which of them gets it. Pure; times in seconds.
+
+A pool is all ready servers of a service, or those that hold a model. All nodes sort them by id into one order
+and use the first ones, the active prefix, as many as the latency model asks for (tiderelay.sizing). A request
+goes to a random server of the prefix; a server with too many requests of this node is busy and passed over,
+and past a prefix of busy servers the rest of the order is used. Departures from this, each for a rule or a
+deployment: of two random picks the less loaded one is taken, servers where requests wait or that look ill are
+passed over while others have room, and a server that may have kept the leading parts of the prompt is
+preferred.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Collection, Mapping, Sequence
+from random import Random
+
+from granitewell.dataplane.servers import ServerRecord
+from tiderelay.sizing import (
+    BINS,
+    BURST,
+    EWMA_N,
+    OVERRUN,
+    PERIOD,
+    RTT,
+    SAMPLES,
+    ActivePrefix,
+    forecast,
+    slots_needed,
+)
+
+COMFORTABLE_PART = 1 / 3  # of an engine's slots: with more at once its tokens come too slowly
+PATIENCE_MEANS = 8.0  # mean times to a first byte that a server may be silent,
+LEAST_PATIENCE_S = 0.5  # and the least: below it a pause is no sign
+UNKNOWN_MEAN_S = 0.25  # mean time to a first byte until measured
+REDRAWS = 6  # random draws for servers of the prefix that may be used, before all are looked at
+CHOICES = 2  # of them that are compared
+ALIKE = 0.5  # requests by which servers must differ to be told apart: what is known of them is old
+KEPT_TOKENS_A_REQUEST = 300  # kept tokens that make up for one more request there
+
+
+class Traffic:
+    """What the sizing needs of a pool's past: arrivals by period, times, and how many were late."""
+
+    def __init__(self, setup_s: float) -> None:
+        self._setup_ms = setup_s * 1000.0
+        self._counts: deque[int] = deque(maxlen=BINS)
+        self._arrived = 0
+        self._since = -math.inf
+        self.samples: deque[tuple[float, float]] = deque(maxlen=SAMPLES)  # ms to the first byte, aim in ms
+        self.hold_ms = 0.0  # mean time that a request holds its slot
+        self.first_ms = 0.0  # mean time to the first byte
+        self.refusal_ms = RTT  # mean time in which servers turn away or don't connect
+        self.answers = 0
+        self._best_ms = math.inf
+        self._late = 0.0
+        self._judged = 0.0
+
+    def arrived(self, now: float) -> None:
+        """A request has come."""
+        self.roll(now)
+        self._arrived += 1
+
+    def roll(self, now: float) -> None:
+        """Close the periods that have passed."""
+        if self._since == -math.inf:
+            self._since = now
+            return
+        passed = int((now - self._since) * 1000.0 / PERIOD)
+        if passed <= 0:
+            return
+        self._since += passed * PERIOD / 1000.0
+        self._counts.append(self._arrived)
+        self._counts.extend([0] * min(passed - 1, BINS))
+        self._arrived = 0
+        fade = 0.5 ** min(passed, 64)
+        self._late, self._judged = self._late * fade, self._judged * fade
+
+    def answered(self, first_ms: float, hold_ms: float, aim_ms: float) -> None:
+        """An answer has ended."""
+        self.answers += 1
+        part = 1.0 / min(self.answers, EWMA_N)
+        self.hold_ms += (hold_ms - self.hold_ms) * part
+        self.first_ms += (first_ms - self.first_ms) * part
+        if self.answers >= EWMA_N:
+            self._best_ms = max(min(self._best_ms * 1.0005, self.first_ms), 0.01)
+        aim = aim_ms or 5.0 * self.first_ms
+        self.samples.append((first_ms, max(aim, 1.0)))
+        self._judged += 1.0
+        self._late += first_ms > aim
+
+    def turned_away(self, after_ms: float) -> None:
+        """A server has refused, or no connection came up."""
+        self.refusal_ms += (after_ms - self.refusal_ms) * 0.05
+
+    @property
+    def rate(self) -> float:
+        """Requests a ms at this node, one model load ahead."""
+        return forecast(self._counts, self._setup_ms)
+
+    @property
+    def late_share(self) -> float:
+        """Of recent answers."""
+        return self._late / max(self._judged, 3.0)
+
+    @property
+    def slow(self) -> float:
+        """Mean time to the first byte over the best seen; inf while too little is known."""
+        return self.first_ms / self._best_ms if self.answers >= EWMA_N else math.inf
+
+
+class Pool:
+    """One pool. key names it, the same at every node."""
+
+    def __init__(self, key: str, engine_slots: int | None, setup_s: float, rng: Random) -> None:
+        """engine_slots: of the service's engine, None where it runs no models; setup_s: time that one more
+        server takes to be there."""
+        self.key = key
+        self.runs_models = engine_slots is not None
+        self.traffic = Traffic(setup_s)
+        self.servers: Sequence[ServerRecord] = ()
+        self._rng = rng
+        self._prefix = ActivePrefix(self._comfortable(engine_slots or 1) if engine_slots else math.inf)
+        self._sized_at = -math.inf
+        self._by_server: dict[str, int] = {}  # this node's requests of this pool there
+        self._moved: dict[str, float] = {}  # servers that said 421, and until when that counts
+
+    def _comfortable(self, slots: int) -> float:
+        return max(slots * COMFORTABLE_PART, 1.0) if self.runs_models else float(slots)
+
+    def set_servers(self, records: Sequence[ServerRecord]) -> None:
+        """All that may run its requests now."""
+        full = self._prefix.size >= len(self.servers)
+        self.servers = sorted(records, key=lambda record: record.id)
+        self._prefix.size = len(records) if full else min(self._prefix.size, len(records))
+        ids = {record.id for record in records}
+        self._moved = {key: until for key, until in self._moved.items() if key in ids}
+
+    @property
+    def prefix_size(self) -> int:
+        """How many servers of the order are used."""
+        return self._prefix.size
+
+    # --- Sizing -----------------------------------------------------------------------------------------
+    def arrived(self, now: float, edges: int) -> None:
+        """A request has come."""
+        self.traffic.arrived(now)
+        if now - self._sized_at >= PERIOD / 1000.0:
+            self._resize(now, edges)
+
+    def overran(self, now: float, edges: int) -> None:
+        """A request took longer than its aim."""
+        if now - self._sized_at >= OVERRUN / 1000.0:
+            self._resize(now, edges)
+
+    def _resize(self, now: float, edges: int) -> None:
+        self._sized_at = now
+        traffic, hosts = self.traffic, len(self.servers)
+        traffic.roll(now)
+        rate = BURST * edges * traffic.rate
+        need = slots_needed(rate, traffic.hold_ms, traffic.refusal_ms, traffic.samples, hosts, self._rng)
+        self._prefix.resize(now * 1000.0, need, hosts, traffic.slow, traffic.late_share, self._reach)
+
+    def _reach(self, servers: float) -> int:
+        return min(max(math.ceil(servers - 1e-9), 1), len(self.servers))
+
+    # --- Pick -------------------------------------------------------------------------------------------
+    @property
+    def patience(self) -> float:
+        """Seconds that a server may owe answers before it is suspected."""
+        mean = self.traffic.first_ms / 1000.0 if self.traffic.answers else UNKNOWN_MEAN_S
+        return max(PATIENCE_MEANS * mean, LEAST_PATIENCE_S)
+
+    def pick(
+        self,
+        now: float,
+        edges: int,
+        passed_over: Collection[str] = (),
+        excluded: Collection[str] = (),
+        kept_tokens: Mapping[str, int] | None = None,
+        has_room: Callable[[ServerRecord], bool] = lambda _: True,
+    ) -> ServerRecord | None:
+        """The server for a request; None if none may have it now. passed_over: servers that have had it, used
+        again only where there are no others; excluded: never used; has_room: what else must hold."""
+        patience = self.patience
+
+        def fits(record: ServerRecord) -> bool:
+            if record.id in passed_over or record.id in excluded or self._has_moved(record, now):
+                return False
+            if self._busy(record, edges) or not record.sound(now, patience):
+                return False
+            return has_room(record) and not record.full(now)
+
+        drawn = self._draw(now, fits)
+        if kept_tokens:
+            drawn = self._with_kept(drawn, now, kept_tokens, fits)
+        if drawn is None:
+            drawn = self._scan(now, edges, passed_over, excluded, has_room)
+        return drawn
+
+    def _draw(self, now: float, fits: Callable[[ServerRecord], bool]) -> ServerRecord | None:
+        """The better of two random servers of the prefix that fit; None if a few draws find none."""
+        size = min(max(self._prefix.size, 1), len(self.servers))
+        best, best_cost, seen = None, math.inf, 0
+        for _ in range(REDRAWS if size else 0):
+            record = self.servers[int(self._rng.random() * size)]
+            if record is best or not fits(record):
+                continue
+            cost = record.cost(now)
+            if cost < best_cost - ALIKE:
+                best, best_cost = record, cost
+            seen += 1
+            if seen >= CHOICES:
+                break
+        return best
+
+    def _with_kept(
+        self,
+        drawn: ServerRecord | None,
+        now: float,
+        kept_tokens: Mapping[str, int],
+        fits: Callable[[ServerRecord], bool],
+    ) -> ServerRecord | None:
+        """A server that may have kept leading parts of the prompt, unless its load is clearly higher."""
+        best, best_cost = drawn, math.inf
+        if drawn is not None:
+            best_cost = drawn.cost(now) - kept_tokens.get(drawn.id, 0) / KEPT_TOKENS_A_REQUEST
+        for record in self.servers:
+            tokens = kept_tokens.get(record.id)
+            if tokens is None or record is drawn or not fits(record):
+                continue
+            cost = record.cost(now) - tokens / KEPT_TOKENS_A_REQUEST
+            if cost < best_cost:
+                best, best_cost = record, cost
+        return best
+
+    def _scan(
+        self,
+        now: float,
+        edges: int,
+        passed_over: Collection[str],
+        excluded: Collection[str],
+        has_room: Callable[[ServerRecord], bool],
+    ) -> ServerRecord | None:
+        """The same over the whole order: past the prefix, then busy servers, then those that look ill or have
+        had the request."""
+        usable = self._usable(now, passed_over, excluded)
+        open_ones = [record for record in usable if not record.full(now) and has_room(record)]
+        if not open_ones:
+            return None
+        idle = [record for record in open_ones if not self._busy(record, edges)]
+        return min(idle or open_ones, key=lambda record: record.cost(now))
+
+    def _usable(
+        self, now: float, passed_over: Collection[str], excluded: Collection[str]
+    ) -> Sequence[ServerRecord]:
+        """Those that may get it, by preference: sound ones, then any that hasn't had it, then the rest."""
+        here = [r for r in self.servers if r.id not in excluded and not self._has_moved(r, now)]
+        fresh = [record for record in here if record.id not in passed_over]
+        patience = self.patience
+        sound = [record for record in fresh if record.sound(now, patience)]
+        return sound or fresh or here
+
+    def _busy(self, record: ServerRecord, edges: int) -> bool:
+        """Whether this node has its part of the server's slots out there."""
+        out = self._by_server.get(record.id, 0)
+        return out >= 1 and out >= self._comfortable(record.slots) / max(edges, 1)
+
+    def _has_moved(self, record: ServerRecord, now: float) -> bool:
+        return bool(self._moved) and self._moved.get(record.id, -math.inf) > now
+
+    # --- What happens at its servers --------------------------------------------------------------------
+    def sent(self, record: ServerRecord, now: float) -> None:
+        """A request of this pool goes there."""
+        record.sent(now)
+        self._by_server[record.id] = self._by_server.get(record.id, 0) + 1
+
+    def ended(self, record: ServerRecord) -> None:
+        """It is there no longer."""
+        record.ended()
+        left = self._by_server[record.id] - 1
+        if left:
+            self._by_server[record.id] = left
+        else:
+            del self._by_server[record.id]
+
+    def moved(self, record: ServerRecord, now: float, for_s: float) -> None:
+        """The server says that it can't run this pool's requests, whatever the table says."""
+        self._moved[record.id] = now + for_s
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this node at its servers."""
+        return sum(self._by_server.values())
--- /dev/null
+++ b/granitewell/dataplane/quiet.py
@@ -0,0 +1,9 @@
+"""aiohttp's server logs each malformed request with its stack: a hostile client could fill the log."""
+
+from __future__ import annotations
+
+import logging
+
+QUIET_LOGGER = logging.getLogger("granitewell.dataplane.aiohttp")
+QUIET_LOGGER.addHandler(logging.NullHandler())
+QUIET_LOGGER.propagate = False
--- /dev/null
+++ b/granitewell/dataplane/retry_budget.py
@@ -0,0 +1,42 @@
+"""This node's part of a service's retry budget. Pure.
+
+All nodes share one budget: repeats in a window may be at most a ratio of the requests plus a slack. Each node
+earns a part of the ratio with its own requests, and saves up at most its part of the slack; so the sum holds
+whatever the others do, without any talk between nodes.
+"""
+
+from __future__ import annotations
+
+RATIO_PART = 0.6  # of the ratio that is spent; the rest covers requests that are counted in another window
+SLACK_PART = 0.5  # of the slack that all nodes together may save up; the rest covers nodes that restart
+
+
+class RetryBudget:
+    """A token bucket: each first send of a request earns a part of a repeat, each repeat spends one."""
+
+    __slots__ = ("_most", "_ratio", "_tokens")
+
+    def __init__(self, ratio: float, slack: float, most_edges: int) -> None:
+        self._ratio = RATIO_PART * ratio
+        self._tokens = 0.0  # nothing at the start: a node that restarts often must not gain by it
+        self._most = _most_saved(slack, most_edges)
+
+    def share_among(self, slack: float, most_edges: int) -> None:
+        """Another number of nodes: what has been saved beyond the new part is gone."""
+        self._most = _most_saved(slack, most_edges)
+        self._tokens = min(self._tokens, self._most)
+
+    def earn(self) -> None:
+        """A request of this node is sent for the first time."""
+        self._tokens = min(self._tokens + self._ratio, self._most)
+
+    def spend(self) -> bool:
+        """Whether one more repeat may be sent now; if so, it counts."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def _most_saved(slack: float, most_edges: int) -> float:
+    return max(1.0, SLACK_PART * slack / max(most_edges, 1))
--- /dev/null
+++ b/granitewell/dataplane/servers.py
@@ -0,0 +1,148 @@
+"""What this node knows of each server: what it runs, its load, its health. Pure; times in seconds.
+
+A record outlives changes of what the server holds, and ends with the server's id: every start of a server is
+a new incarnation with a new id, of which nothing is known.
+"""
+
+from __future__ import annotations
+
+import math
+
+from granitewell.dataplane.headers import ServerLoad
+from granitewell.model.servers import Server
+
+LOAD_TAU_S = 1.5  # a server's word on its load loses its say over such a time
+WAITING_TAU_S = 0.4  # the same for requests that wait there: a queue is gone sooner
+WAITING_COST = 2.0  # of a request that waits, besides its place: it is read before the next, one by one
+FIRST_AVOIDANCE_S = 1.0  # after a failure a server gets no requests for so long, while others are there
+MOST_AVOIDANCE_S = 5.0
+ERRORS_IN_A_ROW = 3  # own failures of a server, from which it is held to be ill
+READ_GAIN = 0.1  # weight of the newest time to a first byte
+REFUSED_FOR_S = 0.1  # a server that turned a request away is held to be full for so long
+MOVED_FOR_S = 1.0  # a server that said 421 is not asked again before the table may have changed
+
+
+class ServerRecord:
+    """One incarnation of a server as this node sees it."""
+
+    __slots__ = (
+        "_errors", "_load", "_load_at", "_others_running", "_others_waiting", "_read_s", "_refused_until",
+        "_silent_since", "avoided_until", "failures", "in_flight", "server", "unanswered",
+    )  # fmt: skip
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.in_flight = 0  # requests of this node there, until their answers have ended
+        self.unanswered = 0  # of those, the ones without a first byte of their answer
+        self.failures = 0  # in a row
+        self._errors = 0  # the same for failures that it answered with
+        self.avoided_until = -math.inf
+        self._refused_until = -math.inf
+        self._silent_since = math.inf
+        self._read_s = 0.0  # mean time to a first byte for each request in line there, 0: not known
+        self._load: ServerLoad | None = None
+        self._load_at = -math.inf
+        self._others_running = 0.0  # by its last word: requests of others that it runs,
+        self._others_waiting = 0.0  # and all that wait there
+
+    @property
+    def id(self) -> str:
+        """The server's id, new with each of its starts."""
+        return self.server.id
+
+    # --- What happens there -----------------------------------------------------------------------------
+    def sent(self, now: float) -> None:
+        """A request is on its way there."""
+        if not self.unanswered:
+            self._silent_since = now
+        self.in_flight += 1
+        self.unanswered += 1
+
+    def answered(self, now: float) -> None:
+        """An answer has begun."""
+        self.unanswered -= 1
+        self._silent_since = now if self.unanswered else math.inf
+
+    def first_byte_came(self, after_s: float, waiting: float) -> None:
+        """An answer began so long after it was sent there, when so many were held to wait."""
+        sample = after_s / (1.0 + waiting)
+        self._read_s += (sample - self._read_s) * (READ_GAIN if self._read_s else 1.0)
+
+    def given_up(self, now: float, patience: float) -> None:
+        """An answer that has not begun is no longer waited for."""
+        if self.suspect(now, patience):
+            self.failed(now)
+        self.unanswered -= 1
+        if not self.unanswered:
+            self._silent_since = math.inf
+
+    def ended(self) -> None:
+        """A request is there no longer."""
+        self.in_flight -= 1
+
+    def erred(self, now: float) -> None:
+        """It answered with a failure of its own: a few of them in a row speak against it."""
+        self._errors += 1
+        if self._errors >= ERRORS_IN_A_ROW:
+            self._errors = 0
+            self.failed(now)
+
+    def worked(self) -> None:
+        """A whole answer speaks for the server."""
+        self.failures = self._errors = 0
+        self.avoided_until = -math.inf
+
+    def failed(self, now: float) -> None:
+        """It could not be reached, broke off, or sent what is no answer."""
+        if now < self.avoided_until:
+            return  # requests that were there together failed together: this counts once
+        self.failures += 1
+        wait = FIRST_AVOIDANCE_S * 2.0 ** min(self.failures - 1, 8)
+        self.avoided_until = now + min(wait, MOST_AVOIDANCE_S)
+
+    def refused(self, now: float) -> None:
+        """It turned a request away unseen."""
+        self._refused_until = now + REFUSED_FOR_S
+
+    def load_told(self, load: ServerLoad, now: float) -> None:
+        """It has said how loaded it is."""
+        self._load, self._load_at = load, now
+        self._others_running = max(load.running - (self.in_flight - self.unanswered), 0)
+        self._others_waiting = max(load.waiting - self.unanswered, 0)
+
+    # --- What follows -----------------------------------------------------------------------------------
+    @property
+    def slots(self) -> int:
+        """Requests that it works on at once."""
+        if self._load is not None and self._load.slots > 0:
+            return self._load.slots
+        return max(self.server.slots, 1)
+
+    def waiting(self, now: float) -> float:
+        """Requests that are held to wait there: own ones without an answer, and others' by its last word."""
+        return self.unanswered + self._others_waiting * math.exp((self._load_at - now) / WAITING_TAU_S)
+
+    def load(self, now: float) -> float:
+        """Requests that are held to be there, run or waiting."""
+        others = self._others_running * math.exp((self._load_at - now) / LOAD_TAU_S)
+        return self.in_flight - self.unanswered + others + self.waiting(now)
+
+    def cost(self, now: float) -> float:
+        """What one more request would meet there, in requests: those that wait count for more."""
+        return self.load(now) + WAITING_COST * self.waiting(now)
+
+    def first_byte_in(self, now: float) -> float:
+        """Seconds until one more request there would get its first byte."""
+        return self._read_s * (1.0 + self.waiting(now))
+
+    def full(self, now: float) -> bool:
+        """Whether one more request would find no slot there."""
+        return now < self._refused_until or self.load(now) >= self.slots
+
+    def suspect(self, now: float, patience: float) -> bool:
+        """Whether it owes answers and has begun none for so long."""
+        return now - self._silent_since > patience
+
+    def sound(self, now: float, patience: float) -> bool:
+        """Whether nothing speaks against it."""
+        return now >= self.avoided_until and not self.suspect(now, patience)
--- /dev/null
+++ b/granitewell/dataplane/waiting.py
@@ -0,0 +1,63 @@
+"""Requests of a service that wait for a server, the most urgent first. Pure and bounded."""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+MOST_WAITING = 512  # of one service at one node: beyond it a request is refused at once
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, order=True)
+class Place(Generic[T]):
+    """A request's place in the line: priority (0 first), then the order of coming."""
+
+    priority: int
+    number: int
+    request: T = field(compare=False)
+
+
+class LineFull(Exception):
+    """No more requests may wait."""
+
+
+class WaitingLine(Generic[T]):
+    """In order of priority, then of coming."""
+
+    def __init__(self, most: int = MOST_WAITING) -> None:
+        self._places: list[Place[T]] = []
+        self._number = 0
+        self._most = most
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __iter__(self) -> Iterator[Place[T]]:
+        return iter(list(self._places))
+
+    def join(self, priority: int, request: T) -> Place[T]:
+        """Its place; raises LineFull."""
+        if len(self._places) >= self._most:
+            raise LineFull()
+        self._number += 1
+        place = Place(priority, self._number, request)
+        insort(self._places, place)
+        return place
+
+    def least_urgent(self) -> Place[T] | None:
+        """The last of the line."""
+        return self._places[-1] if self._places else None
+
+    def leave(self, place: Place[T]) -> None:
+        """Sent, or given up; leaving twice does no harm."""
+        if place in self._places:
+            self._places.remove(place)
+
+    @property
+    def full(self) -> bool:
+        """Whether nobody more may join."""
+        return len(self._places) >= self._most
--- /dev/null
+++ b/granitewell/logs.py
@@ -0,0 +1,285 @@
+"""Logs of the system's processes: logbook's records as bounded lines on standard error.
+
+One record is one line: `level logger message key=value ...`. A message is a constant template; what changes
+goes into keyword arguments, which follow it as `key=value` or fill its braces:
+
+    log = Logger("granitewell.control")
+    log.info("leader elected", group="shard-0", term=3)
+    -> info granitewell.control leader elected group=shard-0 term=3
+
+Lines of one logger and template are bounded by a token bucket, and so are all lines together; what is left
+out is counted and told. A line is never waited for: while nobody reads standard error, it is left out too. No
+line holds the time: whoever collects the lines stamps them, and a machine's time of day may be wrong.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+import re
+import select
+import sys
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from types import TracebackType
+from typing import Any
+
+import logbook
+
+BURST = 5.0  # lines of one template at once
+RATE_PER_S = 0.5  # lines of one template after that, in the long run
+TOTAL_BURST = 40.0  # lines of all templates at once: a template that is no constant is bounded by this
+TOTAL_RATE_PER_S = 10.0
+MOST_TEMPLATES = 256  # buckets that are kept; the one used longest ago gives way
+TELL_EVERY_S = 10.0  # how often lines that were left out are told of, where there is something to tell
+MOST_LINE = 900  # characters: with its end a line stays below what a pipe takes whole (PIPE_BUF, 4,096 bytes)
+MOST_FRAMES = 4  # of a traceback, the innermost
+STANDARD_ERROR = 2
+
+Clock = Callable[[], float]  # seconds on a steady clock
+Write = Callable[[bytes], bool]  # takes a line; False where it could not be written
+ExceptionInfo = tuple[type[BaseException] | None, BaseException | None, TracebackType | None]
+
+
+class TokenBucket:
+    """So many lines at once, and so many a second in the long run."""
+
+    __slots__ = ("_at", "_burst", "_rate", "_tokens", "left_out")
+
+    def __init__(self, burst: float, rate: float, now: float) -> None:
+        self._burst = burst
+        self._rate = rate
+        self._tokens = burst
+        self._at = now
+        self.left_out = 0  # lines since the last that was written
+
+    def take(self, now: float) -> bool:
+        """Whether a line may be written now."""
+        self._tokens = min(self._burst, self._tokens + max(0.0, now - self._at) * self._rate)
+        self._at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class RateBound:
+    """Which lines are written: by logger and template, and over all."""
+
+    def __init__(self, now: float) -> None:
+        self._total = TokenBucket(TOTAL_BURST, TOTAL_RATE_PER_S, now)
+        self._buckets: OrderedDict[tuple[str, str], TokenBucket] = OrderedDict()
+        self._untold = 0
+        self._told_at = now
+
+    def admits(self, logger: str, template: str, now: float) -> bool:
+        """Whether this line may be written; counted as left out where not."""
+        bucket = self._bucket((logger, template), now)
+        if bucket.take(now) and self._total.take(now):
+            return True
+        self.leave_out(logger, template, now)
+        return False
+
+    def leave_out(self, logger: str, template: str, now: float, lines: int = 1) -> None:
+        """Lines were not written."""
+        self._bucket((logger, template), now).left_out += lines
+        self._untold += lines
+
+    def take_left_out(self, logger: str, template: str, now: float) -> int:
+        """Lines of this template that were left out since the last one written; told by the caller now."""
+        bucket = self._bucket((logger, template), now)
+        count, bucket.left_out = bucket.left_out, 0
+        self._untold = max(0, self._untold - count)
+        return count
+
+    def take_untold(self, now: float) -> int:
+        """All lines left out that no line has told of, now and then; else 0."""
+        if not self._untold or now - self._told_at < TELL_EVERY_S:
+            return 0
+        count, self._untold, self._told_at = self._untold, 0, now
+        for bucket in self._buckets.values():
+            bucket.left_out = 0
+        return count
+
+    def _bucket(self, key: tuple[str, str], now: float) -> TokenBucket:
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = TokenBucket(BURST, RATE_PER_S, now)
+            if len(self._buckets) > MOST_TEMPLATES:
+                self._buckets.popitem(last=False)
+        else:
+            self._buckets.move_to_end(key)
+        return bucket
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """What a line says, before it is text. values: those that the message does not show already."""
+
+    level: str
+    logger: str
+    message: str
+    values: Mapping[str, object]
+    left_out: int = 0
+
+    def encode(self) -> bytes:
+        """The line with its end, bounded; whatever is in it, it stays one line."""
+        words = [self.level, self.logger, self.message.strip()]
+        words += [f"{key}={_value(value)}" for key, value in self.values.items()]
+        text = _one_line(" ".join(words))[:MOST_LINE]
+        if self.left_out:
+            text += f" left_out={self.left_out}"
+        return text.encode(errors="replace") + b"\n"
+
+
+def _one_line(text: str) -> str:
+    if text.isprintable():
+        return text
+    return "".join(c if c.isprintable() else " " if c.isspace() else "?" for c in text)
+
+
+def _value(value: object) -> str:
+    """The text of a value; in quotes where a reader could not tell its end."""
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text and not re.search(r"[\s\"=]", text):
+        return text
+    return '"' + text[:MOST_LINE].replace("\\", "\\\\").replace('"', '\\"') + '"'
+
+
+def _traceback(error: ExceptionInfo) -> Iterator[tuple[str, str]]:
+    """The error and where it was raised, as values of a line."""
+    kind, raised, trace = error
+    if kind is None:
+        return
+    yield "error", f"{kind.__name__}: {raised}"
+    frames = []
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        frames.append(f"{os.path.basename(code.co_filename)}:{trace.tb_lineno}:{code.co_name}")
+        trace = trace.tb_next
+    yield "at", "<".join(reversed(frames[-MOST_FRAMES:]))
+
+
+class BoundedLines:
+    """Writes lines as far as the rate bound admits them."""
+
+    def __init__(self, clock: Clock, write: Write) -> None:
+        self._clock = clock
+        self._write = write
+        self._bound = RateBound(clock())
+
+    def admits(self, logger: str, template: str) -> bool:
+        """Whether a line may be made and written; asked first, so that what is left out costs little."""
+        return self._bound.admits(logger, template, self._clock())
+
+    def write(self, line: Line, template: str) -> None:
+        """Write a line that was admitted."""
+        now = self._clock()
+        left_out = self._bound.take_left_out(line.logger, template, now)
+        if self._write(replace(line, left_out=left_out).encode()):
+            self._tell(now)
+        else:
+            self._bound.leave_out(line.logger, template, now, left_out + 1)
+
+    def _tell(self, now: float) -> None:
+        count = self._bound.take_untold(now)
+        if count:
+            line = Line("warning", "granitewell.logs", "lines were left out", {"left_out": count})
+            self._write(line.encode())
+
+
+class LineHandler(logbook.Handler):  # type: ignore[misc]  # logbook ships no types
+    """Logbook's records as bounded lines."""
+
+    def __init__(self, lines: BoundedLines, level: int = logbook.INFO) -> None:
+        super().__init__(level=level)
+        self._lines = lines
+
+    def emit(self, record: Any) -> None:
+        """Logbook calls this for each record of the level or above."""
+        logger, template = record.channel or "-", str(record.msg)
+        if not self._lines.admits(logger, template):
+            return
+        values = {key: value for key, value in record.kwargs.items() if f"{{{key}" not in template}
+        if record.exc_info:
+            values.update(_traceback(record.exc_info))
+        level = logbook.get_level_name(record.level).lower()
+        self._lines.write(Line(level, logger, _message(record, template), values), template)
+
+
+def _message(record: Any, template: str) -> str:
+    try:
+        return str(record.message)
+    except Exception:  # its arguments don't fit its template
+        return template
+
+
+class StandardLoggingHandler(logging.Handler):
+    """Records of libraries that use Python's own logging (asyncio, aiohttp), as the same lines."""
+
+    def __init__(self, lines: BoundedLines) -> None:
+        super().__init__(logging.WARNING)
+        self._lines = lines
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Python's logging calls this for each record."""
+        template = str(record.msg)
+        if not self._lines.admits(record.name, template):
+            return
+        try:
+            message = record.getMessage()
+        except (TypeError, ValueError):  # its arguments don't fit its template
+            message = template
+        values = dict(_traceback(record.exc_info)) if record.exc_info else {}
+        self._lines.write(Line(record.levelname.lower(), record.name, message, values), template)
+
+
+class DescriptorWriter:
+    """Writes lines to a descriptor without ever waiting for its reader."""
+
+    def __init__(self, descriptor: int = STANDARD_ERROR) -> None:
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+
+    def __call__(self, line: bytes) -> bool:
+        """Whether the line was taken."""
+        if not self._poll.poll(0):
+            return False
+        with contextlib.suppress(OSError):  # a log that has gone is no reason to stop serving
+            os.write(self._descriptor, line)
+            return True
+        return False
+
+
+def set_up(
+    level: int = logbook.INFO, clock: Clock = time.monotonic, write: Write | None = None
+) -> LineHandler:
+    """Send all records of this process, those of Python's own logging and its warnings too, to bounded lines;
+    `clock` is steady. The handler, which a test takes away again with `pop_application`."""
+    lines = BoundedLines(clock, write or DescriptorWriter())
+    handler = LineHandler(lines, level)
+    handler.push_application()
+    root = logging.getLogger()
+    root.handlers[:] = [StandardLoggingHandler(lines)]
+    root.setLevel(logging.WARNING)
+    logging.captureWarnings(True)
+    sys.unraisablehook = unraisable_hook(lines)
+    return handler
+
+
+def unraisable_hook(lines: BoundedLines) -> Callable[[sys.UnraisableHookArgs], None]:
+    """What Python would write to standard error by itself, and wait for its reader."""
+
+    def say(what: sys.UnraisableHookArgs) -> None:
+        if not lines.admits("python", "unraisable"):
+            return
+        values = dict(_traceback((what.exc_type, what.exc_value, what.exc_traceback)))
+        lines.write(Line("error", "python", what.err_msg or "exception ignored", values), "unraisable")
+
+    return say
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -18,7 +18,8 @@
 from granitewell.controlplane.ownership.record import OwnerRecord
 from granitewell.controlplane.publication.publisher import EdgeCounter, Publisher
 from granitewell.controlplane.publication.table import ServerTable
-from granitewell.coordination.consensus.group import ReplicatedGroup, load_identity
+from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.coordination.consensus.identity import load_identity
 from granitewell.coordination.rendezvous import shard_of
 from granitewell.model.settings import Settings
 from granitewell.nodes.process import SettingsFile, Signals, follow_settings, run_process
@@ -176,7 +177,10 @@
 
     async def _start_api(self) -> None:
         app = web.Application(client_max_size=32 * 1024 * 1024)
-        api = OperatorApi(self.store, self.configuration_group, self.control_address)
+        own_address = str(self.settings.listen.control)
+        api = OperatorApi(
+            self.store, self.configuration_group, self.control_address, own_address=own_address
+        )
         api.routes(app)
         runner = web.AppRunner(app, access_log=None, handle_signals=False)
         await runner.setup()
--- a/granitewell/nodes/edge.py
+++ b/granitewell/nodes/edge.py
@@ -144,7 +144,7 @@
         try:
             configuration = self._view.apply(message.version, bool(message.whole), message.documents or ())
         except GranitewellError as error:
-            log.warn("configuration {} does not fit: {}", message.version, error)
+            log.warning("configuration {} does not fit: {}", message.version, error)
             self._wanted_whole = True
             return
         self._wanted_whole = False
--- a/granitewell/nodes/shards.py
+++ b/granitewell/nodes/shards.py
@@ -134,7 +134,7 @@
             try:
                 instances = await self._reader.read()
             except (ListUnavailable, BadList) as error:
-                log.warn("no list of servers: {}", error)
+                log.warning("no list of servers: {}", error)
             else:
                 self._take_list(instances, started)
             await asyncio.sleep(max(LIST_EVERY_S - (time.monotonic() - started), 0.05))
--- /dev/null
+++ b/tests/controlplane/test_placement_fleet.py
@@ -0,0 +1,695 @@
+"""Placement against a small fleet of engine servers in virtual time; the fleet judges ONE, LIMIT, CEILING.
+
+The fleet keeps its own truth: what is held, what loads, how old reports are, which answers are lost. The
+tests here and in test_placement_faults.py play demand and faults on it.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+from granitewell.controlplane.placement.observation import ListedServer
+from granitewell.controlplane.placement.orders import (
+    Operation,
+    Order,
+    OrderResult,
+    OrderTicket,
+    Report,
+    ReportFailure,
+)
+from granitewell.controlplane.placement.reconciler import PlacementReconciler, Poll, Send
+from granitewell.model.configuration import Engine, Model
+from granitewell.model.servers import HeldModel, ModelDemand, ModelRef, ServerState
+
+SERVICE = "llm"
+NETWORK_S = 0.002  # one way
+LIST_S = 0.5  # between reads of the platform's list
+LIST_LAG_S = 0.8
+PUBLISH_S = 0.05  # until edges know of a change
+DEMAND_S = 0.25
+ADAPTER_S = 0.01
+ZONES = ("za", "zb", "zc", "zd")
+
+
+def engine_of(models: Sequence[Model], weights_mb: float = 200_000.0, loads_per_s: float = 5.2) -> Engine:
+    return Engine(
+        slots=64, models=tuple(models), weights_mb=weights_mb, max_adapters=8, loads_per_s=loads_per_s
+    )
+
+
+def usual_models(count: int = 66) -> list[Model]:
+    """Sizes as in the deployments: about 72.7, 65.5 and 34.3 GB."""
+    sizes = (65_100.0, 72_700.0, 72_700.0, 65_500.0, 72_700.0, 34_300.0)
+    adapters = {0: 28, 2: 13, 4: 10, 6: 11}
+    return [
+        Model(f"m{i}", sizes[i % len(sizes)], 0.6, adapters.get(i, 0), 40.0 if i in adapters else 0.0)
+        for i in range(count)
+    ]
+
+
+class EngineServer:
+    """One server's truth. snapshots: what it would report, by the time since when."""
+
+    def __init__(self, server_id: str, address: str, zone: str, now: float) -> None:
+        self.id = server_id
+        self.address = address
+        self.zone = zone
+        self.state = ServerState.READY
+        self.leaves_in_ms = -1
+        self.up = True
+        self.dark = False
+        self.held: dict[str, set[str]] = {}
+        self.sequence = 0
+        self.fence = 0
+        self.order: Order | None = None
+        self.running: Counter[str] = Counter()
+        self.on_disk: set[str] = set()
+        self.snapshots: deque[tuple[float, Report]] = deque(maxlen=64)
+        self.note(now)
+
+    def hold(self, now: float, *names: str) -> None:
+        for name in names:
+            self.held[name] = set()
+            self.on_disk.add(name)
+        self.snapshots.clear()  # it has held them since its start
+        self.note(now)
+
+    def models(self) -> tuple[HeldModel, ...]:
+        return tuple(HeldModel(name, frozenset(adapters)) for name, adapters in self.held.items())
+
+    def note(self, now: float) -> None:
+        models = {model.name: model for model in self.models()}
+        self.snapshots.append((now, Report(self.sequence, self.order is not None, models)))
+
+    def snapshot(self, at: float) -> Report:
+        found = self.snapshots[0][1]
+        for since, report in self.snapshots:
+            if since <= at:
+                found = report
+        return found
+
+
+@dataclass
+class Judged:
+    """What the fleet saw."""
+
+    store_loads: list[float] = field(default_factory=list)
+    over_limit: list[str] = field(default_factory=list)
+    orders: Counter[str] = field(default_factory=Counter)
+    statuses: Counter[OrderResult] = field(default_factory=Counter)
+    served: list[tuple[float, ModelRef, float]] = field(default_factory=list)  # asked at, what, waited
+    given_up: list[tuple[float, ModelRef]] = field(default_factory=list)
+    misdirected: int = 0
+    polls: int = 0
+    unfenced: int = 0
+    unloads: list[tuple[float, str, ModelRef]] = field(default_factory=list)
+
+    def most_loads(self, window_s: float) -> int:
+        most = 0
+        for index, start in enumerate(self.store_loads):
+            most = max(most, sum(1 for at in self.store_loads[index:] if at <= start + window_s))
+        return most
+
+
+@dataclass
+class _Waiting:
+    ref: ModelRef
+    asked_at: float
+    deadline: float
+    run_s: float
+    priority: int
+
+
+class Fleet:
+    """Servers, the platform's list, edges as one, the network, and the reconciler under test."""
+
+    def __init__(self, engine: Engine, servers: int, seed: int = 1, at_once: int = 3) -> None:
+        self.now = 100.0
+        self.rng = Random(seed)
+        self.engine = engine
+        self.sizes = {model.name: model for model in engine.models}
+        self.at_once = at_once
+        self.report_lag_s = 0.1
+        self.lose_answers = 0.0
+        self.lose_orders = 0.0
+        self.delay_orders = 0.0
+        self.heed_revision = True
+        self.may_order = True
+        self.fence = 7
+        self.judged = Judged()
+        self.servers: dict[str, EngineServer] = {}
+        self._names = 0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._lists: deque[tuple[float, list[ListedServer]]] = deque(maxlen=64)
+        self._edge_table: dict[str, dict[str, HeldModel]] = {}
+        self._waiting: list[_Waiting] = []
+        self._requests: Counter[ModelRef] = Counter()
+        self._in_flight: Counter[ModelRef] = Counter()
+        self._told: set[ModelRef] = set()
+        self._loads = 0
+        self.reconciler = PlacementReconciler(Random(seed + 1))
+        for _ in range(servers):
+            self.add_server()
+
+    # Time
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._heap, (max(when, self.now), self._count, what))
+
+    def after(self, delay: float, what: Callable[[], None]) -> None:
+        self.at(self.now + delay, what)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while True:
+            wake = self.reconciler.next_at()
+            first = self._heap[0][0] if self._heap else end
+            if min(wake, first) > end:
+                break
+            if first <= wake:
+                when, _, what = heapq.heappop(self._heap)
+                self.now = max(self.now, when)
+                what()
+            else:
+                self.now = max(self.now, wake)
+            self._step()
+        self.now = end
+
+    def start(self) -> None:
+        self.reconciler.set_engine(self.now, self.engine, 1.0)
+        self._read_list()
+        self.reconciler.start(self.now)
+        self._publish()
+        self.after(DEMAND_S, self._report_demand)
+
+    def _step(self) -> None:
+        if self.now < self.reconciler.next_at():
+            self._publish()
+            return
+        for step in self.reconciler.due(self.now, "node-1", self.fence, self.may_order):
+            if isinstance(step, Poll):
+                self._poll(step)
+            else:
+                self._send(step)
+        self._publish()
+
+    # The platform
+
+    def add_server(self, address: str = "") -> EngineServer:
+        self._names += 1
+        zone = ZONES[self._names % len(ZONES)]
+        server = EngineServer(f"i-{self._names}", address or f"10.0.0.{self._names}:80", zone, self.now)
+        self.servers[server.id] = server
+        return server
+
+    def crash(self, server_id: str, back_after: float | None = None) -> None:
+        """The server is gone at once, the list shows it for some seconds; a successor is empty."""
+        server = self.servers[server_id]
+        server.up = False
+        self.after(3.0, partial(self._remove, server_id))
+        if back_after is not None:
+            self.after(back_after, partial(self._restart, server.address))
+
+    def _remove(self, server_id: str) -> None:
+        self.servers.pop(server_id, None)
+
+    def _restart(self, address: str) -> None:
+        self.add_server(address)
+
+    def _read_list(self) -> None:
+        entries = [
+            ListedServer(s.id, s.address, s.zone, s.state, 64, s.leaves_in_ms, s.models())
+            for s in self.servers.values()
+        ]
+        self._lists.append((self.now, entries))
+        seen = self._lists[0][1]
+        for at, listed in self._lists:
+            if at <= self.now - LIST_LAG_S:
+                seen = listed
+        self.reconciler.set_servers(self.now, seen)
+        self.after(LIST_S, self._read_list)
+
+    # The wire
+
+    def _by_address(self, address: str) -> EngineServer | None:
+        live = [s for s in self.servers.values() if s.address == address and s.up]
+        return live[0] if live else None
+
+    def _poll(self, step: Poll) -> None:
+        self.judged.polls += 1
+        asked_at = self.now
+
+        def arrive() -> None:
+            server = self._by_address(step.address)
+            answer: Report | ReportFailure
+            delay = NETWORK_S
+            if server is None:
+                answer = ReportFailure.REFUSED
+            elif server.dark:
+                answer, delay = ReportFailure.NO_ANSWER, 0.5
+            elif server.id != step.server_id:
+                answer = ReportFailure.OTHER_SERVER
+            else:
+                answer = server.snapshot(self.now - self.report_lag_s)
+            self.after(delay, lambda: self.reconciler.on_report(self.now, step.server_id, asked_at, answer))
+
+        self.after(NETWORK_S, arrive)
+
+    def _send(self, step: Send) -> None:
+        if not self.may_order:
+            self.judged.unfenced += 1
+        if self.rng.random() < self.lose_orders:
+            self._answer_order(step.order, OrderResult.UNKNOWN, 0.8)
+            return
+        if self.rng.random() < self.delay_orders:
+            self._answer_order(step.order, OrderResult.UNKNOWN, 0.8)
+            self.after(self.rng.uniform(0.3, 3.0), lambda: self._arrive_late(step))
+            return
+
+        def arrive() -> None:
+            server = self._by_address(step.address)
+            if server is None:
+                self._answer_order(step.order, OrderResult.NOT_SENT, NETWORK_S)
+                return
+            if server.dark:
+                self._answer_order(step.order, OrderResult.UNKNOWN, 0.8)
+                return
+            if not self.delay_orders:
+                self._check_limit(server, step.order)
+            result = self._take(server, step.order, step.ticket)
+            if result is OrderResult.TAKEN:
+                self._check_limit(server, step.order)
+            self.judged.statuses[result] += 1
+            if self.rng.random() < self.lose_answers:
+                self._answer_order(step.order, OrderResult.UNKNOWN, self.rng.choice((0.01, 0.8)))
+            else:
+                self._answer_order(step.order, result, NETWORK_S)
+
+        self.after(NETWORK_S, arrive)
+
+    def _arrive_late(self, step: Send) -> None:
+        server = self._by_address(step.address)
+        if server is not None and self._take(server, step.order, step.ticket) is OrderResult.TAKEN:
+            self._check_limit(server, step.order)
+
+    def _answer_order(self, order: Order, result: OrderResult, delay: float) -> None:
+        self.after(delay, lambda: self.reconciler.on_order(self.now, order, result))
+
+    # A server at work
+
+    def _take(self, server: EngineServer, order: Order, ticket: OrderTicket) -> OrderResult:
+        if server.id != order.server_id:
+            return OrderResult.OTHER_SERVER
+        if ticket.fence < server.fence:
+            return OrderResult.FENCED
+        server.fence = ticket.fence
+        if server.order is not None or (self.heed_revision and server.sequence != ticket.revision):
+            return OrderResult.CONFLICT
+        held = server.held.get(order.ref.model)
+        if order.ref.adapter and held is None:
+            return OrderResult.INVALID
+        present = held is not None and (not order.ref.adapter or order.ref.adapter in held)
+        if present is (order.operation is Operation.LOAD):
+            return OrderResult.HELD
+        server.sequence += 1
+        server.order = order
+        server.note(self.now)
+        self.judged.orders[f"{order.operation.value}{'/a' if order.ref.adapter else ''}"] += 1
+        if order.operation is Operation.LOAD:
+            self._begin_load(server, order)
+        else:
+            self.judged.unloads.append((self.now, server.id, order.ref))
+            self._unload(server, order)
+        return OrderResult.TAKEN
+
+    def _begin_load(self, server: EngineServer, order: Order) -> None:
+        if order.ref.adapter:
+            self.after(ADAPTER_S, lambda: self._done(server, order))
+            return
+        nominal = self.sizes[order.ref.model].load_time_s
+        if order.ref.model in server.on_disk:
+            self.after(nominal * 0.9, lambda: self._done(server, order))
+            return
+        self.judged.store_loads.append(self.now)
+        self._loads += 1
+        slowness = max(1.0, self._loads / self.at_once)
+
+        def done() -> None:
+            self._loads -= 1
+            self._done(server, order)
+
+        self.after(nominal * slowness, done)
+
+    def _check_limit(self, server: EngineServer, order: Order) -> None:
+        """With a load that is under way. Judged on arrival, whether the order is then taken or not; only
+        where orders come late it is judged when taken, as two of one revision may then both arrive."""
+        loads = {
+            found.ref
+            for found in (order, server.order)
+            if found is not None and found.operation is Operation.LOAD and not _truly(server, found.ref)
+        }
+        if order.operation is not Operation.LOAD:
+            return
+        mb = sum(self._ref_mb(ref) for ref in loads)
+        count = sum(1 for ref in loads if ref.adapter)
+        for name, adapters in server.held.items():
+            mb += self.sizes[name].weights_mb + len(adapters) * self.sizes[name].adapter_mb
+            count += len(adapters)
+        if mb > self.engine.weights_mb or count > self.engine.max_adapters:
+            self.judged.over_limit.append(f"{server.id} {order} {mb} {count}")
+
+    def _ref_mb(self, ref: ModelRef) -> float:
+        model = self.sizes[ref.model]
+        return model.adapter_mb if ref.adapter else model.weights_mb
+
+    def _unload(self, server: EngineServer, order: Order) -> None:
+        if server.running[order.ref.model]:
+            self.after(0.05, lambda: self._unload(server, order))
+        else:
+            self.after(0.01, lambda: self._done(server, order))
+
+    def _done(self, server: EngineServer, order: Order) -> None:
+        if not server.up:
+            return
+        server.order = None
+        ref = order.ref
+        if order.operation is Operation.LOAD:
+            server.held.setdefault(ref.model, set())
+            if ref.adapter:
+                server.held[ref.model].add(ref.adapter)
+            server.on_disk.add(ref.model)
+        elif ref.adapter:
+            server.held[ref.model].discard(ref.adapter)
+        else:
+            del server.held[ref.model]
+        server.note(self.now)
+
+    # Edges
+
+    def _publish(self) -> None:
+        changed = self.reconciler.take_changes()
+        if not changed:
+            return
+        news = {server_id: dict(self.reconciler.ready_models(server_id)) for server_id in changed}
+
+        def learn() -> None:
+            self._edge_table.update(news)
+            waiting, self._waiting = self._waiting, []
+            for request in waiting:
+                self._dispatch(request)
+
+        self.after(PUBLISH_S, learn)
+
+    def ask(self, ref: ModelRef, deadline_s: float = 6.0, run_s: float = 0.3, priority: int = 5) -> None:
+        self._requests[ref] += 1
+        self._dispatch(_Waiting(ref, self.now, self.now + deadline_s, run_s, priority))
+
+    def _dispatch(self, request: _Waiting) -> None:
+        if self.now >= request.deadline:
+            self.judged.given_up.append((request.asked_at, request.ref))
+            return
+        server = self._server_for(request.ref)
+        if server is None:
+            self._wait(request)
+            return
+        held = server.held.get(request.ref.model)
+        if held is None or (request.ref.adapter and request.ref.adapter not in held):
+            self.judged.misdirected += 1
+            self._wait(request)
+            return
+        self.judged.served.append((request.asked_at, request.ref, self.now - request.asked_at))
+        server.running[request.ref.model] += 1
+        self._in_flight[request.ref] += 1
+
+        def ended() -> None:
+            server.running[request.ref.model] -= 1
+            self._in_flight[request.ref] -= 1
+
+        self.after(request.run_s, ended)
+
+    def _server_for(self, ref: ModelRef) -> EngineServer | None:
+        able = [
+            self.servers[server_id]
+            for server_id, ready in self._edge_table.items()
+            if server_id in self.servers and _has(ready, ref)
+        ]
+        able = [s for s in able if s.up and not s.dark and s.state is ServerState.READY]
+        return self.rng.choice(able) if able else None
+
+    def _wait(self, request: _Waiting) -> None:
+        self._waiting.append(request)
+        waiting = sum(1 for other in self._waiting if other.ref == request.ref)
+        demand = ModelDemand(SERVICE, request.ref, self._requests.pop(request.ref, 0), waiting,
+                             self._in_flight[request.ref], request.priority)  # fmt: skip
+        self.after(0.005, lambda: self.reconciler.add_demand(self.now, [demand]))
+        self.after(max(0.0, request.deadline - self.now), lambda: self._expire(request))
+
+    def _expire(self, request: _Waiting) -> None:
+        if request in self._waiting:
+            self._waiting.remove(request)
+            self.judged.given_up.append((request.asked_at, request.ref))
+
+    def _report_demand(self) -> None:
+        waiting = Counter(request.ref for request in self._waiting)
+        refs = {ref for ref in (*self._requests, *waiting, *self._in_flight) if _any(
+            self._requests[ref], waiting[ref], self._in_flight[ref])}  # fmt: skip
+        demands = [
+            ModelDemand(SERVICE, ref, self._requests[ref], waiting[ref], self._in_flight[ref])
+            for ref in refs | self._told
+        ]
+        self._told = refs
+        self._requests.clear()
+        self.reconciler.add_demand(self.now, demands)
+        self.after(DEMAND_S, self._report_demand)
+
+    def poisson(self, rate: float, seconds: float, what: Callable[[], None]) -> None:
+        """Let something happen at random times."""
+        at = self.now + self.rng.expovariate(rate)
+        end = self.now + seconds
+        while at < end:
+            self.at(at, what)
+            at += self.rng.expovariate(rate)
+
+    def copies(self, name: str) -> int:
+        return sum(1 for server in self.servers.values() if server.up and name in server.held)
+
+    def assert_rules(self) -> None:
+        """The rules that placement must keep."""
+        assert self.judged.over_limit == []
+        window = 5.0
+        assert self.judged.most_loads(window) <= self.engine.loads_per_s * window * 1.1 + 3
+        assert self.judged.unfenced == 0
+
+
+def _truly(server: EngineServer, ref: ModelRef) -> bool:
+    held = server.held.get(ref.model)
+    return held is not None and (not ref.adapter or ref.adapter in held)
+
+
+def _any(*figures: int) -> bool:
+    return any(figures)
+
+
+def _has(ready: dict[str, HeldModel], ref: ModelRef) -> bool:
+    held = ready.get(ref.model)
+    return held is not None and (not ref.adapter or ref.adapter in held.adapters)
+
+
+def usual_fleet(seed: int = 1, servers: int = 9, models: int = 66) -> Fleet:
+    """Busy models on several servers, others on one each as far as there is room."""
+    fleet = Fleet(engine_of(usual_models(models)), servers, seed)
+    spread = list(fleet.servers.values())
+    room = {server.id: fleet.engine.weights_mb for server in spread}
+    wanted = [f"m{i}" for i in range(6)] * 2 + [f"m{i}" for i in range(6, models)]
+    for name in wanted:
+        size = fleet.sizes[name].weights_mb
+        able = [s for s in spread if room[s.id] >= size and name not in s.held]
+        if able:
+            server = max(able, key=lambda s: (room[s.id], s.id))
+            server.hold(fleet.now, name)
+            room[server.id] -= size
+    return fleet
+
+
+def play_usual(fleet: Fleet, seconds: float, busy: Sequence[str]) -> None:
+    """The traffic of the deployments: six busy models, half with adapters in one class; many rare ones."""
+    rng = fleet.rng
+
+    def busy_request() -> None:
+        fleet.ask(ModelRef(rng.choice(busy)), 5.0, 0.35, 1)
+
+    def adapter_request() -> None:
+        name = rng.choice(busy)
+        count = fleet.sizes[name].adapters
+        adapter = f"a{rng.randint(1, count)}" if count and rng.random() < 0.5 else ""
+        fleet.ask(ModelRef(name, adapter), 15.0, 1.8, 2)
+
+    def rare_request() -> None:
+        fleet.ask(ModelRef(f"m{rng.randint(15, len(fleet.engine.models) - 1)}"), 6.0, 0.35, 0)
+
+    fleet.poisson(20.6, seconds, busy_request)
+    fleet.poisson(5.65, seconds, adapter_request)
+    fleet.poisson(2.87, seconds, rare_request)
+
+
+# A quiet fleet and the usual traffic
+
+
+def tiny_fleet(*held: Sequence[str], models: int = 12, adapters: int = 0) -> Fleet:
+    """One server for each of held, with models of 60 GB, three to a server."""
+    listed = [Model(f"m{i}", 60_000.0, 0.6, adapters, 40.0) for i in range(models)]
+    fleet = Fleet(engine_of(listed), 0)
+    for names in held:
+        fleet.add_server().hold(fleet.now, *names)
+    return fleet
+
+
+def test_a_rare_model_is_loaded_at_once_where_there_is_room() -> None:
+    fleet = tiny_fleet(("m0", "m1"), ("m2",), ("m3", "m4", "m5"))
+    fleet.start()
+    fleet.run(2.0)
+    fleet.ask(ModelRef("m9"))
+    fleet.run(2.0)
+    ((_, ref, waited),) = fleet.judged.served
+    assert ref == ModelRef("m9") and waited < 0.6 + 0.1 + PUBLISH_S + 0.1
+    assert fleet.judged.unloads == []
+    fleet.assert_rules()
+
+
+def test_without_room_the_least_wanted_model_goes_first() -> None:
+    fleet = tiny_fleet(("m0", "m1", "m2"), ("m3", "m4", "m5"))
+    fleet.start()
+    fleet.run(2.0)
+    for name in ("m0", "m1", "m2", "m3", "m5"):
+        fleet.ask(ModelRef(name))
+    fleet.run(8.0)
+    fleet.ask(ModelRef("m9"))
+    fleet.run(2.0)
+    assert fleet.judged.served[-1][1] == ModelRef("m9")
+    assert fleet.judged.served[-1][2] < 0.6 + 0.1 + PUBLISH_S + 0.4
+    assert [ref.model for _, _, ref in fleet.judged.unloads] == ["m4"]
+    fleet.assert_rules()
+
+
+def test_a_model_in_use_is_not_unloaded() -> None:
+    fleet = tiny_fleet(("m0", "m1", "m2"))
+    fleet.start()
+    fleet.run(2.0)
+    for name in ("m0", "m1", "m2"):
+        fleet.ask(ModelRef(name), run_s=6.0)
+    fleet.run(0.5)
+    fleet.ask(ModelRef("m9"), deadline_s=10.0)
+    fleet.run(4.0)
+    assert fleet.judged.unloads == []
+    fleet.run(5.0)
+    assert fleet.judged.served[-1][1] == ModelRef("m9")
+    fleet.assert_rules()
+
+
+def test_an_adapter_is_loaded_beside_its_model() -> None:
+    fleet = tiny_fleet(("m0",), ("m1",), adapters=20)
+    fleet.start()
+    fleet.run(2.0)
+    fleet.ask(ModelRef("m1", "a3"))
+    fleet.run(1.0)
+    ((_, ref, waited),) = fleet.judged.served
+    assert ref == ModelRef("m1", "a3") and waited < 0.3
+    fleet.assert_rules()
+
+
+def test_adapters_take_turns_on_the_places() -> None:
+    fleet = tiny_fleet(("m0",), adapters=20)
+    fleet.start()
+    fleet.run(2.0)
+    for number in range(1, 21):
+        fleet.at(fleet.now + 0.7 * number, partial(fleet.ask, ModelRef("m0", f"a{number}")))
+    fleet.run(18.0)
+    assert len(fleet.judged.served) == 20
+    assert max(waited for _, _, waited in fleet.judged.served) < 0.8
+    fleet.assert_rules()
+
+
+def test_an_adapter_that_the_model_does_not_have_is_not_ordered() -> None:
+    fleet = tiny_fleet(("m0",), adapters=3)
+    fleet.start()
+    fleet.run(2.0)
+    for adapter in ("a4", "a0", "b1", "a", "a-1"):
+        fleet.ask(ModelRef("m0", adapter))
+    fleet.ask(ModelRef("unheard"))
+    fleet.run(3.0)
+    assert not fleet.judged.statuses
+    fleet.assert_rules()
+
+
+def test_a_busy_model_gets_a_second_copy_in_another_zone() -> None:
+    fleet = tiny_fleet(("m0",), ("m1",), ("m2",), ("m3",))
+    fleet.start()
+    fleet.run(1.0)
+    fleet.poisson(6.0, 4.0, lambda: fleet.ask(ModelRef("m0")))
+    fleet.run(3.0)
+    holders = [server for server in fleet.servers.values() if "m0" in server.held]
+    assert len(holders) == 2
+    assert len({server.zone for server in holders}) == 2
+    fleet.assert_rules()
+
+
+def test_copies_grow_with_the_work_in_flight() -> None:
+    fleet = tiny_fleet(*[("m0",)], (), (), (), (), ())
+    fleet.start()
+    fleet.run(1.0)
+    fleet.poisson(20.0, 8.0, lambda: fleet.ask(ModelRef("m0"), run_s=2.5))
+    fleet.run(8.0)
+    assert fleet.copies("m0") >= 4
+    fleet.assert_rules()
+
+
+def test_nothing_is_ordered_without_need() -> None:
+    fleet = usual_fleet()
+    fleet.start()
+    fleet.poisson(20.0, 10.0, lambda: fleet.ask(ModelRef("m0")))
+    fleet.run(10.0)
+    assert not fleet.judged.statuses
+
+
+def test_the_usual_traffic_is_served_and_a_shift_is_followed() -> None:
+    for seed in (1, 2):
+        fleet = usual_fleet(seed)
+        fleet.start()
+        fleet.run(1.0)
+        play_usual(fleet, 12.0, [f"m{i}" for i in range(6)])
+        fleet.run(12.0)
+        shift_at = fleet.now
+        play_usual(fleet, 12.0, ["m0", "m1", "m2", "m6", "m7", "m8"])
+        fleet.run(18.0)
+        fleet.assert_rules()
+        judged = fleet.judged
+        assert len(judged.given_up) <= len(judged.served) * 0.005
+        rare = sorted(waited for _, ref, waited in judged.served if int(ref.model[1:]) >= 15)
+        assert rare[len(rare) // 2] < 1.0
+        assert rare[int(len(rare) * 0.9)] < 2.0
+        new = ("m6", "m7", "m8")
+        shifted = [(at, waited) for at, ref, waited in judged.served if ref.model in new and at > shift_at]
+        assert max(waited for at, waited in shifted if at > shift_at + 3.0) < 0.8
+        assert all(fleet.copies(name) >= 2 for name in ("m0", "m6", "m7", "m8"))
+        assert judged.misdirected <= 3
+
+
+def test_a_short_burst_of_all_rare_models_starves_none() -> None:
+    fleet = usual_fleet(3)
+    fleet.start()
+    fleet.run(1.0)
+    play_usual(fleet, 20.0, [f"m{i}" for i in range(6)])
+    fleet.run(4.0)
+    for number in range(15, 45):
+        fleet.at(fleet.now + 0.05 * number, partial(fleet.ask, ModelRef(f"m{number}"), 10.0, 0.3, 0))
+    fleet.run(20.0)
+    fleet.assert_rules()
+    served = {ref.model for _, ref, _ in fleet.judged.served}
+    assert len([f"m{number}" for number in range(15, 45) if f"m{number}" not in served]) <= 3
--- /dev/null
+++ b/tests/controlplane/test_placement_parts.py
@@ -0,0 +1,317 @@
+"""The parts of placement by themselves: limits, demand, the wire, what a report settles."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from granitewell.controlplane.placement.demand import GAUGE_LASTS_S, DemandTable
+from granitewell.controlplane.placement.limits import (
+    AT_ONCE_FIRST,
+    Capacity,
+    LoadBucket,
+    LoadPace,
+    SizeBook,
+    Usage,
+    usage,
+)
+from granitewell.controlplane.placement.observation import (
+    OVERDUE_S,
+    REPORT_LAG_S,
+    ListedServer,
+    OrderStage,
+    PendingOrder,
+    ServerRecord,
+)
+from granitewell.controlplane.placement.orders import (
+    BadReport,
+    Operation,
+    Order,
+    OrderResult,
+    OrderTicket,
+    Report,
+    ReportFailure,
+    encode_order,
+    order_result,
+    parse_report,
+)
+from granitewell.controlplane.placement.planner import BUSY_RATE, KEEP_RATE
+from granitewell.model.configuration import Engine, Model
+from granitewell.model.servers import HeldModel, ModelDemand, ModelRef, ServerState
+
+M = ModelRef("m")
+MODELS = (Model("m", 60_000.0, 0.6, 5, 40.0), Model("n", 30_000.0, 0.5))
+ENGINE = Engine(64, MODELS, 100_000.0, 2, 4.0)
+
+
+# Limits
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    rate=st.floats(0.2, 20.0),
+    gaps=st.lists(st.floats(0.0, 3.0), min_size=1, max_size=120),
+    start=st.floats(0.0, 1e6),
+)
+def test_loads_in_any_window_stay_under_the_ceiling(rate: float, gaps: list[float], start: float) -> None:
+    bucket = LoadBucket(start)
+    bucket.set_rate(start, rate)
+    now = start
+    taken: list[float] = []
+    for gap in gaps:
+        now += gap
+        while bucket.take(now):
+            taken.append(now)
+    for index, first in enumerate(taken):
+        within = sum(1 for at in taken[index:] if at <= first + 5.0)
+        assert within <= rate * 5.0 * 1.1 + 3
+
+
+def test_the_bucket_is_empty_at_the_start() -> None:
+    bucket = LoadBucket(50.0)
+    bucket.set_rate(50.0, 5.0)
+    assert bucket.available(50.0) == 0
+    assert not bucket.take(50.0)
+    assert bucket.next_at(50.0) == pytest.approx(50.0 + 1 / (5.0 * 0.95))
+    assert bucket.available(60.0) == 2
+
+
+def test_a_token_given_back_is_there_again_but_never_beyond_the_burst() -> None:
+    bucket = LoadBucket(0.0)
+    bucket.set_rate(0.0, 1.0)
+    assert bucket.take(2.0)
+    bucket.give_back()
+    assert bucket.available(2.0) == 1
+    for _ in range(5):
+        bucket.give_back()
+    assert bucket.available(2.0) == 2
+
+
+def test_a_store_that_permits_nothing_is_never_due() -> None:
+    assert LoadBucket(0.0).next_at(5.0) == math.inf
+
+
+def _sizes() -> SizeBook:
+    sizes = SizeBook()
+    sizes.learn(ENGINE)
+    return sizes
+
+
+def test_usage_counts_what_is_held_and_what_may_be_loading_once() -> None:
+    held = [HeldModel("m", frozenset({"a1"}))]
+    coming = [ModelRef("n"), ModelRef("m", "a1"), ModelRef("m", "a2")]
+    assert usage(held, coming, _sizes()) == Usage(60_000.0 + 40.0 + 30_000.0 + 40.0, 2)
+
+
+def test_a_model_of_no_known_size_fills_the_server() -> None:
+    used = usage([HeldModel("unheard")], [], _sizes())
+    assert not Capacity(1e9, 8).admits(used)
+
+
+def test_sizes_of_models_that_left_the_configuration_stay_known() -> None:
+    sizes = _sizes()
+    sizes.learn(Engine(64, (MODELS[1],), 100_000.0, 2))
+    assert sizes.weights_mb("m") == 60_000.0
+
+
+def test_the_store_pace_follows_what_loads_take() -> None:
+    pace = LoadPace()
+    for at_once in (1, 2, 3, 4, 5):
+        pace.learn(at_once, 0.75, 0.6)
+    assert pace.at_once > AT_ONCE_FIRST
+    pace.learn(6, 0.15 + 0.6 * 2, 0.6)
+    assert pace.at_once == 3
+    pace.learn(1, 5.0, 0.6)
+    assert pace.at_once == 3  # alone and slow says nothing of the store
+
+
+# Demand
+
+
+def _asked(requests: int = 0, waiting: int = 0, in_flight: int = 0, ref: ModelRef = M) -> ModelDemand:
+    return ModelDemand("llm", ref, requests, waiting, in_flight, 1)
+
+
+def test_a_rise_shows_with_the_first_report() -> None:
+    table = DemandTable()
+    table.add(10.0, [_asked(requests=4)])
+    assert table.view(10.0).models["m"].rate > BUSY_RATE
+
+
+def test_single_requests_are_no_rise() -> None:
+    table = DemandTable()
+    table.add(10.0, [_asked(requests=1)])
+    table.add(11.0, [_asked(requests=1)])
+    assert table.view(11.0).models["m"].rate < KEEP_RATE
+
+
+def test_silence_of_some_seconds_ends_what_was_busy() -> None:
+    table = DemandTable()
+    for step in range(200):
+        table.add(step * 0.1, [_asked(requests=1)])
+    assert table.view(20.0).models["m"].rate > 5.0
+    assert table.view(26.0).models["m"].rate < BUSY_RATE
+    assert table.view(40.0).models["m"].rate < 0.05
+
+
+def test_waiting_is_urgent_once_and_remembers_since_when() -> None:
+    table = DemandTable()
+    assert table.add(1.0, [_asked(requests=1, waiting=1)])
+    assert not table.add(1.5, [_asked(waiting=2)])
+    seen = table.view(1.6).models["m"]
+    assert (seen.waiting, seen.waiting_since, seen.priority) == (2, 1.0, 1)
+    assert table.view(1.6 + GAUGE_LASTS_S).models["m"].waiting == 0
+
+
+def test_a_zero_of_another_edge_does_not_hide_what_waits() -> None:
+    table = DemandTable()
+    table.add(1.0, [_asked(requests=1, waiting=1)])
+    table.add(1.1, [_asked(waiting=0)])
+    assert table.view(1.2).models["m"].waiting == 1
+    assert table.view(1.6).models["m"].waiting == 0
+
+
+def test_requests_for_adapters_count_for_their_model() -> None:
+    table = DemandTable()
+    table.add(1.0, [_asked(3, 1, 2, ModelRef("m", "a1")), _asked(3, 0, 1)])
+    view = table.view(1.0)
+    assert view.models["m"].in_flight == 3
+    assert view.models["m"].waiting == 1
+    assert view.models["m"].rate > view.adapters[ModelRef("m", "a1")].rate
+    assert view.of(ModelRef("m", "a9")).rate == 0.0
+
+
+def test_what_nobody_asks_for_is_forgotten() -> None:
+    table = DemandTable()
+    table.add(1.0, [_asked(requests=1)])
+    table.add(2.0, [_asked(ref=ModelRef("never"))])
+    assert set(table.view(2.0).models) == {"m"}
+    assert table.view(1_000.0).models == {}
+    assert not table._models and not table._entries
+
+
+# The wire
+
+REPORT = (
+    b'{"phase":"mixed","models":[{"name":"daka510000","version":1,"adapters":["a3"]}],"busy":false,'
+    b'"sequence":2,"queued":1,"running":12,"kv-used":41000,"kv-total":90000,"handles":0}'
+)
+
+
+def test_a_report_as_on_the_page() -> None:
+    held = {"daka510000": HeldModel("daka510000", frozenset({"a3"}))}
+    assert parse_report(REPORT) == Report(2, False, held, 12, 1)
+
+
+@pytest.mark.parametrize("cut", range(len(REPORT)))
+def test_a_report_cut_anywhere_is_refused(cut: int) -> None:
+    with pytest.raises(BadReport):
+        parse_report(REPORT[:cut])
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"[]", b"3", b"{}", b'{"models":3,"busy":false,"sequence":1}',
+     b'{"models":[3],"busy":false,"sequence":1}',
+     b'{"models":[{"name":3}],"busy":false,"sequence":1}', b'{"models":[],"busy":false,"sequence":"x"}',
+     b'{"models":[{"name":"m","adapters":7}],"busy":false,"sequence":1}', b"\xff\xfe"],
+)  # fmt: skip
+def test_a_report_of_another_shape_is_refused(body: bytes) -> None:
+    with pytest.raises(BadReport):
+        parse_report(body)
+
+
+@given(st.binary(max_size=80))
+def test_any_bytes_are_a_report_or_refused(body: bytes) -> None:
+    with contextlib.suppress(BadReport):
+        parse_report(body)
+
+
+def test_an_order_as_on_the_page() -> None:
+    order = Order("i-1", Operation.LOAD, ModelRef("daka510000", "a3"))
+    assert json.loads(encode_order(order, OrderTicket("node-7", 41, 2))) == {
+        "operation": "load_model", "model": "daka510000", "adapter": "a3", "if-revision": 2,
+        "holder": "node-7", "fence-token": 41,
+    }  # fmt: skip
+
+
+def test_a_model_is_ordered_without_an_adapter() -> None:
+    body = json.loads(encode_order(Order("i-1", Operation.UNLOAD, M), OrderTicket("node-7", 41, 0)))
+    assert "adapter" not in body and body["operation"] == "unload_model" and body["if-revision"] == 0
+
+
+@pytest.mark.parametrize(
+    ("status", "result"),
+    [(202, OrderResult.TAKEN), (200, OrderResult.HELD), (409, OrderResult.CONFLICT),
+     (412, OrderResult.FENCED),
+     (400, OrderResult.INVALID), (421, OrderResult.OTHER_SERVER), (500, OrderResult.UNKNOWN),
+     (504, OrderResult.UNKNOWN), (429, OrderResult.INVALID)],
+)  # fmt: skip
+def test_what_a_status_says_of_an_order(status: int, result: OrderResult) -> None:
+    assert order_result(status) is result
+
+
+# What a report settles
+
+LOAD = Order("i-1", Operation.LOAD, M)
+UNLOAD = Order("i-1", Operation.UNLOAD, M)
+HELD = {"m": HeldModel("m")}
+
+
+def _record(order: Order, stage: OrderStage) -> ServerRecord:
+    record = ServerRecord(ListedServer("i-1", "10.0.0.1:80", "z", ServerState.READY, 64), 0.0)
+    record.pending = PendingOrder(order, 4, 10.0, 0.7, 1, stage, 10.0)
+    return record
+
+
+@pytest.mark.parametrize(
+    ("order", "stage", "asked_at", "report", "settled"),
+    [
+        (LOAD, OrderStage.SENDING, 20.0, Report(5, False, HELD), False),
+        (LOAD, OrderStage.TAKEN, 10.1, Report(4, False, {}), False),  # older than the order
+        (LOAD, OrderStage.TAKEN, 10.3, Report(5, True, {}), False),
+        (LOAD, OrderStage.TAKEN, 10.8, Report(5, False, HELD), True),
+        (LOAD, OrderStage.TAKEN, 10.8, Report(5, False, {}), False),
+        (LOAD, OrderStage.TAKEN, 10.8 + OVERDUE_S, Report(5, False, {}), True),
+        (UNLOAD, OrderStage.TAKEN, 10.1, Report(5, False, HELD), False),
+        (UNLOAD, OrderStage.TAKEN, 10.1, Report(5, False, {}), True),
+        (LOAD, OrderStage.UNKNOWN, 10.1, Report(4, False, {}), False),
+        (LOAD, OrderStage.UNKNOWN, 10.1 + REPORT_LAG_S, Report(4, False, {}), True),
+        (LOAD, OrderStage.UNKNOWN, 10.1 + REPORT_LAG_S, Report(5, True, {}), False),
+        (LOAD, OrderStage.UNKNOWN, 10.3, Report(5, False, HELD), True),
+        (LOAD, OrderStage.SETTLING, 10.3, Report(4, False, {}), False),
+        (LOAD, OrderStage.SETTLING, 10.1 + REPORT_LAG_S, Report(4, False, HELD), True),
+    ],
+)
+def test_when_an_order_is_off_the_record(
+    order: Order, stage: OrderStage, asked_at: float, report: Report, settled: bool
+) -> None:
+    record = _record(order, stage)
+    assert (record.take_report(asked_at, report) is not None) is settled
+    assert (record.pending is None) is settled
+
+
+def test_a_server_is_dark_after_refusals_or_long_silence() -> None:
+    record = ServerRecord(ListedServer("i-1", "10.0.0.1:80", "z", ServerState.READY, 64), 0.0)
+    record.miss_report(1.0, ReportFailure.REFUSED)
+    assert not record.dark(1.0)
+    record.miss_report(1.25, ReportFailure.REFUSED)
+    assert record.dark(1.25)
+    record.take_report(1.5, Report(0, False, {}))
+    assert not record.dark(9.0)
+    record.miss_report(2.0, ReportFailure.NO_ANSWER)
+    assert not record.dark(2.85) and record.dark(2.95)
+
+
+def test_what_is_being_unloaded_is_not_ready() -> None:
+    record = _record(UNLOAD, OrderStage.TAKEN)
+    record.report = Report(4, False, {"m": HeldModel("m"), "n": HeldModel("n")})
+    assert set(record.ready()) == {"n"}
+    record.pending = PendingOrder(Order("i-1", Operation.UNLOAD, ModelRef("m", "a1")), 4, 0.0, 0.1)
+    record.report = Report(4, False, {"m": HeldModel("m", frozenset({"a1", "a2"}))})
+    assert record.ready() == {"m": HeldModel("m", frozenset({"a2"}))}
--- /dev/null
+++ b/tests/controlplane/test_placement_planner.py
@@ -0,0 +1,246 @@
+"""The planner alone: limits and protection hold for any servers and any demand; choices by example."""
+
+from __future__ import annotations
+
+import time
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from granitewell.controlplane.placement.demand import DemandView, RefDemand
+from granitewell.controlplane.placement.limits import Capacity, SizeBook, usage
+from granitewell.controlplane.placement.orders import Operation, Order
+from granitewell.controlplane.placement.planner import ServerView, StoreView, plan
+from granitewell.model.configuration import Engine, Model
+from granitewell.model.servers import HeldModel, ModelRef
+
+MODELS = tuple(
+    Model(f"m{i}", (60_000.0, 34_000.0, 72_000.0)[i % 3], 0.6, 10 if i < 4 else 0, 40.0) for i in range(20)
+)
+ENGINE = Engine(64, MODELS, 200_000.0, 4, 5.0)
+SIZES = SizeBook()
+SIZES.learn(ENGINE)
+STORE = StoreView(2, 4)
+WAITING = RefDemand(0.05, 0.1, 0, 1, 99.9, 0)
+
+
+def server(
+    number: int,
+    *held: HeldModel | str,
+    zone: str = "z",
+    coming: ModelRef | None = None,
+    going: ModelRef | None = None,
+    lasting: bool = True,
+    orderable: bool = True,
+    before: frozenset[str] = frozenset(),
+    purpose: ModelRef | None = None,
+) -> ServerView:
+    models = {
+        model.name: model for model in (HeldModel(one) if isinstance(one, str) else one for one in held)
+    }
+    used = usage(models.values(), () if coming is None else (coming,), SIZES)
+    return ServerView(
+        f"i-{number}", zone, 64, lasting, orderable and coming is None and going is None, models,
+        ENGINE.weights_mb - used.mb, ENGINE.max_adapters - used.adapters, going, coming, purpose,
+        held_before=before | set(models),
+    )  # fmt: skip
+
+
+def planned(
+    servers: list[ServerView], models: dict[str, RefDemand], store: StoreView = STORE, misses: float = 0.0
+) -> list[Order]:
+    return plan(servers, DemandView(models, {}, misses, 100.0), ENGINE, SIZES, store)
+
+
+def test_a_waiting_model_goes_where_there_is_room() -> None:
+    (order,) = planned([server(1, "m0", "m3", "m6"), server(2, "m1")], {"m9": WAITING})
+    assert order == Order("i-2", Operation.LOAD, ModelRef("m9"), None, True)
+
+
+def test_a_server_that_has_held_it_before_is_preferred() -> None:
+    (order,) = planned([server(1), server(2, before=frozenset({"m9"}))], {"m9": WAITING})
+    assert (order.server_id, order.from_store) == ("i-2", False)
+
+
+def test_a_warm_load_needs_no_token() -> None:
+    servers = [server(1), server(2, before=frozenset({"m9"}))]
+    (order,) = planned(servers, {"m9": WAITING}, StoreView(0, 4))
+    assert order.server_id == "i-2"
+    assert planned([server(1)], {"m9": WAITING}, StoreView(0, 4)) == []
+
+
+def test_no_more_loads_than_the_store_has_tokens() -> None:
+    servers = [server(number) for number in range(6)]
+    orders = planned(servers, {f"m{i}": WAITING for i in range(6)}, StoreView(2, 9))
+    assert [order.operation for order in orders] == [Operation.LOAD, Operation.LOAD]
+
+
+def test_room_that_waits_for_the_store_lets_nothing_be_unloaded() -> None:
+    servers = [server(1), server(2, "m0", "m3", "m6")]
+    assert planned(servers, {"m9": WAITING}, StoreView(0, 4)) == []
+
+
+def test_a_model_that_is_loading_is_not_loaded_twice() -> None:
+    servers = [server(1, coming=ModelRef("m9")), server(2)]
+    assert planned(servers, {"m9": WAITING}) == []
+
+
+def test_room_being_made_for_a_model_is_not_made_twice() -> None:
+    servers = [
+        server(1, "m0", "m3", "m6", going=ModelRef("m0"), purpose=ModelRef("m9")),
+        server(2, "m1", "m2", "m5"),
+    ]
+    assert planned(servers, {"m9": WAITING}) == []
+
+
+def test_a_copy_that_is_about_to_leave_does_not_count() -> None:
+    (order,) = planned([server(1, "m9", lasting=False, orderable=False), server(2)], {"m9": WAITING})
+    assert order.server_id == "i-2"
+
+
+def test_what_waits_longer_and_for_more_comes_first() -> None:
+    models = {
+        "m6": RefDemand(0.0, 0.1, 0, 1, 99.9, 0),
+        "m9": RefDemand(4.0, 0.1, 0, 10, 99.0, 1),
+    }
+    orders = planned([server(1)], models)
+    assert [order.ref.model for order in orders] == ["m9"]
+
+
+def test_an_unknown_model_is_unloaded_first() -> None:
+    stuck = ServerView("i-1", "z", 64, True, True, {"unheard": HeldModel("unheard")}, float("-inf"), 4)
+    (order,) = planned([stuck], {"m9": WAITING})
+    assert (order.operation, order.ref) == (Operation.UNLOAD, ModelRef("unheard"))
+
+
+def test_room_is_made_ahead_of_misses() -> None:
+    servers = [server(number, "m0", "m3", "m6") for number in range(6)]
+    orders = planned(servers, {"m0": RefDemand(3.0, 0.1, 2)}, misses=2.5)
+    assert len(orders) == 2
+    assert all(order.operation is Operation.UNLOAD and order.ref.model != "m0" for order in orders)
+    assert planned(servers, {"m0": RefDemand(3.0, 0.1, 2)}, misses=0.2) == []
+
+
+_NAMES = [model.name for model in MODELS]
+
+
+@st.composite
+def _servers(draw: st.DrawFn) -> list[ServerView]:
+    views = []
+    for number in range(draw(st.integers(1, 6))):
+        names = draw(st.lists(st.sampled_from(_NAMES), max_size=5, unique=True))
+        held: list[HeldModel] = []
+        for name in names:
+            adapters = frozenset(draw(st.lists(st.sampled_from(["a1", "a2", "a3"]), max_size=2)))
+            model = HeldModel(name, adapters if name in _NAMES[:4] else frozenset())
+            if Capacity(ENGINE.weights_mb, ENGINE.max_adapters).admits(usage([*held, model], (), SIZES)):
+                held.append(model)
+        coming = draw(st.none() | st.sampled_from([ModelRef(name) for name in _NAMES]))
+        if coming is not None and coming.model in {model.name for model in held}:
+            coming = None
+        before = frozenset(draw(st.lists(st.sampled_from(_NAMES), max_size=3)))
+        zone = draw(st.sampled_from(["za", "zb"]))
+        lasting = draw(st.booleans())
+        views.append(
+            server(number, *held, zone=zone, coming=coming, lasting=lasting, orderable=lasting, before=before)
+        )
+    return views
+
+
+_DEMAND = st.builds(
+    RefDemand,
+    rate=st.sampled_from((0.0, 0.05, 0.3, 1.0, 8.0)),
+    idle_s=st.sampled_from((0.1, 1.0, 5.0, 60.0)),
+    in_flight=st.sampled_from((0, 0, 1, 40)),
+    waiting=st.sampled_from((0, 0, 1, 5)),
+    waiting_since=st.floats(90.0, 100.0),
+    priority=st.integers(0, 2),
+)
+
+
+@settings(max_examples=120, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(
+    servers=_servers(),
+    models=st.dictionaries(st.sampled_from(_NAMES), _DEMAND, max_size=10),
+    adapters=st.dictionaries(
+        st.builds(ModelRef, st.sampled_from(_NAMES[:4]), st.sampled_from(("a1", "a4", "a9", "a99"))),
+        _DEMAND,
+        max_size=5,
+    ),
+    tokens=st.integers(0, 3),
+    misses=st.sampled_from((0.0, 1.0, 4.0)),
+)
+def test_orders_keep_every_limit(
+    servers: list[ServerView],
+    models: dict[str, RefDemand],
+    adapters: dict[ModelRef, RefDemand],
+    tokens: int,
+    misses: float,
+) -> None:
+    view = DemandView(models, adapters, misses, 100.0)
+    orders = plan(servers, view, ENGINE, SIZES, StoreView(tokens, 4))
+    assert orders == plan(servers, view, ENGINE, SIZES, StoreView(tokens, 4))
+    by_id = {server.id: server for server in servers}
+    assert len({order.server_id for order in orders}) == len(orders)
+    assert sum(order.from_store for order in orders) <= tokens
+    for order in orders:
+        _check(order, by_id[order.server_id])
+    _check_last_copies(orders, servers, models)
+    _check_last_adapters(orders, servers, adapters)
+
+
+def _check(order: Order, target: ServerView) -> None:
+    assert target.orderable and target.lasting
+    if order.operation is Operation.LOAD:
+        assert not target.has(order.ref)
+        assert not order.ref.adapter or target.has(ModelRef(order.ref.model))
+        after = usage(target.held.values(), (order.ref,), SIZES)
+        assert Capacity(ENGINE.weights_mb, ENGINE.max_adapters).admits(after)
+        expected = not order.ref.adapter and order.ref.model not in target.held_before
+        assert order.from_store is expected
+    else:
+        assert target.has(order.ref)
+
+
+def _check_last_copies(orders: list[Order], servers: list[ServerView], models: dict[str, RefDemand]) -> None:
+    """The last lasting copy of what is in use or waited for stays."""
+    gone = {(order.server_id, order.ref.model) for order in orders
+            if order.operation is Operation.UNLOAD and not order.ref.adapter}  # fmt: skip
+    for _, name in gone:
+        seen = models.get(name)
+        if seen is None or not (seen.in_flight or seen.waiting):
+            continue
+        left = [s for s in servers if s.lasting and name in s.held and (s.id, name) not in gone]
+        assert left
+
+
+def _check_last_adapters(
+    orders: list[Order], servers: list[ServerView], adapters: dict[ModelRef, RefDemand]
+) -> None:
+    """The same for adapters that are unloaded by themselves."""
+    gone = {(order.server_id, order.ref) for order in orders
+            if order.operation is Operation.UNLOAD and order.ref.adapter}  # fmt: skip
+    for _, ref in gone:
+        seen = adapters.get(ref)
+        if seen is None or not (seen.in_flight or seen.waiting):
+            continue
+        assert [s for s in servers if s.lasting and s.has(ref) and (s.id, ref) not in gone]
+
+
+def test_a_plan_for_many_servers_and_models_is_quick() -> None:
+    models = tuple(Model(f"m{i}", 60_000.0, 0.6, 5, 40.0) for i in range(178))
+    engine = Engine(64, models, 200_000.0, 8, 17.0)
+    sizes = SizeBook()
+    sizes.learn(engine)
+    views = []
+    for n in range(30):
+        held = {name: HeldModel(name) for name in (f"m{(3 * n + k) % 178}" for k in range(3))}
+        views.append(ServerView(f"i-{n}", f"z{n % 4}", 64, True, True, held, 20_000.0, 8))
+    demand = {f"m{i}": RefDemand(3.0, 0.2, 1) for i in range(15)}
+    demand.update({f"m{i}": RefDemand(0.05, i / 10) for i in range(15, 150)})
+    demand.update({f"m{i}": WAITING for i in range(170, 175)})
+    view = DemandView(demand, {}, 2.0, 100.0)
+    started = time.process_time()
+    for _ in range(20):
+        plan(views, view, engine, sizes, StoreView(2, 4))
+    assert (time.process_time() - started) / 20 < 0.02  # about 2 ms; the bound is for a slow machine
--- a/tests/controlplane/test_publication.py
+++ b/tests/controlplane/test_publication.py
@@ -192,6 +192,24 @@
     assert not reply.tables[0].changed and not reply.control_nodes
 
 
+def test_a_control_node_that_is_up_to_date_waits_too() -> None:
+    made, _, table, _, clock = publisher()
+    table.begin(2)
+    table.replace([server("a")], clock.now)
+    version = TableVersion(shard=0, epoch=2, sequence=table.version.sequence)
+    asked = request(edge=False, hold_ms=1000, tables=[version])
+
+    async def play_it() -> Any:
+        task = asyncio.create_task(made.watch(asked))
+        await asyncio.sleep(0)
+        assert not task.done()
+        table.replace([], clock.now)
+        made.changed()
+        return await task
+
+    assert update_from_message(asyncio.run(play_it()).tables[0]).removed == ("a",)
+
+
 def test_out_of_touch_an_edge_is_sent_elsewhere() -> None:
     made, *_ = publisher(contact=5.0)
     with pytest.raises(OutOfTouch):
--- /dev/null
+++ b/tests/coordination/defects.py
@@ -0,0 +1,151 @@
+"""Guards of consensus, taken out on purpose. Each function plants one defect for the time of a test."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from granitewell.coordination.consensus import identity, leadership, membership
+from granitewell.coordination.consensus.core import Core
+from granitewell.coordination.consensus.election import Election
+from granitewell.coordination.consensus.leadership import Leadership
+from granitewell.coordination.consensus.persistence import Persistence
+from granitewell.coordination.consensus.progress import NEVER, HeartbeatRounds
+from granitewell.coordination.consensus.ready import Ready
+from granitewell.coordination.consensus.replica import Replica
+from granitewell.coordination.consensus.terms import HardState, StoredState
+from tests.coordination import world
+from tests.coordination.world import Machine, Process
+
+
+def send_before_persist(patch: pytest.MonkeyPatch) -> None:
+    """The shell does not wait for the disk."""
+
+    def hold(process: Process, ready: Ready) -> None:
+        process._send(ready.synced_messages)
+        process._held.append((process._write, ready.batch, ()))
+
+    patch.setattr(Process, "_hold", hold)
+
+
+def count_unsynced_own_entry(patch: pytest.MonkeyPatch) -> None:
+    """The leader counts itself before its disk has the entry."""
+
+    def take(self: Persistence, last_index: int, term: int, now: float) -> tuple[Any, ...]:
+        self.stable_index = last_index
+        return real(self, last_index, term, now)
+
+    real = Persistence.take
+    patch.setattr(Persistence, "take", take)
+
+
+def no_stickiness(patch: pytest.MonkeyPatch) -> None:
+    """A follower votes although it has just heard its leader."""
+    patch.setattr(Election, "sticky", lambda self, now: False)
+
+
+def forget_at_restart(patch: pytest.MonkeyPatch) -> None:
+    """A replica that restarts votes at once, though it may have carried a lease a moment ago."""
+    real = Election.__init__
+
+    def init(self: Election, core: Core, now: float, fresh: bool) -> None:
+        real(self, core, now, True)
+        self.due_at = now + 0.05
+
+    patch.setattr(Election, "__init__", init)
+
+
+def wiped_disk_keeps_id(patch: pytest.MonkeyPatch) -> None:
+    """A machine whose disk was lost comes back as the voter that it was."""
+
+    def first_state(machine: Machine) -> StoredState:
+        own = identity.first_replica_id(machine.address)
+        node = identity.NodeIdentity(machine.name, machine.address, own, machine.world.seeds)
+        return identity.first_state(node)
+
+    patch.setattr(Machine, "_first_state", first_state)
+
+
+def remove_unguarded(patch: pytest.MonkeyPatch) -> None:
+    """A voter is removed although the others are no quorum that answers."""
+    patch.setattr(membership, "may_remove", lambda old, voters: True)
+
+
+def changes_overlap(patch: pytest.MonkeyPatch) -> None:
+    """The next change of members does not wait until the one before is committed."""
+    patch.setattr(Leadership, "_may_change", lambda self: not self.given_up)
+
+
+def lease_from_reply(patch: pytest.MonkeyPatch) -> None:
+    """The lease runs from when a reply came, not from when its round was sent."""
+
+    def on_reply(self: Leadership, reply: Any, now: float) -> None:
+        peer = self._heard(reply.sender, now)
+        if peer is not None:
+            peer.acknowledged_at = now
+
+    patch.setattr(Leadership, "on_heartbeat_reply", on_reply)
+
+
+def hand_over_keeps_lease(patch: pytest.MonkeyPatch) -> None:
+    """The leader that hands over goes on leading until it hears of its successor."""
+    real = Leadership._finish_hand_over
+
+    def finish(self: Leadership) -> None:
+        real(self)
+        self.given_up = False
+
+    patch.setattr(Leadership, "_finish_hand_over", finish)
+
+
+def lease_without_own_entry(patch: pytest.MonkeyPatch) -> None:
+    """A new leader answers before an entry of its term is committed."""
+
+    def holds_lease(self: Leadership, now: float) -> bool:
+        return not self.given_up and now < self.acknowledged_at(now) + self._core.settings.lease_s
+
+    patch.setattr(Leadership, "holds_lease", holds_lease)
+
+
+def commit_without_quorum(patch: pytest.MonkeyPatch) -> None:
+    """One replica less than a majority commits."""
+    patch.setattr(
+        leadership, "reached_by_quorum", lambda values: sorted(values, reverse=True)[(len(values) - 1) // 2 - 1]
+    )
+
+
+def vote_for_older_log(patch: pytest.MonkeyPatch) -> None:
+    """A vote goes to a candidate that lacks entries."""
+    patch.setattr(Core, "up_to_date", lambda self, last_term, last_index: True)
+
+
+def vote_not_kept(patch: pytest.MonkeyPatch) -> None:
+    """The vote is not written."""
+
+    def set_hard_state(self: Core, term: int, vote: str) -> None:
+        self.hard_state = HardState(term, vote)
+        self.persistence.records.append(HardState(max(term - 1, 0), ""))
+
+    patch.setattr(Core, "set_hard_state", set_hard_state)
+
+
+def joiner_skips_first_members(patch: pytest.MonkeyPatch) -> None:
+    """A replica that joins takes the log without the snapshot that names the first members."""
+    patch.setattr(identity, "FIRST_INDEX", 0)
+    patch.setattr(world, "FIRST_INDEX", 0)
+
+
+def stable_past_truncation(patch: pytest.MonkeyPatch) -> None:
+    """Entries that were dropped still count as being on the disk."""
+    patch.setattr(Persistence, "truncated", lambda self, index: None)
+
+
+def removed_id_comes_back(patch: pytest.MonkeyPatch) -> None:
+    """A replica that lost its place is not told so, and is never let in again."""
+    patch.setattr(Replica, "_is_removed", lambda self, replica_id: False)
+
+
+def late_round_renews(patch: pytest.MonkeyPatch) -> None:
+    """All replies count as replies to the newest round."""
+    patch.setattr(HeartbeatRounds, "sent_at", lambda self, number: self._sent_at[-1] if self._sent_at else NEVER)
--- /dev/null
+++ b/tests/coordination/test_scenarios.py
@@ -0,0 +1,393 @@
+"""Days by hand: the exact troubles that a guard is there for, played with the guard and without it."""
+
+from __future__ import annotations
+
+import pytest
+
+from granitewell.coordination.consensus.replica import Replica
+from granitewell.coordination.consensus.terms import Role
+from tests.coordination.faults import describe
+from tests.coordination.defects import (
+    changes_overlap,
+    count_unsynced_own_entry,
+    forget_at_restart,
+    hand_over_keeps_lease,
+    remove_unguarded,
+)
+from tests.coordination.world import Link, Machine, Process, Violation, World
+
+class Group:
+    """Three machines with a leader, and what is done to them."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = World(seed)
+        self.world.run_until(3.5)
+        holder = self.world.holder()
+        assert holder is not None, describe(self.world)
+        self.leader = holder.machine
+        self.others = [machine for machine in self.world.machines if machine is not self.leader]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.world.run_until(self.world.now + seconds)
+
+    def cut(self, one: Machine, other: Machine) -> None:
+        """No messages between two machines."""
+        self.world.links[one.address, other.address] = Link(cut=True)
+        self.world.links[other.address, one.address] = Link(cut=True)
+
+    def heal(self) -> None:
+        """All links are well."""
+        self.world.links.clear()
+
+    def isolate(self, machine: Machine) -> None:
+        """No messages from and to a machine."""
+        for other in self.world.machines:
+            if other is not machine:
+                self.cut(machine, other)
+
+    def add_spare(self) -> Machine:
+        """A fourth machine with an empty disk."""
+        world = self.world
+        spare = Machine(world, "spare", "10.0.2.1:7", world.seeds, first=False)
+        world.machines.append(spare)
+        spare.start()
+        return spare
+
+    def propose(self) -> int:
+        """A client's order; how many are acknowledged so far."""
+        self.world.propose()
+        return self.world.invariants.last_acknowledged
+
+    def commits(self) -> bool:
+        """Whether an order is acknowledged within some seconds."""
+        before = self.world.invariants.last_acknowledged
+        for _ in range(50):
+            self.world.propose()
+            self.run(0.1)
+            if self.world.invariants.last_acknowledged > before:
+                return True
+        return False
+
+
+def process_of(machine: Machine) -> Process:
+    """The process on a machine that has one."""
+    assert machine.process is not None
+    return machine.process
+
+
+def voters(group: Group) -> set[str]:
+    """Addresses of the voters that the lease holder knows."""
+    holder = group.world.holder()
+    return {member.address for member in holder.replica.members} if holder else set()
+
+
+# Repair
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_wiped_follower_is_a_voter_again_within_a_second_and_a_half(seed: int) -> None:
+    group = Group(seed)
+    wiped = group.others[0]
+    old_id = process_of(wiped).replica.replica_id
+    wiped.wipe()
+    group.run(0.2)
+    wiped.start()
+    group.run(1.5)
+    replica = process_of(wiped).replica
+    assert replica.replica_id != old_id
+    assert wiped.address in voters(group) and len(voters(group)) == 3
+    assert replica.replica_id in {member.replica_id for member in replica.members}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_wiped_leader_is_a_voter_again_within_three_and_a_half_seconds(seed: int) -> None:
+    group = Group(seed)
+    group.leader.wipe()
+    group.leader.start()
+    group.run(3.5)
+    replica = process_of(group.leader).replica
+    assert replica.replica_id in {member.replica_id for member in replica.members}
+    assert len(voters(group)) == 3
+
+
+@pytest.mark.parametrize("leads", [True, False])
+@pytest.mark.parametrize("seed", range(5))
+def test_a_machine_at_a_new_address_takes_the_place_of_one_that_left(seed: int, leads: bool) -> None:
+    group = Group(seed)
+    left = group.leader if leads else group.others[0]
+    left.wipe()
+    left.gone = True
+    spare = group.add_spare()
+    group.run(3.5)
+    assert voters(group) == {machine.address for machine in group.world.machines} - {left.address}
+    assert process_of(spare).replica.contact_age(process_of(spare).now) < 0.5
+
+
+def test_a_spare_stays_a_learner_while_all_voters_live() -> None:
+    group = Group(1)
+    spare = group.add_spare()
+    group.run(5)
+    assert spare.address not in voters(group)
+    replica = process_of(spare).replica
+    assert replica.commit_index == process_of(group.leader).replica.commit_index
+    assert replica.contact_age(process_of(spare).now) < 0.5
+
+
+def test_a_voter_that_was_replaced_while_cut_off_joins_under_a_fresh_id() -> None:
+    group = Group(2)
+    spare = group.add_spare()
+    cut_off = group.others[0]
+    old_id = process_of(cut_off).replica.replica_id
+    group.isolate(cut_off)
+    group.run(4)
+    assert spare.address in voters(group) and cut_off.address not in voters(group)
+    group.heal()
+    group.run(4)
+    process = process_of(cut_off)
+    assert process.replica.replica_id != old_id
+    assert process.replica.contact_age(process.now) < 0.5
+
+
+def test_a_replaced_voter_that_nobody_tells_stays_outside(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Replica, "_is_removed", lambda self, replica_id: False)
+    with pytest.raises(AssertionError):
+        test_a_voter_that_was_replaced_while_cut_off_joins_under_a_fresh_id()
+
+
+def test_a_voter_that_comes_back_at_another_address_is_found_there() -> None:
+    group = Group(3)
+    moved = group.others[0]
+    replica_id = process_of(moved).replica.replica_id
+    moved.stop(power=True)
+    moved.address = "10.0.3.1:7"
+    moved.start()
+    group.run(6)
+    assert process_of(moved).replica.replica_id == replica_id
+    assert moved.address in voters(group) and len(voters(group)) == 3
+
+
+# Removal needs a quorum that answers
+
+
+def removal_while_another_is_lost(group: Group) -> bool:
+    """One voter is cut off, another goes for good just before the first may be replaced. Whether the group goes
+    on once the first is back."""
+    cut_off, lost = group.others
+    group.add_spare()
+    group.run(0.6)
+    group.isolate(cut_off)
+    group.run(1.6)
+    lost.wipe()
+    lost.gone = True
+    group.run(3)
+    group.heal()
+    return group.commits()
+
+
+def test_a_removal_waits_for_a_quorum_that_answers() -> None:
+    assert removal_while_another_is_lost(Group(4))
+
+
+def test_a_removal_that_does_not_wait_stops_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
+    remove_unguarded(monkeypatch)
+    assert not removal_while_another_is_lost(Group(4))
+
+
+# One change at a time
+
+
+def overlapping_changes(group: Group) -> bool:
+    """A leader that has lost sight of one voter loses the other as it replaces the first by a spare. Whether it
+    got as far as wanting to."""
+    first, second = group.others
+    group.add_spare()
+    group.run(0.6)
+    group.cut(group.leader, first)
+    group.run(1.96)
+    group.cut(group.leader, second)
+    group.run(0.3)
+    replica = process_of(group.leader).replica
+    wanted = replica.role is Role.LEADER and first.address not in {peer.address for peer in replica.members}
+    group.world.propose()
+    group.run(3)
+    group.heal()
+    group.run(3)
+    return wanted
+
+
+def test_changes_of_members_do_not_overlap() -> None:
+    assert overlapping_changes(Group(5))
+
+
+def test_overlapping_changes_lose_what_is_committed(monkeypatch: pytest.MonkeyPatch) -> None:
+    changes_overlap(monkeypatch)
+    with pytest.raises(Violation):
+        overlapping_changes(Group(5))
+
+
+# The lease
+
+
+def followers_restart_while_the_leader_is_cut_off(group: Group) -> None:
+    """Both followers forget what they heard, at the moment that the leader is cut off."""
+    group.isolate(group.leader)
+    for machine in group.others:
+        machine.stop(power=False)
+        machine.start()
+    group.run(4)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_followers_that_restart_keep_to_the_lease_they_carried(seed: int) -> None:
+    followers_restart_while_the_leader_is_cut_off(Group(seed))
+
+
+def test_followers_that_vote_right_after_a_restart_break_the_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    group = Group(0)
+    forget_at_restart(monkeypatch)
+    with pytest.raises(Violation, match="hold leases"):
+        followers_restart_while_the_leader_is_cut_off(group)
+
+
+def hand_over_into_silence(group: Group) -> None:
+    """The leader hands over and hears nothing more."""
+    process = process_of(group.leader)
+    process.run(lambda: transfer(process))
+    for other in group.others:
+        group.world.links[other.address, group.leader.address] = Link(cut=True)
+    group.run(2)
+
+
+def transfer(process: Process) -> None:
+    """Ask a leader to hand over."""
+    assert process.replica.transfer(process.now)
+
+
+def test_a_leader_that_hands_over_has_given_up_its_lease() -> None:
+    group = Group(6)
+    hand_over_into_silence(group)
+    holder = group.world.holder()
+    assert holder is not None and holder.machine is not group.leader
+
+
+def test_a_leader_that_hands_over_and_keeps_its_lease_breaks_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    hand_over_keeps_lease(monkeypatch)
+    with pytest.raises(Violation, match="hold leases"):
+        hand_over_into_silence(Group(6))
+
+
+def test_handing_over_takes_milliseconds() -> None:
+    group = Group(7)
+    process = process_of(group.leader)
+    process.run(lambda: transfer(process))
+    group.run(0.05)
+    holder = group.world.holder()
+    assert holder is not None and holder.machine is not group.leader
+
+
+def test_a_frozen_leader_wakes_without_a_lease() -> None:
+    group = Group(8)
+    process = process_of(group.leader)
+    process.frozen = True
+    group.run(3)
+    assert group.world.holder() is not None
+    process.frozen = False
+    assert not process.replica.holds_lease(process.now)
+    assert process.replica.contact_age(process.now) > 2
+    process.thaw()
+    group.run(1)
+    assert process.replica.role is Role.FOLLOWER
+
+
+def test_a_leader_without_a_quorum_steps_down() -> None:
+    group = Group(9)
+    group.isolate(group.leader)
+    group.run(1.2)
+    process = process_of(group.leader)
+    assert process.replica.role is not Role.LEADER
+    assert process.replica.contact_age(process.now) > 1
+
+
+def test_a_replica_that_was_cut_off_disturbs_no_leader() -> None:
+    group = Group(10)
+    term = process_of(group.leader).replica.term
+    group.isolate(group.others[0])
+    group.run(5)
+    group.heal()
+    group.run(2)
+    holder = group.world.holder()
+    assert holder is not None and holder.machine is group.leader and holder.replica.term == term
+
+
+# Disks
+
+
+def own_entry_unsynced(group: Group) -> None:
+    """The leader's disk hangs, one follower is cut off; the other holds an entry alone, and loses its disk."""
+    cut_off, holds = group.others
+    group.isolate(cut_off)
+    group.leader.disk.delay_s = 10
+    group.propose()
+    group.run(0.1)
+    holds.wipe()
+    group.leader.disk.settle(kept=False)
+    group.leader.stop(power=True)
+    cut_off.stop(power=True)
+    group.heal()
+    group.leader.disk.delay_s = 0.001
+    for machine in group.world.machines:
+        machine.start()
+    group.run(6)
+    assert group.commits()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_an_entry_that_is_not_on_the_own_disk_does_not_count(seed: int) -> None:
+    own_entry_unsynced(Group(seed))
+
+
+def test_an_unsynced_own_entry_that_counts_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    count_unsynced_own_entry(monkeypatch)
+    with pytest.raises(Violation, match="lacks entry"):
+        own_entry_unsynced(Group(0))
+
+
+def test_a_majority_of_others_commits_while_the_leaders_disk_hangs() -> None:
+    group = Group(11)
+    group.leader.disk.delay_s = 10
+    before = group.world.invariants.last_acknowledged
+    group.propose()
+    group.run(0.1)
+    assert group.world.invariants.last_acknowledged > before
+
+
+@pytest.mark.parametrize("refuses", [True, False])
+def test_a_leader_whose_disk_fails_hands_over(refuses: bool) -> None:
+    group = Group(12)
+    group.leader.disk.delay_s = 0.001 if refuses else 10
+    group.leader.disk.refusing = refuses
+    group.propose()
+    group.run(1.6)
+    holder = group.world.holder()
+    assert holder is not None and holder.machine is not group.leader
+    assert group.commits()
+
+
+def test_a_follower_whose_disk_hangs_holds_nobody_up() -> None:
+    group = Group(13)
+    group.others[0].disk.delay_s = 10
+    assert group.commits()
+
+
+def test_a_laggard_gets_a_snapshot() -> None:
+    group = Group(14)
+    laggard = group.others[0]
+    group.isolate(laggard)
+    for _ in range(40):
+        group.propose()
+        group.run(0.05)
+    assert process_of(group.leader).replica.snapshot_index > process_of(laggard).replica.commit_index
+    group.heal()
+    group.run(1)
+    assert process_of(laggard).replica.commit_index == process_of(group.leader).replica.commit_index
--- /dev/null
+++ b/tests/dataplane/test_dispatch.py
@@ -0,0 +1,398 @@
+"""Which server gets a request: pools, prefix, health, lines. With a clock that the tests set."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from granitewell.dataplane.dispatch import MOST_POOLS, Dispatcher, Want
+from granitewell.dataplane.headers import PromptPart, ServerLoad
+from granitewell.dataplane.pool import COMFORTABLE_PART, Pool
+from granitewell.dataplane.servers import MOST_AVOIDANCE_S, REFUSED_FOR_S, ServerRecord
+from granitewell.dataplane.waiting import LineFull
+from granitewell.model.configuration import Configuration, Engine, Model, Service
+from granitewell.model.servers import HeldModel, ModelRef, Server, ServerState
+from granitewell.model.settings import Bounds
+
+M1 = ModelRef("m1")
+
+
+def server(
+    name: str,
+    service: str = "plain",
+    models: tuple[str, ...] = (),
+    slots: int = 6,
+    state: ServerState = ServerState.READY,
+) -> Server:
+    held = {model: HeldModel(model, frozenset({"a1"})) for model in models}
+    return Server(name, service, f"10.0.0.1:{len(name)}", "a", slots, state, models=held)
+
+
+def records(count: int, slots: int = 6) -> list[ServerRecord]:
+    return [ServerRecord(server(f"s{k:02}", slots=slots)) for k in range(count)]
+
+
+def pool(count: int, slots: int = 6, engine: bool = False) -> Pool:
+    made = Pool("p", slots if engine else None, 2.0, Random(1))
+    made.set_servers(records(count, slots))
+    return made
+
+
+def picks(made: Pool, count: int, now: float = 0.0, edges: int = 1) -> list[str]:
+    found = [made.pick(now, edges) for _ in range(count)]
+    return [record.id for record in found if record is not None]
+
+
+# --- Pool -----------------------------------------------------------------------------------------------
+def test_all_servers_are_used_at_random_until_something_is_known() -> None:
+    counted = Counter(picks(pool(5), 500))
+    assert len(counted) == 5 and min(counted.values()) > 60
+
+
+def test_the_order_is_the_same_whatever_order_servers_are_told_in() -> None:
+    one, other = pool(6), pool(0)
+    other.set_servers(list(reversed(records(6))))
+    assert [r.id for r in one.servers] == [r.id for r in other.servers]
+
+
+def test_a_pool_without_servers_gives_none() -> None:
+    assert pool(0).pick(0.0, 1) is None
+
+
+def test_only_the_prefix_is_used_and_past_a_busy_one_the_rest() -> None:
+    made = pool(6)
+    made._prefix.size = 2
+    assert set(picks(made, 100)) == {"s00", "s01"}
+    for record in made.servers[:2]:
+        for _ in range(6):
+            made.sent(record, 0.0)
+    assert set(picks(made, 100)) <= {"s02", "s03", "s04", "s05"}
+
+
+def test_a_server_is_busy_at_this_node_s_part_of_its_slots() -> None:
+    made = pool(2)
+    made.sent(made.servers[0], 0.0)
+    assert set(picks(made, 50, edges=6)) == {"s01"}
+    made.sent(made.servers[1], 0.0)
+    assert picks(made, 1, edges=6)  # all busy, none full
+    engine = pool(2, 60, engine=True)
+    for _ in range(int(60 * COMFORTABLE_PART / 4)):
+        engine.sent(engine.servers[0], 0.0)
+    assert set(picks(engine, 50, edges=4)) == {"s01"}
+
+
+def test_full_servers_get_nothing() -> None:
+    made = pool(2, slots=2)
+    for record in made.servers:
+        made.sent(record, 0.0)
+        made.sent(record, 0.0)
+    assert made.pick(0.0, 1) is None
+    made.servers[1].given_up(0.0, 1.0)
+    made.ended(made.servers[1])
+    assert set(picks(made, 5)) == {"s01"}
+
+
+def test_a_server_s_own_word_on_its_load_counts_for_a_while() -> None:
+    made = pool(2)
+    made.servers[0].load_told(ServerLoad(6, 3, 6), 0.0)
+    assert set(picks(made, 50)) == {"s01"}
+    assert set(picks(made, 50, now=20.0)) == {"s00", "s01"}
+
+
+def test_a_server_that_turned_a_request_away_is_left_alone_for_a_moment() -> None:
+    made = pool(2)
+    made.servers[0].refused(0.0)
+    assert set(picks(made, 50)) == {"s01"}
+    assert set(picks(made, 50, now=REFUSED_FOR_S)) == {"s00", "s01"}
+
+
+def test_a_failed_server_is_avoided_for_a_growing_time_unless_it_is_the_only_one() -> None:
+    made = pool(2)
+    sick = made.servers[0]
+    now, waits = 0.0, []
+    for _ in range(6):
+        sick.failed(now)
+        sick.failed(now)  # what failed together counts once
+        assert set(picks(made, 30, now=now)) == {"s01"}
+        waits.append(sick.avoided_until - now)
+        now = sick.avoided_until
+    assert waits == [1.0, 2.0, 4.0, MOST_AVOIDANCE_S, MOST_AVOIDANCE_S, MOST_AVOIDANCE_S]
+    sick.failed(now)
+    made.servers[1].failed(now)
+    assert set(picks(made, 30, now=now)) <= {"s00", "s01"} and picks(made, 1, now=now)
+    sick.worked()
+    assert sick.sound(now, 1.0)
+
+
+def test_own_failures_in_a_row_speak_against_a_server() -> None:
+    record = records(1)[0]
+    for _ in range(2):
+        record.erred(0.0)
+    record.worked()
+    for _ in range(2):
+        record.erred(0.0)
+    assert record.sound(0.0, 1.0)
+    record.erred(0.0)
+    assert not record.sound(0.0, 1.0)
+
+
+def test_a_silent_server_is_suspected_and_one_that_answers_is_not() -> None:
+    made = pool(2)
+    sick = made.servers[0]
+    made.sent(sick, 0.0)
+    assert "s00" in picks(made, 50, now=1.0)
+    assert set(picks(made, 50, now=5.0)) == {"s01"}
+    sick.answered(5.0)
+    made.ended(sick)
+    assert "s00" in picks(made, 50, now=5.0)
+    made.sent(sick, 5.0)
+    sick.given_up(10.0, made.patience)  # its time was over while the server said nothing
+    assert set(picks(made, 50, now=10.5)) == {"s01"}
+
+
+def test_a_repeat_goes_elsewhere_and_excluded_servers_get_nothing() -> None:
+    made = pool(2)
+    assert {made.pick(0.0, 1, passed_over={"s00"}) for _ in range(30)} == {made.servers[1]}
+    only = pool(1)
+    assert only.pick(0.0, 1, passed_over={"s00"}) is only.servers[0]
+    assert only.pick(0.0, 1, excluded={"s00"}) is None
+
+
+def test_a_server_that_has_moved_is_not_asked_until_it_may_be_back() -> None:
+    made = pool(1)
+    made.moved(made.servers[0], 0.0, 1.0)
+    assert made.pick(0.5, 1) is None
+    assert made.pick(1.0, 1) is not None
+
+
+def test_kept_parts_draw_a_request_unless_the_server_is_clearly_fuller() -> None:
+    made = pool(6, 60, engine=True)
+    home = made.servers[4]
+    assert {made.pick(0.0, 1, kept_tokens={"s04": 1200}) for _ in range(30)} == {home}
+    for _ in range(3):
+        made.sent(home, 0.0)
+    assert home not in {made.pick(0.0, 1, kept_tokens={"s04": 1200}) for _ in range(30)}
+
+
+def test_the_prefix_grows_and_shrinks_with_the_traffic() -> None:
+    made, now = pool(10, 60, engine=True), 0.0
+    for k in range(20_000):
+        now += 0.01
+        made.arrived(now, 1)
+        if k % 5 == 0:
+            made.traffic.answered(20.0, 50.0, 1000.0)
+    assert made.prefix_size < 10
+    for _ in range(30):
+        made.traffic.answered(5000.0, 5000.0, 1000.0)
+    made.overran(now + 1.0, 1)
+    assert made.prefix_size == 10
+
+
+STEPS = st.sampled_from(["send", "end", "fail", "refuse", "time"])
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(STEPS, st.integers(0, 3)), max_size=60))
+def test_no_full_server_is_ever_picked_and_counts_stay_true(steps: list[tuple[str, int]]) -> None:
+    made, now = pool(4, slots=3), 0.0
+    out: list[ServerRecord] = []
+    for what, k in steps:
+        if what == "send":
+            record = made.pick(now, 1 + k)
+            if record is not None:
+                assert not record.full(now)
+                made.sent(record, now)
+                out.append(record)
+            else:
+                assert all(r.full(now) for r in made.servers)
+        elif what == "end" and out:
+            record = out.pop(k % len(out))
+            record.answered(now)
+            made.ended(record)
+        elif what == "fail":
+            made.servers[k].failed(now)
+        elif what == "refuse":
+            made.servers[k].refused(now)
+        else:
+            now += k * 0.3
+        assert made.in_flight == len(out)
+        assert all(r.in_flight == out.count(r) == r.unanswered for r in made.servers)
+
+
+# --- Dispatcher -----------------------------------------------------------------------------------------
+ENGINE = Engine(slots=6, models=(Model("m1", 1.0, adapters=2), Model("m2", 1.0)), weights_mb=10.0)
+SERVICES = {"plain": Service("plain"), "engine": Service("engine", engine=ENGINE)}
+
+
+def dispatcher() -> Dispatcher:
+    made = Dispatcher(Bounds(retry_budget_slack=56), Random(1))
+    made.apply_configuration(Configuration(1, {}, SERVICES))
+    return made
+
+
+
+
+class Waiter(Want):
+    """A request that notes what it is granted."""
+
+    def __init__(self, priority: int, service: str = "engine", ref: ModelRef | None = M1) -> None:
+        self.got: list[ServerRecord] = []
+        super().__init__(service, ref, priority, 1.0, (), self.got.append)
+
+
+def test_models_and_states_make_the_pools() -> None:
+    made = dispatcher()
+    made.apply_servers(
+        [
+            server("a", "engine", ("m1",)),
+            server("b", "engine", ("m2",)),
+            server("c", "engine", ("m1",), state=ServerState.DRAINING),
+            server("d"),
+        ],
+        [], None, 0.0,
+    )  # fmt: skip
+    assert [r.id for r in made.pool("engine", M1, 0.0).servers] == ["a"]
+    assert [r.id for r in made.pool("engine", ModelRef("m1", "a1"), 0.0).servers] == ["a"]
+    assert [r.id for r in made.pool("engine", ModelRef("m1", "a2"), 0.0).servers] == []
+    assert [r.id for r in made.pool("engine", None, 0.0).servers] == ["a", "b"]
+    assert [r.id for r in made.pool("plain", None, 0.0).servers] == ["d"]
+
+
+def test_news_of_servers_whole_and_in_part() -> None:
+    made = dispatcher()
+    made.apply_servers([server("a"), server("b"), server("e", "engine")], [], None, 0.0)
+    assert made.apply_servers([server("c")], ["a", "nobody"], None, 0.0) == ["a", "nobody"]
+    assert [r.id for r in made.pool("plain", None, 0.0).servers] == ["b", "c"]
+    assert made.apply_servers([server("c")], [], frozenset({"plain"}), 0.0) == ["b"]
+    assert [r.id for r in made.pool("plain", None, 0.0).servers] == ["c"]
+    assert made.apply_servers([], [], frozenset({"engine", "other"}), 0.0) == ["e"]
+    made.apply_servers([server("c", "engine")], [], None, 0.0)
+    assert [r.id for r in made.pool("plain", None, 0.0).servers] == []
+    assert [r.id for r in made.pool("engine", None, 0.0).servers] == ["c"]
+
+
+def test_what_is_known_of_a_server_stays_when_its_models_change() -> None:
+    made = dispatcher()
+    made.apply_servers([server("a", "engine", ("m1",))], [], None, 0.0)
+    record = made.choose(Waiter(0), 0.0)
+    assert record is not None
+    made.apply_servers([server("a", "engine", ("m2",))], [], None, 0.0)
+    (same,) = made.pool("engine", ModelRef("m2"), 0.0).servers
+    assert same is record and record.in_flight == 1
+
+
+def test_a_server_that_is_gone_ends_its_requests_without_fault() -> None:
+    made, waiter = dispatcher(), Waiter(0)
+    made.apply_servers([server("a", "engine", ("m1",))], [], None, 0.0)
+    record = made.choose(waiter, 0.0)
+    assert record is not None
+    made.apply_servers([], ["a"], None, 0.0)
+    made.ended(waiter, record, 0.0)
+    assert record.in_flight == 0 and made.choose(Waiter(0), 0.0) is None
+
+
+def test_those_that_wait_are_served_in_order_of_priority() -> None:
+    made = dispatcher()
+    waiters = [Waiter(priority) for priority in (5, 0, 5, 1)]
+    for waiter in waiters:
+        assert made.choose(waiter, 0.0) is None
+        made.wait(waiter, 0.0)
+    assert made.urgent(0.0)
+    (demand,) = made.take_demand()
+    assert (demand.ref, demand.waiting, demand.priority) == (M1, 4, 0)
+    made.apply_servers([server("a", "engine", ("m1",), slots=2)], [], None, 0.0)
+    assert [len(w.got) for w in waiters] == [0, 1, 0, 1]
+    assert made.choose(Waiter(9), 0.0) is None  # behind those that wait
+    done = waiters[1]
+    done.got[0].answered(0.0)
+    made.ended(done, done.got[0], 0.0)
+    assert [len(w.got) for w in waiters] == [1, 1, 0, 1]
+
+
+def test_a_more_urgent_request_passes_those_that_wait() -> None:
+    made = dispatcher()
+    made.apply_servers([server("a", "engine", ("m1",), slots=1)], [], None, 0.0)
+    first = Waiter(5)
+    record = made.choose(first, 0.0)
+    assert record is not None
+    made.wait(Waiter(5), 0.0)
+    record.answered(0.0)
+    made.pool("engine", M1, 0.0).ended(record)  # nobody has been woken yet
+    assert made.choose(Waiter(5), 0.0) is None
+    assert made.choose(Waiter(4), 0.0) is record
+
+
+def test_a_place_that_is_left_counts_no_longer() -> None:
+    made, waiter = dispatcher(), Waiter(3)
+    place = made.wait(waiter, 0.0)
+    made.leave(place)
+    made.leave(place)
+    assert made.take_demand()[0].waiting == 0
+    made.apply_servers([server("a", "engine", ("m1",))], [], None, 0.0)
+    assert waiter.got == []
+
+
+def test_a_line_is_bounded() -> None:
+    made = dispatcher()
+    with pytest.raises(LineFull):
+        for _ in range(10_000):
+            made.wait(Waiter(5), 0.0)
+
+
+def test_connections_of_all_nodes_together_stay_under_the_server_s_bound() -> None:
+    made = Dispatcher(Bounds(), Random(1))
+    made.apply_configuration(Configuration(1, {}, {"plain": Service("plain", max_connections=20)}))
+    made.set_edges(3, 3)
+    made.apply_servers([server("a", slots=100)], [], None, 0.0)
+    got = [made.choose(Waiter(5, "plain", None), 0.0) for _ in range(30)]
+    assert sum(record is not None for record in got) == 6  # 20 * 0.9 / 3
+
+
+def test_an_engine_gets_no_more_requests_than_it_can_begin_in_time() -> None:
+    made = dispatcher()
+    made.apply_servers([server("a", "engine", ("m1",), slots=100)], [], None, 0.0)
+    (record,) = made.pool("engine", M1, 0.0).servers
+    record.first_byte_came(0.25, 0.0)
+    got = [made.choose(Waiter(5), 0.0) for _ in range(30)]
+    assert sum(r is not None for r in got) == 6  # the seventh would wait 1.75 s: past one and a half aims
+
+
+def test_models_that_are_known() -> None:
+    made = dispatcher()
+    assert made.knows("engine", M1) and made.knows("engine", ModelRef("m1", "a2"))
+    assert made.knows("plain", None)
+    for name in ("m3", "m1/a3", "m2/a1", "m1/x1", ""):
+        assert not made.knows("engine", ModelRef.parse(name))
+    assert not made.knows("other", None)
+
+
+def test_pools_are_bounded_and_those_in_use_stay() -> None:
+    made = dispatcher()
+    made.apply_servers([server("a", "engine", ("m1",))], [], None, 0.0)
+    waiter = Waiter(5)
+    record = made.choose(waiter, 0.0)
+    assert record is not None
+    for k in range(3 * MOST_POOLS):
+        made.pool("engine", ModelRef(f"x{k}"), float(k + 1))
+        assert len(made._pools) <= MOST_POOLS
+    made.ended(waiter, record, 0.0)
+
+
+def test_prompt_parts_bring_requests_of_a_session_together() -> None:
+    made = dispatcher()
+    made.apply_servers([server(f"s{k}", "engine", ("m1",), slots=60) for k in range(9)], [], None, 0.0)
+    parts = (PromptPart("shared", 500), PromptPart("session", 900))
+    got = set()
+    for _ in range(20):
+        waiter = Waiter(5)
+        waiter.parts = parts
+        record = made.choose(waiter, 0.0)
+        assert record is not None
+        got.add(record.id)
+        record.answered(0.0)
+        made.ended(waiter, record, 0.0)
+    assert len(got) == 1
