--- /dev/null
+++ b/tests/dataplane/test_plane.py
@@ -0,0 +1,879 @@
+"""Requests through a data plane on loopback: what passes, byte for byte, and what is promised."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from granitewell.model.servers import ModelDemand, ModelRef, ServerState
+from tests.dataplane.standin import (
+    Behaviour,
+    Scene,
+    Seen,
+    StandIn,
+    configuration,
+    play,
+    read_message,
+    route,
+    scene,
+    well,
+)
+
+
+def test_an_answer_passes_unchanged() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            answer = await s.call("/once/x", body=b"hello")
+            (seen,) = s.stand_ins[0].seen
+            assert (answer.status, answer.body, answer.complete) == (200, b"well", True)
+            assert answer.header("Granitewell-Response-Seal") == "s.1"
+            assert answer.header("Granitewell-Request-Id") == f"{1:016x}"
+            assert (seen.first_line, seen.body) == ("POST /once/x HTTP/1.1", b"hello")
+            assert seen.header("Granitewell-Expect-Instance") == "s0"
+            assert 0 < int(seen.header("Granitewell-Deadline-Ms") or 0) < 2000
+            assert seen.header("Priority") == "5"
+
+    play(run())
+
+
+PATHS = [
+    "/once/%2Fa", "/once//b", "/once/../c", "/once/./d", "/once/?", "/once/e?x=%20&y=+;z", "/once/;p=1",
+    "/once/%c3%a9", "/once/%", "/once/%zz", "/once/a?b?c", "/once/|^`{}", "/once/a%00b", "/once/~!$&'()*,:@",
+    "/once/\"<>", "/once/a\\b", "/once/[1]",
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("target", PATHS)
+def test_path_and_query_go_on_byte_for_byte(target: str) -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            answer = await s.call(target)
+            assert answer.status == 200, answer.body
+            assert s.stand_ins[0].seen[0].target == target
+
+    play(run())
+
+
+def test_headers_of_one_connection_stay_behind_and_the_others_go_along() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            await s.call("/once/x", X_Mine="1", Connection="keep-alive, X-Gone", X_Gone="1", TE="trailers",
+                         Keep_Alive="timeout=5", Accept_Encoding="identity")  # fmt: skip
+            (seen,) = s.stand_ins[0].seen
+            assert (seen.header("X-Mine"), seen.header("Accept-Encoding")) == ("1", "identity")
+            assert [seen.header(name) for name in ("X-Gone", "TE", "Keep-Alive", "Connection")] == [None] * 4
+
+    play(run())
+
+
+def test_a_connection_header_takes_away_none_of_the_system_s() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            await s.call("/once/x", body=b"1", Connection="Granitewell-Request-Id, Host, Content-Length")
+            (seen,) = s.stand_ins[0].seen
+            assert seen.header("Granitewell-Request-Id") and seen.header("Host") and seen.body == b"1"
+
+    play(run())
+
+
+def test_a_client_s_own_instance_and_priority_are_not_believed() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            await s.call("/once/x", Granitewell_Expect_Instance="other", Priority="0")
+            (seen,) = s.stand_ins[0].seen
+            assert (seen.header("Granitewell-Expect-Instance"), seen.header("Priority")) == ("s0", "5")
+
+    play(run())
+
+
+def test_a_body_in_chunks_goes_on_whole_with_its_length() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            client.send("/once/x", Transfer_Encoding="chunked", Content_Length="", Granitewell_Request_Id="7")
+            client.writer.write(b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n")
+            answer = await client.answer()
+            assert answer is not None and answer.status == 200
+            (seen,) = s.stand_ins[0].seen
+            assert (seen.body, seen.header("Content-Length")) == (b"abcde", "5")
+            assert seen.header("Transfer-Encoding") is None
+
+    play(run())
+
+
+def test_an_encoded_body_is_not_decoded() -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.answer(body=b"\x1f\x8bno", Content_Encoding="gzip")) as s:
+            answer = await s.call("/once/x", body=b"\x1f\x8bgz", Content_Encoding="gzip")
+            assert s.stand_ins[0].seen[0].body == b"\x1f\x8bgz"
+            assert (answer.body, answer.header("Content-Encoding")) == (b"\x1f\x8bno", "gzip")
+
+    play(run())
+
+
+def test_requests_without_a_body_and_head_requests() -> None:
+    def behaviour(seen: Seen) -> None:
+        body = b"" if seen.request.first_line.startswith("HEAD") else b"well"
+        seen.writer.write(seen.head(length=4) + body)
+
+    async def run() -> None:
+        async with scene(behaviour) as s:
+            got = await s.call("/once/x", "GET")
+            assert (got.status, got.body) == (200, b"well")
+            assert s.stand_ins[0].seen[0].header("Content-Length") is None
+            head = await s.call("/once/x", "HEAD")
+            assert (head.status, head.header("Content-Length")) == (200, "4")
+            again = await s.call("/once/x", "GET")
+            assert again.body == b"well"
+
+    play(run())
+
+
+@pytest.mark.parametrize("length", [0, 1, 70_000])
+def test_bodies_of_any_length_pass(length: int) -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.answer(body=b"a" * length)) as s:
+            assert (await s.call("/once/x", body=b"b" * length)).body == b"a" * length
+            assert s.stand_ins[0].seen[0].body == b"b" * length
+
+    play(run())
+
+
+def test_answers_with_chunks_pass_whole() -> None:
+    def behaviour(seen: Seen) -> None:
+        seen.writer.write(seen.head())
+        for part in (b"ab", b"cde", b""):
+            seen.chunk(part)
+
+    async def run() -> None:
+        async with scene(behaviour) as s:
+            for _ in range(2):
+                answer = await s.call("/once/x")
+                assert (answer.status, answer.body, answer.complete) == (200, b"abcde", True)
+            assert s.stand_ins[0].connections == 1
+
+    play(run())
+
+
+# --- What is not taken ----------------------------------------------------------------------------------
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n"
+         b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n"
+         b"Content-Length: 4\r\n\r\nabcd", 400),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: +3\r\n\r\nabc", 400),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /once/x HTTP/1.1\r\nHost: a\r\nHost: shop.example\r\n\r\n", 400),
+        (b"POST /once/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"POST /once/x HTTP/1.1\r\nHost : shop.example\r\n\r\n", 400),
+        (b"POST http://shop.example/once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"rubbish\r\n\r\n", 400),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nX: " + b"a" * 5000 + b"\r\n\r\n", 431),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\n" + b"X: 12345678901234567890\r\n" * 200
+         + b"\r\n", 431),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 200000\r\n\r\n", 413),
+        (b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nGranitewell-Request-Id: 1\r\n"
+         b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", 400),
+    ],
+)  # fmt: skip
+def test_what_is_malformed_or_ambiguous_reaches_no_server(raw: bytes, status: int) -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            client.writer.write(raw)
+            answer = await client.answer()
+            assert answer is not None and answer.status == status, answer
+            assert await client.reader.read() == b""  # and the connection is not used again
+            assert s.stand_ins[0].seen == []
+
+    play(run())
+
+
+def test_bytes_behind_a_request_are_no_part_of_it() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            client.send("/once/x", body=b"ab", Granitewell_Request_Id="1")
+            client.send("/once/y", body=b"cd", Granitewell_Request_Id="2")
+            answers = [await client.answer(), await client.answer()]
+            assert [a.header("Granitewell-Request-Id") for a in answers if a] == ["1", "2"]
+            seen = [(m.target, m.body) for m in s.stand_ins[0].seen]
+            assert seen == [("/once/x", b"ab"), ("/once/y", b"cd")]
+
+    play(run())
+
+
+def test_slow_heads_and_bodies_are_ended() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            slow_head, slow_body = await s.connect(), await s.connect()
+            slow_head.writer.write(b"POST /once/x HTTP/1.1\r\nHost")
+            slow_body.writer.write(
+                b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n\r\na"
+            )
+            answer = await slow_body.answer()
+            assert answer is not None and answer.status == 408
+            assert await slow_head.reader.read() == b""
+
+    play(run())
+
+
+def test_promises_without_configuration_or_route() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            assert (await s.call("/other/x")).status == 404
+            assert (await s.call("/once")).status == 404
+            assert (await s.call("/once/x", Host="elsewhere.example")).status == 404
+            assert (await s.call("/once/x", Host="SHOP.example:80")).status == 200
+            assert (await s.call("/once/x", Granitewell_Request_Id="")).status == 400
+            s.plane._configuration = s.plane._routes = None
+            answer = await s.call("/once/x")
+            assert answer.status == 503 and answer.header("Retry-After")
+
+    play(run())
+
+
+def test_a_new_configuration_counts_at_once_and_an_older_one_never() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            s.plane.apply_configuration(configuration(3, [route("new")]))
+            s.plane.apply_configuration(configuration(2))
+            assert (await s.call("/new/x")).status == 200
+            assert (await s.call("/once/x")).status == 404
+
+    play(run())
+
+
+# --- What a server may send -----------------------------------------------------------------------------
+def test_an_answer_to_another_request_is_not_passed_on() -> None:
+    """The late one is dropped; the own one behind it counts, and the connection is not used again."""
+
+    def behaviour(seen: Seen) -> None:
+        if seen.connection == 1 and len(seen.server.seen) == 2:
+            late = seen.head(length=5).replace(seen.id.encode(), b"%016x" % 1)
+            seen.writer.write(late + b"wrong")
+        seen.answer()
+
+    async def run() -> None:
+        async with scene(behaviour) as s:
+            for k in range(3):
+                answer = await s.call("/once/x")
+                assert (answer.status, answer.body) == (200, b"well")
+                assert answer.header("Granitewell-Request-Id") == f"{k + 1:016x}"
+            assert s.stand_ins[0].connections == 2
+
+    play(run())
+
+
+@pytest.mark.parametrize("split", [False, True])
+def test_two_answers_to_other_requests_are_a_broken_one(split: bool) -> None:
+    async def behaviour(seen: Seen) -> None:
+        for name in (b"a", b"b"):
+            seen.writer.write(seen.head(length=5).replace(seen.id.encode(), name) + b"wrong")
+            if split:
+                await asyncio.sleep(0.01)
+
+    async def run() -> None:
+        async with scene(behaviour) as s:
+            assert (await s.call("/once/x")).status == 502
+
+    play(run())
+
+
+def test_bytes_behind_an_answer_belong_to_nothing() -> None:
+    """In the same segment, and later on the idle connection."""
+
+    async def behaviour(seen: Seen) -> None:
+        count = len(seen.server.seen)
+        stray = seen.head(length=5).replace(seen.id.encode(), b"zz") + b"stray"
+        if count == 1:
+            seen.writer.write(seen.head(length=4, Keep_Alive="timeout=9") + b"well" + stray)
+        elif count == 2:
+            seen.writer.write(seen.head(length=4, Keep_Alive="timeout=9") + b"well" + b"\x00rubbish")
+        elif count == 3:
+            seen.answer(Keep_Alive="timeout=9")
+            await seen.writer.drain()
+            await asyncio.sleep(0.02)
+            seen.writer.write(stray)
+        else:
+            seen.answer(Keep_Alive="timeout=9")
+
+    async def run() -> None:
+        async with scene(behaviour) as s:
+            for _ in range(3):
+                answer = await s.call("/once/x")
+                assert (answer.status, answer.body) == (200, b"well")
+            await asyncio.sleep(0.1)
+            for _ in range(2):
+                answer = await s.call("/once/x")
+                assert (answer.status, answer.body) == (200, b"well")
+            assert s.stand_ins[0].connections == 4
+
+    play(run())
+
+
+def test_connections_are_used_again_as_long_as_the_server_says() -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.answer(Keep_Alive="timeout=9")) as s:
+            for _ in range(5):
+                await s.call("/once/x")
+            assert s.stand_ins[0].connections == 1
+        async with scene(lambda seen: seen.answer(Connection="close")) as s:
+            for _ in range(2):
+                await s.call("/once/x")
+            assert s.stand_ins[0].connections == 2
+
+    play(run())
+
+
+def breaks_off(seen: Seen) -> None:
+    seen.writer.write(seen.head(length=10) + b"well")
+    seen.reset()
+
+
+def hangs_up(seen: Seen) -> None:
+    seen.writer.close()
+
+
+def rubbish(seen: Seen) -> None:
+    seen.writer.write(b"\x16\x03\x01 no answer\r\n\r\n")
+
+
+def no_seal(seen: Seen) -> None:
+    seen.answer(Granitewell_Response_Seal="")
+
+
+def no_id(seen: Seen) -> None:
+    seen.answer(Granitewell_Request_Id="")
+
+
+def endless(seen: Seen) -> None:
+    seen.writer.write(seen.head(length=0).replace(b"Content-Length: 0\r\n", b"") + b"well")
+    seen.writer.close()
+
+
+def cut_chunks(seen: Seen) -> None:
+    seen.writer.write(seen.head())
+    seen.chunk(b"well")
+    seen.writer.close()
+
+
+BROKEN = [breaks_off, hangs_up, rubbish, no_seal, no_id, endless, cut_chunks]
+
+
+@pytest.mark.parametrize("behaviour", BROKEN)
+def test_what_may_have_run_is_not_sent_again_and_no_promise(behaviour: Behaviour) -> None:
+    async def run() -> None:
+        async with scene(behaviour, behaviour) as s:
+            s.fund()
+            answer = await s.call("/once/x")
+            assert answer.status == 502 and answer.header("Granitewell-Response-Seal") is None
+            assert answer.header("Retry-After") is None
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 1
+
+    play(run())
+
+
+@pytest.mark.parametrize("behaviour", BROKEN)
+def test_what_may_be_repeated_goes_to_another_server(behaviour: Behaviour) -> None:
+    async def run() -> None:
+        async with scene(behaviour, well) as s:
+            s.fund()
+            for _ in range(6):
+                answer = await s.call("/again/x")
+                assert (answer.status, answer.body) == (200, b"well")
+            assert s.stand_ins[0].seen
+
+    play(run())
+
+
+def test_attempts_are_bounded_by_the_route() -> None:
+    async def run() -> None:
+        async with scene(*[hangs_up] * 5) as s:
+            s.fund()
+            assert (await s.call("/again/x")).status == 502
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 3
+
+    play(run())
+
+
+def test_without_budget_nothing_is_sent_again() -> None:
+    async def run() -> None:
+        async with scene(hangs_up, hangs_up) as s:
+            assert (await s.call("/again/x")).status == 502
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 1
+        async with scene(Seen.refuse, Seen.refuse) as s:
+            answer = await s.call("/again/x")
+            assert answer.status == 503 and answer.header("Retry-After")
+            assert answer.header("Granitewell-Response-Seal") is None
+
+    play(run())
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+def test_what_a_server_has_not_run_goes_to_another_one(status: int) -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.refuse(status), well) as s:
+            s.fund()
+            for _ in range(6):
+                assert (await s.call("/once/x")).status == 200
+            assert s.stand_ins[0].seen
+
+    play(run())
+
+
+def test_a_refusal_everywhere_is_a_promise() -> None:
+    async def run() -> None:
+        async with scene(*[Seen.refuse] * 3) as s:
+            s.fund()
+            answer = await s.call("/once/x")
+            assert answer.status == 503 and float(answer.header("Retry-After") or 0) > 0
+            assert answer.header("Granitewell-Not-Executed") is None
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 2  # the route's attempts
+
+    play(run())
+
+
+def test_a_refusal_then_a_break_is_no_promise() -> None:
+    def behaviour(seen: Seen) -> None:
+        if sum(len(s.seen) for s in stand_ins) == 1:
+            seen.refuse()
+        else:
+            hangs_up(seen)
+
+    stand_ins: list[StandIn] = []
+
+    async def run() -> None:
+        async with scene(behaviour, behaviour) as s:
+            stand_ins.extend(s.stand_ins)
+            s.fund()
+            assert (await s.call("/once/x")).status == 502
+
+    play(run())
+
+
+@pytest.mark.parametrize("status", [503, 429, 408])
+def test_a_promise_that_the_server_has_not_given_is_not_passed_on(status: int) -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.answer(status)) as s:
+            answer = await s.call("/once/x")
+            assert answer.status == 502 and answer.header("Granitewell-Response-Seal") is None
+
+    play(run())
+
+
+@pytest.mark.parametrize("status", [500, 504, 404, 302, 400])
+def test_a_server_s_own_failure_passes_with_its_seal(status: int) -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.answer(status, b"mine")) as s:
+            s.fund()
+            for target in ("/once/x", "/again/x"):
+                answer = await s.call(target)
+                assert (answer.status, answer.body) == (status, b"mine")
+                assert answer.header("Granitewell-Response-Seal") == "s.1"
+
+    play(run())
+
+
+def test_a_refusal_of_the_request_itself_is_passed_on() -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.refuse(400), well) as s:
+            s.fund()
+            s.plane.apply_servers([], ["s1"])
+            answer = await s.call("/once/x")
+            assert (answer.status, answer.body) == (400, b"full")
+
+    play(run())
+
+
+def test_a_server_that_can_not_be_reached_costs_no_attempt() -> None:
+    async def run() -> None:
+        async with scene(well, well, well) as s:
+            s.stand_ins[0].stop_listening()
+            s.stand_ins[1].stop_listening()
+            for _ in range(4):
+                assert (await s.call("/once/x")).status == 200  # without any budget
+        async with scene(well) as s:
+            s.stand_ins[0].stop_listening()
+            answer = await s.call("/once/x")
+            assert answer.status == 503
+
+    play(run())
+
+
+# --- Time -----------------------------------------------------------------------------------------------
+def silent(seen: Seen) -> None:
+    pass
+
+
+@pytest.mark.parametrize("target", ["/short/x", "/again-short/x"])
+def test_silence_ends_at_the_route_s_time_and_is_no_promise(target: str) -> None:
+    async def run() -> None:
+        async with scene(silent) as s:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await s.call(target)
+            assert answer.status == 504
+            assert 0.1 < loop.time() - began < 0.4
+
+    play(run())
+
+
+def test_the_client_s_time_counts_too() -> None:
+    async def run() -> None:
+        async with scene(silent) as s:
+            answer = await s.call("/once/x", Granitewell_Deadline_Ms="120")
+            assert answer.status == 504
+            assert int(s.stand_ins[0].seen[0].header("Granitewell-Deadline-Ms") or 0) < 110
+
+    play(run())
+
+
+def test_a_client_that_leaves_takes_its_request_along() -> None:
+    async def run() -> None:
+        gone = asyncio.Event()
+
+        async def behaviour(seen: Seen) -> None:
+            client.close()
+            with contextlib.suppress(ConnectionError):
+                await seen.reader.read()
+            gone.set()
+
+        async with scene(behaviour) as s:
+            client = await s.connect()
+            client.send("/once/x", Granitewell_Request_Id="1")
+            await gone.wait()
+            record = s.plane._dispatcher._services["plain"].records["s0"]
+            assert record.in_flight == record.unanswered == 0
+
+    play(run())
+
+
+# --- Streams --------------------------------------------------------------------------------------------
+def test_each_event_is_passed_on_when_it_comes_and_only_whole() -> None:
+    async def run() -> None:
+        more = asyncio.Event()
+
+        async def behaviour(seen: Seen) -> None:
+            seen.events(1)
+            seen.chunk(b"id: 2\ndata: hal")
+            await more.wait()
+            seen.chunk(b"f\n\nid: 3\n")
+            seen.chunk(b"data: x\n\n")
+            seen.chunk(b"")
+
+        async with scene(behaviour) as s:
+            client = await s.connect()
+            client.send("/stream/x", Granitewell_Request_Id="1")
+            head = await client.reader.readuntil(b"\r\n\r\n")
+            assert b"Granitewell-Response-Seal: s.1" in head
+            first = await client.reader.readuntil(b"\n\n\r\n")
+            assert first.endswith(b"id: 1\ndata: word\n\n\r\n")
+            await asyncio.sleep(0.02)
+            assert not client.reader._buffer  # type: ignore[attr-defined]
+            more.set()
+            rest = await client.reader.readuntil(b"0\r\n\r\n")
+            assert b"id: 2\ndata: half\n\n" in rest and b"id: 3\ndata: x\n\n" in rest
+
+    play(run())
+
+
+def test_a_stream_that_breaks_off_never_looks_whole() -> None:
+    def behaviour(seen: Seen) -> None:
+        seen.events(1, 2)
+        seen.chunk(b"id: 3\nda")
+        seen.writer.close()
+
+    async def run() -> None:
+        async with scene(behaviour, behaviour) as s:
+            s.fund()
+            answer = await s.call("/stream/x")
+            assert not answer.complete and answer.body == b"id: 1\ndata: word\n\nid: 2\ndata: word\n\n"
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 1
+
+    play(run())
+
+
+def test_a_stream_that_breaks_off_before_its_first_event() -> None:
+    def behaviour(seen: Seen) -> None:
+        seen.events()
+        seen.chunk(b"id: 1\n")
+        seen.writer.close()
+
+    async def run() -> None:
+        async with scene(behaviour, behaviour) as s:
+            s.fund()
+            assert (await s.call("/stream/x")).status == 502
+
+    play(run())
+
+
+def goes_on(seen: Seen, last: int = 4, repeats: int = 0) -> None:
+    """A stream of events up to `last`, behind the one that the request names."""
+    at = int(seen.request.header("Last-Event-Id") or 0)
+    seen.writer.write(seen.head(Content_Type="text/event-stream", Granitewell_Response_Seal=seen.server.name))
+    for number in range(max(at + 1 - repeats, 1), last + 1):
+        seen.event(number)
+    seen.chunk(b"")
+
+
+@pytest.mark.parametrize("repeats", [0, 2])
+def test_a_stream_that_may_be_resumed_goes_on_at_another_server(repeats: int) -> None:
+    def behaviour(seen: Seen) -> None:
+        if sum(len(s.seen) for s in stand_ins) > 1:
+            return goes_on(seen, repeats=repeats)
+        seen.writer.write(
+            seen.head(Content_Type="text/event-stream", Granitewell_Response_Seal=seen.server.name)
+        )
+        seen.event(1)
+        seen.event(2)
+        seen.chunk(b"id: 3\nda")
+        return seen.writer.close()
+
+    stand_ins: list[StandIn] = []
+
+    async def run() -> None:
+        async with scene(behaviour, behaviour) as s:
+            stand_ins.extend(s.stand_ins)
+            s.fund()
+            answer = await s.call("/resume/x")
+            first = next(m for stand_in in stand_ins for m in stand_in.seen if not m.header("Last-Event-Id"))
+            second = next(m for stand_in in stand_ins for m in stand_in.seen if m.header("Last-Event-Id"))
+            assert second.header("Last-Event-Id") == "2"
+            assert first.header("Granitewell-Expect-Instance") != second.header("Granitewell-Expect-Instance")
+            assert answer.header("Granitewell-Response-Seal") == first.header("Granitewell-Expect-Instance")
+            assert answer.complete
+            assert answer.body == b"".join(b"id: %d\ndata: word\n\n" % k for k in (1, 2, 3, 4))
+
+    play(run())
+
+
+def test_a_client_s_own_last_event_goes_along() -> None:
+    async def run() -> None:
+        async with scene(goes_on) as s:
+            answer = await s.call("/resume/x", Last_Event_Id="2")
+            assert answer.body == b"id: 3\ndata: word\n\nid: 4\ndata: word\n\n"
+            assert s.stand_ins[0].seen[0].header("Last-Event-Id") == "2"
+
+    play(run())
+
+
+def test_a_stream_without_ids_is_not_resumed() -> None:
+    def behaviour(seen: Seen) -> None:
+        seen.events()
+        seen.chunk(b"data: 1\n\n")
+        seen.writer.close()
+
+    async def run() -> None:
+        async with scene(behaviour, behaviour) as s:
+            s.fund()
+            answer = await s.call("/resume/x")
+            assert not answer.complete and answer.body == b"data: 1\n\n"
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 1
+
+    play(run())
+
+
+def test_a_resumption_that_fails_leaves_the_answer_broken() -> None:
+    def behaviour(seen: Seen) -> None:
+        if seen.request.header("Last-Event-Id"):
+            return seen.answer(500)
+        seen.events(1)
+        return seen.writer.close()
+
+    async def run() -> None:
+        async with scene(*[behaviour] * 4) as s:
+            s.fund()
+            answer = await s.call("/resume/x")
+            assert (answer.status, answer.complete, answer.body) == (200, False, b"id: 1\ndata: word\n\n")
+
+    play(run())
+
+
+def test_a_stream_ends_at_its_time_and_does_not_look_whole() -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.events(1)) as s:
+            s.plane.apply_configuration(configuration(2, [route("stream", "streaming", timeout_ms=150.0)]))
+            answer = await s.call("/stream/x")
+            assert answer.status == 200 and not answer.complete
+
+    play(run())
+
+
+def test_a_plain_answer_on_a_streaming_route_passes_whole() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            assert (await s.call("/stream/x")).body == b"well"
+
+    play(run())
+
+
+# --- Models ---------------------------------------------------------------------------------------------
+def test_a_request_goes_where_its_model_and_adapter_are() -> None:
+    async def run() -> None:
+        async with scene(well, well) as s:
+            one, two = s.stand_ins
+            s.plane.apply_servers(
+                [s.server(one, "engine", ["m1/a1"]), s.server(two, "engine", ["m1", "m2"])], []
+            )
+            for _ in range(4):
+                assert (await s.call("/model/x", Granitewell_Model="m1/a1")).status == 200
+                assert (await s.call("/model/x", Granitewell_Model="m2")).status == 200
+            assert {m.header("Granitewell-Model") for m in one.seen} == {"m1/a1"}
+            assert {m.header("Granitewell-Model") for m in two.seen} == {"m2"}
+            assert two.seen[0].header("Priority") == "1"
+
+    play(run())
+
+
+def test_a_request_waits_for_its_model_and_is_sent_at_once_when_it_is_there() -> None:
+    async def run() -> None:
+        async with scene(well, service="engine") as s:
+            call = asyncio.create_task(s.call("/model/x", Granitewell_Model="m1"))
+            while not s.demands:
+                await asyncio.sleep(0)
+            (demand,) = s.plane.take_demand()
+            assert (demand.service, demand.ref, demand.requests) == ("engine", ModelRef("m1"), 1)
+            assert (demand.waiting, demand.in_flight, demand.priority) == (1, 0, 1)
+            s.tell("engine", ["m1"])
+            assert (await call).status == 200
+            assert s.plane.take_demand() == [ModelDemand("engine", ModelRef("m1"), 0, 0, 0, 9)]
+            assert s.plane.take_demand() == []
+
+    play(run())
+
+
+def test_a_model_that_does_not_come_is_refused_before_half_its_time() -> None:
+    async def run() -> None:
+        async with scene(well, service="engine") as s:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await s.call("/model-short/x", Granitewell_Model="m1")
+            assert answer.status == 503 and answer.header("Retry-After")
+            assert 0.08 < loop.time() - began < 0.2
+            assert s.stand_ins[0].seen == []
+            assert s.plane._dispatcher._services["engine"].line._places == []
+
+    play(run())
+
+
+@pytest.mark.parametrize("model", ["m9", "m1/a3", "m1/b1", "m2/a1", "/"])
+def test_a_model_that_does_not_exist_is_refused_at_once(model: str) -> None:
+    async def run() -> None:
+        async with scene(well, service="engine") as s:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await s.call("/model/x", Granitewell_Model=model)
+            assert answer.status == 503 and loop.time() - began < 0.1
+
+    play(run())
+
+
+def test_an_instance_that_is_another_one_is_not_asked_again() -> None:
+    async def run() -> None:
+        async with scene(lambda seen: seen.refuse(421), well, service="engine", models=["m1"]) as s:
+            s.fund("engine")
+            for _ in range(6):
+                assert (await s.call("/model/x", Granitewell_Model="m1")).status == 200
+            assert len(s.stand_ins[0].seen) == 1
+
+    play(run())
+
+
+def test_draining_and_removed_servers_get_nothing() -> None:
+    async def run() -> None:
+        async with scene(well, well, well) as s:
+            one, two, _ = s.stand_ins
+            s.plane.apply_servers([s.server(one, state=ServerState.DRAINING)], ["s1"])
+            for _ in range(6):
+                assert (await s.call("/once/x")).status == 200
+            assert one.seen == two.seen == []
+            s.plane.apply_servers([s.server(two)], [], frozenset({"plain"}))
+            for _ in range(2):
+                assert (await s.call("/once/x")).status == 200
+            assert len(two.seen) == 2
+
+    play(run())
+
+
+# --- Life -----------------------------------------------------------------------------------------------
+async def readiness(s: Scene, path: str = "/readyz") -> int:
+    reader, writer = await asyncio.open_connection("127.0.0.1", s.plane.ready_port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    answer = await read_message(reader)
+    writer.close()
+    assert answer is not None
+    return answer.status
+
+
+def test_ready_with_configuration_and_servers_until_the_drain() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            assert (await readiness(s), await readiness(s, "/other")) == (200, 404)
+            s.plane._servers_known = False
+            assert await readiness(s) == 503
+            s.plane.apply_servers([], [])
+            assert await readiness(s) == 200
+            s.plane.begin_drain()
+            assert await readiness(s) == 503
+            answer = await s.call("/once/x")
+            assert answer.status == 200 and answer.header("Connection") == "close"
+
+    play(run())
+
+
+def test_a_drain_answers_all_that_was_taken(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("granitewell.dataplane.plane.LISTENS_ON_S", 0.1)
+
+    async def run() -> None:
+        release = asyncio.Event()
+
+        async def behaviour(seen: Seen) -> None:
+            await release.wait()
+            seen.answer()
+
+        async with scene(behaviour) as s:
+            idle = await s.connect()
+            early = asyncio.create_task(s.call("/once/x"))
+            s.plane.begin_drain()
+            late = asyncio.create_task(s.call("/once/y"))
+            while len(s.stand_ins[0].seen) < 2:
+                await asyncio.sleep(0.005)
+            end = asyncio.create_task(s.plane.finish(3.0))
+            assert await idle.reader.read() == b""  # closed once the listener is
+            with pytest.raises(ConnectionError):
+                await s.connect()
+            assert not end.done()
+            release.set()
+            assert [(await early).status, (await late).status] == [200, 200]
+            await end
+
+    play(run())
+
+
+def test_a_drain_ends_within_the_grace_with_an_answer_for_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a server has may have run; what waited for one has not and gets the promise."""
+    monkeypatch.setattr("granitewell.dataplane.plane.LISTENS_ON_S", 0.05)
+    monkeypatch.setattr("granitewell.dataplane.plane.END_MARGIN_S", 0.1)
+    monkeypatch.setattr("granitewell.dataplane.plane.EXPIRE_MARGIN_S", 0.1)
+
+    async def run() -> None:
+        async with scene(silent) as s:
+            client, waits = await s.connect(), await s.connect()
+            client.send("/once/x", Granitewell_Request_Id="1")
+            waits.send("/model/x", Granitewell_Request_Id="2", Granitewell_Model="m1")
+            while not s.stand_ins[0].seen or not s.demands:
+                await asyncio.sleep(0.005)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            await s.plane.finish(0.4)
+            assert loop.time() - began < 0.4
+            answer, promise = await client.answer(), await waits.answer()
+            assert answer is not None and answer.status == 504 and answer.complete
+            assert promise is not None and promise.status == 503 and promise.complete
+
+    play(run())
--- /dev/null
+++ b/tests/dataplane/test_rules.py
@@ -0,0 +1,340 @@
+"""The pure parts of the data plane: routes, events, headers, attempts, budget, waiting line, demand."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from granitewell.dataplane.affinity import MOST_PREFIXES, MOST_SERVERS, PromptMemory
+from granitewell.dataplane.demand import REPORT_GAP_S, Demand
+from granitewell.dataplane.events import MOST_EVENT_BYTES, EventCutter, EventTooLong, number_of
+from granitewell.dataplane.headers import (
+    PromptPart,
+    ServerLoad,
+    end_to_end,
+    for_sending,
+    parse_keep_alive,
+    parse_milliseconds,
+    parse_prompt_parts,
+    parse_server_load,
+    request_head,
+    without,
+)
+from granitewell.dataplane.request import (
+    CONSEQUENCES,
+    MOST_TRIES,
+    PROMISES,
+    AttemptEnd,
+    Attempts,
+    passes_unchanged,
+    proves_not_executed,
+)
+from granitewell.dataplane.retry_budget import RetryBudget
+from granitewell.dataplane.routes import RouteTable, choose_service, host_name, path_of
+from granitewell.dataplane.waiting import LineFull, WaitingLine
+from granitewell.model.configuration import Configuration, Route, RouteKind, WeightedService
+from granitewell.model.servers import ModelRef
+
+
+def a_route(prefix: str = "/", host: str = "h", **fields: Any) -> Route:
+    values: dict[str, Any] = {"kind": RouteKind.NON_IDEMPOTENT, "timeout_ms": 1000.0, "service": "s"}
+    values.update(fields)
+    return Route(name=f"{host}{prefix}", host=host, prefix=prefix, **values)
+
+
+def table(*routes: Route) -> RouteTable:
+    return RouteTable(Configuration(1, {route.name: route for route in routes}, {}))
+
+
+# --- Routes ---------------------------------------------------------------------------------------------
+SEGMENTS = st.lists(st.sampled_from(["a", "b", "ab", "%2F", ""]), max_size=4)
+
+
+@given(st.lists(SEGMENTS, min_size=1, max_size=8), SEGMENTS, st.sampled_from(["", "/", "/x"]))
+def test_the_longest_prefix_that_begins_the_path_wins(
+    known: list[list[str]], path: list[str], end: str
+) -> None:
+    prefixes = {"/" + "".join(f"{segment}/" for segment in segments) for segments in known}
+    found = table(*(a_route(prefix) for prefix in prefixes)).find("h", "/" + "/".join(path) + end)
+    wanted = max((p for p in prefixes if ("/" + "/".join(path) + end).startswith(p)), key=len, default=None)
+    assert (found.prefix if found else None) == wanted
+
+
+def test_hosts_are_alike_in_any_case_and_with_a_port() -> None:
+    routes = table(a_route("/a/", "Shop.Example"))
+    assert routes.find(host_name("SHOP.example:8080"), "/a/b")
+    assert not routes.find(host_name("example"), "/a/b")
+    assert host_name("[::1]:80") == "[::1]"
+
+
+def test_a_path_ends_before_its_query() -> None:
+    assert path_of("/a/b?c=/d?e#f") == "/a/b"
+    assert path_of("/a/%3Fb#c?d") == "/a/%3Fb"
+
+
+def test_services_are_chosen_by_weight() -> None:
+    rng = Random(1)
+    both = (WeightedService("a", 90), WeightedService("b", 10), WeightedService("c", 0))
+    drawn = [choose_service(a_route(weighted_services=both), rng) for _ in range(2000)]
+    assert 120 < drawn.count("b") < 290 and "c" not in drawn
+    state = rng.getstate()
+    assert choose_service(a_route(), rng) == "s" and rng.getstate() == state
+
+
+# --- Events ---------------------------------------------------------------------------------------------
+LINE_ENDS = st.sampled_from([b"\n", b"\r\n"])
+WORDS = st.sampled_from([b"data: x", b"id: 7", b"versions: 2", b": c", b"identity: 9"])
+LINES = st.lists(WORDS, min_size=1, max_size=4)
+EVENTS = st.tuples(LINE_ENDS, LINES).map(lambda e: e[0].join(e[1]) + e[0] * 2)
+
+
+RESTS = st.binary(max_size=5).filter(lambda rest: not set(b"\r\n") & set(rest))
+
+
+@given(st.lists(EVENTS, max_size=6), RESTS, st.data())
+def test_events_are_cut_whole_wherever_the_bytes_are_split(
+    events: list[bytes], rest: bytes, data: st.DataObject
+) -> None:
+    stream = b"".join(events) + rest
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(stream)), max_size=8)))
+    cutter = EventCutter()
+    got = [
+        event
+        for start, end in pairwise([0, *cuts, len(stream)])
+        for event in cutter.feed(stream[start:end])
+    ]
+    assert [event.data for event in got] == events
+    assert cutter.rest == rest
+    assert [event.id for event in got] == ["7" if b"id: 7" in event else None for event in events]
+
+
+@given(st.binary(max_size=60), st.lists(st.integers(0, 60), max_size=6))
+def test_no_byte_is_lost_or_changed(stream: bytes, cuts: list[int]) -> None:
+    cutter = EventCutter()
+    got = b""
+    for start, end in pairwise([0, *sorted(cuts), len(stream)]):
+        got += b"".join(event.data for event in cutter.feed(stream[start:max(start, end)]))
+    assert got + cutter.rest == b"".join(
+        stream[start:max(start, end)] for start, end in pairwise([0, *sorted(cuts), len(stream)])
+    )
+
+
+@pytest.mark.parametrize(
+    ("event", "found"),
+    [
+        (b"id:5\n\n", "5"),
+        (b"id: 5 \n\n", "5 "),
+        (b"id\n\n", ""),
+        (b"data: id: 5\n\n", None),
+        (b"id: 1\nid: 2\n\n", "2"),
+    ],
+)
+def test_ids(event: bytes, found: str | None) -> None:
+    assert EventCutter().feed(event)[0].id == found
+
+
+def test_numbers_of_ids() -> None:
+    assert number_of("12") == 12
+    assert [number_of(text) for text in ("", "-1", "x", None, "\u0663")] == [None] * 5
+
+
+def test_an_event_without_end_is_given_up() -> None:
+    cutter = EventCutter()
+    with pytest.raises(EventTooLong):
+        for _ in range(MOST_EVENT_BYTES // 65536 + 2):
+            cutter.feed(b"x" * 65536)
+
+
+# --- Headers --------------------------------------------------------------------------------------------
+def test_what_goes_along() -> None:
+    pairs = [(b"Host", b"h"), (b"TE", b"t"), (b"X", b"1"), (b"Connection", b"close, X"), (b"X-B", b"2")]
+    assert end_to_end(pairs) == [(b"Host", b"h"), (b"X-B", b"2")]
+    own = [(b"CONTENT-length", b"1"), (b"Granitewell-Deadline-Ms", b"5"), (b"Priority", b"1"), (b"Y", b"2")]
+    assert for_sending(own) == [(b"Y", b"2")]
+    assert without([(b"LAST-event-id", b"1"), (b"Y", b"2")], "Last-Event-Id") == [(b"Y", b"2")]
+
+
+def test_a_head_is_written_byte_for_byte() -> None:
+    target = b"/a/\xff%2f//..;?x".decode("utf-8", "surrogateescape")
+    head = request_head("POST", target, [(b"X", b"\xe9")], [("Priority", "1")], 0)
+    assert head == b"POST /a/\xff%2f//..;?x HTTP/1.1\r\nX: \xe9\r\nPriority: 1\r\nContent-Length: 0\r\n\r\n"
+    assert b"Content-Length" not in request_head("GET", "/", [], [], None)
+
+
+def test_figures_of_headers() -> None:
+    assert parse_server_load("3, 0,8") == ServerLoad(3, 0, 8)
+    assert parse_milliseconds("1500") == 1500.0
+    assert parse_keep_alive("timeout=5, max=100") == parse_keep_alive("max=9,timeout=5") == 5.0
+    assert parse_keep_alive("5") == 5.0
+    assert parse_prompt_parts("5c:800, 91:410") == (PromptPart("5c", 800), PromptPart("91", 410))
+    assert parse_prompt_parts("5c:800,x,91:410") == (PromptPart("5c", 800),)
+
+
+@given(st.text(max_size=30))
+def test_any_header_is_read_without_fault(text: str) -> None:
+    parse_server_load(text)
+    parse_milliseconds(text)
+    parse_keep_alive(text)
+    parse_prompt_parts(text)
+
+
+@pytest.mark.parametrize("text", ["1,2", "1,2,3,4", "-1,2,3", "a,b,c", "", None, "1,2,99999999999"])
+def test_a_load_that_is_none(text: str | None) -> None:
+    assert parse_server_load(text) is None
+
+
+@pytest.mark.parametrize("text", ["nan", "inf", "-1", "0", "", None, "1e300"])
+def test_a_time_that_is_none(text: str | None) -> None:
+    assert parse_milliseconds(text) is None
+
+
+# --- Attempts -------------------------------------------------------------------------------------------
+ENDS = st.lists(st.sampled_from(list(AttemptEnd)), max_size=8)
+KINDS = st.sampled_from([
+    {"kind": RouteKind.NON_IDEMPOTENT}, {"kind": RouteKind.IDEMPOTENT}, {"kind": RouteKind.STREAMING},
+    {"kind": RouteKind.STREAMING, "resumable": True},
+])  # fmt: skip
+
+
+@given(KINDS, st.integers(1, 4), ENDS)
+def test_attempts_keep_to_the_rules(kind: dict[str, Any], most: int, ends: list[AttemptEnd]) -> None:
+    """TWICE, BUDGET by request, and REFUSED, over any course of attempts."""
+    route = a_route(max_attempts=most, **kind)
+    attempts = Attempts(route)
+    runs = arrivals = 0
+    for end in ends:
+        if attempts.tries and not attempts.may_repeat():
+            break
+        attempts.begin()
+        if end is not AttemptEnd.NOT_CONNECTED:
+            attempts.written()
+            assert not attempts.may_repeat()
+            assert attempts.overdue_status == 504 and attempts.failure_status == 502
+        attempts.end(end)
+        arrivals += end is not AttemptEnd.NOT_CONNECTED
+        runs += end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
+    assert runs <= 1 or route.repeatable
+    assert arrivals <= most
+    assert attempts.tries <= MOST_TRIES
+    promised = attempts.failure_status in PROMISES or attempts.overdue_status in PROMISES
+    assert promised == (runs == 0)
+
+
+def test_the_table_names_every_end() -> None:
+    assert set(CONSEQUENCES) == set(AttemptEnd)
+    may_have_run = [end for end in AttemptEnd if CONSEQUENCES[end].may_have_run]
+    assert may_have_run == [AttemptEnd.FAILED, AttemptEnd.BROKEN]
+
+
+@given(st.integers(100, 599), st.booleans(), st.booleans())
+def test_what_passes_is_a_sealed_success_or_no_false_promise(status: int, sealed: bool, marked: bool) -> None:
+    if passes_unchanged(status, sealed, marked):
+        assert sealed or not 200 <= status < 300
+        assert marked or status not in (408, 421, 429, 503)
+    if proves_not_executed(status, marked):
+        assert status == 421 or marked
+
+
+# --- Budget ---------------------------------------------------------------------------------------------
+@given(
+    st.integers(1, 12), st.floats(0.0, 1.0), st.floats(0.0, 100.0),
+    st.lists(st.tuples(st.integers(0, 11), st.booleans()), max_size=400),
+)  # fmt: skip
+def test_all_nodes_together_stay_within_the_shared_budget(
+    edges: int, ratio: float, slack: float, steps: list[tuple[int, bool]]
+) -> None:
+    """In any window: repeats <= ratio x requests + slack, where the slack has at least one a node."""
+    budgets = [RetryBudget(ratio, slack, edges) for _ in range(edges)]
+    requests = repeats = 0
+    for node, sends in steps:
+        budget = budgets[node % edges]
+        if sends:
+            budget.earn()
+            requests += 1
+        elif budget.spend():
+            repeats += 1
+    assert repeats <= ratio * requests + 1e-6
+    saved = [RetryBudget(ratio, slack, edges) for _ in range(edges)]
+    for budget in saved:
+        for _ in range(100_000 if ratio > 0.01 else 0):
+            budget.earn()
+            if budget._tokens >= budget._most:
+                break
+    assert sum(budget._tokens for budget in saved) <= max(slack / 2, edges) + 1e-6
+
+
+def test_a_node_starts_without_repeats_and_loses_what_is_over_its_new_part() -> None:
+    budget = RetryBudget(0.2, 56, 1)
+    assert not budget.spend()
+    for _ in range(1000):
+        budget.earn()
+    budget.share_among(56, 14)
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+
+
+# --- Waiting line and demand ----------------------------------------------------------------------------
+@given(st.lists(st.integers(0, 9), max_size=30))
+def test_the_most_urgent_first_then_in_order(priorities: list[int]) -> None:
+    line: WaitingLine[int] = WaitingLine(most=20)
+    for number, priority in enumerate(priorities[:20]):
+        line.join(priority, number)
+    got = [(place.priority, place.request) for place in line]
+    assert got == sorted((priority, number) for number, priority in enumerate(priorities[:20]))
+    if len(priorities) > 20:
+        with pytest.raises(LineFull):
+            line.join(0, 99)
+    for place in line:
+        line.leave(place)
+        line.leave(place)
+    assert not line
+
+
+def test_demand_is_told_once_and_forgotten() -> None:
+    demand, ref = Demand(), ModelRef("m")
+    assert not demand.urgent(1.0)
+    demand.arrived("s", ref)
+    demand.waits("s", ref, 4)
+    demand.waits("s", ref, 2)
+    assert demand.urgent(1.0) and not demand.urgent(9.0)
+    demand.waits("s", ref, 3)
+    assert not demand.urgent(1.0 + REPORT_GAP_S / 2) and demand.urgent(1.0 + REPORT_GAP_S)
+    (told,) = demand.take()
+    assert (told.requests, told.waiting, told.priority) == (1, 3, 2)
+    for priority in (4, 2, 3):
+        demand.waits_no_more("s", ref, priority)
+    demand.sent("s", ref)
+    assert demand.take()[0].in_flight == 1
+    demand.ended("s", ref)
+    assert len(demand.take()) == 1 and demand.take() == []
+
+
+# --- Affinity -------------------------------------------------------------------------------------------
+def test_leading_parts_are_remembered_by_pool_and_order() -> None:
+    memory = PromptMemory()
+    one, two, three = PromptPart("1", 100), PromptPart("2", 10), PromptPart("3", 1)
+    memory.sent("p", [one, two], "s1")
+    memory.sent("p", [one, three], "s2")
+    assert memory.kept_tokens("p", [one, two, three]) == {"s1": 110, "s2": 100}
+    assert memory.kept_tokens("p", [two]) == memory.kept_tokens("other", [one]) == {}
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9)), max_size=50))
+def test_few_servers_are_remembered(sends: list[tuple[int, int]]) -> None:
+    memory = PromptMemory()
+    for part, server in sends:
+        memory.sent("p", [PromptPart(str(part), 1)], str(server))
+    for part, _ in sends:
+        assert len(memory.kept_tokens("p", [PromptPart(str(part), 1)])) <= MOST_SERVERS
+
+
+def test_what_is_remembered_is_bounded() -> None:
+    memory = PromptMemory()
+    for k in range(MOST_PREFIXES + 10):
+        memory.sent("p", [PromptPart(str(k), 1)], "s")
+    assert len(memory._servers) == MOST_PREFIXES
+    assert not memory.kept_tokens("p", [PromptPart("0", 1)])
--- a/tests/rpc/test_transport.py
+++ b/tests/rpc/test_transport.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+import uvloop
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -14,8 +15,10 @@
 from granitewell.rpc.messages import DemandReport, GroupMessage, WatchReply, decode, encode
 from granitewell.rpc.transport import HEAD, MAGIC, MOST_PAYLOAD, VERSION, Kind, Method, RpcPeers, RpcServer
 
+LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]  # what runs in service is uvloop
 
-def play(handler: Any, use: Callable[[RpcPeers, str, RpcServer], Awaitable[Any]]) -> Any:
+
+def play(handler: Any, use: Callable[[RpcPeers, str, RpcServer], Awaitable[Any]]) -> None:
     async def run() -> Any:
         server = RpcServer({Method.WATCH: handler})
         await server.start("127.0.0.1", 0)
@@ -28,7 +31,9 @@
             peers.close()
             await server.stop()
 
-    return asyncio.run(run())
+    for make_loop in LOOPS:
+        with asyncio.Runner(loop_factory=make_loop) as runner:
+            runner.run(run())
 
 
 async def echo(payload: bytes, peer: str) -> bytes:
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -3,8 +3,16 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
+import tomllib
+from importlib.metadata import requires
 from pathlib import Path
 
+import pytest
+from packaging.requirements import Requirement
+from packaging.utils import canonicalize_name
+
 ROOT = Path(__file__).resolve().parent.parent
 POLICY = (ROOT / "tiderelay" / "policy.py").read_text().splitlines()
 
@@ -26,3 +34,76 @@
     scope: dict[str, object] = {}
     exec(compile(example, "README.md", "exec"), scope)
     assert "Send" in str(scope["actions"])
+
+
+# --- packages ---------------------------------------------------------------------------------------------
+REQUIREMENTS = ("requirements.txt", "requirements-system.txt", "requirements-dev.txt")
+SYSTEM_PACKAGES = {"aiohttp", "cappa", "logbook", "mashumaro", "orjson", "thriftpy2"}
+
+
+def pins(name: str) -> dict[str, str]:
+    """Packages of a file and their versions, without those of the files that it includes."""
+    lines = (ROOT / name).read_text().splitlines()
+    return pinned([line for line in lines if line and line[0] not in "#-"])
+
+
+def pinned(texts: list[str]) -> dict[str, str]:
+    """Packages and their versions; none stands twice."""
+    pairs = [text.split("==") for text in texts]
+    versions = {str(canonicalize_name(package)): version for package, version in pairs}
+    assert len(versions) == len(texts)
+    return versions
+
+
+def test_a_package_has_one_version_in_all_files() -> None:
+    versions: dict[str, set[str]] = {}
+    for name in REQUIREMENTS:
+        for package, version in pins(name).items():
+            versions.setdefault(package, set()).add(version)
+    assert {package: found for package, found in versions.items() if len(found) > 1} == {}
+
+
+def test_the_system_has_an_extra_and_a_file_that_agree() -> None:
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    extra = pinned(project["optional-dependencies"]["system"])
+    assert set(extra) == SYSTEM_PACKAGES
+    assert extra.items() <= pins("requirements-system.txt").items()
+    assert extra.items() <= pins("requirements-dev.txt").items()
+    assert "-r requirements-system.txt" in (ROOT / "requirements-dev.txt").read_text().splitlines()
+
+
+def test_the_system_file_has_what_its_packages_need_and_nothing_else() -> None:
+    wanted, found = [*SYSTEM_PACKAGES, "uvloop"], set()
+    while wanted:
+        package = canonicalize_name(wanted.pop())
+        if package not in found:
+            found.add(package)
+            needs = [Requirement(text) for text in requires(package) or ()]
+            here = [need for need in needs if need.marker is None or need.marker.evaluate({"extra": ""})]
+            wanted += [need.name for need in here]
+    assert found == set(pins("requirements-system.txt"))
+
+
+def test_the_present_node_imports_nothing_of_the_system() -> None:
+    code = "import sys, granitewell.__main__; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    loaded = set(done.stdout.split())
+    assert "granitewell.net.loop" in loaded
+    assert not {name.partition(".")[0] for name in loaded} & SYSTEM_PACKAGES
+    assert not [name for name in loaded if name.startswith(("granitewell.cli", "granitewell.model"))]
+
+
+def test_files_of_the_packages_are_installed_with_them() -> None:
+    tool = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["setuptools"]["package-data"]
+    for package, patterns in tool.items():
+        folder = ROOT / package
+        there = {path for path in folder.rglob("*") if path.is_file() and path.suffix not in (".py", ".pyc")}
+        assert there == {path for pattern in patterns for path in folder.glob(pattern)}
+
+
+@pytest.mark.parametrize("role", ["edge", "control"])
+def test_the_deploy_file_of_the_system_names_programs_that_there_are(role: str) -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    assert deploy["roles"][role]["run"] == f"python3 -m granitewell.cli.system {role}"
+    assert (ROOT / "granitewell" / "cli" / "system" / f"{role}.py").is_file()
+    assert "requirements-system.txt" in deploy["build"]
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -1,7 +1,7 @@
 """Who may import whom, by the source of every module: the rooms, their packages, and what pure parts may use.
 
-The tables are the rule; docs/design/frame.md says why. A room that is not named may not be imported. Imports
-inside functions and under TYPE_CHECKING count too.
+The tables are the rule; docs/design/frame.md says why, and docs/design/system.md for the whole system. A room
+that is not named may not be imported. Imports inside functions and under TYPE_CHECKING count too.
 """
 
 from __future__ import annotations
@@ -47,10 +47,21 @@
     "granitewell.reload": "config",
     "granitewell.core": "core",
     "tiderelay": "tiderelay",
+    # the whole system
+    "granitewell.model": "model",
+    "granitewell.rpc": "rpc",
+    "granitewell.discovery": "discovery",  # the platform's list, as both planes read it
+    "granitewell.coordination": "coordination",
+    "granitewell.controlplane": "controlplane",
+    "granitewell.dataplane": "dataplane",
+    "granitewell.logs": "system logs",
+    "granitewell.nodes": "nodes",  # the processes: what assembles planes
+    "granitewell.cli.system": "cli.system",
 }
 
 # room: the rooms that it may import, besides its own
 LAB = {"lab base", "lab model", "lab judge", "lab sim", "lab platform", "lab cluster"}
+SYSTEM = {"model", "rpc", "discovery", "coordination", "controlplane", "dataplane", "system logs"}
 MAY = {
     "root": set(),
     "cli": {"lab", "operator", "subject", "config", *LAB},
@@ -72,6 +83,15 @@
     "logs": set(),
     "files": set(),
     "tiderelay": set(),
+    "cli.system": {"nodes", "core", "tiderelay", *SYSTEM},
+    "nodes": {"core", "tiderelay", *SYSTEM},
+    "controlplane": {"coordination", "discovery", "rpc", "model"},  # the planes never import each other
+    "dataplane": {"discovery", "model", "core", "tiderelay"},
+    "coordination": {"rpc", "model"},
+    "discovery": {"model"},
+    "rpc": {"model"},
+    "model": set(),
+    "system logs": set(),
 }
 
 # room: packages that are not Python's own
@@ -83,14 +103,43 @@
     "net": {"uvloop", "httptools"},
     "protocols": {"httptools", "msgspec"},
     "operator": {"msgspec"},
+    "cli.system": {"cappa", "uvloop", "logbook", "aiohttp", "orjson"},
+    "nodes": {"uvloop", "logbook", "aiohttp"},
+    "controlplane": {"aiohttp", "orjson", "mashumaro", "logbook"},
+    "dataplane": {"aiohttp", "yarl", "multidict", "logbook", "orjson"},
+    "coordination": {"thriftpy2"},
+    "discovery": {"aiohttp", "orjson"},
+    "rpc": {"thriftpy2"},
+    "model": {"mashumaro"},
+    "system logs": {"logbook"},
 }
 
 # rooms that are pure: no clock, no descriptor, no random number of their own
 PURE = {"core", "subject", "machine", "protocols", "lab base", "lab model", "lab judge", "lab platform",
-        "lab sim", "lab cluster", "tiderelay"}  # fmt: skip
-SHELLS = {"tiderelay.benchlink"}  # the simulator's adapter: reads and writes the pipe
+        "lab sim", "lab cluster", "tiderelay",
+        "model", "rpc", "discovery", "coordination", "controlplane", "dataplane"}  # fmt: skip
+SHELLS = {  # the modules of pure rooms that are none: they run the pure ones on clocks, sockets and files
+    "tiderelay.benchlink",  # the simulator's adapter: reads and writes the pipe
+    "granitewell.rpc.transport",
+    "granitewell.discovery.reader",
+    "granitewell.coordination.consensus.group",
+    "granitewell.coordination.durable_log",
+    "granitewell.controlplane.configuration.answers",
+    "granitewell.controlplane.configuration.api",
+    "granitewell.controlplane.configuration.body",
+    "granitewell.controlplane.ownership.owner",
+    "granitewell.controlplane.placement.controller",
+    "granitewell.controlplane.placement.orders",
+    "granitewell.controlplane.publication.publisher",
+    "granitewell.dataplane.exchange",
+    "granitewell.dataplane.front",
+    "granitewell.dataplane.plane",
+    "granitewell.dataplane.readiness",
+    "granitewell.dataplane.upstream",
+}
 IMPURE = {"asyncio", "socket", "select", "selectors", "time", "threading", "subprocess", "multiprocessing",
-          "concurrent", "signal", "ssl", "secrets", "uuid", "tempfile", "sqlite3", "uvloop"}  # fmt: skip
+          "concurrent", "signal", "ssl", "secrets", "uuid", "tempfile", "sqlite3", "uvloop",
+          "aiohttp", "logbook"}  # fmt: skip
 CLOCKS = {"os.urandom", "os.getrandom", "datetime.now", "datetime.utcnow", "datetime.today", "date.today"}
 LOADERS = {"importlib", "runpy"}  # by which an import could hide from this test; not for what serves
 
@@ -204,10 +253,36 @@
         ("granitewell.lab.model.work", "import random\nrandom.random()", "pure, and calls random.random"),
         ("granitewell.lab.model.work", "from random import Random\nRandom()", "without a seed"),
         ("granitewell.lab.day", "import datetime\ndatetime.datetime.now()", "calls datetime.datetime.now"),
+        ("granitewell.coordination.x", "from granitewell.controlplane import x", "imports controlplane"),
+        ("granitewell.coordination.x", "from granitewell.dataplane import x", "imports dataplane"),
+        ("granitewell.coordination.x", "import aiohttp", "coordination imports the package aiohttp"),
+        ("granitewell.coordination.x", "import asyncio", "pure, and imports asyncio"),
+        ("granitewell.coordination.x", "from granitewell.core import Core", "coordination imports core"),
+        ("granitewell.controlplane.x", "from granitewell.dataplane import x", "imports dataplane"),
+        ("granitewell.controlplane.x", "from granitewell.core import x", "controlplane imports core"),
+        ("granitewell.controlplane.configuration.state", "import time", "pure, and imports time"),
+        ("granitewell.controlplane.placement.planner", "import logbook", "pure, and imports logbook"),
+        ("granitewell.dataplane.x", "from granitewell.controlplane import x", "imports controlplane"),
+        ("granitewell.dataplane.x", "from granitewell.coordination import x", "imports coordination"),
+        ("granitewell.dataplane.x", "from granitewell.rpc import messages", "dataplane imports rpc"),
+        ("granitewell.dataplane.x", "from granitewell.net.loop import Node", "dataplane imports net"),
+        ("granitewell.model.servers", "from granitewell.rpc import messages", "model imports rpc"),
+        ("granitewell.model.servers", "import orjson", "model imports the package orjson"),
+        ("granitewell.rpc.messages", "from granitewell.coordination import x", "rpc imports coordination"),
+        ("granitewell.rpc.messages", "import asyncio", "pure, and imports asyncio"),
+        ("granitewell.nodes.edge", "from granitewell.cli.system import edge", "nodes imports cli.system"),
+        ("granitewell.cli.system.edge", "from granitewell.lab.day import Day", "cli.system imports lab base"),
+        ("granitewell.cli.system.commands", "import click", "cli.system imports the package click"),
+        ("granitewell.cli.main", "from granitewell.cli.system import edge", "cli imports cli.system"),
+        ("granitewell.net.loop", "from granitewell.model import servers", "net imports model"),
+        ("granitewell.core", "from granitewell.dataplane import x", "core imports dataplane"),
+        ("granitewell.logs", "from granitewell.model import errors", "system logs imports model"),
+        ("granitewell.__main__", "from granitewell import logs", "start imports system logs"),
     ],
 )  # fmt: skip
 def test_each_rule_finds_what_breaks_it(module: str, source: str, says: str) -> None:
-    known = {*SOURCES, "granitewell.routes", "granitewell.limits.pure"}
+    planes = ("coordination", "controlplane", "dataplane")
+    known = {*SOURCES, "granitewell.routes", "granitewell.limits.pure", *(f"granitewell.{x}" for x in planes)}
     assert says in " ".join(faults(module, source, dict.fromkeys(known))), faults(module, source, SOURCES)
 
 
@@ -216,6 +291,15 @@
     assert faults("granitewell.lab.model.work", good, SOURCES) == []
     assert faults("granitewell.limits.pure", "from granitewell.limits import table", SOURCES) == []
     assert faults("granitewell.net.loop", "from granitewell.net import http1, logs", SOURCES) == []
+    shell = "import asyncio\nimport aiohttp\nfrom granitewell.coordination.consensus import group"
+    assert faults("granitewell.controlplane.placement.controller", shell, SOURCES) == []
+    planes = "from granitewell.dataplane import x\nfrom granitewell.controlplane.configuration import view"
+    assert faults("granitewell.nodes.edge", planes, SOURCES) == []
+
+
+def test_only_modules_of_pure_rooms_are_named_as_shells() -> None:
+    assert {room_of(module) for module in SHELLS} <= PURE
+    assert {module for module in SHELLS if module not in SOURCES} == set()
 
 
 def test_every_room_is_somebodys_and_the_rules_have_no_circle() -> None:
--- /dev/null
+++ b/tests/test_system_logs.py
@@ -0,0 +1,185 @@
+"""Log lines of the system's processes: their form, their bound, and what is never waited for."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+import warnings
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import logbook
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from granitewell import logs
+
+
+@dataclass
+class Sink:
+    """Lines that were written, and a clock that stands still until it is moved."""
+
+    now: float = 100.0
+    lines: list[str] = field(default_factory=list)
+    reads: bool = True
+
+    def clock(self) -> float:
+        return self.now
+
+    def write(self, line: bytes) -> bool:
+        if self.reads:
+            self.lines.append(line.decode())
+        return self.reads
+
+
+@pytest.fixture
+def sink() -> Iterator[Sink]:
+    """All logging of this process goes to it for the time of a test."""
+    sink, root = Sink(), logging.getLogger()
+    before = root.handlers[:], root.level, sys.unraisablehook
+    handler = logs.set_up(clock=sink.clock, write=sink.write)
+    yield sink
+    handler.pop_application()
+    logging.captureWarnings(False)
+    root.handlers[:], _, sys.unraisablehook = before
+    root.setLevel(before[1])
+
+
+log = logbook.Logger("granitewell.test")
+
+
+def test_a_record_is_one_line_of_level_logger_message_and_values(sink: Sink) -> None:
+    log.info("leader elected", group="shard-0", term=3)
+    log.warning("disk of {}", "core-1", why="a b", share=1 / 3)
+    log.error("node {name} is gone", name="x", after=2)
+    assert sink.lines == [
+        "info granitewell.test leader elected group=shard-0 term=3\n",
+        'warning granitewell.test disk of core-1 why="a b" share=0.333333\n',
+        "error granitewell.test node x is gone after=2\n",
+    ]
+
+
+def test_nothing_below_the_level_is_written(sink: Sink) -> None:
+    log.debug("details")
+    assert sink.lines == []
+
+
+def test_an_exception_says_what_and_where_in_the_same_line(sink: Sink) -> None:
+    try:
+        os.stat("/none\nsuch")
+    except OSError:
+        log.exception("no settings")
+    (line,) = sink.lines
+    assert line.startswith("error granitewell.test no settings error=\"FileNotFoundError: ")
+    assert "at=test_system_logs.py:" in line and line.count("\n") == 1
+
+
+def test_arguments_that_do_not_fit_lose_no_line(sink: Sink) -> None:
+    log.info("share of {}: {}", 1)
+    assert sink.lines == ["info granitewell.test share of {}: {}\n"]
+
+
+@given(st.text(), st.text(), st.integers(0, 10**9))
+def test_whatever_is_in_it_a_line_is_one_line_that_a_pipe_takes_whole(
+    message: str, value: str, left_out: int
+) -> None:
+    line = logs.Line("info", "granitewell.test", message, {"value": value}, left_out).encode()
+    assert line.endswith(b"\n") and line.count(b"\n") == 1 and b"\r" not in line
+    assert len(line) <= 4096
+    assert line.decode().isprintable() or line.decode()[:-1].isprintable()
+
+
+def test_lines_of_one_template_are_bounded_and_what_was_left_out_is_told(sink: Sink) -> None:
+    for number in range(1000):
+        log.warning("peer {} is unreachable", number)
+    assert len(sink.lines) == logs.BURST
+    log.info("another template is not held up")
+    assert len(sink.lines) == logs.BURST + 1
+    sink.now += 1 / logs.RATE_PER_S
+    log.warning("peer {} is unreachable", 1000)
+    assert sink.lines[-1] == "warning granitewell.test peer 1000 is unreachable left_out=995\n"
+    sink.now += 60.0
+    log.warning("peer {} is unreachable", 1001)
+    assert sink.lines[-1] == "warning granitewell.test peer 1001 is unreachable\n"
+
+
+def test_what_is_left_out_for_good_is_told_by_the_next_line_of_any_kind(sink: Sink) -> None:
+    for _ in range(20):
+        log.warning("once only")
+    sink.now += logs.TELL_EVERY_S
+    log.info("something else")
+    assert sink.lines[-1] == "warning granitewell.logs lines were left out left_out=15\n"
+    sink.now += logs.TELL_EVERY_S
+    log.info("something else")
+    assert sink.lines[-1] == "info granitewell.test something else\n"
+
+
+def test_templates_that_are_no_constants_are_bounded_too(sink: Sink) -> None:
+    for number in range(10_000):
+        log.info(f"request {number}")
+    assert len(sink.lines) == logs.TOTAL_BURST
+    bound = logs.RateBound(0.0)
+    for number in range(10_000):
+        bound.admits("x", str(number), 0.0)
+    assert len(bound._buckets) == logs.MOST_TEMPLATES
+
+
+@given(st.lists(st.floats(0.0, 5.0), max_size=200))
+def test_a_bucket_never_gives_more_than_burst_and_rate(pauses: list[float]) -> None:
+    bucket, now, taken = logs.TokenBucket(5.0, 0.5, 0.0), 0.0, 0
+    for pause in pauses:
+        now += pause
+        taken += bucket.take(now)
+        assert taken <= 5.0 + 0.5 * now + 1e-6
+
+
+def test_while_nobody_reads_lines_are_left_out_and_counted(sink: Sink) -> None:
+    sink.reads = False
+    log.info("first")
+    sink.reads = True
+    log.info("first")
+    assert sink.lines == ["info granitewell.test first left_out=1\n"]
+
+
+def test_a_full_pipe_holds_nobody_up_and_a_closed_one_is_no_error() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(writer, b"x" * 4096)
+    os.set_blocking(writer, True)
+    write = logs.DescriptorWriter(writer)
+    assert not write(b"line\n")
+    os.read(reader, 65536)
+    assert write(b"line\n")
+    os.close(reader)
+    assert not write(b"line\n")
+    os.close(writer)
+
+
+def test_what_libraries_and_python_itself_say_comes_as_the_same_lines(sink: Sink) -> None:
+    logging.getLogger("asyncio").error("task %s was never awaited", 7)
+    logging.getLogger("aiohttp.server").info("not worth a line")
+    handlers = logging.getLogger().handlers
+    handler = next(each for each in handlers if isinstance(each, logs.StandardLoggingHandler))
+    handler.emit(logging.LogRecord("asyncio", logging.ERROR, "x.py", 1, "does not fit %s %s", (7,), None))
+    warnings.warn("soon\ngone", UserWarning, stacklevel=1)
+
+    assert sink.lines[0] == "error asyncio task 7 was never awaited\n"
+    assert sink.lines[1] == "error asyncio does not fit %s %s\n"
+    assert "soon gone" in sink.lines[2]
+    assert len(sink.lines) == 3
+
+
+def test_an_error_that_nobody_can_catch_is_a_line_too(sink: Sink, monkeypatch: pytest.MonkeyPatch) -> None:
+    class Broken:
+        def __del__(self) -> None:
+            raise ValueError("in a destructor")
+
+    hook = logs.unraisable_hook(logs.BoundedLines(sink.clock, sink.write))
+    monkeypatch.setattr(sys, "unraisablehook", hook)  # pytest has put its own in place of the one of set_up
+    Broken()
+    (line,) = sink.lines
+    assert line.startswith("error python exception ignored") and 'error="ValueError: in a destructor"' in line
--- a/tiderelay/policy.py
+++ b/tiderelay/policy.py
@@ -24,24 +24,13 @@
     Log, Outcome, PeerMessage, Probed, Refuse, Request, RequestClass, Resettled, Scope, Send, SetTimer,
     Settings, State, Timer, Uploaded, View, Watch,
 )  # fmt: skip
+from tiderelay.sizing import (
+    BINS, BURST, DELTA, EWMA_N, OVERRUN, PERIOD as PERIOD, RTT, SAMPLES, SCALE_IN as SCALE_IN, ActivePrefix,
+    forecast, slots_needed,
+)  # fmt: skip
 from tiderelay.validate import validate
 
 # --- Constants: unit, reason ----------------------------------------------------------------------------
-PERIOD = 250.0  # ms between sizings; short against a set-up time, long against most requests
-BINS = 20  # periods of history under the forecast
-SIGMAS = 2.5  # standard errors of a Poisson count from which a slope is believed
-SETUP = 2000.0  # ms ahead that the forecast looks; a new host joins the list about so late
-BURST = 2.0  # U: growth within a set-up time that must not hurt
-SLOTS_UP = 1.15  # growth of c, the slots a server is held to have, each SCALE_IN while answers stay quick
-SHRINK = 0.93  # of the prefix, the most that one shrinking takes
-CALM_LATE, CALM_SLOW = 0.015, 1.2  # late share and mean latency over the best seen, up to which c may grow
-BUSY_LATE, BUSY_SLOW = 0.05, 1.5  # the same, from which the prefix has packed too much
-DELTA = 5.0  # ms, least wait between two tries of a request
-SAMPLES = 100  # recent service times under the model; its second largest is the 99th percentile
-EWMA_N = 100.0  # answers that the running means look back on
-SCALE_IN = 3000.0  # ms, least time between two shrinkings of the prefix
-OVERRUN = 100.0  # ms, least time between two sizings that late answers ask for
-RTT = 1.0  # ms, d1 + d2 until measured
 CHOICES = 3  # hosts compared for a request (power of d choices, 4.5)
 REDRAWS = 6  # draws for hosts that may be used, inside the prefix and again outside
 EARLY = 0.45  # part of its time after which a request that no host has had is given up: from half on a late
@@ -170,7 +159,7 @@
         # latency model
         self._samples: deque[tuple[float, float]] = deque(maxlen=SAMPLES)
         self._latency, self._rtt, self._answers = 0.0, RTT, 0
-        self._sized_at, self._shrunk_at = -math.inf, -math.inf
+        self._sized_at, self._prefix = -math.inf, ActivePrefix()
         # hosts
         self._work: list[_Work] = []
         self._unit = self._report_mean = 0.0  # ms, mean part of an answer's time that depends on its host
@@ -185,10 +174,10 @@
         self._rows: list[tuple[list[Pair], int]] = []  # the hosts in order, as health takes them
         self._servers: dict[bytes, _Server] = {}
         self._order: list[_Server] = []
-        self._slots, self._even, self._floor, self._share_late = 0.0, 0.0, math.inf, 0.0
+        self._floor, self._share_late = math.inf, 0.0
         self._served, self._most, self._warm_rate, self._rate_now = 0, 0, 0.0, 0.0  # most hosts at a time
         self._others = self._least = 0.0  # requests of others at a mean host; what a warm one bears at least
-        self._asks, self._arrived, self._size, self._started = 0, 0, 0, False
+        self._asks, self._arrived, self._started = 0, 0, False
         self._told, self._told_at = (0, 0.0), -math.inf
         # admission
         self._late = self._judged = self._level = self._rate_ok = 0.0
@@ -259,63 +248,25 @@
         """A deadline whose request has its answer needs no timer."""
         return entry[2] == self._due and entry[3].id not in self._held
 
-    # --- Rate forecast (4.2) ----------------------------------------------------------------------------
+    # --- Size of the prefix (4.2 to 4.4): sizing.py -----------------------------------------------------
+    @property
+    def _size(self) -> int:
+        return self._prefix.size
+
     def _forecast(self) -> float:
-        """Requests a ms at this gateway a set-up time ahead: a line through the recent periods."""
-        n = len(self._bins)
-        if n < 2:
-            return sum(self._bins) / PERIOD
-        mean, mid = sum(self._bins) / n, (n - 1) / 2
-        spread = n * (n * n - 1) / 12
-        slope = sum((i - mid) * c for i, c in enumerate(self._bins)) / spread
-        if abs(slope) < SIGMAS * math.sqrt(mean / spread):
-            slope = 0.0  # thin counts: what chance alone would show must not scatter the gateways' prefixes
-        return min(max(mean + slope * (n - 1 - mid + SETUP / PERIOD), 0.0), 2 * max(self._bins)) / PERIOD
-
-    # --- Latency model and prefix (4.3, Eq. 1) ----------------------------------------------------------
+        """Requests a ms at this gateway a set-up time ahead."""
+        return forecast(self._bins)
+
     def _model(self, rate: float) -> int:
-        """The least number of slots whose 99th percentile of wait plus service, over the aim, is under 1."""
-        mu = 1.0 / max(self._latency - self._rtt, 0.1)
-        draws = [(math.log(1.0 - self._rng.random()), *s) for s in self._samples]
-        rank = max(len(draws) - 1 - len(draws) // 100, 0)
-        # where the service times alone pass the aim no n would do: then their own percentile is the bound
-        bound = max(1.0, 1.1 * sorted(ms / aim for _, ms, aim in draws)[rank]) if draws else 1.0
-        step, d1 = self._rtt + DELTA, self._rtt / 2
-
-        def passes(n: int) -> bool:
-            rho = rate / (n * mu)
-            if rho >= 1.0:
-                return False
-            log_rho = math.log(rho) if rho > 0 else -math.inf
-            ratios = [(d1 + max(0.0, u / log_rho - 1.0) * step + ms) / aim for u, ms, aim in draws]
-            return not ratios or sorted(ratios)[rank] < bound
-
-        low, high = 1, max(int(4 * rate / mu), 4 * len(self._order), 1)
-        if not passes(high):
-            return high
-        while low < high:
-            mid = (low + high) // 2
-            low, high = (low, mid) if passes(mid) else (mid + 1, high)
-        return low
+        """The slots that bear such a rate within the aims."""
+        return slots_needed(rate, self._latency, self._rtt, self._samples, len(self._order), self._rng)
 
     def _resize(self) -> None:
-        """Grow the prefix at once, shrink it seldom (4.4)."""
+        """Grow the prefix at once, shrink it seldom."""
         self._sized_at = self._now
-        rate = BURST * self._nodes.up * self._forecast()
-        need = self._model(rate)
-        even = need / max(len(self._order), 1)  # the c at which the model asks for the whole fleet,
-        self._even += (even - self._even) * (0.1 if self._even else 1.0)  # smoothed: forecasts are noisy
+        need = self._model(BURST * self._nodes.up * self._forecast())
         slow = self._latency / self._floor if self._answers >= EWMA_N else math.inf
-        if self._share_late > BUSY_LATE or slow > BUSY_SLOW:
-            self._slots = min(even, self._even)  # guards against packing more on hosts than they bear
-        want = self._reach(need / self._slots) if self._slots > 0.0 else len(self._order)
-        if want >= self._size:
-            self._size = want
-        if self._now - self._shrunk_at >= SCALE_IN:
-            self._shrunk_at = self._now
-            self._size = max(want, int(self._size * SHRINK))
-            if self._share_late < CALM_LATE and slow < CALM_SLOW:
-                self._slots = max(self._slots, self._even) * SLOTS_UP
+        self._prefix.resize(self._now, need, len(self._order), slow, self._share_late, self._reach)
 
     def _reach(self, want: float) -> int:
         """The least prefix that holds so many healthy hosts, for each class: a sick one counts for little."""
@@ -349,8 +300,9 @@
             self._told, self._told_at = state, self._now
             sick = sum(pair.since > 0.0 for s in self._order for pair in s.pairs)
             self._do.append(Log(
-                f"prefix {self._size} of {len(self._order)} hosts, {sick} sick pairs, c {self._slots:.2f}; "
-                f"late {self._share_late:.0%}, shedding {self._level:.0%}, mean {self._latency:.0f} ms"
+                f"prefix {self._size} of {len(self._order)} hosts, {sick} sick pairs, "
+                f"c {self._prefix.slots:.2f}; late {self._share_late:.0%}, shedding {self._level:.0%}, "
+                f"mean {self._latency:.0f} ms"
             ))  # fmt: skip
 
     # --- Pick (4.5) -------------------------------------------------------------------------------------
@@ -780,7 +732,7 @@
             del self._servers[server.id]
         order = sorted((s for s in self._servers.values() if s.ready), key=lambda s: s.id)
         full = self._size >= len(self._order)
-        self._order, self._size = order, len(order) if full else min(self._size, len(order))
+        self._order, self._prefix.size = order, len(order) if full else min(self._size, len(order))
         self._rows = [(s.pairs, s.zone) for s in order]
         self._cells = {}
         if self._set.warm_keys:
@@ -809,8 +761,9 @@
     def judged(self) -> tuple[dict[str, float], list[bool], Any, Any]:
         """For on call, changing nothing: figures, full classes, each held request (class, came) and each
         ready host (id, in the prefix, warm share, speed ratio, Health.judged), the last two one by one."""
-        figures = {"prefix": self._size, "c": self._slots, "shedding": self._level, "late": self._share_late,
-                   "mean_ms": self._latency, "repeats": self._retries}  # fmt: skip
+        figures = {"prefix": self._size, "c": self._prefix.slots, "shedding": self._level,
+                   "late": self._share_late, "mean_ms": self._latency,
+                   "repeats": self._retries}  # fmt: skip
         held, rows = list(self._held.values()), self._health.judged
         return figures, list(self._health.full), ((r.index, r.came) for r in held), (
             (s.id, s.rank < self._size, self._share(s), s.ratio, rows(s.pairs, s.zone, self._now))
