--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -22,6 +22,7 @@
 from granitewell.coordination.consensus.identity import load_identity
 from granitewell.coordination.rendezvous import shard_of
 from granitewell.model.settings import Settings
+from granitewell.nodes.layout import SHARDS
 from granitewell.nodes.process import SettingsFile, Signals, follow_settings, run_process
 from granitewell.nodes.shards import OwnedShard, TableFollower
 from granitewell.rpc.messages import (
@@ -35,7 +36,6 @@
 from granitewell.rpc.translation import demand_from_message
 from granitewell.rpc.transport import Method, RpcPeers, RpcServer
 
-SHARDS = 2
 CONFIGURATION_GROUP = "configuration"
 EDGE_COUNT_EVERY_S = 1.0
 STOP_S = 1.5  # for handing leadership over, on SIGTERM
@@ -178,9 +178,7 @@
     async def _start_api(self) -> None:
         app = web.Application(client_max_size=32 * 1024 * 1024)
         own_address = str(self.settings.listen.control)
-        api = OperatorApi(
-            self.store, self.configuration_group, self.control_address, own_address=own_address
-        )
+        api = OperatorApi(self.store, self.configuration_group, self.control_address, own_address=own_address)
         api.routes(app)
         runner = web.AppRunner(app, access_log=None, handle_signals=False)
         await runner.setup()
--- /dev/null
+++ b/granitewell/nodes/control_watch.py
@@ -0,0 +1,210 @@
+"""What an edge learns: from the control plane by long-polls, from the platform's list where that is old."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import aiohttp
+from logbook import Logger
+
+from granitewell.controlplane.configuration.view import ConfigurationView
+from granitewell.controlplane.publication.publisher import update_from_message
+from granitewell.controlplane.publication.table import Version
+from granitewell.coordination.rendezvous import shard_of
+from granitewell.dataplane.plane import DataPlane
+from granitewell.discovery.instances import BadList, ListedInstance
+from granitewell.discovery.reader import InstanceReader, ListUnavailable
+from granitewell.model.errors import GranitewellError, RpcError
+from granitewell.model.servers import Server, ServerState
+from granitewell.model.settings import Settings
+from granitewell.nodes.control_nodes import ControlNodes
+from granitewell.nodes.layout import SHARDS
+from granitewell.rpc.messages import TableVersion, WatchReply, WatchRequest, decode, encode
+from granitewell.rpc.transport import Method, RpcPeers
+
+HOLD_S = 1.0
+REPLY_SLACK_S = 0.4  # beyond the hold, after which a control node is given up
+RETRY_S = 0.1
+LIST_OLD_S = 1.5  # a list older than that is read from the platform itself
+LIST_LOOK_S = 0.3
+LIST_PAUSE_S = 0.85
+RATE_SHARE = 0.5  # of the platform's rate, for all edges together
+
+log = Logger("granitewell.edge")
+
+
+class ControlWatch:
+    """Long-polls for everything an edge needs."""
+
+    def __init__(self, settings: Settings, plane: DataPlane) -> None:
+        self._settings = settings
+        self._plane = plane
+        self._view = ConfigurationView()
+        self._versions: dict[int, Version] = {}
+        self._servers: dict[int, dict[str, Server]] = {}  # by shard and id
+        self._own_servers: dict[int, list[Server]] = {}  # by shard, until its first table comes
+        self.listed_at: dict[int, float] = {}
+        self.most_edges = 1
+        self.peers = RpcPeers()
+        self.nodes = ControlNodes(settings.node_name)
+        self._wanted_whole = False
+        self.take_settings(settings)
+
+    def take_settings(self, settings: Settings) -> None:
+        """Other seeds."""
+        port = settings.control_rpc_port
+        self.nodes.set_seeds([f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds])
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            node = self.nodes.current
+            if node is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            try:
+                payload = encode(self._request())
+                reply = await self.peers[node].call(Method.WATCH, payload, HOLD_S + REPLY_SLACK_S)
+                self._take(decode(WatchReply, reply))
+            except RpcError as error:
+                log.debug("control node {}: {}", node, error)
+                self.nodes.failed()
+                await asyncio.sleep(RETRY_S)
+
+    def _request(self) -> Any:
+        return WatchRequest(
+            node=self._settings.node_name,
+            zone=self._settings.zone,
+            edge=True,
+            configuration_version=0 if self._wanted_whole else self._view.version,
+            tables=[
+                TableVersion(shard=shard, epoch=version.epoch, sequence=version.sequence)
+                for shard, version in self._versions.items()
+            ],
+            hold_ms=int(HOLD_S * 1000),
+            members_digest=self.nodes.digest,
+        )
+
+    def _take(self, reply: Any) -> None:
+        if reply.control_nodes:
+            self.nodes.set_known(reply.control_nodes)
+        if reply.configuration is not None:
+            self._take_configuration(reply.configuration)
+        for message in reply.tables or ():
+            self._take_table(message)
+        self.most_edges = max(reply.most_edges, 1)
+        self._plane.set_edges(max(reply.edges, 1), self.most_edges)
+
+    def _take_configuration(self, message: Any) -> None:
+        try:
+            configuration = self._view.apply(message.version, bool(message.whole), message.documents or ())
+        except GranitewellError as error:
+            log.warning("configuration {} does not fit: {}", message.version, error)
+            self._wanted_whole = True
+            return
+        self._wanted_whole = False
+        if configuration is not None:
+            self._plane.apply_configuration(configuration)
+
+    def _take_table(self, message: Any) -> None:
+        shard = message.version.shard
+        update = update_from_message(message)
+        known = self._versions.get(shard, Version())
+        if update.version < known:
+            return
+        if message.list_age_ms >= 0:
+            listed_at = time.monotonic() - message.list_age_ms / 1000.0
+            self.listed_at[shard] = max(self.listed_at.get(shard, listed_at), listed_at)
+        if update.version == known and not update.whole:
+            return
+        servers = self._servers.setdefault(shard, {})
+        removed = list(update.removed)
+        removed += [server.id for server in self._own_servers.pop(shard, ())]
+        if update.whole:
+            kept = {server.id for server in update.changed}
+            removed += [key for key in servers if key not in kept]
+        self._versions[shard] = update.version
+        for key in removed:
+            servers.pop(key, None)
+        servers.update({server.id: server for server in update.changed})
+        current = {server.id for server in update.changed}
+        self._plane.apply_servers(update.changed, [key for key in removed if key not in current])
+
+    def take_own_list(self, instances: Sequence[ListedInstance]) -> None:
+        """This edge has read the platform's list itself: servers that drain or are gone are used no more.
+        What the control plane tells next counts again."""
+        listed = {one.id: one for one in instances}
+        now = time.monotonic()
+        self._use_listed(instances)
+        for shard, servers in self._servers.items():
+            gone = [key for key in servers if key not in listed]
+            draining = [
+                replace(server, state=ServerState.DRAINING)
+                for key, server in servers.items()
+                if key in listed
+                and listed[key].state is ServerState.DRAINING
+                and server.state is not ServerState.DRAINING
+            ]
+            for key in gone:
+                del servers[key]
+            servers.update({server.id: server for server in draining})
+            self.listed_at[shard] = now
+            if gone or draining:
+                self._plane.apply_servers(draining, gone)
+
+    def _use_listed(self, instances: Sequence[ListedInstance]) -> None:
+        """Servers of shards whose table has never come: better than none."""
+        self._own_servers = {}
+        for one in instances:
+            shard = shard_of(one.service, SHARDS)
+            if shard not in self._servers:
+                self._own_servers.setdefault(shard, []).append(_server(one))
+        for servers in self._own_servers.values():
+            self._plane.apply_servers(servers, [])
+
+    def list_age_s(self) -> float:
+        """Of the oldest table; infinite before the first."""
+        if not self.listed_at:
+            return float("inf")
+        return time.monotonic() - min(self.listed_at.values())
+
+
+def _server(one: ListedInstance) -> Server:
+    """A server as the platform lists it."""
+    models = {held.name: held for held in one.models}
+    return Server(one.id, one.service, one.address, one.zone, one.slots, one.state, one.leaves_in_ms, models)
+
+
+class OwnList:
+    """Reads the platform's list itself while the control plane's is old, for what must not wait: servers that
+    drain or are gone."""
+
+    def __init__(self, settings: Settings, watch: ControlWatch, plane: DataPlane, rng: Random) -> None:
+        self._settings = settings
+        self._watch = watch
+        self._plane = plane
+        self._rng = rng
+
+    async def run(self, session: aiohttp.ClientSession) -> None:
+        """Until cancelled."""
+        reader = InstanceReader(self._settings.cloud.address, session)
+        while True:
+            await asyncio.sleep(LIST_LOOK_S * (0.5 + self._rng.random()))
+            if self._watch.list_age_s() < LIST_OLD_S:
+                continue
+            try:
+                instances = await reader.read()
+            except (ListUnavailable, BadList) as error:
+                log.debug("own list: {}", error)
+                continue
+            self._watch.take_own_list(instances)
+            await asyncio.sleep(self._pause_s() * (0.85 + 0.3 * self._rng.random()))
+
+    def _pause_s(self) -> float:
+        """Between two readings: all edges together stay well below the platform's rate."""
+        return max(LIST_PAUSE_S, self._watch.most_edges / (RATE_SHARE * self._settings.cloud.rate_per_s))
--- a/granitewell/nodes/process.py
+++ b/granitewell/nodes/process.py
@@ -9,10 +9,14 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import uvloop
+
+from granitewell import logs
 from granitewell.model.errors import InvalidSettings
 from granitewell.model.settings import Settings, read_settings, settings_path
 
 SETTINGS_LOOK_S = 1.0
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)  # rare: little here is cyclic, and pauses are charged to requests
 BAD_SETTINGS = 2  # exit code, as docs/operate/exit-codes.md has it
 
 
@@ -88,21 +92,14 @@
         print(f"granitewell: {error}", file=sys.stderr)
         return BAD_SETTINGS
 
+    logs.set_up()
+
     async def main() -> None:
         signals = Signals()
         signals.install()
         await serve(file, signals)
 
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
-    _run(main)
+    gc.freeze()  # what is imported stays: no collection need look at it again
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    uvloop.run(main())
     return 0
-
-
-def _run(main: Callable[[], Awaitable[None]]) -> None:
-    import uvloop
-
-    async def wrapped() -> None:
-        await main()
-
-    uvloop.run(wrapped())
--- a/granitewell/rpc/transport.py
+++ b/granitewell/rpc/transport.py
@@ -227,7 +227,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 protocol = await self._connected()
-                future = protocol.waiting[call] = asyncio.get_running_loop().create_future()
+                future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+                protocol.waiting[call] = future
                 protocol.write(Kind.CALL, method, call, payload)
                 return await future
         except TimeoutError as error:
--- /dev/null
+++ b/tests/nodes/test_control_watch.py
@@ -0,0 +1,176 @@
+"""What an edge makes of the control plane's replies and of the platform's list."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+
+from granitewell.controlplane.publication.publisher import members_digest
+from granitewell.coordination.rendezvous import shard_of
+from granitewell.discovery.instances import ListedInstance
+from granitewell.model.configuration import Configuration
+from granitewell.model.servers import HeldModel, Server, ServerState
+from granitewell.model.settings import Settings
+from granitewell.nodes.control_nodes import ControlNodes
+from granitewell.nodes.control_watch import ControlWatch
+from granitewell.nodes.layout import SHARDS
+from granitewell.rpc.messages import (
+    ConfigurationUpdate,
+    TableUpdate,
+    TableVersion,
+    WatchReply,
+    decode,
+    encode,
+)
+from granitewell.rpc.translation import server_to_message
+
+SETTINGS = Settings.from_dict(
+    {
+        "node-name": "edge-1",
+        "ip": "10.0.0.9",
+        "zone": "z",
+        "region": "r",
+        "listen": {},
+        "internal-ports": [7660, 7675],
+        "seeds": ["10.0.0.1:8146", "10.0.0.2:8146"],
+        "cloud": {"address": "10.0.0.200:80"},
+    }
+)
+
+
+class FakePlane:
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Server] = {}
+        self.configurations: list[Configuration] = []
+        self.edges = (0, 0)
+
+    def apply_servers(self, changed: Sequence[Server], removed: Sequence[str]) -> None:
+        for key in removed:
+            self.servers.pop(key, None)
+        self.servers.update({server.id: server for server in changed})
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        self.configurations.append(configuration)
+
+    def set_edges(self, alive: int, most: int) -> None:
+        self.edges = (alive, most)
+
+
+def service_of_shard(shard: int) -> str:
+    return next(name for name in map("svc{}".format, range(100)) if shard_of(name, SHARDS) == shard)
+
+
+def server(key: str, shard: int = 0, state: ServerState = ServerState.READY) -> Server:
+    return Server(key, service_of_shard(shard), "10.0.1.1:80", "z", 4, state, -1, {"m": HeldModel("m")})
+
+
+def listed(key: str, shard: int = 0, state: ServerState = ServerState.READY) -> ListedInstance:
+    return ListedInstance(key, service_of_shard(shard), "10.0.1.1:80", "z", 4, state, -1, (HeldModel("m"),))
+
+
+def reply(*updates: Any, **more: Any) -> Any:
+    made = WatchReply(tables=list(updates), control_nodes=[], members_digest=0, edges=3, most_edges=8, **more)
+    return decode(WatchReply, encode(made))
+
+
+def table(shard: int, epoch: int, sequence: int, *servers: Server, **more: Any) -> Any:
+    return TableUpdate(
+        version=TableVersion(shard=shard, epoch=epoch, sequence=sequence),
+        whole=more.get("whole", False),
+        changed=[server_to_message(one) for one in servers],
+        removed=more.get("removed", []),
+        list_age_ms=more.get("age_ms", 0),
+    )
+
+
+@pytest.fixture
+def plane() -> FakePlane:
+    return FakePlane()
+
+
+@pytest.fixture
+def watch(plane: FakePlane) -> ControlWatch:
+    return ControlWatch(SETTINGS, plane)  # type: ignore[arg-type]
+
+
+def test_tables_are_taken_whole_and_by_changes(watch: ControlWatch, plane: FakePlane) -> None:
+    watch._take(reply(table(0, 1, 5, server("a"), server("b"), whole=True)))
+    watch._take(reply(table(0, 1, 6, server("c"), removed=["a"])))
+    assert sorted(plane.servers) == ["b", "c"]
+    assert plane.edges == (3, 8)
+
+
+def test_another_epoch_brings_the_whole_and_drops_the_rest(watch: ControlWatch, plane: FakePlane) -> None:
+    watch._take(reply(table(0, 1, 5, server("a"), server("b"), whole=True)))
+    watch._take(reply(table(0, 2, 1, server("b"), whole=True)))
+    assert sorted(plane.servers) == ["b"]
+
+
+def test_what_is_older_than_what_is_known_changes_nothing(watch: ControlWatch, plane: FakePlane) -> None:
+    watch._take(reply(table(0, 2, 5, server("a"), whole=True)))
+    watch._take(reply(table(0, 1, 9, server("z"), whole=True)))
+    assert sorted(plane.servers) == ["a"]
+
+
+def test_before_the_first_table_the_platforms_list_is_used(watch: ControlWatch, plane: FakePlane) -> None:
+    watch.take_own_list([listed("a"), listed("b", shard=1)])
+    assert sorted(plane.servers) == ["a", "b"]
+    watch._take(reply(table(0, 1, 1, server("a2"), whole=True)))
+    assert sorted(plane.servers) == ["a2", "b"]
+    watch._take(reply(table(1, 1, 1, server("b", shard=1), whole=True)))
+    assert sorted(plane.servers) == ["a2", "b"]
+
+
+def test_a_server_that_drains_or_is_gone_by_the_own_list_is_used_no_more(
+    watch: ControlWatch, plane: FakePlane
+) -> None:
+    watch._take(reply(table(0, 1, 5, server("a"), server("b"), server("c"), whole=True)))
+    watch.take_own_list([listed("a", state=ServerState.DRAINING), listed("b")])
+    assert plane.servers["a"].state is ServerState.DRAINING
+    assert sorted(plane.servers) == ["a", "b"]
+    assert watch.list_age_s() < 1.0
+
+
+def test_a_change_that_does_not_fit_asks_for_the_whole(watch: ControlWatch, plane: FakePlane) -> None:
+    broken = ConfigurationUpdate(version=9, whole=False, documents=[b"garbage"])
+    watch._take(reply(configuration=broken))
+    assert plane.configurations == []
+    assert watch._request().configuration_version == 0
+    whole = ConfigurationUpdate(version=9, whole=True, documents=[b'{"version":9,"routes":[],"services":[]}'])
+    watch._take(reply(configuration=whole))
+    assert [one.version for one in plane.configurations] == [9]
+
+
+def test_a_control_node_that_fails_is_followed_by_another() -> None:
+    nodes = ControlNodes("edge-1")
+    nodes.set_seeds(["a:1", "b:1", "c:1"])
+    seen = []
+    for _ in range(3):
+        seen.append(nodes.current)
+        nodes.failed()
+    assert sorted(seen, key=str) == ["a:1", "b:1", "c:1"]
+
+
+def test_news_of_control_nodes_keeps_the_one_that_answers() -> None:
+    nodes = ControlNodes("edge-1")
+    nodes.set_seeds(["a:1", "b:1", "c:1"])
+    nodes.failed()
+    current = nodes.current
+    nodes.set_known(["b:1", "c:1", "a:1", "d:1"])
+    assert nodes.current == current
+    assert nodes.digest == members_digest(["a:1", "b:1", "c:1", "d:1"])
+
+
+def test_seeds_that_are_dead_do_not_hide_known_nodes() -> None:
+    nodes = ControlNodes("edge-1")
+    nodes.set_seeds(["dead:1"])
+    nodes.set_known(["a:1"])
+    seen = set()
+    for _ in range(2):
+        seen.add(nodes.current)
+        nodes.failed()
+    assert seen == {"dead:1", "a:1"}
