--- a/granitewell/controlplane/placement/planner.py
+++ b/granitewell/controlplane/placement/planner.py
@@ -26,7 +26,7 @@
 
 __all__ = ["BUSY_RATE", "KEEP_RATE", "ServerView", "StoreView", "plan"]
 
-BUSY_ADAPTER_RATE = 1.5  # the same for an adapter, which comes back in some ms
+BUSY_ADAPTER_RATE = 1.5  # requests a second from which an adapter has two copies: it comes back in some ms
 
 # Value that may be given up, in misses a second
 RELIEF_VALUE = 0.3  # value that may be given up for each request a second taken off a copy
--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from granitewell.coordination.consensus.core import Core
@@ -60,6 +61,8 @@
         self._hand_over: _HandOver | None = None
         self._no_hand_over_before = now
         self._announce_commit = False
+        self._uncommitted: deque[Entry] = deque()
+        self._uncommitted_bytes = 0
         self.given_up = False
         self.heartbeat_at = now
         self._follow_membership(now)
@@ -101,13 +104,15 @@
         core = self._core
         entry = Entry(core.log.last_index + 1, core.term, kind, data)
         core.append(entry)
+        self._uncommitted.append(entry)
+        self._uncommitted_bytes += len(data)
         return entry
 
     def uncommitted_bytes(self) -> int:
-        """Of entries that are not committed yet."""
-        core = self._core
-        waiting = core.log.between(core.commit_index + 1, core.log.last_index)
-        return sum(len(entry.data) for entry in waiting)
+        """Of entries of this term that are not committed yet."""
+        while self._uncommitted and self._uncommitted[0].index <= self._core.commit_index:
+            self._uncommitted_bytes -= len(self._uncommitted.popleft().data)
+        return self._uncommitted_bytes
 
     def advance_commit(self) -> None:
         """Commit what a quorum has on disk, once that includes an entry of this term."""
--- a/granitewell/dataplane/plane.py
+++ b/granitewell/dataplane/plane.py
@@ -46,6 +46,9 @@
 DEADLINE_MARGIN_S = 0.020  # our last word must reach the client before it gives up
 WAKE_GAP_S = 0.05  # between two looks for servers while requests wait: other nodes' requests end unseen
 NO_CONFIGURATION_RETRY_S = 0.5
+CONFIGURATION_HOLD_S = 1.5  # an election and a long-poll
+CONFIGURATION_HOLD_PART = 0.4  # of a request's time, so that a retry elsewhere has some left
+MOST_HELD_FOR_CONFIGURATION = 256  # requests, with their bodies
 LISTENS_ON_S = 2.5  # after SIGTERM: the platform asks each second and needs two misses
 END_MARGIN_S = 0.6  # before SIGKILL
 EXPIRE_MARGIN_S = 0.2  # before that: what has no answer yet gets one that promises no more than is known
@@ -74,6 +77,8 @@
         self._upstreams = UpstreamPool(clock)
         self._front = Front(self._answer, Limits())
         self._readiness = ReadinessServer(lambda: self.ready)
+        self._configured = asyncio.Event()
+        self._held_for_configuration = 0
         self._servers_known = False
         self._draining_since: float | None = None
         self._waker: asyncio.TimerHandle | None = None
@@ -87,6 +92,7 @@
             return
         self._configuration = configuration
         self._routes = RouteTable(configuration)
+        self._configured.set()
         self._dispatcher.apply_configuration(configuration)
         self._front.set_limits(configuration.limits)
         _log.info("configuration {} in force: {} routes", configuration.version, len(configuration.routes))
@@ -201,8 +207,10 @@
         limits = self._configuration.limits if self._configuration is not None else Limits()
         check_head(request, limits)
         body = await read_body(request, limits)
-        configuration, routes = self._configuration, self._routes
-        if configuration is None or routes is None:
+        if self._routes is None:
+            await self._wait_for_configuration(request)
+        routes = self._routes
+        if routes is None:
             return own_response(OwnAnswer(503, "no configuration yet", NO_CONFIGURATION_RETRY_S))
         route = routes.find(host_name(request.headers["Host"]), path_of(request.raw_path))
         if route is None:
@@ -212,6 +220,24 @@
             raise RefusedRequest(400, f"{REQUEST_ID} is missing")
         return await self._exchanged(request, self._client_request(request, route, body, arrived_at), route)
 
+    async def _wait_for_configuration(self, request: BaseRequest) -> None:
+        """A process that has just started learns the configuration in a moment, where the control plane is
+        up: a refusal would cost the client its retry."""
+        told_ms = parse_milliseconds(request.headers.get(DEADLINE_MS))
+        hold_s = CONFIGURATION_HOLD_S
+        if told_ms is not None:
+            hold_s = min(hold_s, CONFIGURATION_HOLD_PART * told_ms / 1000.0)
+        if self._held_for_configuration >= MOST_HELD_FOR_CONFIGURATION:
+            return
+        self._held_for_configuration += 1
+        try:
+            async with asyncio.timeout(hold_s):
+                await self._configured.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self._held_for_configuration -= 1
+
     def _client_request(
         self, request: BaseRequest, route: Route, body: bytes | None, arrived_at: float
     ) -> ClientRequest:
--- a/tests/coordination/defects.py
+++ b/tests/coordination/defects.py
@@ -142,8 +142,8 @@
     patch.setattr(Persistence, "truncated", lambda self, index: None)
 
 
-def removed_id_comes_back(patch: pytest.MonkeyPatch) -> None:
-    """A replica that lost its place is not told so, and is never let in again."""
+def removed_is_not_told(patch: pytest.MonkeyPatch) -> None:
+    """A replica that lost its place is not told so."""
     patch.setattr(Replica, "_is_removed", lambda self, replica_id: False)
 
 
--- a/tests/coordination/test_scenarios.py
+++ b/tests/coordination/test_scenarios.py
@@ -5,7 +5,6 @@
 import pytest
 
 from granitewell.coordination.consensus.messages import HeartbeatReply
-from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.terms import Role
 from tests.coordination.defects import (
     changes_overlap,
@@ -15,6 +14,7 @@
     late_round_renews,
     no_stickiness,
     remove_unguarded,
+    removed_is_not_told,
 )
 from tests.coordination.faults import describe
 from tests.coordination.world import Link, Machine, Process, Violation, World
@@ -165,7 +165,7 @@
 
 
 def test_a_replaced_voter_that_nobody_tells_stays_outside(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Replica, "_is_removed", lambda self, replica_id: False)
+    removed_is_not_told(monkeypatch)
     with pytest.raises(AssertionError):
         test_a_voter_that_was_replaced_while_cut_off_joins_under_a_fresh_id()
 
--- a/tests/dataplane/test_plane.py
+++ b/tests/dataplane/test_plane.py
@@ -243,6 +243,38 @@
     play(run())
 
 
+def without_configuration(s: Scene) -> None:
+    s.plane._configuration = s.plane._routes = None
+    s.plane._configured.clear()
+
+
+def test_a_request_that_comes_before_the_configuration_waits_for_it() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            without_configuration(s)
+            call = asyncio.create_task(s.call("/once/x"))
+            while not s.plane._held_for_configuration:
+                await asyncio.sleep(0)
+            s.plane.apply_configuration(configuration(2))
+            assert (await call).status == 200
+            assert s.plane._held_for_configuration == 0
+
+    play(run())
+
+
+def test_it_waits_for_a_part_of_its_time_and_many_do_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            without_configuration(s)
+            answer = await s.call("/once/x", Granitewell_Deadline_Ms="25")
+            assert answer.status == 503 and answer.header("Retry-After")
+            monkeypatch.setattr("granitewell.dataplane.plane.MOST_HELD_FOR_CONFIGURATION", 0)
+            monkeypatch.setattr("granitewell.dataplane.plane.CONFIGURATION_HOLD_S", 1e9)
+            assert (await s.call("/once/x", Granitewell_Deadline_Ms="100000000")).status == 503
+
+    play(run())
+
+
 def test_a_defect_is_a_500_and_logged_once_in_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
     def fails(*_: object) -> None:
         raise KeyError("planted")
