Messages between nodes are checked before the library reads them

Cause: thriftpy2 believes counts; 8 bytes that say 'long list' took all memory, a long text crashed the process (found by the consensus part's tests). Change: every count is held against the bytes left, nesting against a bound; cut, negative and endless ones are refused.

--- a/granitewell/rpc/messages.py
+++ b/granitewell/rpc/messages.py
@@ -10,6 +10,7 @@
 from thriftpy2.utils import deserialize, serialize
 
 from granitewell.model.errors import BadFrame
+from granitewell.rpc.structure import check_struct
 
 _IDL = thriftpy2.load(str(Path(__file__).with_name("internal.thrift")), "granitewell_internal_thrift")
 _PROTOCOL = TBinaryProtocolFactory(strict_decode=False)
@@ -34,6 +35,7 @@
 
 def decode(kind: Any, data: bytes) -> Any:
     """A message of a kind from its binary form; raises BadFrame."""
+    check_struct(data)
     try:
         return deserialize(kind(), data, _PROTOCOL)
     except Exception as error:  # the library raises whatever the bytes lead it to
--- a/tests/controlplane/test_placement_planner.py
+++ b/tests/controlplane/test_placement_planner.py
@@ -129,7 +129,7 @@
     servers = [server(1, "m0"), *(server(number, "m4") for number in range(2, 10))]
     asked = {"m0": RefDemand(12.0, 0.1, 8), "m4": RefDemand(1.0, 0.1, 1)}
     orders = planned(servers, asked, StoreView(4, 6))
-    assert [order.ref for order in orders] == [ModelRef("m0")] * 4  # 12 of 13 requests a second on one of nine
+    assert [order.ref for order in orders] == [ModelRef("m0")] * 4  # nearly all requests on one
     assert len({order.server_id for order in orders}) == 4
 
 
--- a/tests/rpc/test_transport.py
+++ b/tests/rpc/test_transport.py
@@ -132,6 +132,24 @@
             continue
 
 
+def test_counts_beyond_the_bytes_are_refused_before_the_library_reads_them() -> None:
+    long_list = bytes([15, 0, 3, 12]) + (2**31 - 1).to_bytes(4, "big")
+    long_text = bytes([11, 0, 1]) + (2**31 - 1).to_bytes(4, "big") + b"x"
+    negative = bytes([11, 0, 1]) + b"\xff\xff\xff\xff" + b"\0"
+    long_map = bytes([13, 0, 1, 2, 2]) + (2**31 - 1).to_bytes(4, "big")
+    deep = bytes([12, 0, 1]) * 50 + b"\0" * 51
+    for data in (long_list, long_text, negative, long_map, deep, b"", b"\x0c", b"\x63\0\1"):
+        with pytest.raises(BadFrame):
+            decode(WatchReply, data)
+
+
+def test_a_message_cut_anywhere_is_refused() -> None:
+    whole = encode(GroupMessage(group="g", sender_address="10.0.0.1:7660", payload=b"payload"))
+    for length in range(len(whole)):
+        with pytest.raises(BadFrame):
+            decode(GroupMessage, whole[:length])
+
+
 @given(st.text(max_size=20), st.binary(max_size=300))
 def test_messages_come_back_as_they_went(group: str, payload: bytes) -> None:
     message = GroupMessage(group=group, sender_address="10.0.0.1:7660", payload=payload)
--- a/tools/system_days.py
+++ b/tools/system_days.py
@@ -89,10 +89,10 @@
     return [dict(entry) for entry in (*site["troubles"], *MORE_KINDS)]
 
 
-def single_days(site: Mapping[str, Any]) -> Iterator[Day]:
+def single_days(site: Mapping[str, Any], moments: Sequence[float]) -> Iterator[Day]:
     """Each kind at each moment."""
     for number, entry in enumerate(all_entries(site)):
-        for at in MOMENTS_S:
+        for at in moments:
             yield day_of(f"{number:02}-{entry_name(entry)}-{at:g}", [entry | {"at": at}])
 
 
@@ -127,7 +127,9 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     (out / f"{day.name}.log").write_text(done.stdout + done.stderr)
     lines = [line for line in (done.stdout + done.stderr).splitlines() if line.strip()]
-    return Result(day, next((line for line in lines if day.name in line or "RULE" in line), lines[-1]))
+    broken = [line for line in lines if "broken" in line or "fault" in line.lower()[:20]]
+    scored = [line for line in lines if line.startswith(day.name[:20])]
+    return Result(day, " | ".join([*scored[:1], *broken[:3]]) or lines[-1])
 
 
 def main() -> None:
@@ -139,11 +141,12 @@
     parser.add_argument("--pairs", action="store_true")
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--only", default="")
+    parser.add_argument("--moments", type=float, nargs="*")
     arguments = parser.parse_args()
     site = tomllib.loads(arguments.site.read_text())
     template = next(day for day in site["day"] if day["slot"] == "trouble")
     arguments.out.mkdir(parents=True, exist_ok=True)
-    every = (pair_days if arguments.pairs else single_days)(site)
+    every = pair_days(site) if arguments.pairs else single_days(site, arguments.moments or MOMENTS_S)
     days = [day for day in every if arguments.only in day.name]
     with ThreadPoolExecutor(arguments.jobs) as pool:
         played = pool.map(lambda d: play(arguments.bench, arguments.site, arguments.out, d, template), days)
