The owner sums what edges report by edge; one read of the platform's list serves a node's shards

Change: each edge's figure replaces its own and all are added. The test of the old rule is replaced by two stricter ones.

--- a/granitewell/controlplane/placement/controller.py
+++ b/granitewell/controlplane/placement/controller.py
@@ -84,9 +84,9 @@
         self._reconciler.set_servers(self._clock(), servers)
         self._after_event()
 
-    def add_demand(self, demands: Sequence[ModelDemand]) -> None:
-        """Edges have reported what they were asked for."""
-        self._reconciler.add_demand(self._clock(), demands)
+    def add_demand(self, demands: Sequence[ModelDemand], source: str = "") -> None:
+        """An edge, `source`, has reported what it was asked for."""
+        self._reconciler.add_demand(self._clock(), demands, source)
         self._after_event()
 
     def ready_models(self, server_id: str) -> Mapping[str, HeldModel]:
--- a/granitewell/controlplane/placement/demand.py
+++ b/granitewell/controlplane/placement/demand.py
@@ -18,7 +18,6 @@
 SILENCE_SCALE_S = 10.0  # a rate is believed to be at most this / idle time squared
 MISS_S = 5.0  # time constant of the rate of misses
 GAUGE_LASTS_S = 2.0  # edges report every second at the latest; an older figure is taken for zero
-GAUGE_HOLDS_S = 0.4  # a smaller figure within this may be that of another edge
 FORGET_S = 90.0  # a model not asked for in this time is forgotten
 NEVER = -math.inf
 
@@ -56,27 +55,24 @@
 
 
 class _Gauge:
-    """A figure that several reporters set: the largest of the last moment, later the newest."""
+    """A figure that several reporters have, each its own part: the sum of what they said last."""
 
-    __slots__ = ("_at", "_newest", "_newest_at", "_value")
+    __slots__ = ("_parts",)
 
     def __init__(self) -> None:
-        self._value = 0
-        self._at = NEVER
-        self._newest = 0
-        self._newest_at = NEVER
+        self._parts: dict[str, tuple[int, float]] = {}
 
-    def set(self, now: float, value: int) -> None:
-        if value >= self.read(now):
-            self._value = value
-            self._at = now
-        self._newest = value
-        self._newest_at = now
+    def set(self, now: float, source: str, value: int) -> None:
+        if value > 0:
+            self._parts[source] = (value, now)
+        else:
+            self._parts.pop(source, None)
 
     def read(self, now: float) -> int:
-        if now - self._at <= GAUGE_HOLDS_S:
-            return self._value
-        return self._newest if now - self._newest_at <= GAUGE_LASTS_S else 0
+        old = [source for source, (_, at) in self._parts.items() if now - at > GAUGE_LASTS_S]
+        for source in old:
+            del self._parts[source]
+        return sum(value for value, _ in self._parts.values())
 
 
 class _Arrivals:
@@ -137,14 +133,14 @@
         self._misses = 0.0
         self._misses_at = NEVER
 
-    def add(self, now: float, demands: Iterable[ModelDemand]) -> bool:
-        """Take a report. True when something began to be waited for."""
+    def add(self, now: float, demands: Iterable[ModelDemand], source: str = "") -> bool:
+        """Take the report of an edge, `source`. True when something began to be waited for."""
         urgent = False
         for demand in demands:
-            urgent |= self._add_one(now, demand)
+            urgent |= self._add_one(now, demand, source)
         return urgent
 
-    def _add_one(self, now: float, demand: ModelDemand) -> bool:
+    def _add_one(self, now: float, demand: ModelDemand, source: str) -> bool:
         if demand.requests <= 0 and demand.waiting <= 0 and demand.in_flight <= 0:
             entry = self._entries.get(demand.ref)
             if entry is None:
@@ -154,9 +150,9 @@
         entry.arrivals.add(now, demand.requests)
         if demand.requests > 0:
             self._models.setdefault(demand.ref.model, _Arrivals()).add(now, demand.requests)
-        entry.in_flight.set(now, demand.in_flight)
+        entry.in_flight.set(now, source, demand.in_flight)
         waited = entry.waiting.read(now) > 0
-        entry.waiting.set(now, demand.waiting)
+        entry.waiting.set(now, source, demand.waiting)
         return self._note_waiting(now, entry, demand, waited)
 
     def _note_waiting(self, now: float, entry: _Entry, demand: ModelDemand, waited: bool) -> bool:
--- a/granitewell/controlplane/placement/reconciler.py
+++ b/granitewell/controlplane/placement/reconciler.py
@@ -166,9 +166,9 @@
                     self._soon(now)
         self._publish_all(now)
 
-    def add_demand(self, now: float, demands: Iterable[ModelDemand]) -> None:
-        """Edges have reported what they were asked for."""
-        if self._demand.add(now, demands):
+    def add_demand(self, now: float, demands: Iterable[ModelDemand], source: str = "") -> None:
+        """An edge, `source`, has reported what it was asked for."""
+        if self._demand.add(now, demands, source):
             self._soon(now)
 
     def on_report(self, now: float, server_id: str, asked_at: float, answer: Report | ReportFailure) -> None:
--- a/granitewell/discovery/reader.py
+++ b/granitewell/discovery/reader.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -14,10 +17,37 @@
 OVER_RATE = 429
 
 
+@dataclass(frozen=True, slots=True)
+class DatedList:
+    """The platform's list. asked_at: on the steady clock."""
+
+    instances: list[ListedInstance]
+    asked_at: float
+
+
 class ListUnavailable(GranitewellError):
     """The platform gave no list: it is down, slow or over its rate."""
 
 
+class SharedReader:
+    """One list for all that read it on a node: a list that was read less than `fresh_s` ago serves again."""
+
+    def __init__(self, reader: InstanceReader, fresh_s: float, clock: Callable[[], float]) -> None:
+        self._reader = reader
+        self._fresh_s = fresh_s
+        self._clock = clock
+        self._lock = asyncio.Lock()
+        self._newest: DatedList | None = None
+
+    async def read(self) -> DatedList:
+        """The list and when it was asked for; raises ListUnavailable or BadList."""
+        async with self._lock:
+            now = self._clock()
+            if self._newest is None or now - self._newest.asked_at >= self._fresh_s:
+                self._newest = DatedList(await self._reader.read(), now)
+            return self._newest
+
+
 class InstanceReader:
     """Asks the platform at `address` (`ip:port`)."""
 
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -21,6 +21,7 @@
 from granitewell.coordination.consensus.group import ReplicatedGroup
 from granitewell.coordination.consensus.identity import load_identity
 from granitewell.coordination.rendezvous import shard_of
+from granitewell.discovery.reader import InstanceReader, SharedReader
 from granitewell.model.settings import Settings
 from granitewell.nodes.layout import SHARDS
 from granitewell.nodes.process import SettingsFile, Signals, follow_settings, run_process
@@ -38,6 +39,7 @@
 
 CONFIGURATION_GROUP = "configuration"
 EDGE_COUNT_EVERY_S = 1.0
+LIST_FRESH_S = 0.4  # below the time between two readings of a shard, so that each shard's list moves on
 STOP_S = 1.5  # for handing leadership over, on SIGTERM
 
 
@@ -145,7 +147,7 @@
     def _route_demand(self, shard: int, report: Any, demands: list[Any]) -> None:
         owned = self.owned.get(shard)
         if owned is not None:
-            owned.add_demand([demand_from_message(demand) for demand in demands])
+            owned.add_demand([demand_from_message(demand) for demand in demands], report.node)
             return
         leader = self.groups[shard_group(shard)].leader_address
         if leader is not None and leader != self.address and not report.forwarded:
@@ -171,6 +173,8 @@
             await group.start()
         await self._start_api()
         self._session = aiohttp.ClientSession(auto_decompress=False)
+        reader = InstanceReader(self.settings.cloud.address, self._session)
+        self.instances = SharedReader(reader, LIST_FRESH_S, time.monotonic)
         self._tasks = [asyncio.create_task(self._tell_edge_count())]
         for shard in range(SHARDS):
             self._tasks.append(asyncio.create_task(self._keep_shard(shard)))
--- a/granitewell/nodes/shards.py
+++ b/granitewell/nodes/shards.py
@@ -16,7 +16,7 @@
 from granitewell.controlplane.publication.table import ServerTable
 from granitewell.coordination.rendezvous import shard_of
 from granitewell.discovery.instances import BadList, ListedInstance
-from granitewell.discovery.reader import InstanceReader, ListUnavailable
+from granitewell.discovery.reader import ListUnavailable
 from granitewell.model.configuration import Configuration, Service
 from granitewell.model.errors import NotLeader, ProposalLost, RpcError
 from granitewell.model.servers import HeldModel, ModelDemand, Server
@@ -100,7 +100,7 @@
         self.ownership = ShardOwnership(
             group, settings.node_name, node.address, bounds.lease_ms / 1000.0, bounds.fencing
         )
-        self._reader = InstanceReader(settings.cloud.address, node.session)
+        self._reader = node.instances
 
     async def run(self) -> None:
         """Until the lease is lost."""
@@ -120,26 +120,26 @@
             for task in self._tasks.values():
                 task.cancel()
 
-    def add_demand(self, demands: Sequence[ModelDemand]) -> None:
-        """Demand for models of this shard's services."""
+    def add_demand(self, demands: Sequence[ModelDemand], source: str) -> None:
+        """An edge's demand for models of this shard's services."""
         by_service: dict[str, list[ModelDemand]] = {}
         for demand in demands:
             by_service.setdefault(demand.service, []).append(demand)
         for service, of_service in by_service.items():
             controller = self._controllers.get(service)
             if controller is not None:
-                controller.add_demand(of_service)
+                controller.add_demand(of_service, source)
 
     # --- The platform's list --------------------------------------------------------------------------------
     async def _read_lists(self) -> None:
         while True:
             started = time.monotonic()
             try:
-                instances = await self._reader.read()
+                listed = await self._reader.read()
             except (ListUnavailable, BadList) as error:
                 log.warning("no list of servers: {}", error)
             else:
-                self._take_list(instances, started)
+                self._take_list(listed.instances, listed.asked_at)
             await asyncio.sleep(max(LIST_EVERY_S - (time.monotonic() - started), 0.05))
 
     def _take_list(self, instances: Iterable[ListedInstance], read_at: float) -> None:
