--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -346,16 +346,19 @@
     ]
 
 
-JSON = st.recursive(
+JSON: st.SearchStrategy[Any] = st.recursive(
     st.none() | st.booleans() | st.integers(0, 2) | st.text("ab", max_size=2),
     lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.text("ab", max_size=2), inner, max_size=2),
     max_leaves=5,
 )
-NAMED = st.lists(
-    st.fixed_dictionaries({"name": st.sampled_from("xyz")}, optional={"a": JSON}),
+ITEMS: st.SearchStrategy[dict[str, Any]] = st.fixed_dictionaries(
+    {"name": st.sampled_from("xyz")}, optional={"a": JSON}
+)
+NAMED: st.SearchStrategy[Any] = st.lists(
+    ITEMS,
     unique_by=lambda item: str(item["name"]),
 )
-CONFIGURATIONS = st.fixed_dictionaries(
+CONFIGURATIONS: st.SearchStrategy[Any] = st.fixed_dictionaries(
     {"routes": NAMED, "services": NAMED}, optional={"limits": JSON, "b": JSON}
 )
 
