A new owner orders at once behind a predecessor whose process has restarted

Second: a node that had come to lead first ended its poll of the former owner's table (0.3 to 0.85 s). Ruled out there: elections, lost configuration, overload. Change: the claim names the incarnation of its process, control nodes tell each other theirs; the poll ends once this node leads.

--- a/granitewell/controlplane/ownership/record.py
+++ b/granitewell/controlplane/ownership/record.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from granitewell.model.errors import GranitewellError
 
@@ -19,22 +19,29 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerClaimed:
-    """A node has become the owner of the shard in a term. address: its internal address (`ip:port`)."""
+    """A node has become the owner of the shard in a term. address: its internal address (`ip:port`);
+    incarnation: of its process, a random id."""
 
     holder: str
     term: int
     address: str = ""
+    incarnation: str = ""
 
     def encode(self) -> bytes:
         """For the log."""
-        return json.dumps({"holder": self.holder, "term": self.term, "address": self.address}).encode()
+        return json.dumps(asdict(self)).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> OwnerClaimed:
         """From the log; raises BadClaim."""
         try:
             document = json.loads(data)
-            return cls(str(document["holder"]), int(document["term"]), str(document.get("address", "")))
+            return cls(
+                str(document["holder"]),
+                int(document["term"]),
+                str(document.get("address", "")),
+                str(document.get("incarnation", "")),
+            )
         except (ValueError, KeyError, TypeError) as error:
             raise BadClaim(repr(error)) from error
 
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -15,6 +15,7 @@
 
 from granitewell.controlplane.configuration.api import OperatorApi
 from granitewell.controlplane.configuration.store import ConfigurationStore
+from granitewell.controlplane.ownership.owner import Claimant
 from granitewell.controlplane.ownership.record import OwnerRecord
 from granitewell.controlplane.publication.publisher import EdgeCounter, Publisher
 from granitewell.controlplane.publication.table import ServerTable
@@ -39,6 +40,8 @@
 
 CONFIGURATION_GROUP = "configuration"
 EDGE_COUNT_EVERY_S = 1.0
+EDGE_COUNT_FIRST_S = 0.3  # a process that has restarted makes that known soon
+LEASE_LOOK_S = 0.1
 LIST_FRESH_S = 0.4  # below the time between two readings of a shard, so that each shard's list moves on
 STOP_S = 1.5  # for handing leadership over, on SIGTERM
 
@@ -58,6 +61,8 @@
         self._rng = rng
         self._control_port = settings.listen.control.rpartition(":")[2]
         self.address = f"{settings.ip}:{settings.control_rpc_port}"
+        self.claimant = Claimant(settings.node_name, self.address, f"{rng.getrandbits(64):016x}")
+        self.incarnations: dict[str, str] = {}  # of other control nodes' processes, as heard last
         self.peers = RpcPeers()
         self.store = ConfigurationStore()
         self.records = {shard: OwnerRecord() for shard in range(SHARDS)}
@@ -133,6 +138,7 @@
     async def _edge_count(self, payload: bytes, peer: str) -> bytes:
         count = decode(EdgeCount, payload)
         self.edges.told(count.node, count.edges, time.monotonic())
+        self.incarnations[count.node] = count.incarnation or ""
         return b""
 
     async def _demand(self, payload: bytes, peer: str) -> bytes:
@@ -191,10 +197,15 @@
         self._runner = runner
 
     async def _tell_edge_count(self) -> None:
+        pause = EDGE_COUNT_FIRST_S
         while True:
-            await asyncio.sleep(EDGE_COUNT_EVERY_S)
+            await asyncio.sleep(pause)
+            pause = EDGE_COUNT_EVERY_S
             count = self.edges.here(time.monotonic())
-            message = encode(EdgeCount(node=self.settings.node_name, edges=count))
+            claimant = self.claimant
+            message = encode(
+                EdgeCount(node=claimant.node_name, edges=count, incarnation=claimant.incarnation)
+            )
             for address in self.control_nodes():
                 if address != self.address:
                     self.peers[address].send(Method.EDGES, message)
@@ -216,7 +227,15 @@
             if leader is None or leader == self.address:
                 await asyncio.sleep(0.1)
                 continue
-            await follower.poll(leader)
+            await self._until_leading(group, follower.poll(leader))
+
+    async def _until_leading(self, group: ReplicatedGroup, poll: Coroutine[None, None, None]) -> None:
+        """A poll, given up once this node leads: its owner may be cut off and never answer."""
+        task = asyncio.create_task(poll)
+        while not task.done() and not group.holds_lease():
+            await asyncio.wait({task}, timeout=LEASE_LOOK_S)
+        task.cancel()
+        await asyncio.wait({task})
 
     @property
     def session(self) -> aiohttp.ClientSession:
--- a/granitewell/nodes/shards.py
+++ b/granitewell/nodes/shards.py
@@ -98,7 +98,7 @@
         settings = node.settings
         bounds = settings.bounds
         self.ownership = ShardOwnership(
-            group, settings.node_name, node.address, bounds.lease_ms / 1000.0, bounds.fencing
+            group, node.claimant, node.incarnations.get, bounds.lease_ms / 1000.0, bounds.fencing
         )
         self._reader = node.instances
 
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -37,5 +37,6 @@
 // One datagram of a replica group; payload is a message of the consensus library.
 struct GroupMessage { 1: string group, 2: string sender_address, 3: binary payload }
 
-// How many edges a control node hears from, told to the other control nodes.
-struct EdgeCount { 1: string node, 2: i32 edges }
+// How many edges a control node hears from, and which process of that node says so, told to the other control
+// nodes.
+struct EdgeCount { 1: string node, 2: i32 edges, 3: string incarnation }
--- a/tests/controlplane/test_ownership.py
+++ b/tests/controlplane/test_ownership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from granitewell.controlplane.ownership.owner import SILENT_S, TURN_MARGIN_S, ShardOwnership
+from granitewell.controlplane.ownership.owner import SILENT_S, TURN_MARGIN_S, Claimant, ShardOwnership
 from granitewell.controlplane.ownership.record import BadClaim, OwnerClaimed, OwnerRecord
 from granitewell.model.errors import NotLeader
 
@@ -17,6 +17,7 @@
     def __init__(self, record: OwnerRecord) -> None:
         self.record, self.term, self.lease = record, 1, True
         self.silent: dict[str, float] = {}
+        self.incarnations: dict[str, str] = {}
 
     def holds_lease(self) -> bool:
         return self.lease
@@ -39,7 +40,8 @@
 
 def owner(record: OwnerRecord, fencing: bool = True) -> tuple[ShardOwnership, Group, Clock]:
     group, clock = Group(record), Clock()
-    return ShardOwnership(group, "core-1", "10.0.0.1:7660", 3.0, fencing, clock), group, clock
+    claimant = Claimant("core-1", "10.0.0.1:7660", "process-1")
+    return ShardOwnership(group, claimant, group.incarnations.get, 3.0, fencing, clock), group, clock
 
 
 def test_the_first_owner_orders_at_once() -> None:
@@ -64,7 +66,7 @@
 
 def claimed_behind_another(fencing: bool) -> tuple[ShardOwnership, Group, Clock]:
     record = OwnerRecord()
-    record.apply(1, OwnerClaimed("core-2", 4, "10.0.0.2:7660").encode())
+    record.apply(1, OwnerClaimed("core-2", 4, "10.0.0.2:7660", "process-2").encode())
     ownership, group, clock = owner(record, fencing)
     group.term = 5
     asyncio.run(ownership.claim())
@@ -81,6 +83,20 @@
     assert ownership.may_order()
 
 
+def test_behind_a_holder_that_has_restarted_orders_do_not_wait() -> None:
+    ownership, group, _ = claimed_behind_another(fencing=True)
+    group.incarnations["core-2"] = "process-2"
+    assert not ownership.may_order()
+    group.incarnations["core-2"] = "process-9"
+    assert ownership.may_order()
+
+
+def test_without_fences_a_restart_shortens_nothing() -> None:
+    ownership, group, _ = claimed_behind_another(fencing=False)
+    group.incarnations["core-2"] = "process-9"
+    assert not ownership.may_order()
+
+
 def test_where_servers_check_no_fences_silence_shortens_nothing() -> None:
     ownership, group, clock = claimed_behind_another(fencing=False)
     group.silent["10.0.0.2:7660"] = 100.0
