--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -232,10 +232,11 @@
     async def _until_leading(self, group: ReplicatedGroup, poll: Coroutine[None, None, None]) -> None:
         """A poll, given up once this node leads: its owner may be cut off and never answer."""
         task = asyncio.create_task(poll)
-        while not task.done() and not group.holds_lease():
-            await asyncio.wait({task}, timeout=LEASE_LOOK_S)
-        task.cancel()
-        await asyncio.wait({task})
+        try:
+            while not task.done() and not group.holds_lease():
+                await asyncio.wait({task}, timeout=LEASE_LOOK_S)
+        finally:
+            task.cancel()
 
     @property
     def session(self) -> aiohttp.ClientSession:
