--- a/granitewell/cli/system/differences.py
+++ b/granitewell/cli/system/differences.py
@@ -61,10 +61,21 @@
     elif isinstance(before, dict) and isinstance(after, dict):
         for key in _keys(before, after):
             yield from _values(f"{path}.{key}", before.get(key, ABSENT), after.get(key, ABSENT))
-    elif before != after or isinstance(before, bool) is not isinstance(after, bool):
+    elif not _same(before, after):
         yield Difference(Change.CHANGED, path, before, after)
 
 
+def _same(before: object, after: object) -> bool:
+    """As JSON: 1 and 1.0 are the same, 1 and true are not."""
+    if isinstance(before, bool) or isinstance(after, bool):
+        return before is after
+    if isinstance(before, list) and isinstance(after, list):
+        return len(before) == len(after) and all(map(_same, before, after))
+    if isinstance(before, dict) and isinstance(after, dict):
+        return before.keys() == after.keys() and all(_same(before[key], after[key]) for key in before)
+    return before == after
+
+
 def _keys(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[str]:
     return [*before, *(key for key in after if key not in before)]
 
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -23,6 +23,7 @@
 from granitewell.coordination.consensus.identity import load_identity
 from granitewell.coordination.rendezvous import shard_of
 from granitewell.discovery.reader import InstanceReader, SharedReader
+from granitewell.model.errors import InvalidSettings
 from granitewell.model.settings import Settings
 from granitewell.nodes.layout import SHARDS
 from granitewell.nodes.process import SettingsFile, Signals, follow_settings, run_process
@@ -55,8 +56,10 @@
     """One process of the control role."""
 
     def __init__(self, settings: Settings, rng: Random) -> None:
-        if settings.data_dir is None or settings.listen.control is None:
-            raise ValueError("the control role needs data-dir and listen.control")
+        if settings.data_dir is None:
+            raise InvalidSettings("data-dir", "missing: the control role keeps its state there")
+        if settings.listen.control is None:
+            raise InvalidSettings("listen.control", "missing: operators call there")
         self.settings = settings
         self._rng = rng
         self._control_port = settings.listen.control.rpartition(":")[2]
--- a/granitewell/nodes/process.py
+++ b/granitewell/nodes/process.py
@@ -101,5 +101,9 @@
 
     gc.freeze()  # what is imported stays: no collection need look at it again
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
-    uvloop.run(main())
+    try:
+        uvloop.run(main())
+    except InvalidSettings as error:  # of a field that only this role needs
+        print(f"granitewell: {error}", file=sys.stderr)
+        return BAD_SETTINGS
     return 0
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -27,7 +27,6 @@
 
 from granitewell.cli.system import __main__ as start
 from granitewell.cli.system.call_plan import (
-    FINAL,
     FIRST_PAUSE_S,
     LONGEST_PAUSE_S,
     MOST_REDIRECTS,
@@ -197,7 +196,7 @@
 
 
 def test_a_clear_answer_ends_the_call_at_once() -> None:
-    for status in (200, 204, *FINAL):
+    for status in (200, 204, 400, 409, 412, 413, 422):
         assert CallPlan([A, B], 0.0, 10.0).after(Reply(status), 0.1) == Answered(Reply(status))
 
 
@@ -346,6 +345,26 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "differs"),
+    [
+        (1, 1.0, False),
+        (1, True, True),
+        (False, 0, True),
+        (None, False, True),
+        ([1, 2], [1, 2], False),
+        ([1, 2], [2, 1], True),
+        ([1], [1, 2], True),
+        ([1], [True], True),
+        ([{"a": 1, "b": 2}], [{"b": 2, "a": 1}], False),
+        ([{"a": 1}], [{"a": True}], True),
+        ([{"a": 1}], [{"b": 1}], True),
+    ],
+)
+def test_values_are_compared_as_json(before: Any, after: Any, differs: bool) -> None:
+    assert bool(differences({"limits": before}, {"limits": after})) is differs
+
+
 JSON: st.SearchStrategy[Any] = st.recursive(
     st.none() | st.booleans() | st.integers(0, 2) | st.text("ab", max_size=2),
     lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.text("ab", max_size=2), inner, max_size=2),
--- a/tests/test_system_logs.py
+++ b/tests/test_system_logs.py
@@ -91,6 +91,12 @@
     assert line.decode().isprintable() or line.decode()[:-1].isprintable()
 
 
+@pytest.mark.parametrize("text", ["x" * 10_000, "ü" * 10_000, "\U0001f600" * 10_000, '"' * 10_000])
+def test_a_long_line_is_cut(text: str) -> None:
+    for line in (logs.Line("info", "x", text, {}, 7), logs.Line("info", "x", "short", {"value": text}, 7)):
+        assert len(line.encode()) <= 4096 and line.encode().endswith(b" left_out=7\n")
+
+
 def test_lines_of_one_template_are_bounded_and_what_was_left_out_is_told(sink: Sink) -> None:
     for number in range(1000):
         log.warning("peer {} is unreachable", number)
@@ -135,6 +141,11 @@
         assert taken <= 5.0 + 0.5 * now + 1e-6
 
 
+def test_a_long_silence_saves_up_no_more_than_a_burst() -> None:
+    bucket = logs.TokenBucket(5.0, 0.5, 0.0)
+    assert sum(bucket.take(1_000_000.0) for _ in range(100)) == 5
+
+
 def test_while_nobody_reads_lines_are_left_out_and_counted(sink: Sink) -> None:
     sink.reads = False
     log.info("first")
