Waits follow from the deployment's bounds; one thrift codec; no repeat beyond the slack

Constants that fitted the bounds of the two sites: an edge's long-poll (1 s) and the ages of lists (0.5, 1.5 s) are now at most a part of config-apply-ms and drain-ms; for these sites the same figures. A control node that has just started told edges of few edges, which made each part larger; an edge's divisor no longer falls. Written twice: thrift in and out (consensus and rpc), and the reading of held models (list and reports); each stands once.

--- a/granitewell/controlplane/placement/orders.py
+++ b/granitewell/controlplane/placement/orders.py
@@ -107,7 +107,7 @@
     """A report from its bytes; raises BadReport."""
     try:
         document = json.loads(body)
-        models = [_parse_model(entry) for entry in document["models"]]
+        models = [HeldModel.parse(entry) for entry in document["models"]]
         return Report(
             sequence=int(document["sequence"]),
             busy=bool(document["busy"]),
@@ -119,14 +119,6 @@
         raise BadReport(f"not a report: {error!r}") from error
 
 
-def _parse_model(entry: Mapping[str, object]) -> HeldModel:
-    name = entry["name"]
-    adapters = entry.get("adapters") or ()
-    if not isinstance(name, str) or not isinstance(adapters, list | tuple):
-        raise TypeError("a model's name or adapters are of another type")
-    return HeldModel(name, frozenset(str(adapter) for adapter in adapters))
-
-
 def encode_order(order: Order, ticket: OrderTicket) -> bytes:
     """The body of an order."""
     fields: dict[str, object] = {"operation": order.operation.value, "model": order.ref.model}
--- a/granitewell/coordination/consensus/codec.py
+++ b/granitewell/coordination/consensus/codec.py
@@ -18,7 +18,6 @@
 from granitewell.coordination.consensus.packing import (
     IDL,
     decode_struct,
-    encode_struct,
     pack_entries,
     pack_member,
     pack_membership,
@@ -27,6 +26,7 @@
     unpack_membership,
 )
 from granitewell.model.errors import BadFrame
+from granitewell.rpc.serialization import encode as encode_struct
 
 VERSION = 1
 _HEAD = struct.Struct("!BBI")
--- a/granitewell/coordination/consensus/packing.py
+++ b/granitewell/coordination/consensus/packing.py
@@ -11,15 +11,11 @@
 from pathlib import Path
 from typing import Any
 
-import thriftpy2
-from thriftpy2.protocol import TBinaryProtocolFactory
-from thriftpy2.utils import deserialize, serialize
-
 from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Membership
 from granitewell.model.errors import BadFrame
+from granitewell.rpc.serialization import decode, load_idl
 
-IDL: Any = thriftpy2.load(str(Path(__file__).with_name("consensus.thrift")), "granitewell_consensus_thrift")
-_PROTOCOL = TBinaryProtocolFactory(strict_decode=False)
+IDL: Any = load_idl(Path(__file__).with_name("consensus.thrift"))
 _LENGTH = struct.Struct("!I")
 _ENTRY = struct.Struct("!QQBI")
 _FIELD = struct.Struct("!Bh")
@@ -31,18 +27,9 @@
 _FIXED_SIZES = {_BOOL: 1, 8: 4, 10: 8}  # bool, i32, i64: the only types in the IDL besides strings
 
 
-def encode_struct(message: Any) -> bytes:
-    """The binary form of a thrift struct of the IDL."""
-    return bytes(serialize(message, _PROTOCOL))
-
-
 def decode_struct(kind: Any, data: bytes) -> Any:
     """A thrift struct of the IDL; raises BadFrame."""
-    check_flat(data)
-    try:
-        return deserialize(kind(), data, _PROTOCOL)
-    except Exception as error:  # the library raises whatever the bytes lead it to
-        raise BadFrame(f"not a {kind.__name__}: {error!r}") from error
+    return decode(kind, data, check_flat)
 
 
 def check_flat(data: bytes) -> None:
--- a/granitewell/coordination/consensus/settings.py
+++ b/granitewell/coordination/consensus/settings.py
@@ -14,7 +14,8 @@
     covers clocks that drift apart; see `ClockMarginTooSmall`."""
 
     heartbeat_s: float = 0.12
-    """Between heartbeats: four are missed before a lease of 0.5 s ends."""
+    """Least time between heartbeats. Wake-ups are on a grid of 50 ms (`WAKE_GRID_S`), so one goes out every
+    0.15 s: three are missed before a lease of 0.5 s ends."""
 
     election_least_s: float = 0.65
     """A follower that heard its leader within this time grants no vote."""
--- a/granitewell/dataplane/dispatch.py
+++ b/granitewell/dataplane/dispatch.py
@@ -95,7 +95,6 @@
         self,
         changed: Sequence[Server],
         removed: Sequence[str],
-        whole_services: frozenset[str] | None,
         now: float,
     ) -> list[str]:
         """News of the table of servers; requests that waited for them get them at once. Gives the ids of
@@ -105,8 +104,6 @@
             self._put(server)
         listed = {server.id for server in changed}
         gone = set(removed) - listed
-        for service in whole_services or ():
-            gone |= set(self._state(service).records) - listed
         for server_id in gone:
             touched.add(self._drop(server_id))
         for service in touched & set(self._services):
--- a/granitewell/dataplane/plane.py
+++ b/granitewell/dataplane/plane.py
@@ -97,15 +97,10 @@
         self._front.set_limits(configuration.limits)
         _log.info("configuration {} in force: {} routes", configuration.version, len(configuration.routes))
 
-    def apply_servers(
-        self,
-        changed: Sequence[Server],
-        removed: Sequence[str],
-        whole_services: frozenset[str] | None = None,
-    ) -> None:
-        """News of the table of servers. whole_services: of these `changed` has all servers there are."""
+    def apply_servers(self, changed: Sequence[Server], removed: Sequence[str]) -> None:
+        """News of the table of servers."""
         self._servers_known = True
-        for server_id in self._dispatcher.apply_servers(changed, removed, whole_services, self._clock()):
+        for server_id in self._dispatcher.apply_servers(changed, removed, self._clock()):
             self._upstreams.close_server(server_id)
 
     def set_edges(self, alive: int, most: int) -> None:
--- a/granitewell/dataplane/retry_budget.py
+++ b/granitewell/dataplane/retry_budget.py
@@ -10,6 +10,8 @@
 RATIO_PART = 0.6  # of the ratio that is spent; the rest covers requests that are counted in another window
 SLACK_PART = 0.5  # of the slack that all nodes together may save up; the rest covers nodes that restart
 
+MOST_SLACK_PART = 0.9  # the same where a node could not save up one repeat otherwise
+
 
 class RetryBudget:
     """A token bucket: each first send of a request earns a part of a repeat, each repeat spends one."""
@@ -39,4 +41,7 @@
 
 
 def _most_saved(slack: float, most_edges: int) -> float:
-    return max(1.0, SLACK_PART * slack / max(most_edges, 1))
+    """Where the slack has not one repeat for each node, a node saves less than one and makes none: the sum of
+    what all save must stay below it."""
+    part = slack / max(most_edges, 1)
+    return max(SLACK_PART * part, min(1.0, MOST_SLACK_PART * part))
--- a/granitewell/discovery/instances.py
+++ b/granitewell/discovery/instances.py
@@ -39,17 +39,6 @@
     next_token: str | None
 
 
-def held_models(entries: object) -> tuple[HeldModel, ...]:
-    """The models of an entry or report; what has no name is left out."""
-    if not isinstance(entries, list):
-        return ()
-    return tuple(
-        HeldModel(entry["name"], frozenset(str(adapter) for adapter in entry.get("adapters") or ()))
-        for entry in entries
-        if isinstance(entry, Mapping) and isinstance(entry.get("name"), str)
-    )
-
-
 def _instance(entry: Mapping[str, Any]) -> ListedInstance:
     leaves = entry.get("remaining-ms")
     return ListedInstance(
@@ -60,7 +49,7 @@
         slots=int(entry.get("slots") or 1),
         state=ServerState.DRAINING if entry.get("state") == DRAINING else ServerState.READY,
         leaves_in_ms=NO_END if leaves is None else max(int(leaves), 0),
-        models=held_models(entry.get("models")),
+        models=tuple(HeldModel.parse(held) for held in entry.get("models") or ()),
     )
 
 
@@ -78,5 +67,5 @@
     token = document.get("next-page-token")
     try:
         return Page(tuple(_instances(document["instances"])), str(token) if token else None)
-    except (KeyError, ValueError, TypeError) as error:
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
         raise BadList(f"bad instance: {error!r}") from error
--- a/granitewell/discovery/reader.py
+++ b/granitewell/discovery/reader.py
@@ -76,7 +76,7 @@
                 if response.status != 200:
                     raise ListUnavailable(f"status {response.status}")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise ListUnavailable(repr(error)) from error
+            raise ListUnavailable(f"{type(error).__name__}: {error}") from error
         try:
             return json.loads(body)
         except ValueError as error:
--- a/granitewell/model/servers.py
+++ b/granitewell/model/servers.py
@@ -21,6 +21,15 @@
     name: str
     adapters: frozenset[str] = frozenset()
 
+    @classmethod
+    def parse(cls, entry: Mapping[str, object]) -> HeldModel:
+        """From an entry of a report or of the platform's list; raises KeyError or TypeError."""
+        name = entry["name"]
+        adapters = entry.get("adapters") or ()
+        if not isinstance(name, str) or not isinstance(adapters, list | tuple):
+            raise TypeError("a model's name or adapters are of another type")
+        return cls(name, frozenset(str(adapter) for adapter in adapters))
+
 
 @dataclass(frozen=True, slots=True)
 class Server:
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -27,7 +27,13 @@
 from granitewell.model.settings import Settings
 from granitewell.nodes.layout import SHARDS
 from granitewell.nodes.process import SettingsFile, Signals, follow_settings, run_process
-from granitewell.nodes.shards import OwnedShard, TableFollower
+from granitewell.nodes.shards import (
+    LEASE_LOOK_S,
+    LIST_FRESH_PART,
+    OwnedShard,
+    TableFollower,
+    list_every_s,
+)
 from granitewell.rpc.messages import (
     DemandReport,
     EdgeCount,
@@ -42,8 +48,6 @@
 CONFIGURATION_GROUP = "configuration"
 EDGE_COUNT_EVERY_S = 1.0
 EDGE_COUNT_FIRST_S = 0.3  # a process that has restarted makes that known soon
-LEASE_LOOK_S = 0.1
-LIST_FRESH_S = 0.4  # below the time between two readings of a shard, so that each shard's list moves on
 STOP_S = 1.5  # for handing leadership over, on SIGTERM
 
 
@@ -183,7 +187,7 @@
         await self._start_api()
         self._session = aiohttp.ClientSession(auto_decompress=False)
         reader = InstanceReader(self.settings.cloud.address, self._session)
-        self.instances = SharedReader(reader, LIST_FRESH_S, time.monotonic)
+        self.instances = SharedReader(reader, LIST_FRESH_PART * list_every_s(self.settings), time.monotonic)
         self._tasks = [asyncio.create_task(self._tell_edge_count())]
         for shard in range(SHARDS):
             self._tasks.append(asyncio.create_task(self._keep_shard(shard)))
--- a/granitewell/nodes/control_watch.py
+++ b/granitewell/nodes/control_watch.py
@@ -27,12 +27,14 @@
 from granitewell.rpc.messages import TableVersion, WatchReply, WatchRequest, decode, encode
 from granitewell.rpc.transport import Method, RpcPeers
 
-HOLD_S = 1.0
+MOST_HOLD_S = 1.0
+HOLD_PART = 0.4  # of config-apply-ms: a control node that falls silent and the next one fit in
 REPLY_SLACK_S = 0.4  # beyond the hold, after which a control node is given up
 RETRY_S = 0.1
-LIST_OLD_S = 1.5  # a list older than that is read from the platform itself
-LIST_LOOK_S = 0.3
-LIST_PAUSE_S = 0.85
+MOST_LIST_OLD_S = 1.5  # a list older than that is read from the platform itself
+LIST_OLD_PART = 0.5  # of drain-ms: looking, reading and dropping servers fit in
+LIST_LOOK_PART = 0.2  # of the age at which it is old: how often that is looked at
+LIST_PAUSE_PART = 0.57  # of that age: least time between two readings
 RATE_SHARE = 0.5  # of the platform's rate, for all edges together
 
 log = Logger("granitewell.edge")
@@ -53,6 +55,7 @@
         self.peers = RpcPeers()
         self.nodes = ControlNodes(settings.node_name)
         self._wanted_whole = False
+        self._hold_s = min(MOST_HOLD_S, HOLD_PART * settings.bounds.config_apply_ms / 1000.0)
         self.take_settings(settings)
 
     def take_settings(self, settings: Settings) -> None:
@@ -69,7 +72,7 @@
                 continue
             try:
                 payload = encode(self._request())
-                reply = await self.peers[node].call(Method.WATCH, payload, HOLD_S + REPLY_SLACK_S)
+                reply = await self.peers[node].call(Method.WATCH, payload, self._hold_s + REPLY_SLACK_S)
                 self._take(decode(WatchReply, reply))
             except RpcError as error:
                 log.debug("control node {}: {}", node, error)
@@ -86,7 +89,7 @@
                 TableVersion(shard=shard, epoch=version.epoch, sequence=version.sequence)
                 for shard, version in self._versions.items()
             ],
-            hold_ms=int(HOLD_S * 1000),
+            hold_ms=int(self._hold_s * 1000),
             members_digest=self.nodes.digest,
         )
 
@@ -97,7 +100,8 @@
             self._take_configuration(reply.configuration)
         for message in reply.tables or ():
             self._take_table(message)
-        self.most_edges = max(reply.most_edges, 1)
+        # a control node that has just started knows few edges: shared budgets must not grow by that
+        self.most_edges = max(reply.most_edges, self.most_edges)
         self._plane.set_edges(max(reply.edges, 1), self.most_edges)
 
     def _take_configuration(self, message: Any) -> None:
@@ -189,13 +193,14 @@
         self._watch = watch
         self._plane = plane
         self._rng = rng
+        self._old_s = min(MOST_LIST_OLD_S, LIST_OLD_PART * settings.bounds.drain_ms / 1000.0)
 
     async def run(self, session: aiohttp.ClientSession) -> None:
         """Until cancelled."""
         reader = InstanceReader(self._settings.cloud.address, session)
         while True:
-            await asyncio.sleep(LIST_LOOK_S * (0.5 + self._rng.random()))
-            if self._watch.list_age_s() < LIST_OLD_S:
+            await asyncio.sleep(LIST_LOOK_PART * self._old_s * (0.5 + self._rng.random()))
+            if self._watch.list_age_s() < self._old_s:
                 continue
             try:
                 instances = await reader.read()
@@ -207,4 +212,7 @@
 
     def _pause_s(self) -> float:
         """Between two readings: all edges together stay well below the platform's rate."""
-        return max(LIST_PAUSE_S, self._watch.most_edges / (RATE_SHARE * self._settings.cloud.rate_per_s))
+        return max(
+            LIST_PAUSE_PART * self._old_s,
+            self._watch.most_edges / (RATE_SHARE * self._settings.cloud.rate_per_s),
+        )
--- a/granitewell/nodes/shards.py
+++ b/granitewell/nodes/shards.py
@@ -28,14 +28,21 @@
     from granitewell.coordination.consensus.group import ReplicatedGroup
     from granitewell.nodes.control import ControlNode
 
-LIST_EVERY_S = 0.5  # drain-ms leaves some seconds from the list to the last request
-LEASE_LOOK_S = 0.1  # between two looks whether this node still owns the shard
+MOST_LIST_EVERY_S = 0.5
+LIST_EVERY_PART = 1 / 6  # of drain-ms: a reading that fails, and the way to every edge, fit in
+LIST_FRESH_PART = 0.8  # of the time between two readings: so fresh, a list serves all shards of a node
+LEASE_LOOK_S = 0.1  # between two looks whether this node leads a shard's group
 FOLLOW_HOLD_S = 0.4
 FOLLOW_PAUSE_S = 0.1
 
 log = Logger("granitewell.shards")
 
 
+def list_every_s(settings: Settings) -> float:
+    """Seconds between two readings of the platform's list."""
+    return min(MOST_LIST_EVERY_S, LIST_EVERY_PART * settings.bounds.drain_ms / 1000.0)
+
+
 class TableFollower:
     """Keeps a copy of a shard's table by long-polls to its owner."""
 
@@ -101,6 +108,7 @@
             group, node.claimant, node.incarnations.get, bounds.lease_ms / 1000.0, bounds.fencing
         )
         self._reader = node.instances
+        self._list_every_s = list_every_s(settings)
 
     async def run(self) -> None:
         """Until the lease is lost."""
@@ -140,7 +148,7 @@
                 log.warning("no list of servers: {}", error)
             else:
                 self._take_list(listed.instances, listed.asked_at)
-            await asyncio.sleep(max(LIST_EVERY_S - (time.monotonic() - started), 0.05))
+            await asyncio.sleep(max(self._list_every_s - (time.monotonic() - started), 0.05))
 
     def _take_list(self, instances: Iterable[ListedInstance], read_at: float) -> None:
         mine = (one for one in instances if shard_of(one.service, self._shards) == self._shard)
--- a/granitewell/rpc/messages.py
+++ b/granitewell/rpc/messages.py
@@ -5,15 +5,14 @@
 from pathlib import Path
 from typing import Any
 
-import thriftpy2
-from thriftpy2.protocol import TBinaryProtocolFactory
-from thriftpy2.utils import deserialize, serialize
+from granitewell.rpc.serialization import decode, encode, load_idl
 
-from granitewell.model.errors import BadFrame
-from granitewell.rpc.structure import check_struct
+__all__ = [
+    "ConfigurationUpdate", "Demand", "DemandReport", "EdgeCount", "GroupMessage", "HeldModelMessage",
+    "ServerMessage", "TableUpdate", "TableVersion", "WatchReply", "WatchRequest", "decode", "encode",
+]  # fmt: skip
 
-_IDL = thriftpy2.load(str(Path(__file__).with_name("internal.thrift")), "granitewell_internal_thrift")
-_PROTOCOL = TBinaryProtocolFactory(strict_decode=False)
+_IDL = load_idl(Path(__file__).with_name("internal.thrift"))
 
 HeldModelMessage: Any = _IDL.HeldModel
 ServerMessage: Any = _IDL.Server
@@ -26,17 +25,3 @@
 DemandReport: Any = _IDL.DemandReport
 GroupMessage: Any = _IDL.GroupMessage
 EdgeCount: Any = _IDL.EdgeCount
-
-
-def encode(message: Any) -> bytes:
-    """The binary form of a message."""
-    return bytes(serialize(message, _PROTOCOL))
-
-
-def decode(kind: Any, data: bytes) -> Any:
-    """A message of a kind from its binary form; raises BadFrame."""
-    check_struct(data)
-    try:
-        return deserialize(kind(), data, _PROTOCOL)
-    except Exception as error:  # the library raises whatever the bytes lead it to
-        raise BadFrame(f"not a {kind.__name__}: {error!r}") from error
--- a/tools/system_days.py
+++ b/tools/system_days.py
@@ -10,6 +10,7 @@
 import argparse
 import itertools
 import json
+import re
 import subprocess
 import tomllib
 from collections.abc import Iterator, Mapping, Sequence
@@ -19,6 +20,9 @@
 from typing import Any
 
 MOMENTS_S = (3.0, 11.5, 21.0)
+RULES = re.compile(
+    r"\b(MIXED|UNASKED|TWICE|REFUSED|DENIED|BUDGET|ROUTE|DRAIN|LOST|CONFIG|ORDER|RECOVER|ONE|LIMIT|CEILING)\b"
+)
 PAIR_AT_S = 12.0
 PAIR_GAP_S = 0.8
 PLANNED = frozenset(
@@ -127,7 +131,7 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     (out / f"{day.name}.log").write_text(done.stdout + done.stderr)
     lines = [line for line in (done.stdout + done.stderr).splitlines() if line.strip()]
-    broken = [line for line in lines if "broken" in line or "fault" in line.lower()[:20]]
+    broken = [line for line in lines if RULES.search(line)]
     scored = [line for line in lines if line.startswith(day.name[:20])]
     return Result(day, " | ".join([*scored[:1], *broken[:3]]) or lines[-1])
 
