The command line's modules import each other in one direction

Cause: commands.py imported run_program from __main__.py, which imports commands.py; both inside functions, so that only a reader met the circle. What starts the two programs now stands in programs.py, which both import. Behaviour and what is imported at a program's start are unchanged (the test on that passes unaltered).

test_the_modules_of_the_command_line_import_each_other_in_one_direction also sees imports inside functions; on the former modules it fails with the cycle commands, __main__, commands. One test follows _settle_early_signals to its new module; nothing else in it has changed.

--- a/granitewell/cli/system/commands.py
+++ b/granitewell/cli/system/commands.py
@@ -11,6 +11,7 @@
 from granitewell.cli.system import configuration
 from granitewell.cli.system.control_client import PATIENCE_S
 from granitewell.cli.system.ends import ended
+from granitewell.cli.system.programs import run_program
 
 PROGRAM = "python -m granitewell.cli.system"
 
@@ -34,8 +35,6 @@
 
     def run(self) -> int:
         """Until it is stopped."""
-        from granitewell.cli.system.__main__ import run_program
-
         return run_program("edge")
 
 
@@ -46,8 +45,6 @@
 
     def run(self) -> int:
         """Until it is stopped."""
-        from granitewell.cli.system.__main__ import run_program
-
         return run_program("control")
 
 
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -17,6 +17,7 @@
 import threading
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from graphlib import TopologicalSorter
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,7 @@
 from hypothesis import strategies as st
 
 from granitewell.cli.system import __main__ as start
+from granitewell.cli.system import programs
 from granitewell.cli.system.call_plan import (
     FIRST_PAUSE_S,
     LONGEST_PAUSE_S,
@@ -81,6 +83,32 @@
     assert not loaded & {"cappa", "rich", "aiohttp", "mashumaro", "orjson", "asyncio"}
 
 
+def imports_in(package: str) -> dict[str, set[str]]:
+    """Each module of a package, and which others of it its text imports, inside functions too."""
+    folder = ROOT / package.replace(".", "/")
+    modules = {path.stem: ast.parse(path.read_text()) for path in folder.glob("*.py")}
+    return {name: set(modules) & imported_names(tree, package) for name, tree in modules.items()}
+
+
+def imported_names(tree: ast.AST, package: str) -> set[str]:
+    """Names of modules of the package that this text imports."""
+    names: set[str] = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module == package:
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and (node.module or "").startswith(f"{package}."):
+            names.add((node.module or "").removeprefix(f"{package}."))
+        elif isinstance(node, ast.Import):
+            names |= {alias.name.removeprefix(f"{package}.") for alias in node.names}
+    return names
+
+
+def test_the_modules_of_the_command_line_import_each_other_in_one_direction() -> None:
+    imports = imports_in("granitewell.cli.system")
+    assert imports["__main__"] == {"commands", "ends", "programs"}
+    assert len(tuple(TopologicalSorter(imports).static_order())) == len(imports)
+
+
 def test_a_check_needs_no_client() -> None:
     code = "import sys; from granitewell.cli.system import commands; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], env=CLEAN, capture_output=True, text=True, check=True)
@@ -93,7 +121,7 @@
     ends: list[int] = []
     monkeypatch.setattr(os, "_exit", ends.append)
     try:
-        start._settle_early_signals()
+        programs._settle_early_signals()
         for sign in signs:
             os.kill(os.getpid(), sign)
         assert ends == [0, 0]
