--- a/tools/system_days.py
+++ b/tools/system_days.py
@@ -1,36 +1,24 @@
 """Plays every kind of trouble by itself and in pairs on a deployment of the system, and prints a table.
 
-It needs the operators' bench: `python tools/system_days.py BENCH SITE OUT
-[--pairs] [--jobs N] [--only KIND]`. Days are written to OUT as TOML files, one a kind and moment, with the
-traffic of the site's own first day of trouble; each is played once, and its rules and score are printed.
+    python -m tools.system_days BENCH SITE OUT [--pairs] [--jobs N] [--only KIND] [--moments S ...]
+
+Days are written to OUT as TOML files, one a kind and moment, with the traffic of the site's own first day of
+trouble; each is played once, and its rules and score are printed.
 """
 
 from __future__ import annotations
 
 import argparse
 import itertools
-import json
-import re
-import subprocess
-import tomllib
 from collections.abc import Iterator, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from tools.bench_days import Bench, Day, Entry, Play, Result, Site, each_done
+
 MOMENTS_S = (3.0, 11.5, 21.0)
-RULES = re.compile(
-    r"\b(MIXED|UNASKED|TWICE|REFUSED|DENIED|BUDGET|ROUTE|DRAIN|LOST|CONFIG|ORDER|RECOVER|ONE|LIMIT|CEILING)\b"
-)
 PAIR_AT_S = 12.0
 PAIR_GAP_S = 0.8
-PLANNED = frozenset(
-    {
-        "release", "roll_term", "scale_in", "scale_out", "seed_turnover", "config_change", "config_race",
-        "bad_config", "big_config", "model_shift", "hup", "config_storm",
-    }
-)  # fmt: skip
 MORE_KINDS: tuple[Mapping[str, Any], ...] = (  # those that may come though a site does not list them
     {"kind": "retry_abuse", "x": 3.0, "share": 0.2, "for_s": 5.0},
     {"kind": "srv_slow", "for_s": 5.0},
@@ -58,82 +46,36 @@
 )
 
 
-@dataclass(frozen=True)
-class Day:
-    """A day to play: its name and the entries of its plan and faults."""
-
-    name: str
-    plan: tuple[Mapping[str, Any], ...]
-    faults: tuple[Mapping[str, Any], ...]
-
-
-@dataclass(frozen=True)
-class Result:
-    """What the bench said of a day."""
-
-    day: Day
-    verdict: str
-
-
-def entry_name(entry: Mapping[str, Any]) -> str:
+def entry_name(entry: Entry) -> str:
     """A short name for an entry."""
     words = [str(entry["kind"]), str(entry.get("how", "")), str(entry.get("on", ""))]
     return "-".join(word.replace(" ", "_") for word in words if word)
 
 
-def day_of(name: str, entries: Sequence[Mapping[str, Any]]) -> Day:
-    """A day of these entries, each where it belongs."""
-    plan = tuple(entry for entry in entries if entry["kind"] in PLANNED)
-    faults = tuple(entry for entry in entries if entry["kind"] not in PLANNED)
-    return Day(name, plan, faults)
-
-
-def all_entries(site: Mapping[str, Any]) -> list[dict[str, Any]]:
+def all_entries(site: Site) -> list[dict[str, Any]]:
     """Every trouble that may come, once."""
-    return [dict(entry) for entry in (*site["troubles"], *MORE_KINDS)]
+    return [dict(entry) for entry in (*site.troubles, *MORE_KINDS)]
 
 
-def single_days(site: Mapping[str, Any], moments: Sequence[float]) -> Iterator[Day]:
+def single_days(site: Site, moments: Sequence[float]) -> Iterator[Day]:
     """Each kind at each moment."""
     for number, entry in enumerate(all_entries(site)):
         for at in moments:
-            yield day_of(f"{number:02}-{entry_name(entry)}-{at:g}", [entry | {"at": at}])
+            yield Day.of(f"{number:02}-{entry_name(entry)}-{at:g}", [entry | {"at": at}])
 
 
-def pair_days(site: Mapping[str, Any]) -> Iterator[Day]:
+def pair_days(site: Site) -> Iterator[Day]:
     """Each pair of kinds, close to each other."""
     for (n, first), (m, second) in itertools.combinations(enumerate(all_entries(site)), 2):
         entries = [first | {"at": PAIR_AT_S}, second | {"at": PAIR_AT_S + PAIR_GAP_S}]
-        yield day_of(f"{n:02}x{m:02}-{entry_name(first)}-{entry_name(second)}", entries)
-
-
-def toml_value(value: object) -> str:
-    """A value as TOML."""
-    if isinstance(value, Mapping):
-        return "{ " + ", ".join(f"{key} = {toml_value(item)}" for key, item in value.items()) + " }"
-    if isinstance(value, list | tuple):
-        return "[" + ", ".join(toml_value(item) for item in value) + "]"
-    return json.dumps(value)
-
-
-def toml_of(day: Day, template: Mapping[str, Any]) -> str:
-    """The day as a file that the bench plays."""
-    fields = dict(template) | {"name": day.name, "plan": day.plan, "faults": day.faults}
-    fields.pop("closing", None)
-    return "".join(f"{key} = {toml_value(value)}\n" for key, value in fields.items())
+        yield Day.of(f"{n:02}x{m:02}-{entry_name(first)}-{entry_name(second)}", entries)
 
 
-def play(bench: Path, site: Path, out: Path, day: Day, template: Mapping[str, Any]) -> Result:
-    """Play one day; its last lines."""
-    file = out / f"{day.name}.toml"
-    file.write_text(toml_of(day, template))
-    command = [str(bench), "run", str(site), str(file), "--jobs", "1"]
-    done = subprocess.run(command, capture_output=True, text=True, check=False)
-    (out / f"{day.name}.log").write_text(done.stdout + done.stderr)
-    lines = [line for line in (done.stdout + done.stderr).splitlines() if line.strip()]
-    broken = [line for line in lines if RULES.search(line)]
-    scored = [line for line in lines if line.startswith(day.name[:20])]
-    return Result(day, " | ".join([*scored[:1], *broken[:3]]) or lines[-1])
+def verdict(result: Result) -> str:
+    """What came of a day, in one line."""
+    score = "-" if result.score is None else f"{result.score:.2f}"
+    broken = [f"{rule} {said}" for rule, said in result.broken.items()]
+    return " | ".join([f"score {score} worth {result.worth:.3f}", *broken, *filter(None, [result.fault])])
 
 
 def main() -> None:
@@ -147,15 +89,13 @@
     parser.add_argument("--only", default="")
     parser.add_argument("--moments", type=float, nargs="*")
     arguments = parser.parse_args()
-    site = tomllib.loads(arguments.site.read_text())
-    template = next(day for day in site["day"] if day["slot"] == "trouble")
     arguments.out.mkdir(parents=True, exist_ok=True)
+    site = Site.read(arguments.site)
+    bench = Bench(arguments.bench.resolve(), arguments.out.resolve())
     every = pair_days(site) if arguments.pairs else single_days(site, arguments.moments or MOMENTS_S)
-    days = [day for day in every if arguments.only in day.name]
-    with ThreadPoolExecutor(arguments.jobs) as pool:
-        played = pool.map(lambda d: play(arguments.bench, arguments.site, arguments.out, d, template), days)
-        for result in played:
-            print(f"{result.day.name:50} {result.verdict}", flush=True)
+    plays = [Play(site, day) for day in every if arguments.only in day.name]
+    for play, result in each_done(bench.play, plays, arguments.jobs):
+        print(f"{play.day.name:50} {verdict(result)}", flush=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tools/worst_days.py
@@ -0,0 +1,222 @@
+"""Writes and plays the worst days: five points x deployments x seeds x moments.
+
+    python -m tools.worst_days BENCH OUT SITE... [--seeds 1 2] [--moments 3 9] [--points 1 4]
+        [--only WORD] [--most N] [--slot scale] [--jobs N] [--why TEXT] [--write-only] [--table FILE]
+
+Run it at the root of a clone: the bench builds and measures what stands there, and leaves its journal
+entries there. OUT takes each day's file, the bench's report and what it printed; a day that is there with
+its report, unaltered, isn't played again, so that a run which was stopped goes on where it was; after a
+change of the program, take another OUT. --most N spreads N plays evenly over all of them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import fmean
+
+from tools.bench_days import Bench, Listing, Play, Result, Site, each_done
+from tools.worst_day_points import POINTS
+
+MOMENTS_S = (3.0, 8.0)
+SEEDS = (1,)
+JOBS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Which of all days are wanted. points: their first letters; only: a word in the day's name."""
+
+    seeds: Sequence[int] = SEEDS
+    moments_s: Sequence[float] = MOMENTS_S
+    points: Sequence[str] = ("",)
+    only: str = ""
+    most: int | None = None
+
+
+def all_plays(sites: Mapping[Site, Listing], choice: Choice) -> list[Play]:
+    """The plays that are wanted, of days that may happen on their site."""
+    plays = [
+        Play(site, day, seed)
+        for seed in choice.seeds
+        for moment_s in choice.moments_s
+        for point, scenarios in POINTS.items()
+        if point.startswith(tuple(choice.points))
+        for site, listing in sites.items()
+        for scenario in (each.on(listing) for each in scenarios(site))
+        if scenario is not None
+        for day in [scenario.day(point, moment_s)]
+        if choice.only in day.name
+    ]
+    return spread(plays, choice.most)
+
+
+def spread(plays: Sequence[Play], most: int | None) -> list[Play]:
+    """So many of them, evenly over the whole."""
+    if most is None or most >= len(plays):
+        return list(plays)
+    return [plays[number * len(plays) // most] for number in range(most)]
+
+
+# --- what came of it ----------------------------------------------------------------------------------
+Outcomes = Sequence[tuple[Play, Result]]
+
+
+def point_of(play: Play) -> str:
+    """The point that a day belongs to."""
+    return next(point for point in POINTS if play.day.name.startswith(point))
+
+
+def by_point_and_site(outcomes: Outcomes) -> dict[tuple[str, str], Outcomes]:
+    """Outcomes by point and deployment, in this order."""
+    groups: dict[tuple[str, str], list[tuple[Play, Result]]] = defaultdict(list)
+    for play, result in outcomes:
+        groups[point_of(play), play.site.name].append((play, result))
+    return dict(sorted(groups.items()))
+
+
+def row(cells: Iterable[object]) -> str:
+    """A row of a table in Markdown."""
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+def summary_table(outcomes: Outcomes) -> Iterator[str]:
+    """A row for each point and deployment, and one for all."""
+    yield row(
+        ["point", "deployment", "scenarios", "seeds", "plays", "broken rules", "faults", "under floor",
+         "lowest, mean score", "lowest, mean worth"]
+    )  # fmt: skip
+    yield row(["---"] * 10)
+    for (point, site), group in by_point_and_site(outcomes).items():
+        yield row([point, site, *summary_cells(group)])
+    if outcomes:
+        yield row(["all", "all", *summary_cells(outcomes)])
+
+
+def summary_cells(group: Outcomes) -> list[object]:
+    """The figures of a group of outcomes."""
+    results = [result for _, result in group]
+    scores = [result.score for result in results if result.score is not None]
+    return [
+        len({play.day.name.rpartition("-")[0] for play, _ in group}),
+        " ".join(str(seed) for seed in sorted({play.seed or 0 for play, _ in group})),
+        len(group),
+        sum(bool(result.broken) for result in results),
+        sum(bool(result.fault) for result in results),
+        sum(bool(result.short) for result in results),
+        lowest_and_mean(scores),
+        lowest_and_mean([result.worth for result in results]),
+    ]
+
+
+def lowest_and_mean(values: Sequence[float]) -> str:
+    """Both, or a dash where there are none."""
+    return f"{min(values):.2f}, {fmean(values):.2f}" if values else "-"
+
+
+def kinds_table(plays: Sequence[Play]) -> Iterator[str]:
+    """Which kinds of trouble each point's days hold."""
+    kinds: dict[str, set[str]] = defaultdict(set)
+    for play in plays:
+        kinds[point_of(play)] |= {str(entry["kind"]) for entry in play.day.entries()}
+        if play.day.closing is not None:
+            kinds[point_of(play)].add(f"{play.day.closing['kind']} at the end")
+    yield row(["point", "kinds"])
+    yield row(["---"] * 2)
+    for point, names in sorted(kinds.items()):
+        yield row([point, ", ".join(f"`{name}`" for name in sorted(names))])
+
+
+def findings(outcomes: Outcomes) -> Iterator[str]:
+    """Each play with a broken rule or a fault, in the bench's words."""
+    for play, result in outcomes:
+        for rule, said in result.broken.items():
+            yield f"- `{play.stem}`: {rule}: {said}"
+        if result.fault:
+            yield f"- `{play.stem}`: fault: {result.fault}"
+
+
+def lowest(outcomes: Outcomes, count: int = 10) -> Iterator[str]:
+    """The plays with the lowest scores, and what took most."""
+    scored = [(play, result) for play, result in outcomes if result.score is not None]
+    yield row(["day", "score", "worth", "weakest part; largest price", "under floor"])
+    yield row(["---"] * 5)
+    for play, result in sorted(scored, key=lambda item: (item[1].score, item[1].worth))[:count]:
+        cells = [f"`{play.stem}`", f"{result.score:.2f}", f"{result.worth:.2f}", result.weakest]
+        yield row([*cells, "; ".join(result.short) or "-"])
+
+
+def page(outcomes: Outcomes) -> str:
+    """All of it in Markdown, the same whatever order the plays ended in."""
+    ordered = sorted(outcomes, key=lambda item: item[0].stem)
+    parts = [
+        summary_table(ordered),
+        kinds_table([play for play, _ in ordered]),
+        lowest(ordered),
+        list(findings(ordered)) or ["No rule was broken, and there was no fault."],
+    ]
+    return "\n\n".join("\n".join(part) for part in parts) + "\n"
+
+
+def line(play: Play, result: Result) -> str:
+    """What is printed as soon as a play is done."""
+    score = "-" if result.score is None else f"{result.score:.2f}"
+    said = [*result.broken, *([result.fault] if result.fault else []), *result.short]
+    told = f"score {score}  worth {result.worth:.2f}  {result.wall_s:4.0f} s"
+    return f"{play.stem:70} {told}  {' | '.join(said)}".rstrip()
+
+
+# --- the command --------------------------------------------------------------------------------------
+def parsed(words: Sequence[str]) -> argparse.Namespace:
+    """The arguments."""
+    parser = argparse.ArgumentParser("tools.worst_days", description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("bench", type=Path)
+    parser.add_argument("out", type=Path)
+    parser.add_argument("sites", type=Path, nargs="+")
+    parser.add_argument("--seeds", type=int, nargs="+", default=SEEDS)
+    parser.add_argument("--moments", type=float, nargs="+", default=MOMENTS_S)
+    parser.add_argument("--points", nargs="+", default=("",))
+    parser.add_argument("--only", default="")
+    parser.add_argument("--most", type=int)
+    parser.add_argument("--slot", default="trouble", help="the standard day whose traffic is taken over")
+    parser.add_argument("--jobs", type=int, default=JOBS)
+    parser.add_argument("--why", default="the worst days: five points, written by tools/worst_days.py")
+    parser.add_argument("--write-only", action="store_true")
+    parser.add_argument("--table", type=Path)
+    return parser.parse_args(words)
+
+
+def sites_of(asked: argparse.Namespace) -> list[Site]:
+    """The deployments that are asked for."""
+    return [Site.read(path, asked.slot) for path in asked.sites]
+
+
+def main(words: Sequence[str]) -> int:
+    """Exit code 1 where a rule was broken or there was a fault."""
+    asked = parsed(words)
+    asked.out.mkdir(parents=True, exist_ok=True)
+    bench = Bench(asked.bench.resolve(), asked.out.resolve(), asked.why)
+    sites = {site: bench.listing(site) for site in sites_of(asked)}
+    plays = all_plays(sites, Choice(asked.seeds, asked.moments, asked.points, asked.only, asked.most))
+    print(f"{len(plays)} plays", flush=True)
+    if asked.write_only:
+        for play in plays:
+            print(bench.write(play))
+        return 0
+    outcomes = []
+    for play, result in each_done(bench.play, plays, asked.jobs):
+        print(line(play, result), flush=True)
+        outcomes.append((play, result))
+    text = page(outcomes)
+    print(text)
+    if asked.table:
+        asked.table.write_text(text)
+    return 0 if all(result.sound for _, result in outcomes) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
