Placement's loop split by job: polling, issuing, readiness, steps

Behaviour is unchanged: the same draws of the random source in the same order, and the tests of placement pass as before (only two of their imports moved).

--- a/granitewell/controlplane/placement/controller.py
+++ b/granitewell/controlplane/placement/controller.py
@@ -18,7 +18,8 @@
 
 from granitewell.controlplane.placement.observation import ListedServer
 from granitewell.controlplane.placement.orders import HttpServerClient, OrderResult, ServerClient
-from granitewell.controlplane.placement.reconciler import PlacementCounters, PlacementReconciler, Poll, Send
+from granitewell.controlplane.placement.reconciler import PlacementReconciler
+from granitewell.controlplane.placement.steps import PlacementCounters, Poll, Send
 from granitewell.model.configuration import Engine
 from granitewell.model.servers import HeldModel, ModelDemand
 
--- /dev/null
+++ b/granitewell/controlplane/placement/issuing.py
@@ -0,0 +1,132 @@
+"""The last checks before an order goes out, and what its end teaches. Pure.
+
+Whatever the planner says: one order at a time to a server, conditional on the sequence last reported; no load
+beyond the memory left with all that counted; no load from the store without a token of the bucket.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from granitewell.controlplane.placement.limits import Capacity, LoadBucket, LoadPace, SizeBook, Usage, usage
+from granitewell.controlplane.placement.observation import OrderStage, PendingOrder, ServerRecord, shows
+from granitewell.controlplane.placement.orders import Operation, Order, OrderResult, OrderTicket, Report
+from granitewell.controlplane.placement.steps import PlacementCounters, Send
+from granitewell.model.configuration import Engine
+from granitewell.model.servers import ModelRef
+
+REPORT_SHOWS_S = 0.1  # how old a report usually is; learned from nothing, only a first look depends on it
+UNLOAD_TAKES_S = 0.02
+ADAPTER_TAKES_S = 0.02
+WARM_SHARE = 0.85  # of its load time, for a model from the server's own disk
+
+_NEVER_BEGAN = frozenset(
+    {
+        OrderResult.NOT_SENT,
+        OrderResult.CONFLICT,
+        OrderResult.FENCED,
+        OrderResult.OTHER_SERVER,
+        OrderResult.HELD,
+    }
+)
+
+
+class OrderIssuer:
+    """Gives out orders within a server's memory and the weight store's rate."""
+
+    def __init__(self, records: Mapping[str, ServerRecord], counters: PlacementCounters) -> None:
+        self.sizes = SizeBook()
+        self.bucket = LoadBucket(0.0)
+        self.pace = LoadPace()
+        self._records = records
+        self._counters = counters
+        self._engine: Engine | None = None
+        self._load_share = 1.0
+
+    def start(self, now: float) -> None:
+        """Ownership was gained: what an earlier owner has just loaded counts, so begin without a token."""
+        self.pace = LoadPace()
+        self.bucket = LoadBucket(now)
+        self._set_rate(now)
+
+    def set_engine(self, now: float, engine: Engine, load_share: float) -> None:
+        """A configuration came into force. load_share: this service's part of the store's rate."""
+        self._engine = engine
+        self._load_share = load_share
+        self.sizes.learn(engine)
+        self._set_rate(now)
+
+    def _set_rate(self, now: float) -> None:
+        if self._engine is not None:
+            self.bucket.set_rate(now, self._engine.loads_per_s * self._load_share)
+
+    def issue(self, now: float, order: Order, holder: str, fence: int) -> Send | None:
+        """Put an order on the record and give it out, unless it would break a limit."""
+        record = self._records.get(order.server_id)
+        engine = self._engine
+        if record is None or engine is None or not record.orderable(now, fence):
+            return None
+        if order.operation is Operation.LOAD and not self._admits(record, engine, order):
+            return None
+        if order.from_store and not self.bucket.take(now):
+            return None
+        report = record.report
+        assert report is not None  # orderable
+        at_once = 1 + sum(1 for other in self._records.values() if _is_model(other.coming()))
+        expected_s = self._expected_s(engine, order, at_once)
+        record.pending = PendingOrder(order, report.sequence, now, expected_s, at_once)
+        record.calling = True
+        record.reservation = None
+        self._count(order)
+        return Send(record.listed.address, order, OrderTicket(holder, fence, report.sequence))
+
+    def answered(self, order: Order, result: OrderResult) -> None:
+        """An order was answered, or got no answer."""
+        results = self._counters.results
+        results[result] = results.get(result, 0) + 1
+        if order.from_store and result in _NEVER_BEGAN:
+            self.bucket.give_back()
+
+    def done(self, done: PendingOrder, asked_at: float, report: Report) -> None:
+        """A report that was asked for at asked_at shows how an order ended."""
+        if not done.order.loads_model or not done.order.from_store or not shows(report, done.order):
+            return
+        nominal = _load_time(self._engine, done.order.ref.model) if self._engine is not None else 0.0
+        if nominal > 0 and done.stage is OrderStage.TAKEN:
+            self.pace.learn(done.at_once, asked_at - done.sent_at, nominal)
+
+    def _admits(self, record: ServerRecord, engine: Engine, order: Order) -> bool:
+        after = self._usage_with(record, order.ref)
+        return Capacity(engine.weights_mb, engine.max_adapters).admits(after)
+
+    def _usage_with(self, record: ServerRecord, ref: ModelRef) -> Usage:
+        coming = record.coming()
+        loads = [ref] if coming is None else [coming, ref]
+        return usage(record.held().values(), loads, self.sizes)
+
+    def _expected_s(self, engine: Engine, order: Order, at_once: int) -> float:
+        if order.operation is Operation.UNLOAD:
+            return UNLOAD_TAKES_S + REPORT_SHOWS_S
+        if order.ref.adapter:
+            return ADAPTER_TAKES_S + REPORT_SHOWS_S
+        seconds = _load_time(engine, order.ref.model) * max(1.0, at_once / self.pace.at_once)
+        return seconds * (1.0 if order.from_store else WARM_SHARE) + REPORT_SHOWS_S
+
+    def _count(self, order: Order) -> None:
+        counters = self._counters
+        if order.operation is Operation.UNLOAD:
+            counters.unloads += 1
+        elif order.ref.adapter:
+            counters.adapter_loads += 1
+        elif order.from_store:
+            counters.loads_from_store += 1
+        else:
+            counters.loads_warm += 1
+
+
+def _is_model(ref: ModelRef | None) -> bool:
+    return ref is not None and not ref.adapter
+
+
+def _load_time(engine: Engine, name: str) -> float:
+    return next((model.load_time_s for model in engine.models if model.name == name), 1.0)
--- /dev/null
+++ b/granitewell/controlplane/placement/polling.py
@@ -0,0 +1,57 @@
+"""When each server is asked for its report. Pure."""
+
+from __future__ import annotations
+
+from random import Random
+
+from granitewell.controlplane.placement.observation import ServerRecord
+from granitewell.controlplane.placement.orders import ReportFailure
+
+POLL_S = 1.0  # between reports of a server without an order: each costs as much as a health probe
+POLL_RETRY_S = 0.25  # after a refused connection
+POLL_AGAIN_S = 0.05  # after a silence, which has taken long enough
+POLL_DARK_S = 0.6  # while a server counts as down
+POLL_ORDER_S = 0.07  # while an order is about to be done
+POLL_LATE_S = 0.2  # when it takes far longer than expected
+FIRST_POLLS_S = 0.05  # over which the first reports of all servers are spread
+FIRST_LOOK_SHARE = 0.9  # of the expected time of an order
+LEAST_FIRST_LOOK_S = 0.05
+
+
+def after_report(now: float, record: ServerRecord, rng: Random) -> float:
+    """When to ask again after a report."""
+    pending = record.pending
+    if pending is None:
+        if record.report is not None and record.report.busy:
+            return now + POLL_LATE_S
+        return now + POLL_S * _jitter(rng)
+    if now - pending.sent_at > 3.0 * pending.expected_s + 1.0:
+        return now + POLL_LATE_S
+    return now + POLL_ORDER_S
+
+
+def after_miss(now: float, record: ServerRecord, failure: ReportFailure, rng: Random) -> float:
+    """When to ask again after a report that did not come."""
+    pause = POLL_AGAIN_S if failure is ReportFailure.NO_ANSWER else POLL_RETRY_S
+    if record.dark(now):
+        pause = POLL_DARK_S
+    return now + pause * _jitter(rng)
+
+
+def after_acceptance(now: float, expected_s: float) -> float:
+    """When to look for the result of an order that a server has taken."""
+    return now + max(LEAST_FIRST_LOOK_S, FIRST_LOOK_SHARE * expected_s)
+
+
+def first_poll(now: float, rng: Random) -> float:
+    """When to ask a server of which nothing is known."""
+    return now + rng.random() * FIRST_POLLS_S
+
+
+def poll_due(now: float, record: ServerRecord) -> bool:
+    """Whether to ask a server now."""
+    return not record.calling and not record.misdirected and now >= record.next_poll_at
+
+
+def _jitter(rng: Random) -> float:
+    return 0.9 + 0.2 * rng.random()
--- /dev/null
+++ b/granitewell/controlplane/placement/readiness.py
@@ -0,0 +1,54 @@
+"""What requests may be sent for to each server, and which servers have changed in that. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from granitewell.controlplane.placement.observation import ServerRecord, too_many_dark
+from granitewell.model.servers import HeldModel
+
+
+class Readiness:
+    """Ready models by server. A server that counts as down has none, unless nearly all seem down."""
+
+    def __init__(self, records: Mapping[str, ServerRecord]) -> None:
+        self._records = records
+        self._published: dict[str, Mapping[str, HeldModel]] = {}
+        self._changed: set[str] = set()
+
+    def ready_models(self, server_id: str) -> Mapping[str, HeldModel]:
+        """What requests may be sent for to a server now."""
+        return self._published.get(server_id, {})
+
+    def take_changes(self) -> list[str]:
+        """Ids of servers whose ready models have changed since the last call."""
+        changed = sorted(self._changed)
+        self._changed.clear()
+        return changed
+
+    def dark(self, now: float) -> set[str]:
+        """Servers that count as down."""
+        dark = {server_id for server_id, record in self._records.items() if record.dark(now)}
+        certain = {server_id for server_id in dark if self._records[server_id].misdirected}
+        return certain if too_many_dark(len(dark), len(self._records)) else dark
+
+    def publish_all(self, now: float) -> None:
+        """Take over what all records show."""
+        for gone in [known for known in self._published if known not in self._records]:
+            del self._published[gone]
+        dark = self.dark(now)
+        for server_id, record in self._records.items():
+            self._set(server_id, {} if server_id in dark else record.ready())
+
+    def publish(self, now: float, record: ServerRecord) -> None:
+        """Take over what one record shows, unless its server is no longer listed."""
+        server_id = record.listed.id
+        if self._records.get(server_id) is not record:
+            return
+        dark = record.dark(now) and server_id in self.dark(now)
+        self._set(server_id, {} if dark else record.ready())
+
+    def _set(self, server_id: str, ready: Mapping[str, HeldModel]) -> None:
+        if self._published.get(server_id) != ready:
+            self._published[server_id] = ready
+            self._changed.add(server_id)
--- a/tests/controlplane/test_placement_faults.py
+++ b/tests/controlplane/test_placement_faults.py
@@ -17,7 +17,8 @@
 from granitewell.controlplane.placement.limits import LoadBucket
 from granitewell.controlplane.placement.observation import OrderStage, PendingOrder, ServerRecord
 from granitewell.controlplane.placement.orders import OrderResult, Report, ReportFailure
-from granitewell.controlplane.placement.reconciler import PlacementReconciler, Send
+from granitewell.controlplane.placement.reconciler import PlacementReconciler
+from granitewell.controlplane.placement.steps import Send
 from granitewell.model.servers import ModelRef, ServerState
 from tests.controlplane.test_placement_fleet import Fleet, play_usual, tiny_fleet, usual_fleet
 
--- a/tests/controlplane/test_placement_fleet.py
+++ b/tests/controlplane/test_placement_fleet.py
@@ -23,7 +23,8 @@
     Report,
     ReportFailure,
 )
-from granitewell.controlplane.placement.reconciler import PlacementReconciler, Poll, Send
+from granitewell.controlplane.placement.reconciler import PlacementReconciler
+from granitewell.controlplane.placement.steps import Poll, Send
 from granitewell.model.configuration import Engine, Model
 from granitewell.model.servers import HeldModel, ModelDemand, ModelRef, ServerState
 
