--- a/granitewell/controlplane/placement/orders.py
+++ b/granitewell/controlplane/placement/orders.py
@@ -166,10 +166,15 @@
 class HttpServerClient:
     """Servers over HTTP. One call a server at a time is up to the caller, so one connection each suffices."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        report_timeout_s: float = REPORT_TIMEOUT_S,
+        order_timeout_s: float = ORDER_TIMEOUT_S,
+    ) -> None:
         self._session = session
-        self._report_timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
-        self._order_timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
+        self._report_timeout = aiohttp.ClientTimeout(total=report_timeout_s)
+        self._order_timeout = aiohttp.ClientTimeout(total=order_timeout_s)
 
     async def report(self, server_id: str, address: str) -> Report | ReportFailure:
         """The server's report."""
