A new owner of a shard unloads nothing before every edge had time to report

Cause: ownership starts from no demand at all, and a model that nobody has reported seems unused.

Ruled out: waiting for a count of edges, which the owner does not know; unloading second copies only, which still halves a busy model. Change: no unload in the first 1.2 s of an ownership; loads into free room go on.

--- a/granitewell/controlplane/placement/reconciler.py
+++ b/granitewell/controlplane/placement/reconciler.py
@@ -3,6 +3,7 @@
 Rules kept here, whatever the planner says:
 - one call at a time to a server;
 - no order where the caller says that this node may not order;
+- nothing is unloaded before every edge had time to report what it is asked for;
 - what requests are sent for is unloaded only once the edges had time to learn of it.
 What an order itself must meet is checked in issuing.py.
 """
@@ -42,6 +43,7 @@
 REPLAN_S = 0.25  # between plans when nothing happens
 LEAST_BETWEEN_PLANS_S = 0.02
 FIRST_REPORTS_S = 0.1  # before the first plan, so that it knows all servers
+FIRST_DEMAND_S = 1.2  # before the first unload: edges report every second, till then nothing seems in use
 AFTER_CONFLICT_S = 0.25  # a report asked for earlier may not show why an order was refused
 AFTER_INVALID_S = 2.0
 RETRY_UNSENT_S = 0.1
@@ -59,6 +61,7 @@
         self._last_fence = 0
         self._plan_at = math.inf
         self._planned_at = -math.inf
+        self._unload_from = math.inf
         self.counters = PlacementCounters()
         self._issuer = OrderIssuer(self._records, self.counters)
         self._readiness = Readiness(self._records)
@@ -73,6 +76,7 @@
         self._forget(now)
         self._planned_at = now + FIRST_REPORTS_S
         self._plan_at = self._planned_at
+        self._unload_from = now + FIRST_DEMAND_S
 
     def stop(self, now: float) -> None:
         """Ownership was lost."""
@@ -253,6 +257,8 @@
         views = self._views(now, fence, engine)
         steps: list[Step] = []
         for order in plan(views, demand, engine, self._issuer.sizes, store):
+            if order.operation is Operation.UNLOAD and now < self._unload_from:
+                continue
             if order.operation is Operation.UNLOAD and self._in_use(demand, order.ref):
                 self._withdraw(now, order)
                 continue
