A reply between nodes is matched by id, method and connection; else the line ends

Cause, by review: a client took any frame with the id of a call for its reply, also of another method or of a kind that is no reply; a server ran the handler for replies and unknown kinds (four of the new tests fail on the earlier code); a client that was dropped while it dialed left its connection open for good, and a call whose connection ended between the dial and the write waited for its whole time-out.

Ruled out: a reply of an earlier connection or a late one reaching another call. Ids are not used twice by a client and calls end with their connection: all orders of a reply, a failure, a late and a repeated reply, cut every third byte, and a reply to an old call on a new connection.

Two planted defects are caught: replies matched without their connection, and without their method.

--- a/granitewell/rpc/transport.py
+++ b/granitewell/rpc/transport.py
@@ -1,5 +1,8 @@
 """Frames between nodes over TCP: calls with a reply, and messages without one.
 
+A reply belongs to the call with its id and method on its own connection, and to no other: ids are not used
+again by a client, and a call ends with its connection. A frame that can be no reply ends the connection.
+
 A frame is a head of 14 bytes (magic, version, kind, method, call id, length) and a payload. Unknown versions
 and lengths over the bound end the connection. One connection a pair of nodes and direction; it is dialed when
 it is wanted, and a peer that says nothing is given up by TCP_USER_TIMEOUT. Queues are bounded: a message for
@@ -13,6 +16,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import IntEnum
 from typing import cast
 
@@ -130,6 +134,8 @@
             task.cancel()
 
     def frame(self, kind: int, method: int, call: int, payload: bytes) -> None:
+        if kind not in (Kind.CALL, Kind.ONE_WAY):
+            raise BadFrame(f"a frame of kind {kind} at a server")
         task = asyncio.get_running_loop().create_task(self._answer(kind, method, call, payload))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -169,27 +175,54 @@
             connection.close()
 
 
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A call whose reply is to come."""
+
+    method: int
+    future: asyncio.Future[bytes]
+
+
 class _ClientProtocol(_FrameProtocol):
     def __init__(self) -> None:
         super().__init__()
-        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self._waiting: dict[int, _Waiting] = {}
         self.closed = False
 
+    def expect(self, call: int, method: int) -> asyncio.Future[bytes]:
+        """The reply to come; raises PeerUnreachable where none can."""
+        if self.closed:
+            raise PeerUnreachable("connection lost")
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self._waiting[call] = _Waiting(method, future)
+        return future
+
+    def forget(self, call: int) -> None:
+        """Nobody waits for a reply any more; one that comes late is dropped."""
+        self._waiting.pop(call, None)
+
     def frame(self, kind: int, method: int, call: int, payload: bytes) -> None:
-        future = self.waiting.pop(call, None)
-        if future is None or future.done():
+        if kind not in (Kind.REPLY, Kind.FAILURE):
+            raise BadFrame(f"a frame of kind {kind} at a client")
+        waiting = self._waiting.get(call)
+        if waiting is None:
+            return
+        if waiting.method != method:
+            raise BadFrame(f"a reply of method {method} to a call of {waiting.method}")
+        del self._waiting[call]
+        if waiting.future.done():
             return
         if kind == Kind.REPLY:
-            future.set_result(payload)
+            waiting.future.set_result(payload)
         else:
-            future.set_exception(RpcError(payload.decode(errors="replace")))
+            waiting.future.set_exception(RpcError(payload.decode(errors="replace")))
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(PeerUnreachable("connection lost"))
-        self.waiting.clear()
+        for waiting in self._waiting.values():
+            if not waiting.future.done():
+                waiting.future.set_exception(PeerUnreachable("connection lost"))
+        self._waiting.clear()
 
 
 class RpcClient:
@@ -202,6 +235,7 @@
         self._protocol: _ClientProtocol | None = None
         self._connecting: asyncio.Task[_ClientProtocol] | None = None
         self._next_call = 0
+        self._dropped = False
 
     async def _dial(self) -> _ClientProtocol:
         loop = asyncio.get_running_loop()
@@ -210,6 +244,9 @@
                 _, protocol = await loop.create_connection(_ClientProtocol, self._host, self._port)
         except (OSError, TimeoutError) as error:
             raise PeerUnreachable(f"{self.address}: {error!r}") from error
+        if self._dropped:
+            protocol.close()
+            raise PeerUnreachable(f"{self.address}: no longer wanted")
         self._protocol = protocol
         return protocol
 
@@ -227,15 +264,14 @@
         try:
             async with asyncio.timeout(timeout_s):
                 protocol = await self._connected()
-                future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-                protocol.waiting[call] = future
+                future = protocol.expect(call, method)
                 protocol.write(Kind.CALL, method, call, payload)
                 return await future
         except TimeoutError as error:
             raise RpcTimeout(f"{self.address}: no reply in {timeout_s} s") from error
         finally:
             if protocol is not None:
-                protocol.waiting.pop(call, None)
+                protocol.forget(call)
 
     def send(self, method: Method, payload: bytes) -> None:
         """A message without a reply; lost where there is no connection or the peer does not read."""
@@ -254,7 +290,8 @@
             task.result().write(Kind.ONE_WAY, method, 0, payload)
 
     def close(self) -> None:
-        """Drop the connection."""
+        """Drop the connection, for good."""
+        self._dropped = True
         if self._protocol is not None:
             self._protocol.close()
 
--- a/tests/rpc/test_transport.py
+++ b/tests/rpc/test_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,7 +14,18 @@
 
 from granitewell.model.errors import BadFrame, PeerUnreachable, RpcError, RpcTimeout
 from granitewell.rpc.messages import DemandReport, GroupMessage, WatchReply, decode, encode
-from granitewell.rpc.transport import HEAD, MAGIC, MOST_PAYLOAD, VERSION, Kind, Method, RpcPeers, RpcServer
+from granitewell.rpc.transport import (
+    HEAD,
+    MAGIC,
+    MOST_PAYLOAD,
+    VERSION,
+    Kind,
+    Method,
+    RpcClient,
+    RpcPeers,
+    RpcServer,
+    _ClientProtocol,
+)
 
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]  # what runs in service is uvloop
 
@@ -155,3 +167,185 @@
     message = GroupMessage(group=group, sender_address="10.0.0.1:7660", payload=payload)
     back = decode(GroupMessage, encode(message))
     assert (back.group, back.payload) == (group, payload)
+
+
+# Whose reply it is
+
+
+def frame(kind: int, method: int, call: int, payload: bytes = b"") -> bytes:
+    return HEAD.pack(MAGIC, VERSION, kind, method, call, len(payload)) + payload
+
+
+class Pipe(asyncio.Transport):
+    """A transport that goes nowhere."""
+
+    def __init__(self, protocol: _ClientProtocol) -> None:
+        super().__init__()
+        self._protocol = protocol
+        self.aborted = False
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def abort(self) -> None:
+        self.aborted = True
+        self._protocol.connection_lost(None)
+
+
+REPLIES = {
+    "first": frame(Kind.REPLY, Method.WATCH, 1, b"one"),
+    "second": frame(Kind.FAILURE, Method.EDGES, 2, b"two"),
+    "late": frame(Kind.REPLY, Method.WATCH, 99, b"none"),
+    "first again": frame(Kind.REPLY, Method.WATCH, 1, b"one more"),
+}
+
+
+def feed(data: bytes, cut: int) -> tuple[Any, Any, bool]:
+    """What two callers get of a connection's bytes, which come in two parts; whether it was ended."""
+
+    async def run() -> tuple[Any, Any, bool]:
+        protocol = _ClientProtocol()
+        pipe = Pipe(protocol)
+        protocol.connection_made(pipe)
+        first, second = protocol.expect(1, Method.WATCH), protocol.expect(2, Method.EDGES)
+        for part in (data[:cut], data[cut:]):
+            if not pipe.aborted:
+                protocol.data_received(part)
+        return outcome(first), outcome(second), pipe.aborted
+
+    return asyncio.run(run())
+
+
+def outcome(future: asyncio.Future[bytes]) -> Any:
+    if not future.done():
+        return None
+    return future.exception() or future.result()
+
+
+def test_each_caller_gets_its_own_reply_in_every_order_and_at_every_cut() -> None:
+    for names in itertools.permutations(REPLIES):
+        data = b"".join(REPLIES[name] for name in names)
+        expected = b"one" if names.index("first") < names.index("first again") else b"one more"
+        for cut in range(0, len(data) + 1, 3):
+            first, second, ended = feed(data, cut)
+            assert first == expected and not ended
+            assert isinstance(second, RpcError) and "two" in str(second)
+
+
+@pytest.mark.parametrize("length", range(len(REPLIES["first"])))
+def test_a_reply_that_is_cut_answers_nobody(length: int) -> None:
+    assert feed(REPLIES["first"][:length], 0)[:2] == (None, None)
+
+
+@pytest.mark.parametrize(
+    "foreign",
+    [
+        frame(Kind.REPLY, Method.EDGES, 1, b"of another method"),
+        frame(Kind.FAILURE, Method.DEMAND, 2),
+        frame(Kind.CALL, Method.WATCH, 1),
+        frame(Kind.ONE_WAY, Method.WATCH, 1),
+        frame(77, Method.WATCH, 1),
+        frame(77, Method.WATCH, 99),
+    ],
+)
+def test_a_frame_that_can_be_no_reply_ends_the_connection_and_answers_nobody(foreign: bytes) -> None:
+    first, second, ended = feed(foreign + REPLIES["first"] + REPLIES["second"], 0)
+    assert isinstance(first, PeerUnreachable) and isinstance(second, PeerUnreachable) and ended
+
+
+@pytest.mark.parametrize("kind", [Kind.REPLY, Kind.FAILURE, 0, 77])
+def test_a_server_runs_nothing_for_a_frame_that_is_no_call(kind: int) -> None:
+    ran: list[bytes] = []
+
+    async def handler(payload: bytes, peer: str) -> bytes:
+        ran.append(payload)
+        return b""
+
+    async def use(peers: RpcPeers, address: str, server: RpcServer) -> None:
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(frame(kind, Method.WATCH, 1, b"not for you"))
+        async with asyncio.timeout(5):
+            with pytest.raises(ConnectionResetError):
+                if not await reader.read():
+                    raise ConnectionResetError
+        writer.close()
+        assert ran == []
+
+    play(handler, use)
+
+
+async def reconnect() -> None:
+    """A call whose connection is lost, then one on the next, where the reply to the first comes as well."""
+    calls: asyncio.Queue[tuple[int, asyncio.StreamWriter]] = asyncio.Queue()
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readexactly(HEAD.size + 1)
+        calls.put_nowait((HEAD.unpack_from(head)[4], writer))
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    client = RpcClient(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    async with asyncio.timeout(5):
+        first = asyncio.create_task(client.call(Method.WATCH, b"a", 1))
+        old_call, old = await calls.get()
+        old.transport.abort()
+        await asyncio.wait({first}, timeout=0.2)
+        second = asyncio.create_task(client.call(Method.WATCH, b"b", 1))
+        new_call, new = await calls.get()
+        new.write(frame(Kind.REPLY, Method.WATCH, old_call, b"old"))
+        new.write(frame(Kind.REPLY, Method.WATCH, new_call, b"new"))
+        with pytest.raises(PeerUnreachable):
+            await first
+        assert await second == b"new"
+    client.close()
+    server.close()
+
+
+def test_a_reply_on_a_new_connection_does_not_answer_a_call_of_the_old_one() -> None:
+    asyncio.run(reconnect())
+
+
+def test_replies_matched_without_their_connection_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    of_all: dict[int, Any] = {}
+    real = _ClientProtocol.__init__
+
+    def init(self: _ClientProtocol) -> None:
+        real(self)
+        self._waiting = of_all
+
+    def connection_lost(self: _ClientProtocol, error: Exception | None) -> None:
+        self.closed = True
+
+    monkeypatch.setattr(_ClientProtocol, "__init__", init)
+    monkeypatch.setattr(_ClientProtocol, "connection_lost", connection_lost)
+    with pytest.raises(pytest.fail.Exception):
+        asyncio.run(reconnect())
+
+
+def test_replies_matched_without_their_method_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = _ClientProtocol.frame
+
+    def any_method(self: _ClientProtocol, kind: int, method: int, call: int, payload: bytes) -> None:
+        waiting = self._waiting.get(call)
+        real(self, kind, method if waiting is None else waiting.method, call, payload)
+
+    monkeypatch.setattr(_ClientProtocol, "frame", any_method)
+    first, _, ended = feed(frame(Kind.REPLY, Method.EDGES, 1, b"of another method"), 0)
+    assert first == b"of another method" and not ended
+
+
+def test_a_client_that_is_dropped_while_it_dials_leaves_no_connection() -> None:
+    async def use(peers: RpcPeers, address: str, server: RpcServer) -> None:
+        client = RpcClient(address)
+        call = asyncio.create_task(client.call(Method.WATCH, b"", 5))
+        await asyncio.sleep(0)
+        client.close()
+        with pytest.raises(PeerUnreachable):
+            await call
+        async with asyncio.timeout(5):
+            while server.connections:
+                await asyncio.sleep(0.001)
+        with pytest.raises(PeerUnreachable):
+            await client.call(Method.WATCH, b"", 5)
+
+    play(echo, use)
