--- a/granitewell/coordination/consensus/codec.py
+++ b/granitewell/coordination/consensus/codec.py
@@ -89,6 +89,8 @@
     11: messages.HandOver,
     12: messages.Join,
     13: messages.Removed,
+    14: messages.Leave,
+    15: messages.LeaveReply,
 }
 _BY_NUMBER = {number: _kind(number, message) for number, message in _NUMBERED.items()}
 _BY_MESSAGE = {kind.message: kind for kind in _BY_NUMBER.values()}
--- a/granitewell/coordination/consensus/core.py
+++ b/granitewell/coordination/consensus/core.py
@@ -97,5 +97,5 @@
         return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
 
     def peers(self) -> list[Member]:
-        """The other voters."""
-        return [member for member in self.log.membership.voters if member.replica_id != self.id]
+        """The other voters, those on their way out too."""
+        return [member for member in self.log.membership.all_voters() if member.replica_id != self.id]
--- a/granitewell/coordination/consensus/election.py
+++ b/granitewell/coordination/consensus/election.py
@@ -13,9 +13,8 @@
 from __future__ import annotations
 
 from granitewell.coordination.consensus.core import Core
-from granitewell.coordination.consensus.membership import quorum
 from granitewell.coordination.consensus.messages import PreVote, PreVoteReply, Vote, VoteReply
-from granitewell.coordination.consensus.progress import NEVER
+from granitewell.coordination.consensus.quorum import NEVER, quorum_of
 from granitewell.coordination.consensus.terms import Role
 
 
@@ -101,9 +100,8 @@
             self._votes.add(core.id)
 
     def has_quorum(self) -> bool:
-        """Whether a majority of the voters granted what is asked for."""
-        voters = [member.replica_id for member in self._core.log.membership.voters]
-        return sum(voter in self._votes for voter in voters) >= quorum(len(voters))
+        """Whether a quorum of the voters granted what is asked for."""
+        return quorum_of(self._core.log.membership).satisfied_by(self._votes)
 
     # Voting
 
--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -335,7 +335,7 @@
         """Internal addresses to ask, where no member is known."""
         self._seeds = tuple(addresses)
         if self._replica is not None:
-            self._replica.seeds = self._seeds
+            self._replica.set_seeds(self._seeds)
 
     # Events
 
--- /dev/null
+++ b/granitewell/coordination/consensus/joining.py
@@ -0,0 +1,63 @@
+"""What a replica asks of the group for itself: to be taken in where it has no vote, and before it stops, to
+have its place filled."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from granitewell.coordination.consensus.core import Core
+from granitewell.coordination.consensus.messages import Join, Leave, LeaveReply
+
+
+class Joining:
+    """The part of a replica that comes and goes. seeds: addresses to ask where no member is known. due_at:
+    when it asks next. neighbour: an address that looks for who was at this one before."""
+
+    def __init__(self, core: Core, seeds: Iterable[str], now: float) -> None:
+        self._core = core
+        self._started_at = now
+        self._leave_at = now
+        self._stays = False
+        self.seeds = tuple(seeds)
+        self.due_at = now
+        self.neighbour: str | None = None
+
+    def heard_leader(self, now: float) -> None:
+        """The leader knows this replica."""
+        self.due_at = now + self._core.settings.join_s
+
+    def tick(self, now: float, leader_heard_at: float) -> None:
+        """Ask to be taken in, where no leader is heard."""
+        core = self._core
+        if now < self.due_at:
+            return
+        self.due_at = now + core.settings.join_s
+        leaderless_s = now - max(leader_heard_at, self._started_at)
+        if core.is_voter and leaderless_s < core.settings.unreachable_s:
+            return
+        for address in self._known_addresses():
+            core.send(address, Join(core.id, "", core.term, core.me, False))
+
+    def _known_addresses(self) -> Sequence[str]:
+        core = self._core
+        addresses = dict.fromkeys(member.address for member in core.log.membership.all_voters())
+        addresses.update(dict.fromkeys(self.seeds))
+        if self.neighbour is not None:
+            addresses[self.neighbour] = None
+        addresses.pop(core.me.address, None)
+        return list(addresses)
+
+    def leave(self, now: float) -> bool:
+        """Ask the leader to have this replica's place filled; whether that may still come about."""
+        core = self._core
+        if self._stays or not core.is_voter:
+            return False
+        if core.leader_id is not None and core.leader_address is not None and now >= self._leave_at:
+            self._leave_at = now + core.settings.leave_again_s
+            core.send(core.leader_address, Leave(core.id, core.leader_id, core.term))
+        return True
+
+    def on_leave_reply(self, reply: LeaveReply) -> None:
+        """The leader says whether the place is being filled."""
+        if not reply.filling:
+            self._stays = True
--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -6,6 +6,8 @@
 - Its own entries count once they are on its own disk; a majority of others may commit them before.
 - Without word from a quorum for the least election timeout it steps down.
 - Leadership is handed over only by giving it up first: who is told to stand may be told late.
+- All majorities are counted by the quorum of the members in force (quorum.py); while members change, that is
+  a majority of the voters before and one of those after.
 """
 
 from __future__ import annotations
@@ -15,24 +17,27 @@
 
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.log import ENTRY_OVERHEAD_BYTES
-from granitewell.coordination.consensus.membership import Change, MemberView, is_voter, next_change
+from granitewell.coordination.consensus.membership import (
+    ProposedChange,
+    is_voter,
+    move_voter,
+    next_change,
+    next_end,
+    stays_voter,
+)
 from granitewell.coordination.consensus.messages import (
     Append,
     AppendReply,
     HandOver,
     Heartbeat,
     HeartbeatReply,
+    Removed,
     SnapshotChunk,
     SnapshotReply,
 )
-from granitewell.coordination.consensus.progress import (
-    NEVER,
-    HeartbeatRounds,
-    Progress,
-    SnapshotTransfer,
-    reached_by_quorum,
-)
+from granitewell.coordination.consensus.progress import HeartbeatRounds, Progress, SnapshotTransfer
 from granitewell.coordination.consensus.terms import Entry, EntryKind, Member
+from granitewell.coordination.consensus.tracker import ProgressTracker
 
 PROBE_BYTES = 64 * 1024
 """Entries that are sent along before it is known where the peer's log agrees."""
@@ -57,17 +62,19 @@
         self._target_voters = target_voters
         self._elected_at = now
         self._rounds = HeartbeatRounds()
-        self._progress: dict[str, Progress] = {}
+        self._tracker = ProgressTracker(core, now)
         self._hand_over: _HandOver | None = None
         self._no_hand_over_before = now
         self._announce_commit = False
         self._uncommitted: deque[Entry] = deque()
         self._uncommitted_bytes = 0
+        self._changed_at = now
+        self._leaving: set[str] = set()
+        self._removals: list[Member] = []
         self.given_up = False
         self.heartbeat_at = now
-        self._follow_membership(now)
-        if old_leader in self._progress:
-            self._progress[old_leader].heard_at = old_leader_heard_at
+        if old_leader in self._tracker.peers:
+            self._tracker.peers[old_leader].heard_at = old_leader_heard_at
         self.first_index = core.log.last_index + 1
         self._append(EntryKind.NO_OPERATION, b"")
 
@@ -86,13 +93,11 @@
 
     def acknowledged_at(self, now: float) -> float:
         """Send time of the newest heartbeat round that a quorum has acknowledged."""
-        return self._reached(now, {id: peer.acknowledged_at for id, peer in self._progress.items()})
+        return self._tracker.reached(now, lambda peer: peer.acknowledged_at)
 
-    def _reached(self, own: float, others: dict[str, float]) -> float:
-        voters = self._core.log.membership.voters
-        return reached_by_quorum(
-            [own if voter.replica_id == self._core.id else others[voter.replica_id] for voter in voters]
-        )
+    def silent_s(self, address: str, now: float) -> float:
+        """Seconds since anything was heard from a member at an address; infinite where none is there."""
+        return self._tracker.silent_s(address, now)
 
     # Log
 
@@ -117,11 +122,12 @@
     def advance_commit(self) -> None:
         """Commit what a quorum has on disk, once that includes an entry of this term."""
         core = self._core
-        matches = {id: float(peer.match_index) for id, peer in self._progress.items()}
-        index = int(max(0.0, self._reached(core.persistence.stable_index, matches)))
+        stable_index = core.persistence.stable_index
+        index = int(max(0.0, self._tracker.reached(stable_index, lambda peer: peer.match_index)))
         if index > core.commit_index and core.log.term_at(index) == core.term:
             core.commit(index)
             self._announce_commit = True
+            self._tell_removed()
             if not is_voter(core.log.membership_at(core.commit_index), core.id):
                 self.given_up = True
 
@@ -134,7 +140,7 @@
         if self._lost_quorum(now):
             self.given_up = True
             return
-        self._forget_learners(now)
+        self._tracker.forget_learners(now)
         self._send_heartbeats(now)
         self._resend(now)
         self._check_disk(now)
@@ -142,7 +148,7 @@
         self.change_members(now)
 
     def _lost_quorum(self, now: float) -> bool:
-        heard = self._reached(now, {id: peer.heard_at for id, peer in self._progress.items()})
+        heard = self._tracker.reached(now, lambda peer: peer.heard_at)
         return now - max(heard, self._elected_at) > self._core.settings.election_least_s
 
     def _send_heartbeats(self, now: float) -> None:
@@ -151,13 +157,13 @@
         number = self._rounds.begin(now)
         self.heartbeat_at = now + core.settings.heartbeat_s
         self._announce_commit = False
-        for id, peer in self._progress.items():
+        for id, peer in self._tracker.peers.items():
             commit = min(peer.match_index, core.commit_index)
             core.send(peer.member.address, Heartbeat(core.id, id, core.term, number, commit, leased))
 
     def _resend(self, now: float) -> None:
         settings = self._core.settings
-        for peer in self._progress.values():
+        for peer in self._tracker.peers.values():
             if peer.silent(now, settings) or not peer.overdue(now, settings):
                 continue
             peer.restart(peer.match_index + 1)
@@ -171,19 +177,13 @@
             peer.transfer = SnapshotTransfer(snapshot)
         self._send_chunk(peer, now)
 
-    def _forget_learners(self, now: float) -> None:
-        expiry = self._core.settings.learner_expiry_s
-        silent = [id for id, peer in self._progress.items() if peer.learner and now - peer.heard_at > expiry]
-        for id in silent:
-            del self._progress[id]
-
     # Replication
 
     def flush(self, now: float) -> None:
         """Send what the peers lack; called once for all that was appended since."""
         if self.given_up:
             return
-        for peer in self._progress.values():
+        for peer in self._tracker.peers.values():
             self._replicate(peer, now)
         if self._announce_commit:
             self._send_heartbeats(now)
@@ -245,13 +245,13 @@
 
     def on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
         """A peer has heard a round."""
-        peer = self._heard(reply.sender, now)
+        peer = self._tracker.heard(reply.sender, now)
         if peer is not None:
             peer.acknowledged_at = max(peer.acknowledged_at, self._rounds.sent_at(reply.round))
 
     def on_append_reply(self, reply: AppendReply, now: float) -> None:
         """A peer has entries on its disk, or says where it may agree."""
-        peer = self._heard(reply.sender, now)
+        peer = self._tracker.heard(reply.sender, now)
         if peer is None or reply.index > self._core.log.last_index:
             return
         if not reply.accepted:
@@ -268,40 +268,29 @@
 
     def on_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
         """A peer has a part of the snapshot; send the next."""
-        peer = self._heard(reply.sender, now)
+        peer = self._tracker.heard(reply.sender, now)
         if peer is None or peer.transfer is None or reply.index != peer.transfer.snapshot.index:
             return
         if reply.received <= len(peer.transfer.snapshot.data):
             peer.transfer.offset = reply.received
             self._send_chunk(peer, now)
 
-    def _heard(self, replica_id: str, now: float) -> Progress | None:
-        peer = self._progress.get(replica_id)
-        if peer is not None:
-            peer.heard(now, self._core.settings)
-        return peer
-
     # Members
 
     def on_join(self, member: Member, now: float) -> None:
         """A replica wants to be taken in; a voter that says this has a new address."""
-        if is_voter(self._core.log.membership, member.replica_id):
-            self._move_voter(member, now)
-            return
-        if member.replica_id in self._core.log.membership.removed:
-            return
-        peer = self._progress.get(member.replica_id)
-        learners = sum(peer.learner for peer in self._progress.values())
-        if peer is None and learners < self._core.settings.most_learners:
-            next_index = self._core.log.last_index + 1
-            self._progress[member.replica_id] = Progress(member, next_index, now, learner=True)
-        elif peer is not None:
-            peer.member = member
-            peer.heard(now, self._core.settings)
-
-    def _move_voter(self, member: Member, now: float) -> None:
-        if member not in self._core.log.membership.voters and self._may_change():
-            self._change(Change(EntryKind.ADD_VOTER, member), now)
+        membership = self._core.log.membership
+        if is_voter(membership, member.replica_id):
+            if member not in membership.all_voters() and self._may_change():
+                self._change(move_voter(member), now)
+        elif member.replica_id not in membership.removed:
+            self._tracker.add_learner(member, now)
+
+    def on_leave(self, replica_id: str, now: float) -> bool:
+        """A voter is about to stop; says whether its place is being filled."""
+        self._leaving.add(replica_id)
+        self.change_members(now)
+        return not stays_voter(self._core.log.membership, replica_id)
 
     def _may_change(self) -> bool:
         """One change at a time, and none before an entry of this term is committed."""
@@ -310,51 +299,58 @@
         return settled and not self.handing_over and not self.given_up
 
     def change_members(self, now: float) -> None:
-        """Propose the next change of members, where one is due."""
-        core = self._core
-        if not self._may_change() or not any(peer.learner for peer in self._progress.values()):
+        """Begin the next change of members, or end the one under way, where that is due."""
+        if not self._may_change():
             return
+        if self._core.log.membership.is_joint:
+            self._end_change(now)
+        elif self._tracker.has_learners:
+            self._begin_change(now)
+
+    def _begin_change(self, now: float) -> None:
+        core = self._core
         change = next_change(
             core.log.membership,
-            [self._voter_view(voter, now) for voter in core.log.membership.voters],
-            [self._view(peer, now) for peer in self._progress.values() if peer.learner],
+            self._tracker.voter_views(now),
+            self._tracker.learner_views(now),
             self._target_voters,
+            self._leaving,
             core.settings,
         )
         if change is not None:
             self._change(change, now)
 
-    def _change(self, change: Change, now: float) -> None:
+    def _end_change(self, now: float) -> None:
+        """A leader that goes itself leaves the end to one that stays: the lease moves with the leadership."""
+        core = self._core
+        membership = core.log.membership
+        under_way_s = now - self._changed_at
+        change = next_end(membership, self._tracker.voter_views(now), under_way_s, core.settings)
+        if change is None:
+            return
+        if change.takes_over and not stays_voter(membership, core.id) and self.hand_over(now):
+            return
+        self._change(change, now)
+        if change.takes_over:
+            staying = core.log.membership
+            self._removals = [
+                voter for voter in membership.outgoing_voters if not is_voter(staying, voter.replica_id)
+            ]
+
+    def _change(self, change: ProposedChange, now: float) -> None:
         self._append(change.kind, change.data)
-        self._follow_membership(now)
-
-    def _follow_membership(self, now: float) -> None:
-        """Have progress of each voter in force and of the learners, and of nobody else."""
-        voters = {voter.replica_id: voter for voter in self._core.peers()}
-        for id in [id for id, peer in self._progress.items() if not peer.learner and id not in voters]:
-            del self._progress[id]
-        for id, voter in voters.items():
-            peer = self._progress.get(id)
-            if peer is None:
-                self._progress[id] = Progress(voter, self._core.log.last_index + 1, now)
-            else:
-                peer.member = voter
-                peer.learner = False
-
-    def _voter_view(self, voter: Member, now: float) -> MemberView:
-        if voter.replica_id == self._core.id:
-            return MemberView(voter, 0.0, True, True)
-        return self._view(self._progress[voter.replica_id], now)
-
-    def _view(self, peer: Progress, now: float) -> MemberView:
-        caught_up = peer.transfer is None and peer.match_index >= self._core.commit_index
-        answering = peer.answered and now - peer.heard_at <= self._core.settings.answering_s
-        return MemberView(peer.member, now - peer.heard_at, answering, caught_up)
+        self._changed_at = now
+        self._tracker.follow_membership(now)
 
-    def silent_s(self, address: str, now: float) -> float:
-        """Seconds since anything was heard from a member at an address; infinite where none is there."""
-        heard = [peer.heard_at for peer in self._progress.values() if peer.member.address == address]
-        return now - max(heard, default=NEVER)
+    def _tell_removed(self) -> None:
+        """Once it is committed that voters are out, tell them; who misses it is told when it next asks."""
+        core = self._core
+        if not self._removals or core.commit_index < core.log.last_change_index:
+            return
+        removals, self._removals = self._removals, []
+        for member in removals:
+            if member.replica_id != core.id:
+                core.send(member.address, Removed(core.id, member.replica_id, core.term))
 
     # Handing over
 
@@ -364,29 +360,18 @@
             return True
         if self.given_up:
             return False
-        best = self._best_successor(now)
+        best = self._tracker.best_successor(now)
         if best is None or now < self._no_hand_over_before:
             return False
-        self._hand_over = _HandOver(best, now + self._core.settings.transfer_s)
+        self._hand_over = _HandOver(best.member.replica_id, now + self._core.settings.transfer_s)
         self._finish_hand_over()
         return True
 
-    def _best_successor(self, now: float) -> str | None:
-        core = self._core
-        best: Progress | None = None
-        for peer in self._progress.values():
-            answering = not peer.learner and now - peer.heard_at <= core.settings.reachable_s
-            if answering and (best is None or peer.match_index > best.match_index):
-                best = peer
-        if best is None or best.match_index < core.commit_index:
-            return None
-        return best.member.replica_id
-
     def _finish_hand_over(self) -> None:
         core = self._core
         if self._hand_over is None or self.given_up:
             return
-        peer = self._progress.get(self._hand_over.target)
+        peer = self._tracker.peers.get(self._hand_over.target)
         if peer is not None and peer.match_index == core.log.last_index:
             self.given_up = True
             core.send(peer.member.address, HandOver(core.id, peer.member.replica_id, core.term))
--- a/granitewell/coordination/consensus/log.py
+++ b/granitewell/coordination/consensus/log.py
@@ -5,9 +5,8 @@
 from collections.abc import Sequence
 
 from granitewell.coordination.consensus.membership import after_entry
-from granitewell.coordination.consensus.terms import Entry, EntryKind, Membership, Snapshot
+from granitewell.coordination.consensus.terms import MEMBERSHIP_KINDS, Entry, Membership, Snapshot
 
-_CHANGES = (EntryKind.ADD_VOTER, EntryKind.REMOVE_VOTER)
 ENTRY_OVERHEAD_BYTES = 64
 """What an entry costs beside its data, in memory and on the wire."""
 
@@ -87,7 +86,7 @@
         assert entry.index == self.last_index + 1, (entry.index, self.last_index)
         self.entries.append(entry)
         self.bytes += len(entry.data) + ENTRY_OVERHEAD_BYTES
-        if entry.kind in _CHANGES:
+        if entry.kind in MEMBERSHIP_KINDS:
             self._changes.append((entry.index, after_entry(self.membership, entry)))
 
     def truncate(self, index: int) -> None:
--- a/granitewell/coordination/consensus/membership.py
+++ b/granitewell/coordination/consensus/membership.py
@@ -1,18 +1,27 @@
 """Members of a group: what an entry changes, and which change a leader should propose next.
 
-One change at a time, and each only after the one before is committed; a change is in force from the moment it
-is appended. A voter is removed before its successor is added, and only while the voters that are left are a
-quorum that answers.
+Members change by joint consensus. One entry takes voters in and out together: from its append on, the voters
+before it (the outgoing voters) and those after it both count, each by its own majority. A second entry ends
+that, for the new voters, or for the old ones where those that came in do not answer. A change is in force
+from the moment it is appended, and the next is proposed only after it is committed.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
-from granitewell.coordination.consensus.packing import pack_member, unpack_member
+from granitewell.coordination.consensus.packing import (
+    pack_change,
+    pack_end,
+    pack_member,
+    unpack_change,
+    unpack_end,
+    unpack_member,
+)
+from granitewell.coordination.consensus.quorum import quorum_of
 from granitewell.coordination.consensus.settings import ReplicaSettings
-from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Membership
+from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Membership, VoterChange
 
 MOST_REMOVED = 64
 """Ids of removed replicas that are kept, so that one that comes back late is told so."""
@@ -21,7 +30,8 @@
 @dataclass(frozen=True, slots=True)
 class MemberView:
     """What the leader sees of a member. silent_s: since its last answer, 0 for the leader itself, or since
-    the term began; answering: it has answered lately."""
+    the term began; answering: it has answered lately; caught_up: a learner has all that is committed, a voter
+    the entry that brought it in, each on its disk."""
 
     member: Member
     silent_s: float
@@ -30,30 +40,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
-    """A change of members to propose."""
+class ProposedChange:
+    """A change of members to propose: an entry's kind and data."""
 
     kind: EntryKind
-    member: Member
-
-    @property
-    def data(self) -> bytes:
-        """The entry's data."""
-        return pack_member(self.member)
+    data: bytes
+    takes_over: bool = False
+    """It ends a change for the new voters."""
 
 
-def quorum(voters: int) -> int:
-    """How many of so many voters are a majority."""
-    return voters // 2 + 1
+def is_voter(membership: Membership, replica_id: str) -> bool:
+    """Whether a replica has a vote, be it as an outgoing voter."""
+    return any(member.replica_id == replica_id for member in membership.all_voters())
 
 
-def is_voter(membership: Membership, replica_id: str) -> bool:
-    """Whether a replica has a vote."""
+def stays_voter(membership: Membership, replica_id: str) -> bool:
+    """Whether a replica has a vote once the change that is under way has ended."""
     return any(member.replica_id == replica_id for member in membership.voters)
 
 
+# What entries do
+
+
 def after_entry(membership: Membership, entry: Entry) -> Membership:
     """The membership once an entry is appended."""
+    if entry.kind is EntryKind.CHANGE_VOTERS:
+        return _joint(membership, unpack_change(entry.data))
+    if entry.kind is EntryKind.END_CHANGE:
+        return _ended(membership, taken_over=unpack_end(entry.data))
     if entry.kind is EntryKind.ADD_VOTER:
         return _with_voter(membership, unpack_member(entry.data))
     if entry.kind is EntryKind.REMOVE_VOTER:
@@ -61,9 +75,34 @@
     return membership
 
 
+def _joint(membership: Membership, change: VoterChange) -> Membership:
+    leaving = {member.replica_id for member in (*change.removed, *change.added)}
+    staying = tuple(member for member in membership.voters if member.replica_id not in leaving)
+    return Membership((*staying, *change.added), membership.removed, membership.voters)
+
+
+def _ended(membership: Membership, *, taken_over: bool) -> Membership:
+    if not membership.is_joint:
+        return membership
+    if not taken_over:
+        return Membership(membership.outgoing_voters, membership.removed)
+    gone = tuple(
+        member.replica_id
+        for member in membership.outgoing_voters
+        if not stays_voter(membership, member.replica_id)
+    )
+    return Membership(membership.voters, (*membership.removed, *gone)[-MOST_REMOVED:])
+
+
 def _with_voter(membership: Membership, added: Member) -> Membership:
+    """A voter's new address, or (in logs of older versions) a new voter."""
     others = tuple(member for member in membership.voters if member.replica_id != added.replica_id)
-    return Membership((*others, added), membership.removed)
+    outgoing = tuple(
+        added if member.replica_id == added.replica_id else member for member in membership.outgoing_voters
+    )
+    if membership.is_joint and not stays_voter(membership, added.replica_id):
+        return Membership(membership.voters, membership.removed, outgoing)
+    return Membership((*others, added), membership.removed, outgoing)
 
 
 def _without_voter(membership: Membership, removed: Member) -> Membership:
@@ -71,6 +110,14 @@
     return Membership(others, (*membership.removed, removed.replica_id)[-MOST_REMOVED:])
 
 
+def move_voter(member: Member) -> ProposedChange:
+    """A voter is at another address. Changes no quorum."""
+    return ProposedChange(EntryKind.ADD_VOTER, pack_member(member))
+
+
+# What to propose
+
+
 def predecessor(membership: Membership, learner: Member) -> Member | None:
     """The voter whose place a learner takes: the same machine under an older id."""
     for voter in membership.voters:
@@ -85,32 +132,82 @@
     voters: Sequence[MemberView],
     learners: Iterable[MemberView],
     target_voters: int,
+    leaving: Collection[str],
     settings: ReplicaSettings,
-) -> Change | None:
-    """What a leader whose last change is committed should propose; None where all is well or nothing is
-    safe."""
+) -> ProposedChange | None:
+    """The change that a leader whose last one is committed and ended should begin; None where all is well or
+    nothing is safe. leaving: ids of voters that are about to stop."""
     ready = [view for view in learners if view.caught_up and view.answering]
-    for view in ready:
-        old = predecessor(membership, view.member)
-        if old is not None and may_remove(old, voters):
-            return Change(EntryKind.REMOVE_VOTER, old)
-    for view in ready:
-        if predecessor(membership, view.member) is None and len(voters) < target_voters:
-            return Change(EntryKind.ADD_VOTER, view.member)
-    if any(predecessor(membership, view.member) is None for view in ready):
-        return _replace_unreachable(voters, settings)
-    return None
-
-
-def _replace_unreachable(voters: Sequence[MemberView], settings: ReplicaSettings) -> Change | None:
-    for view in sorted(voters, key=lambda view: -view.silent_s):
-        if view.silent_s >= settings.unreachable_s and may_remove(view.member, voters):
-            return Change(EntryKind.REMOVE_VOTER, view.member)
+    for change in _wanted_changes(membership, voters, ready, target_voters, leaving, settings):
+        if may_begin(membership, change, voters):
+            return ProposedChange(EntryKind.CHANGE_VOTERS, pack_change(change))
     return None
 
 
-def may_remove(old: Member, voters: Sequence[MemberView]) -> bool:
-    """Whether the voters that are left without one are a quorum that answers."""
-    left = [view for view in voters if view.member.replica_id != old.replica_id]
-    answering = [view for view in left if view.answering]
-    return len(left) > 0 and len(answering) >= quorum(len(left))
+def _wanted_changes(
+    membership: Membership,
+    voters: Sequence[MemberView],
+    ready: Sequence[MemberView],
+    target_voters: int,
+    leaving: Collection[str],
+    settings: ReplicaSettings,
+) -> Iterable[VoterChange]:
+    spares: list[Member] = []
+    for view in ready:
+        old = predecessor(membership, view.member)
+        if old is None:
+            spares.append(view.member)
+        else:
+            yield VoterChange((view.member,), (old,))
+    for spare in spares:
+        if len(voters) < target_voters:
+            yield VoterChange((spare,), ())
+        for view in sorted(voters, key=lambda view: -view.silent_s):
+            if view.silent_s >= settings.unreachable_s or view.member.replica_id in leaving:
+                yield VoterChange((spare,), (view.member,))
+
+
+def may_begin(membership: Membership, change: VoterChange, voters: Sequence[MemberView]) -> bool:
+    """Whether a quorum of both sides answers. Who comes in for another is not counted: a change must not rest
+    on it, so that its loss leaves the group no worse than before."""
+    answering = {view.member.replica_id for view in voters if view.answering}
+    if not change.removed:
+        answering |= {member.replica_id for member in change.added}
+    return quorum_of(_joint(membership, change)).satisfied_by(answering)
+
+
+def next_end(
+    membership: Membership, voters: Sequence[MemberView], under_way_s: float, settings: ReplicaSettings
+) -> ProposedChange | None:
+    """How to end the change that is under way: for the new voters once all that came in hold the entry that
+    brought them in; for the old ones where that does not come about. None while neither is safe."""
+    answering = {view.member.replica_id for view in voters if view.answering}
+    taken_over = _has_arrived(membership, voters)
+    if not taken_over and not _is_stuck(membership, voters, under_way_s, settings):
+        return None
+    if not quorum_of(_ended(membership, taken_over=taken_over)).satisfied_by(answering):
+        return None
+    return ProposedChange(EntryKind.END_CHANGE, pack_end(taken_over), taken_over)
+
+
+def _incoming(membership: Membership, voters: Iterable[MemberView]) -> list[MemberView]:
+    before = {member.replica_id for member in membership.outgoing_voters}
+    return [view for view in voters if view.member.replica_id not in before]
+
+
+def _outgoing(membership: Membership, voters: Iterable[MemberView]) -> list[MemberView]:
+    return [view for view in voters if not stays_voter(membership, view.member.replica_id)]
+
+
+def _has_arrived(membership: Membership, voters: Iterable[MemberView]) -> bool:
+    return all(view.caught_up and view.answering for view in _incoming(membership, voters))
+
+
+def _is_stuck(
+    membership: Membership, voters: Sequence[MemberView], under_way_s: float, settings: ReplicaSettings
+) -> bool:
+    """Whether to go back: one that came in is silent, or slow while all that would go still answer."""
+    if under_way_s < settings.unreachable_s:
+        return False
+    silent = any(view.silent_s >= settings.unreachable_s for view in _incoming(membership, voters))
+    return silent or all(view.answering for view in _outgoing(membership, voters))
--- a/granitewell/coordination/consensus/messages.py
+++ b/granitewell/coordination/consensus/messages.py
@@ -119,3 +119,15 @@
 @dataclass(frozen=True, slots=True)
 class Removed(Message):
     """The receiver's id was removed from the group, and that is committed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leave(Message):
+    """A voter is about to stop, and asks the leader to have its place filled by a learner that is ready."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveReply(Message):
+    """filling: the place is being filled. Where not, nobody is ready to take it."""
+
+    filling: bool
--- a/granitewell/coordination/consensus/packing.py
+++ b/granitewell/coordination/consensus/packing.py
@@ -11,7 +11,14 @@
 from pathlib import Path
 from typing import Any
 
-from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Membership
+from granitewell.coordination.consensus.terms import (
+    MEMBERSHIP_KINDS,
+    Entry,
+    EntryKind,
+    Member,
+    Membership,
+    VoterChange,
+)
 from granitewell.model.errors import BadFrame
 from granitewell.rpc.serialization import decode, load_idl
 
@@ -21,12 +28,19 @@
 _FIELD = struct.Struct("!Bh")
 _KINDS = {int(kind): kind for kind in EntryKind}
 
+CHANGE_VERSION = 1
+"""Of the entries that begin and end a change of members."""
+
 _STOP = 0
 _BOOL = 2
 _STRING = 11
 _FIXED_SIZES = {_BOOL: 1, 8: 4, 10: 8}  # bool, i32, i64: the only types in the IDL besides strings
 
 
+class NewerMembershipFormat(BadFrame):
+    """Members in a form that a newer version wrote. None of it may be skipped: it may change who counts."""
+
+
 def decode_struct(kind: Any, data: bytes) -> Any:
     """A thrift struct of the IDL; raises BadFrame."""
     return decode(kind, data, check_flat)
@@ -105,24 +119,72 @@
     return Member(replica_id, node_name, address)
 
 
+def _pack_members(members: Iterable[Member]) -> bytes:
+    return pack_list(pack_member(member) for member in members)
+
+
+def _unpack_members(data: bytes) -> tuple[Member, ...]:
+    return tuple(unpack_member(part) for part in unpack_list(data))
+
+
+def pack_change(change: VoterChange) -> bytes:
+    """The data of an entry that begins a change of members."""
+    parts = pack_list((_pack_members(change.added), _pack_members(change.removed)))
+    return bytes((CHANGE_VERSION,)) + parts
+
+
+def unpack_change(data: bytes) -> VoterChange:
+    """What an entry begins; raises BadFrame, NewerMembershipFormat."""
+    parts = unpack_list(_unversioned(data))
+    if len(parts) != 2:
+        raise BadFrame(f"a change of members of {len(parts)} parts")
+    return VoterChange(_unpack_members(parts[0]), _unpack_members(parts[1]))
+
+
+def pack_end(taken_over: bool) -> bytes:
+    """The data of an entry that ends a change of members. taken_over: for the new voters."""
+    return bytes((CHANGE_VERSION, taken_over))
+
+
+def unpack_end(data: bytes) -> bool:
+    """Whether a change ends for the new voters; raises BadFrame, NewerMembershipFormat."""
+    rest = _unversioned(data)
+    if rest not in (b"\0", b"\1"):
+        raise BadFrame("a change of members ends in no known way")
+    return rest == b"\1"
+
+
+def _unversioned(data: bytes) -> bytes:
+    if not data:
+        raise BadFrame("a change of members without a version")
+    if data[0] != CHANGE_VERSION:
+        raise NewerMembershipFormat(f"a change of members of version {data[0]}, known: {CHANGE_VERSION}")
+    return data[1:]
+
+
 def pack_membership(membership: Membership) -> bytes:
-    """A membership's binary form."""
-    voters = pack_list(pack_member(member) for member in membership.voters)
+    """A membership's binary form. The outgoing voters are there only while members change."""
     removed = pack_list(replica_id.encode() for replica_id in membership.removed)
-    return pack_list((voters, removed))
+    parts = [_pack_members(membership.voters), removed]
+    if membership.is_joint:
+        parts.append(_pack_members(membership.outgoing_voters))
+    return pack_list(parts)
 
 
 def unpack_membership(data: bytes) -> Membership:
-    """A membership; raises BadFrame."""
+    """A membership; raises BadFrame, NewerMembershipFormat."""
     parts = unpack_list(data)
     if len(parts) < 2:
         raise BadFrame(f"a membership of {len(parts)} parts")
-    voters = tuple(unpack_member(part) for part in unpack_list(parts[0]))
+    if len(parts) > 3:
+        raise NewerMembershipFormat(f"a membership of {len(parts)} parts, known: 3")
+    voters = _unpack_members(parts[0])
+    outgoing_voters = _unpack_members(parts[2]) if len(parts) > 2 else ()
     try:
         removed = tuple(part.decode() for part in unpack_list(parts[1]))
     except UnicodeDecodeError as error:
         raise BadFrame("an id is not UTF-8") from error
-    return Membership(voters, removed)
+    return Membership(voters, removed, outgoing_voters)
 
 
 def pack_entry(entry: Entry) -> bytes:
@@ -156,6 +218,15 @@
     if kind not in _KINDS:
         raise BadFrame(f"an entry of kind {kind}")
     entry = Entry(index, term, _KINDS[kind], data[start : start + length])
-    if entry.kind in (EntryKind.ADD_VOTER, EntryKind.REMOVE_VOTER):
-        unpack_member(entry.data)
+    _check_change(entry)
     return entry, start + length
+
+
+def _check_change(entry: Entry) -> None:
+    """Raises BadFrame where an entry that changes members can't be read."""
+    if entry.kind is EntryKind.CHANGE_VOTERS:
+        unpack_change(entry.data)
+    elif entry.kind is EntryKind.END_CHANGE:
+        unpack_end(entry.data)
+    elif entry.kind in MEMBERSHIP_KINDS:
+        unpack_member(entry.data)
--- a/granitewell/coordination/consensus/progress.py
+++ b/granitewell/coordination/consensus/progress.py
@@ -1,18 +1,14 @@
-"""How far each peer is, as the leader knows it, and what a quorum has reached."""
+"""How far each peer is, as the leader knows it, and when each heartbeat round was sent."""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from granitewell.coordination.consensus.membership import quorum
+from granitewell.coordination.consensus.quorum import NEVER
 from granitewell.coordination.consensus.settings import ReplicaSettings
 from granitewell.coordination.consensus.terms import Member, Snapshot
 
-NEVER = float("-inf")
-"""A time before all times."""
-
 ROUNDS_KEPT = 64
 """Heartbeat rounds whose send times are kept; later replies say nothing about the lease."""
 
@@ -115,10 +111,3 @@
         if 0 <= age < len(self._sent_at):
             return self._sent_at[-1 - age]
         return NEVER
-
-
-def reached_by_quorum(values: Sequence[float]) -> float:
-    """The greatest value that a majority of the voters has reached."""
-    if not values:
-        return NEVER
-    return sorted(values, reverse=True)[quorum(len(values)) - 1]
--- a/granitewell/coordination/consensus/replica.py
+++ b/granitewell/coordination/consensus/replica.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -19,6 +19,7 @@
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.election import Election
 from granitewell.coordination.consensus.following import Following
+from granitewell.coordination.consensus.joining import Joining
 from granitewell.coordination.consensus.leadership import Leadership
 from granitewell.coordination.consensus.messages import (
     Append,
@@ -27,6 +28,8 @@
     Heartbeat,
     HeartbeatReply,
     Join,
+    Leave,
+    LeaveReply,
     Message,
     PreVote,
     PreVoteReply,
@@ -38,10 +41,10 @@
 )
 from granitewell.coordination.consensus.ready import Ready
 from granitewell.coordination.consensus.settings import ReplicaSettings
-from granitewell.coordination.consensus.terms import EntryKind, Member, Role, Snapshot, StoredState
+from granitewell.coordination.consensus.terms import MEMBERSHIP_KINDS, Member, Role, Snapshot, StoredState
 from granitewell.model.errors import NotLeader, ProposalLost
 
-_REQUESTS = (PreVote, Vote, Append, Heartbeat, SnapshotChunk, Join)
+_REQUESTS = (PreVote, Vote, Append, Heartbeat, SnapshotChunk, Join, Leave)
 _OF_LEADER = (Append, Heartbeat, SnapshotChunk)
 
 
@@ -75,12 +78,9 @@
         self._leadership: Leadership | None = None
         self._target_voters = target_voters
         self._handed_index = state.snapshot.index
-        self._started_at = now
-        self._join_at = now
         self._old_leader: str | None = None
-        self._meant_for_another: str | None = None
+        self._joining = Joining(self._core, seeds, now)
         self.removed = False
-        self.seeds = tuple(seeds)
         if state.snapshot.index > 0:
             self._core.restore = state.snapshot
 
@@ -113,8 +113,8 @@
 
     @property
     def members(self) -> tuple[Member, ...]:
-        """The voters in force here."""
-        return self._core.log.membership.voters
+        """The voters in force here, those on their way out too."""
+        return self._core.log.membership.all_voters()
 
     @property
     def log_bytes(self) -> int:
@@ -165,8 +165,12 @@
         if self._leadership is not None:
             return self._leadership.heartbeat_at
         if self._core.is_voter:
-            return min(self._election.due_at, self._join_at)
-        return self._join_at
+            return min(self._election.due_at, self._joining.due_at)
+        return self._joining.due_at
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Addresses to ask, where no member is known."""
+        self._joining.seeds = tuple(addresses)
 
     # Events
 
@@ -178,7 +182,7 @@
             self._leadership.tick(now)
         else:
             self._election.tick(now)
-            self._join(now)
+            self._joining.tick(now, self._election.heard_at)
         self._settle(now)
 
     def propose(self, data: bytes, now: float) -> Position:
@@ -218,12 +222,21 @@
         self._settle(now)
         return started
 
+    def leave(self, now: float) -> bool:
+        """This replica is about to stop: have its place filled by a learner that is ready. Whether that may
+        still come about; to be called again while it may."""
+        if self.removed or self._leadership is None:
+            return not self.removed and self._joining.leave(now)
+        filling = self._leadership.on_leave(self._core.id, now)
+        self._settle(now)
+        return filling
+
     def receive(self, address: str, message: Message, now: float) -> None:
         """A message has come. address: where its sender is reached."""
         if self.removed:
             return
         if not self._is_for_me(message):
-            self._meant_for_another = address
+            self._joining.neighbour = address
             return
         if isinstance(message, _REQUESTS) and self._is_removed(message.sender):
             where = message.member.address if isinstance(message, Join) else address
@@ -296,7 +309,7 @@
         core.leader_id = self._old_leader = message.sender
         core.leader_address = address
         self._election.heard_leader(now)
-        self._join_at = now + core.settings.join_s
+        self._joining.heard_leader(now)
         return True
 
     def _on_append_reply(self, address: str, message: AppendReply, now: float) -> None:
@@ -329,6 +342,14 @@
         elif not message.forwarded and core.leader_address is not None and self._election.sticky(now):
             core.send(core.leader_address, Join(message.sender, "", message.term, message.member, True))
 
+    def _on_leave(self, address: str, message: Leave, now: float) -> None:
+        if self._leadership is not None and message.term == self._core.term:
+            filling = self._leadership.on_leave(message.sender, now)
+            self._core.send(address, LeaveReply(self._core.id, message.sender, message.term, filling))
+
+    def _on_leave_reply(self, address: str, message: LeaveReply, now: float) -> None:
+        self._joining.on_leave_reply(message)
+
     def _on_removed(self, address: str, message: Removed, now: float) -> None:
         self.removed = True
 
@@ -363,29 +384,6 @@
         self._leadership = Leadership(core, now, self._target_voters, self._old_leader, heard_at)
         self._leadership.tick(now)
 
-    # Joining
-
-    def _join(self, now: float) -> None:
-        """Ask to be taken in, where no leader is heard."""
-        core = self._core
-        if now < self._join_at:
-            return
-        self._join_at = now + core.settings.join_s
-        leaderless_s = now - max(self._election.heard_at, self._started_at)
-        if core.is_voter and leaderless_s < core.settings.unreachable_s:
-            return
-        for address in self._known_addresses():
-            core.send(address, Join(core.id, "", core.term, core.me, False))
-
-    def _known_addresses(self) -> Sequence[str]:
-        core = self._core
-        addresses = dict.fromkeys(member.address for member in core.log.membership.voters)
-        addresses.update(dict.fromkeys(self.seeds))
-        if self._meant_for_another is not None:  # a member that still looks for who was here before
-            addresses[self._meant_for_another] = None
-        addresses.pop(core.me.address, None)
-        return list(addresses)
-
     # Work for the shell
 
     def ready(self, now: float) -> Ready | None:
@@ -411,7 +409,7 @@
             self._handed_index = restore.index
         committed = core.log.between(self._handed_index + 1, core.commit_index)
         self._handed_index = core.commit_index
-        if any(entry.kind is EntryKind.REMOVE_VOTER for entry in committed) and self._is_removed(core.id):
+        if any(entry.kind in MEMBERSHIP_KINDS for entry in committed) and self._is_removed(core.id):
             self.removed = True
         return committed
 
@@ -431,4 +429,6 @@
     HandOver: Replica._on_hand_over,
     Join: Replica._on_join,
     Removed: Replica._on_removed,
+    Leave: Replica._on_leave,
+    LeaveReply: Replica._on_leave_reply,
 }
--- a/granitewell/coordination/consensus/settings.py
+++ b/granitewell/coordination/consensus/settings.py
@@ -39,11 +39,18 @@
     """A member that answered within this time counts as reachable."""
 
     answering_s: float = 0.4
-    """A voter counts towards the quorum that must be left by a removal only if it answered within this time:
-    a removal that is appended while its quorum is gone for good can never be taken back."""
+    """A voter counts towards the quorums that a change of members needs only if it answered within this time:
+    a change that is appended while its quorum is gone for good can never be taken back."""
 
     unreachable_s: float = 2.0
-    """A voter that was silent for this long may be replaced by a learner of another machine."""
+    """A voter that was silent for this long may be replaced by a learner of another machine. A change of
+    members that has not come through for this long may be taken back."""
+
+    leave_s: float = 1.0
+    """How long a replica that is about to stop waits until its place is filled."""
+
+    leave_again_s: float = 0.15
+    """Between two requests of a replica that is about to stop to have its place filled."""
 
     learner_expiry_s: float = 3.0
     """A learner that was silent for this long is forgotten."""
--- a/granitewell/coordination/consensus/terms.py
+++ b/granitewell/coordination/consensus/terms.py
@@ -22,7 +22,19 @@
     NO_OPERATION = 0
     DATA = 1
     ADD_VOTER = 2
+    """A voter's new address; a new voter in logs that older versions wrote."""
+
     REMOVE_VOTER = 3
+    """Only in logs that older versions wrote."""
+
+    CHANGE_VOTERS = 4
+    END_CHANGE = 5
+
+
+MEMBERSHIP_KINDS = frozenset(
+    (EntryKind.ADD_VOTER, EntryKind.REMOVE_VOTER, EntryKind.CHANGE_VOTERS, EntryKind.END_CHANGE)
+)
+"""Entries that change the members."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,12 +64,34 @@
     vote: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class VoterChange:
+    """Voters that come in and voters that go, together."""
+
+    added: tuple[Member, ...]
+    removed: tuple[Member, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Membership:
-    """The voters after some entry, and the ids of the replicas removed last."""
+    """The voters after some entry, and the ids of the replicas removed last. outgoing_voters: while members
+    change, all voters from before the change, each of which still counts; else empty."""
 
     voters: tuple[Member, ...] = ()
     removed: tuple[str, ...] = ()
+    outgoing_voters: tuple[Member, ...] = ()
+
+    @property
+    def is_joint(self) -> bool:
+        """Whether a change is under way, so that majorities of both sides count."""
+        return bool(self.outgoing_voters)
+
+    def all_voters(self) -> tuple[Member, ...]:
+        """All that have a vote, each once."""
+        if not self.outgoing_voters:
+            return self.voters
+        by_id = {member.replica_id: member for member in (*self.outgoing_voters, *self.voters)}
+        return tuple(by_id.values())
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/granitewell/coordination/consensus/tracker.py
@@ -0,0 +1,118 @@
+"""The peers of a leader: the voters in force and the learners, how far each is, and what a quorum of them has
+reached."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from granitewell.coordination.consensus.core import Core
+from granitewell.coordination.consensus.membership import MemberView, stays_voter
+from granitewell.coordination.consensus.progress import Progress
+from granitewell.coordination.consensus.quorum import NEVER, quorum_of
+from granitewell.coordination.consensus.terms import Member
+
+
+class ProgressTracker:
+    """Progress of each peer, for one term. peers: by replica id."""
+
+    def __init__(self, core: Core, now: float) -> None:
+        self._core = core
+        self.peers: dict[str, Progress] = {}
+        self.follow_membership(now)
+
+    def follow_membership(self, now: float) -> None:
+        """Have progress of each voter in force and of the learners. A voter that was taken back is a learner
+        again; one that was removed is nobody."""
+        membership = self._core.log.membership
+        voters = {voter.replica_id: voter for voter in self._core.peers()}
+        for id in [id for id in self.peers if id in membership.removed]:
+            del self.peers[id]
+        for id, peer in self.peers.items():
+            peer.learner = id not in voters
+        for id, voter in voters.items():
+            if id in self.peers:
+                self.peers[id].member = voter
+            else:
+                self.peers[id] = Progress(voter, self._core.log.last_index + 1, now)
+
+    def reached(self, own: float, of_peer: Callable[[Progress], float]) -> float:
+        """The greatest value that a quorum has reached. own: this leader's."""
+        values = {id: of_peer(peer) for id, peer in self.peers.items()}
+        values[self._core.id] = own
+        return quorum_of(self._core.log.membership).reached(values)
+
+    def heard(self, replica_id: str, now: float) -> Progress | None:
+        """A peer has answered; None where it is no peer any more."""
+        peer = self.peers.get(replica_id)
+        if peer is not None:
+            peer.heard(now, self._core.settings)
+        return peer
+
+    def silent_s(self, address: str, now: float) -> float:
+        """Seconds since anything was heard from a member at an address; infinite where none is there."""
+        heard = [peer.heard_at for peer in self.peers.values() if peer.member.address == address]
+        return now - max(heard, default=NEVER)
+
+    # Learners
+
+    @property
+    def has_learners(self) -> bool:
+        """Whether anybody waits to be a voter."""
+        return any(peer.learner for peer in self.peers.values())
+
+    def add_learner(self, member: Member, now: float) -> None:
+        """Serve a replica that wants to be taken in, unless there are too many."""
+        peer = self.peers.get(member.replica_id)
+        if peer is not None:
+            peer.member = member
+            peer.heard(now, self._core.settings)
+            return
+        if sum(peer.learner for peer in self.peers.values()) < self._core.settings.most_learners:
+            next_index = self._core.log.last_index + 1
+            self.peers[member.replica_id] = Progress(member, next_index, now, learner=True)
+
+    def forget_learners(self, now: float) -> None:
+        """Learners that no longer answer are nobody."""
+        expiry = self._core.settings.learner_expiry_s
+        silent = [id for id, peer in self.peers.items() if peer.learner and now - peer.heard_at > expiry]
+        for id in silent:
+            del self.peers[id]
+
+    # Views for changes of members
+
+    def voter_views(self, now: float) -> list[MemberView]:
+        """All voters, the leader among them."""
+        return [self._voter_view(voter, now) for voter in self._core.log.membership.all_voters()]
+
+    def learner_views(self, now: float) -> list[MemberView]:
+        """All learners."""
+        commit_index = self._core.commit_index
+        return [self._view(peer, commit_index, now) for peer in self.peers.values() if peer.learner]
+
+    def _voter_view(self, voter: Member, now: float) -> MemberView:
+        core = self._core
+        changed_at = core.log.last_change_index
+        if voter.replica_id == core.id:
+            return MemberView(voter, 0.0, True, core.persistence.stable_index >= changed_at)
+        return self._view(self.peers[voter.replica_id], changed_at, now)
+
+    def _view(self, peer: Progress, least_index: int, now: float) -> MemberView:
+        caught_up = peer.transfer is None and peer.match_index >= least_index
+        answering = peer.answered and now - peer.heard_at <= self._core.settings.answering_s
+        return MemberView(peer.member, now - peer.heard_at, answering, caught_up)
+
+    # Handing over
+
+    def best_successor(self, now: float) -> Progress | None:
+        """The voter that is furthest of those that answer and stay; None where none has all that is
+        committed."""
+        core = self._core
+        candidates = [
+            peer
+            for id, peer in self.peers.items()
+            if stays_voter(core.log.membership, id) and now - peer.heard_at <= core.settings.reachable_s
+        ]
+        best = max(candidates, key=lambda peer: peer.match_index, default=None)
+        if best is None or best.match_index < core.commit_index:
+            return None
+        return best
--- a/tests/coordination/defects.py
+++ b/tests/coordination/defects.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import pytest
 
-from granitewell.coordination.consensus import identity, leadership, membership
+from granitewell.coordination.consensus import identity, membership, tracker
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.election import Election
 from granitewell.coordination.consensus.leadership import Leadership
 from granitewell.coordination.consensus.persistence import Persistence
-from granitewell.coordination.consensus.progress import NEVER, HeartbeatRounds
+from granitewell.coordination.consensus.progress import HeartbeatRounds
+from granitewell.coordination.consensus.quorum import NEVER, Quorum, majority, quorum_of
 from granitewell.coordination.consensus.ready import Ready
 from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.terms import HardState, StoredState
@@ -67,9 +69,9 @@
     patch.setattr(Machine, "_first_state", first_state)
 
 
-def remove_unguarded(patch: pytest.MonkeyPatch) -> None:
-    """A voter is removed although the others are no quorum that answers."""
-    patch.setattr(membership, "may_remove", lambda old, voters: True)
+def begin_unguarded(patch: pytest.MonkeyPatch) -> None:
+    """A change begins although no quorum of both sides answers."""
+    patch.setattr(membership, "may_begin", lambda before, change, voters: True)
 
 
 def changes_overlap(patch: pytest.MonkeyPatch) -> None:
@@ -81,7 +83,7 @@
     """The lease runs from when a reply came, not from when its round was sent."""
 
     def on_reply(self: Leadership, reply: Any, now: float) -> None:
-        peer = self._heard(reply.sender, now)
+        peer = self._tracker.heard(reply.sender, now)
         if peer is not None:
             peer.acknowledged_at = now
 
@@ -110,10 +112,15 @@
 
 def commit_without_quorum(patch: pytest.MonkeyPatch) -> None:
     """One replica less than a majority commits."""
-    patch.setattr(
-        leadership, "reached_by_quorum", lambda values: sorted(values, reverse=True)[(len(values) - 1) // 2 -
-        1]
-    )
+
+    class SmallQuorum(Quorum):
+        """Asks for one less than a majority of each group."""
+
+        def reached(self, values: Mapping[str, float]) -> float:
+            groups = [sorted((values.get(id, NEVER) for id in group), reverse=True) for group in self.groups]
+            return min((group[majority(len(group)) - 2] for group in groups), default=NEVER)
+
+    patch.setattr(tracker, "quorum_of", lambda membership: SmallQuorum(quorum_of(membership).groups))
 
 
 def vote_for_older_log(patch: pytest.MonkeyPatch) -> None:
@@ -149,5 +156,6 @@
 
 def late_round_renews(patch: pytest.MonkeyPatch) -> None:
     """All replies count as replies to the newest round."""
-    patch.setattr(HeartbeatRounds, "sent_at", lambda self, number: self._sent_at[-1] if self._sent_at else
-    NEVER)
+    patch.setattr(
+        HeartbeatRounds, "sent_at", lambda self, number: self._sent_at[-1] if self._sent_at else NEVER
+    )
--- a/tests/coordination/faults.py
+++ b/tests/coordination/faults.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from functools import partial
 
-from granitewell.coordination.consensus.membership import quorum
+from granitewell.coordination.consensus.quorum import quorum_of
 from granitewell.coordination.consensus.settings import ReplicaSettings
 from granitewell.coordination.consensus.terms import Role
-from tests.coordination.world import SETTINGS, Link, Machine, Process, Violation, World
+from tests.coordination.world import SETTINGS, Link, Machine, Process, Violation, World, replica_id
 
 TROUBLE_S = 9.0
 CALM_S = 7.0
@@ -41,10 +41,9 @@
         return rng.choice(running) if running else None
 
     def may_lose(self, machine: Machine) -> bool:
-        """Whether the disks that are left hold a majority of the voters."""
+        """Whether the disks that are left hold a quorum of the voters."""
         left = [other for other in self.world.intact_voters() if other is not machine]
-        voters = len(self.world.invariants.membership.voters) or len(self.world.seeds)
-        allowed = len(left) >= quorum(voters)
+        allowed = quorum_of(self.world.membership()).satisfied_by({replica_id(other.disk) for other in left})
         if allowed and not all(self._in_touch(other) for other in left):
             self.world.beyond_tolerance = True
         return allowed
--- a/tests/coordination/test_codec.py
+++ b/tests/coordination/test_codec.py
@@ -14,12 +14,17 @@
 from granitewell.coordination.consensus import codec, messages
 from granitewell.coordination.consensus.messages import Message
 from granitewell.coordination.consensus.packing import (
+    NewerMembershipFormat,
     check_flat,
+    pack_change,
+    pack_end,
     pack_entries,
     pack_list,
     pack_member,
+    pack_membership,
     unpack_entries,
     unpack_list,
+    unpack_membership,
 )
 from granitewell.coordination.consensus.storage import (
     UnreadableRecords,
@@ -37,6 +42,7 @@
     Membership,
     Snapshot,
     StoredState,
+    VoterChange,
 )
 from granitewell.model.errors import BadFrame
 
@@ -47,7 +53,19 @@
     Membership,
     st.lists(MEMBERS, max_size=5).map(tuple),
     st.lists(IDS, max_size=5).map(tuple),
+    st.lists(MEMBERS, max_size=5).map(tuple),
+)
+
+
+CHANGES = st.builds(
+    VoterChange, st.lists(MEMBERS, max_size=3).map(tuple), st.lists(MEMBERS, max_size=3).map(tuple)
 )
+DATA_OF = {
+    EntryKind.ADD_VOTER: MEMBERS.map(pack_member),
+    EntryKind.REMOVE_VOTER: MEMBERS.map(pack_member),
+    EntryKind.CHANGE_VOTERS: CHANGES.map(pack_change),
+    EntryKind.END_CHANGE: st.booleans().map(pack_end),
+}
 
 
 @st.composite
@@ -57,12 +75,10 @@
     entries = []
     for offset, term in enumerate(terms[1:]):
         kind = draw(st.sampled_from(list(EntryKind)))
-        change = kind in (EntryKind.ADD_VOTER, EntryKind.REMOVE_VOTER)
-        data = pack_member(draw(MEMBERS)) if change else draw(st.binary(max_size=100))
-        entries.append(Entry(previous + 1 + offset, term, kind, data))
-    return messages.Append(
-        draw(IDS), draw(IDS), terms[-1], previous, terms[0], draw(NUMBERS), tuple(entries)
-    )
+        entries.append(
+            Entry(previous + 1 + offset, term, kind, draw(DATA_OF.get(kind, st.binary(max_size=100))))
+        )
+    return messages.Append(draw(IDS), draw(IDS), terms[-1], previous, terms[0], draw(NUMBERS), tuple(entries))
 
 
 @st.composite
@@ -88,6 +104,8 @@
     st.builds(messages.HandOver, IDS, IDS, NUMBERS),
     st.builds(messages.Join, IDS, st.just(""), NUMBERS, MEMBERS, st.booleans()),
     st.builds(messages.Removed, IDS, IDS, NUMBERS),
+    st.builds(messages.Leave, IDS, IDS, NUMBERS),
+    st.builds(messages.LeaveReply, IDS, IDS, NUMBERS, st.booleans()),
 )
 EXAMPLE = messages.Append("a", "b", 5, 3, 2, 3, (Entry(4, 5, EntryKind.DATA, b"payload"),))
 
@@ -160,7 +178,7 @@
 )
 def test_what_the_library_would_choke_on_is_refused_at_once(payload: bytes) -> None:
     started = time.process_time()
-    for number in range(1, 14):
+    for number in range(1, 16):
         with pytest.raises(BadFrame):
             codec.decode(sealed(number, payload))
     assert time.process_time() - started < 0.2
@@ -190,6 +208,34 @@
         codec.decode(codec.encode(messages.Append("a", "b", 5, 3, 2, 3, (entry,))))
 
 
+NEWER_ENTRIES = (
+    Entry(4, 5, EntryKind.CHANGE_VOTERS, b"\2" + pack_change(VoterChange((), ()))[1:]),
+    Entry(4, 5, EntryKind.END_CHANGE, b"\2\1"),
+)
+
+
+@pytest.mark.parametrize("entry", NEWER_ENTRIES, ids=lambda entry: entry.kind.name)
+def test_a_change_of_members_of_a_newer_version_is_refused_and_named(entry: Entry) -> None:
+    with pytest.raises(NewerMembershipFormat, match="version 2, known: 1"):
+        unpack_entries(pack_entries((entry,)))
+    with pytest.raises(UnreadableRecords, match="version 2, known: 1"):
+        decode_records(encode_records([entry]))
+
+
+@pytest.mark.parametrize("data", [b"", b"\1", b"\1\2", b"\1\1\1"])
+def test_an_end_of_a_change_that_says_nothing_is_refused(data: bytes) -> None:
+    with pytest.raises(BadFrame):
+        unpack_entries(pack_entries((Entry(4, 5, EntryKind.END_CHANGE, data),)))
+
+
+def test_members_of_a_newer_version_are_refused_and_those_of_an_older_one_read() -> None:
+    member = Member("me", "node", "1.2.3.4:5")
+    parts = unpack_list(pack_membership(Membership((member,), ("gone",), (member,))))
+    assert unpack_membership(pack_list(parts[:2])) == Membership((member,), ("gone",))
+    with pytest.raises(NewerMembershipFormat, match="4 parts"):
+        unpack_membership(pack_list([*parts, b""]))
+
+
 @given(st.lists(st.binary(max_size=20), max_size=5))
 @settings(deadline=None)
 def test_lists_come_back_as_they_were_and_cuts_are_bad(parts: list[bytes]) -> None:
--- a/tests/coordination/test_scenarios.py
+++ b/tests/coordination/test_scenarios.py
@@ -7,13 +7,13 @@
 from granitewell.coordination.consensus.messages import HeartbeatReply
 from granitewell.coordination.consensus.terms import Role
 from tests.coordination.defects import (
+    begin_unguarded,
     changes_overlap,
     count_unsynced_own_entry,
     forget_at_restart,
     hand_over_keeps_lease,
     late_round_renews,
     no_stickiness,
-    remove_unguarded,
     removed_is_not_told,
 )
 from tests.coordination.faults import describe
@@ -204,9 +204,33 @@
     assert removal_while_another_is_lost(Group(4))
 
 
-def test_a_removal_that_does_not_wait_stops_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
-    remove_unguarded(monkeypatch)
-    assert not removal_while_another_is_lost(Group(4))
+def replacement_that_fails_while_another_is_lost(group: Group) -> bool:
+    """One voter is cut off; the other asks to leave, and the spare dies as soon as it may have a vote.
+    Whether the group, which has lost one voter only, goes on."""
+    cut_off, leaving = group.others
+    successor = group.add_spare()
+    group.run(1)
+    group.isolate(cut_off)
+    group.run(0.6)
+    process = process_of(leaving)
+    process.run(lambda: leave(process))
+    leader = process_of(group.leader).replica
+    for _ in range(100):
+        group.run(0.0005)
+        if leader._core.log.membership.is_joint:
+            break
+    successor.wipe()
+    successor.gone = True
+    return group.commits()
+
+
+def test_a_replacement_waits_for_a_quorum_without_the_successor() -> None:
+    assert replacement_that_fails_while_another_is_lost(Group(4))
+
+
+def test_a_replacement_that_rests_on_the_successor_stops_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
+    begin_unguarded(monkeypatch)
+    assert not replacement_that_fails_while_another_is_lost(Group(4))
 
 
 # One change at a time
@@ -223,7 +247,8 @@
     group.cut(group.leader, second)
     group.run(0.3)
     replica = process_of(group.leader).replica
-    wanted = replica.role is Role.LEADER and first.address not in {peer.address for peer in replica.members}
+    staying = {voter.address for voter in replica._core.log.membership.voters}
+    wanted = replica.role is Role.LEADER and first.address not in staying
     group.world.propose()
     group.run(3)
     group.heal()
@@ -317,6 +342,11 @@
     group.run(2)
 
 
+def leave(process: Process) -> None:
+    """Ask to have a voter's place filled."""
+    assert process.replica.leave(process.now)
+
+
 def transfer(process: Process) -> None:
     """Ask a leader to hand over."""
     assert process.replica.transfer(process.now)
--- a/tests/coordination/world.py
+++ b/tests/coordination/world.py
@@ -426,7 +426,7 @@
         self.seed = seed
         self.rng = Random(seed)
         self.settings = settings
-        self.target_voters = 3
+        self.target_voters = machines
         self.now = 0.0
         self.invariants = Invariants()
         self.beyond_tolerance = False
@@ -517,15 +517,18 @@
 
     def intact_voters(self) -> list[Machine]:
         """Machines whose disk holds a voter of the last committed membership."""
-        ids = {member.replica_id for member in self.invariants.membership.voters}
-        if not self.invariants.membership.voters:
-            ids = {first_replica_id(seed) for seed in self.seeds}
-        return [
-            machine for machine in self.machines if not machine.gone and _replica_id(machine.disk) in ids
-        ]
+        ids = {member.replica_id for member in self.membership().all_voters()}
+        return [machine for machine in self.machines if not machine.gone and replica_id(machine.disk) in ids]
+
+    def membership(self) -> Membership:
+        """The last committed membership."""
+        if self.invariants.membership.voters:
+            return self.invariants.membership
+        return Membership(tuple(Member(first_replica_id(seed), "", seed) for seed in self.seeds))
 
 
-def _replica_id(disk: Disk) -> str:
+def replica_id(disk: Disk) -> str:
+    """The id on a disk, "" where there is none."""
     for record in disk.synced:
         if isinstance(record, Identity):
             return record.replica_id
