On SIGTERM a control node has its places filled by spares that are ready, then hands over

Cause: a member that was stopped for good left its group one short until it had been silent for two seconds, also where a spare had all of the log already.

Change: `ReplicatedGroup.leave()`, called before the hand-over. A leader begins the change itself and hands over to a voter that stays; a follower asks the leader. Where no learner is ready it returns at once and the member keeps its place: a process can't know whether it is to come back, and one that is restarted with its disk then finds itself a voter as before. Where a spare is ready, the place goes to it, and who comes back is the next spare.

Tests, on virtual time: with a spare, leader or follower, the place is filled and leadership moved in under 0.3 s; without, the stop takes under 0.2 s and the same replica is a voter after the restart; no leader, or a spare whose disk hangs: over after the bound, and the group takes the change back and goes on.

--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -331,11 +331,20 @@
                     self._changed.clear()
                     await self._changed.wait()
 
+    async def leave(self) -> None:
+        """Before a stop: have this replica's place filled by a learner that is ready. Returns once it is,
+        once there is none, or after `leave_s`."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.leave_s):
+                while (replica := self._replica) is not None and replica.leave(self._clock()):
+                    self._pump()
+                    await asyncio.sleep(WAKE_GRID_S)
+
     def set_seeds(self, addresses: Sequence[str]) -> None:
         """Internal addresses to ask, where no member is known."""
         self._seeds = tuple(addresses)
         if self._replica is not None:
-            self._replica.set_seeds(self._seeds)
+            self._replica.seeds = self._seeds
 
     # Events
 
--- a/granitewell/coordination/consensus/replica.py
+++ b/granitewell/coordination/consensus/replica.py
@@ -168,8 +168,13 @@
             return min(self._election.due_at, self._joining.due_at)
         return self._joining.due_at
 
-    def set_seeds(self, addresses: Iterable[str]) -> None:
+    @property
+    def seeds(self) -> tuple[str, ...]:
         """Addresses to ask, where no member is known."""
+        return self._joining.seeds
+
+    @seeds.setter
+    def seeds(self, addresses: Iterable[str]) -> None:
         self._joining.seeds = tuple(addresses)
 
     # Events
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -48,7 +48,7 @@
 CONFIGURATION_GROUP = "configuration"
 EDGE_COUNT_EVERY_S = 1.0
 EDGE_COUNT_FIRST_S = 0.3  # a process that has restarted makes that known soon
-STOP_S = 1.5  # for handing leadership over, on SIGTERM
+STOP_S = 1.5  # for handing leadership over, on SIGTERM; before it, at most `leave_s` for leaving
 
 
 def shard_group(shard: int) -> str:
@@ -251,7 +251,8 @@
         return self._session
 
     async def stop(self) -> None:
-        """Hand leadership over and end."""
+        """Leave the places of this node to spares that are ready, hand leadership over and end."""
+        await asyncio.gather(*(group.leave() for group in self.groups.values()))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STOP_S):
                 for group in self.groups.values():
--- /dev/null
+++ b/tests/coordination/test_leaving.py
@@ -0,0 +1,112 @@
+"""A member that is about to stop (SIGTERM): its place is filled where a spare is ready, and kept where none
+is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from granitewell.coordination.consensus.settings import ReplicaSettings
+from tests.coordination.test_group import Cluster, Node, group_of, until
+from tests.coordination.virtual_loop import run
+
+SPARE = "10.0.1.1:7"
+LEAVE_S = ReplicaSettings().leave_s
+UNREACHABLE_S = ReplicaSettings().unreachable_s
+
+
+def day(seed: int, check: Callable[[Cluster, Node], Coroutine[Any, Any, None]]) -> None:
+    """Three nodes with a leader and something acknowledged."""
+
+    async def play() -> None:
+        cluster = Cluster(seed)
+        leader = await cluster.start()
+        await group_of(leader).propose(b"first")
+        await check(cluster, leader)
+
+    run(play())
+
+
+async def add_spare(cluster: Cluster) -> Node:
+    """A fourth node, which has caught up."""
+    spare = cluster.nodes[SPARE] = Node(cluster, SPARE, first=False)
+    await spare.start()
+    await until(lambda: spare.machine.words == [b"first"])
+    await asyncio.sleep(0.5)
+    return spare
+
+
+async def leave(cluster: Cluster, node: Node) -> float:
+    """What a process does on SIGTERM; how long it takes."""
+    started = cluster.loop.time()
+    await group_of(node).leave()
+    await group_of(node).transfer()
+    took_s = cluster.loop.time() - started
+    await node.die(power=False)
+    return took_s
+
+
+def addresses(node: Node) -> set[str]:
+    """Of the voters that a node knows."""
+    return {member.address for member in group_of(node).members}
+
+
+@pytest.mark.parametrize("leads", [True, False])
+@pytest.mark.parametrize("seed", range(5))
+def test_a_spare_that_is_ready_fills_the_place_before_the_member_goes(seed: int, leads: bool) -> None:
+    async def check(cluster: Cluster, leader: Node) -> None:
+        spare = await add_spare(cluster)
+        leaving = leader if leads else cluster.others(leader)[0]
+        others = {node.address for node in cluster.nodes.values()} - {leaving.address}
+        assert await leave(cluster, leaving) < 0.3
+        assert addresses(spare) == others
+        leader = await cluster.leader()
+        await group_of(leader).propose(b"second")
+        await leaving.start()
+        await until(lambda: leaving.machine.words == [b"first", b"second"])
+        assert addresses(leader) == others
+
+    day(seed, check)
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_member_that_nobody_can_replace_goes_at_once_and_keeps_its_place(leads: bool) -> None:
+    async def check(cluster: Cluster, leader: Node) -> None:
+        leaving = leader if leads else cluster.others(leader)[0]
+        replica_id = group_of(leaving).replica_id
+        assert await leave(cluster, leaving) < 0.2
+        await leaving.start()
+        await until(lambda: group_of(leaving).leader_address is not None)
+        assert group_of(leaving).replica_id == replica_id and group_of(leaving).is_voter
+        assert len(addresses(leaving)) == 3
+
+    day(1, check)
+
+
+def test_a_member_without_a_leader_goes_when_its_time_is_over() -> None:
+    async def check(cluster: Cluster, leader: Node) -> None:
+        leaving, other = cluster.others(leader)
+        await leader.die(power=False)
+        await other.die(power=False)
+        assert await leave(cluster, leaving) <= LEAVE_S + 0.1
+
+    day(2, check)
+
+
+def test_a_spare_whose_disk_hangs_does_not_hold_the_member_up_nor_the_group() -> None:
+    async def check(cluster: Cluster, leader: Node) -> None:
+        spare = await add_spare(cluster)
+        assert spare.executor is not None
+        spare.executor.delay_s = 1000
+        leaving = cluster.others(leader)[0]
+        assert await leave(cluster, leaving) <= LEAVE_S + 0.1
+        await group_of(leader).propose(b"second")
+        await leaving.start()
+        await asyncio.sleep(UNREACHABLE_S + 0.5)
+        assert addresses(leader) == set(cluster.nodes) - {SPARE}
+        await group_of(leader).propose(b"third")
+
+    day(3, check)
