The durable log is split: format, files, one open file, disk thread, queue

Each has its module now; behaviour is unchanged. The list of shells in test_rooms names the module that starts the thread.

--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -40,17 +40,11 @@
     state_records,
 )
 from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Role, StoredState
-from granitewell.coordination.durable_log import (
-    RETRY_S,
-    CorruptLog,
-    DiskThread,
-    DurableLog,
-    Executor,
-    Files,
-    LogFile,
-    OsFiles,
-    WriteFailed,
-)
+from granitewell.coordination.disk_files import Files, OsFiles
+from granitewell.coordination.disk_thread import DiskThread, Executor
+from granitewell.coordination.durable_log import RETRY_S, DurableLog, WriteFailed
+from granitewell.coordination.log_file import LogFile
+from granitewell.coordination.log_format import CorruptLog
 from granitewell.model.errors import BadFrame, NotLeader, ProposalLost
 
 log = logbook.Logger("granitewell.consensus")
--- a/granitewell/coordination/consensus/storage.py
+++ b/granitewell/coordination/consensus/storage.py
@@ -26,7 +26,7 @@
     Snapshot,
     StoredState,
 )
-from granitewell.coordination.durable_log import DurableLogError
+from granitewell.coordination.log_format import DurableLogError
 from granitewell.model.errors import BadFrame
 
 _RECORD = struct.Struct("!BI")
--- /dev/null
+++ b/granitewell/coordination/disk_thread.py
@@ -0,0 +1,50 @@
+"""The background thread that runs everything that touches files: no disk holds up the event loop."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+
+class DiskThread:
+    """One background thread that runs disk work in order, for all logs of a process."""
+
+    _shared: DiskThread | None = None
+
+    def __init__(self) -> None:
+        self._work: deque[Callable[[], None]] = deque()
+        self._wake = threading.Condition()
+        self._thread: threading.Thread | None = None
+
+    @classmethod
+    def shared(cls) -> DiskThread:
+        """The thread of this process."""
+        if cls._shared is None:
+            cls._shared = cls()
+        return cls._shared
+
+    def submit(self, work: Callable[[], None]) -> None:
+        """Run something on the thread, after all that was submitted before."""
+        with self._wake:
+            self._work.append(work)
+            if self._thread is None:
+                self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
+                self._thread.start()
+            self._wake.notify()
+
+    def _run(self) -> None:
+        while True:
+            with self._wake:
+                while not self._work:
+                    self._wake.wait()
+                work = self._work.popleft()
+            work()
+
+
+class Executor(Protocol):
+    """Where disk work runs: a DiskThread, or in tests whatever stands for it."""
+
+    def submit(self, work: Callable[[], None]) -> None:
+        """Run something, after all that was submitted before."""
--- /dev/null
+++ b/granitewell/coordination/log_format.py
@@ -0,0 +1,119 @@
+"""The bytes of a durable log: a head and checksummed frames, and what they mean when they are read.
+
+The file is a head (magic, version, salt) and frames. A frame is one batch: a mark, its length, a checksum
+that also covers the salt and the frame's place in the file, and the payload. A frame is written only once all
+frames before it are synced, so after a loss of power at most the last frame is missing or torn. At reading:
+
+- a frame that does not check and has no good frame after it was never acknowledged: the file is cut there;
+- a frame that does not check and has a good frame after it is damage: `CorruptLog`;
+- a file of another version is refused and left alone: `UnknownLogVersion`.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from zlib import crc32
+
+from granitewell.model.errors import GranitewellError
+
+MAGIC = b"GWDL"
+VERSION = 1
+_HEAD = struct.Struct("!4sHQI")  # magic, version, salt, checksum of what stands before
+_FRAME = struct.Struct("!4sIQI")  # mark, payload length, place in the file, checksum
+_MARK = b"\xf7GWf"
+HEAD_BYTES = _HEAD.size
+
+
+class DurableLogError(GranitewellError):
+    """A log on the disk can't be used."""
+
+
+class CorruptLog(DurableLogError):
+    """A log is damaged before its end: something that was synced is no longer what was written."""
+
+    def __init__(self, path: str, offset: int) -> None:
+        super().__init__(f"{path} is damaged at byte {offset}")
+        self.path = path
+        self.offset = offset
+
+
+class UnknownLogVersion(DurableLogError):
+    """A log was written by a newer program."""
+
+    def __init__(self, path: str, version: int) -> None:
+        super().__init__(f"{path} has version {version}, known: {VERSION}")
+        self.version = version
+
+
+def head(salt: int) -> bytes:
+    """The head of a file."""
+    bare = _HEAD.pack(MAGIC, VERSION, salt, 0)[:-4]
+    return bare + struct.pack("!I", crc32(bare))
+
+
+def frame(salt: int, offset: int, payload: bytes) -> bytes:
+    """A batch as it stands at a place in a file."""
+    bare = _FRAME.pack(_MARK, len(payload), offset, 0)[:-4]
+    return bare + struct.pack("!I", _checksum(salt, bare, payload)) + payload
+
+
+def _checksum(salt: int, bare: bytes, payload: bytes) -> int:
+    return crc32(payload, crc32(bare, salt & 0xFFFFFFFF))
+
+
+@dataclass(frozen=True, slots=True)
+class Contents:
+    """What a file holds. length: of what is good; the rest is to be cut off."""
+
+    salt: int
+    payloads: tuple[bytes, ...]
+    length: int
+
+
+def parse(path: str, data: bytes) -> Contents:
+    """The batches of a file; raises CorruptLog or UnknownLogVersion."""
+    salt = _parse_head(path, data)
+    payloads: list[bytes] = []
+    offset = _HEAD.size
+    while offset < len(data):
+        payload = _frame_at(salt, data, offset)
+        if payload is None:
+            if _good_frame_after(salt, data, offset):
+                raise CorruptLog(path, offset)
+            break
+        payloads.append(payload)
+        offset += _FRAME.size + len(payload)
+    return Contents(salt, tuple(payloads), offset)
+
+
+def _parse_head(path: str, data: bytes) -> int:
+    if len(data) < _HEAD.size:
+        raise CorruptLog(path, 0)
+    magic, version, salt, checksum = _HEAD.unpack_from(data)
+    if magic != MAGIC or crc32(data[: _HEAD.size - 4]) != checksum:
+        raise CorruptLog(path, 0)
+    if version != VERSION:
+        raise UnknownLogVersion(path, version)
+    return int(salt)
+
+
+def _frame_at(salt: int, data: bytes, offset: int) -> bytes | None:
+    if offset + _FRAME.size > len(data):
+        return None
+    mark, length, place, checksum = _FRAME.unpack_from(data, offset)
+    start = offset + _FRAME.size
+    if mark != _MARK or place != offset or length > len(data) - start:
+        return None
+    payload = data[start : start + length]
+    bare = data[offset : start - 4]
+    return payload if _checksum(salt, bare, payload) == checksum else None
+
+
+def _good_frame_after(salt: int, data: bytes, offset: int) -> bool:
+    at = data.find(_MARK, offset + 1)
+    while at != -1:
+        if _frame_at(salt, data, at) is not None:
+            return True
+        at = data.find(_MARK, at + 1)
+    return False
--- a/tests/coordination/simulated_files.py
+++ b/tests/coordination/simulated_files.py
@@ -41,7 +41,7 @@
 
 
 class SimulatedFiles:
-    """The calls of `durable_log.Files`. kill_at: the call by number at which the process dies; refusing: the
+    """The calls of `disk_files.Files`. kill_at: the call by number at which the process dies; refusing: the
     error number of all writes."""
 
     def __init__(self, rng: Random) -> None:
--- a/tests/coordination/test_durable_log.py
+++ b/tests/coordination/test_durable_log.py
@@ -9,18 +9,11 @@
 
 import pytest
 
-from granitewell.coordination import durable_log
-from granitewell.coordination.durable_log import (
-    CorruptLog,
-    DurableLog,
-    LogFile,
-    OsFiles,
-    UnknownLogVersion,
-    WriteFailed,
-    frame,
-    head,
-    parse,
-)
+from granitewell.coordination import log_format
+from granitewell.coordination.disk_files import OsFiles
+from granitewell.coordination.durable_log import DurableLog, WriteFailed
+from granitewell.coordination.log_file import LogFile
+from granitewell.coordination.log_format import CorruptLog, UnknownLogVersion, frame, head, parse
 from tests.coordination.simulated_files import Killed, SimulatedFiles
 
 SALT = 7
@@ -82,7 +75,7 @@
 
 
 def test_a_newer_version_is_refused_and_named(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(durable_log, "VERSION", 2)
+    monkeypatch.setattr(log_format, "VERSION", 2)
     newer = written()
     monkeypatch.undo()
     with pytest.raises(UnknownLogVersion, match="version 2, known: 1"):
@@ -319,6 +312,6 @@
 
 
 def test_a_missing_checksum_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(durable_log, "_checksum", lambda salt, bare, payload: 1)
+    monkeypatch.setattr(log_format, "_checksum", lambda salt, bare, payload: 1)
     with pytest.raises((AssertionError, pytest.fail.Exception)):
         test_a_flipped_byte_is_damage_or_in_the_last_batch()
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -127,7 +127,7 @@
     "granitewell.discovery.reader",
     "granitewell.coordination.consensus.group",
     "granitewell.coordination.consensus.identity",  # random ids, kept on the disk
-    "granitewell.coordination.durable_log",
+    "granitewell.coordination.disk_thread",
     "granitewell.controlplane.configuration.answers",
     "granitewell.controlplane.configuration.api",
     "granitewell.controlplane.configuration.body",
