The group's shell is split: proposals, held messages and recovery have their own modules

Who waits for an outcome, what waits for the disk, and what a replica starts from are three jobs beside running it.

--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -11,7 +11,6 @@
 import asyncio
 import math
 import time
-from collections import deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
@@ -22,29 +21,19 @@
 import logbook
 
 from granitewell.coordination.consensus import codec
-from granitewell.coordination.consensus.identity import (
-    NodeIdentity,
-    first_replica_id,
-    first_state,
-    fresh_replica_id,
-    joining_state,
-)
+from granitewell.coordination.consensus.held_messages import HeldMessages
+from granitewell.coordination.consensus.identity import NodeIdentity, fresh_replica_id, joining_state
+from granitewell.coordination.consensus.proposals import Proposals
 from granitewell.coordination.consensus.ready import Outgoing, Ready
+from granitewell.coordination.consensus.recovery import Recovery, with_first_members
 from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.settings import ReplicaSettings
-from granitewell.coordination.consensus.storage import (
-    UnreadableRecords,
-    decode_records,
-    encode_records,
-    replay,
-    state_records,
-)
+from granitewell.coordination.consensus.storage import encode_records, state_records
 from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Role, StoredState
 from granitewell.coordination.disk_files import Files, OsFiles
 from granitewell.coordination.disk_thread import DiskThread, Executor
-from granitewell.coordination.durable_log import RETRY_S, DurableLog, WriteFailed
+from granitewell.coordination.durable_log import DurableLog, WriteFailed
 from granitewell.coordination.log_file import LogFile
-from granitewell.coordination.log_format import CorruptLog
 from granitewell.model.errors import BadFrame, NotLeader, ProposalLost
 
 log = logbook.Logger("granitewell.consensus")
@@ -72,21 +61,6 @@
         """Replace the state."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
-    """Messages that wait for a write."""
-
-    write: int
-    batch: int
-    messages: tuple[Outgoing, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class _Waiter:
-    term: int
-    future: asyncio.Future[object]
-
-
 @dataclass(frozen=True, slots=True)
 class _View:
     """What on_change is about."""
@@ -129,7 +103,7 @@
     ) -> None:
         self.name = name
         self._directory = directory
-        self._identity = _with_first_members(identity, bootstrap, seeds)
+        self._identity = with_first_members(identity, bootstrap, seeds)
         self._seeds = tuple(seeds)
         self._target_voters = target_voters
         self._machine = machine
@@ -147,8 +121,8 @@
         self._view = _NOTHING_YET
         self._write = 0
         self._written_bytes = 0
-        self._held: deque[_Held] = deque()
-        self._waiters: dict[int, _Waiter] = {}
+        self._held = HeldMessages()
+        self._proposals = Proposals()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
         self._pump_scheduled = False
@@ -219,7 +193,8 @@
         """Load the log, or make it and sync it, and take part. Waits for the disk as long as it takes."""
         loop = asyncio.get_running_loop()
         self._empty_machine = self._machine.snapshot()
-        loaded = await self._load()
+        recovery = Recovery(self.name, self._identity, self._file, self._executor)
+        loaded = await recovery.load()
         self._log = DurableLog(
             self._file,
             self._executor,
@@ -232,49 +207,9 @@
             self._begin(loaded, fresh=False)
             return
         made = asyncio.Event()
-        self._make(self._new_state(), made.set)
+        self._make(recovery.new_state(), made.set)
         await made.wait()
 
-    async def _load(self) -> StoredState | None:
-        """What is on the disk; None where a new log is to be made."""
-        while True:
-            loaded: asyncio.Future[StoredState | None] = asyncio.get_running_loop().create_future()
-            self._executor.submit(lambda future=loaded: self._load_on_disk_thread(future))  # type: ignore[misc]
-            try:
-                return await loaded
-            except OSError as error:
-                log.warning("group {}: the disk can't be read: {}", self.name, error)
-                await asyncio.sleep(RETRY_S)
-
-    def _load_on_disk_thread(self, future: asyncio.Future[StoredState | None]) -> None:
-        loop = future.get_loop()
-        try:
-            state = self._read_log()
-        except Exception as error:
-            loop.call_soon_threadsafe(_set_exception, future, error)
-        else:
-            loop.call_soon_threadsafe(_set_result, future, state)
-
-    def _read_log(self) -> StoredState | None:
-        try:
-            batches = self._file.load()
-            if batches is None:
-                return None
-            return replay(record for batch in batches for record in decode_records(batch))
-        except (CorruptLog, UnreadableRecords) as error:
-            log.error("group {}: {}; this replica starts anew under another id", self.name, error)
-            with suppress(OSError):
-                self._file.keep_corrupt()
-            self._identity = NodeIdentity(
-                self._identity.node_name, self._identity.address, fresh_replica_id()
-            )
-            return None
-
-    def _new_state(self) -> StoredState:
-        if self._identity.first_members:
-            return first_state(self._identity)
-        return joining_state(self._identity.replica_id)
-
     def _make(self, state: StoredState, made: Callable[[], None]) -> None:
         """Make a new log in place of what is there; take part once it is on the disk."""
         assert self._log is not None
@@ -311,7 +246,7 @@
             self._timer.cancel()
         if self._log is not None:
             self._log.close()
-        self._lose_waiters(math.inf)
+        self._proposals.lose(math.inf)
 
     async def transfer(self) -> None:
         """Hand leadership over, where this replica has it; returns once another leads or none can."""
@@ -361,9 +296,7 @@
         replica = self._replica
         if replica is None:
             raise NotLeader(None)
-        position = replica.propose(data, self._clock())
-        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
-        self._replace_waiter(position.index, _Waiter(position.term, future))
+        future = self._proposals.wait(replica.propose(data, self._clock()))
         self._pump_soon()
         try:
             async with asyncio.timeout(timeout_s):
@@ -371,12 +304,6 @@
         except TimeoutError as error:
             raise ProposalLost(f"no outcome in {timeout_s} s") from error
 
-    def _replace_waiter(self, index: int, waiter: _Waiter) -> None:
-        older = self._waiters.get(index)
-        self._waiters[index] = waiter
-        if older is not None:
-            _set_exception(older.future, ProposalLost("another leader's entry took its place"))
-
     def _tick(self) -> None:
         self._timer = None
         self._timer_at = math.inf
@@ -386,18 +313,13 @@
 
     def _on_synced(self, write: int) -> None:
         self._disk_failing = False
-        batch = 0
-        released: list[Outgoing] = []
-        while self._held and self._held[0].write <= write:
-            held = self._held.popleft()
-            batch = held.batch
-            released += held.messages
+        released = self._held.release(write)
         for done in [number for number in self._after_write if number <= write]:
             self._after_write.pop(done)()
         if self._replica is None:
             return
-        self._send_all(released)
-        self._replica.persisted(batch, self._clock())
+        self._send_all(released.messages)
+        self._replica.persisted(released.batch, self._clock())
         self._pump()
 
     def _on_failed(self, failure: WriteFailed) -> None:
@@ -444,7 +366,7 @@
             self._written_bytes += len(payload)
             self._log.append(self._write, payload)
         if ready.records or ready.synced_messages:
-            self._held.append(_Held(self._write, ready.batch, ready.synced_messages))
+            self._held.hold(self._write, ready.batch, ready.synced_messages)
 
     def _send_all(self, messages: Sequence[Outgoing]) -> None:
         for outgoing in messages:
@@ -454,13 +376,12 @@
         if ready.restore is not None:
             self._machine.restore(ready.restore.data or self._empty_machine)
             self._applied_index = ready.restore.index
-            self._lose_waiters(self._applied_index)
+            self._proposals.lose(self._applied_index)
         for entry in ready.committed:
             self._apply_entry(entry)
             self._applied_index = entry.index
 
     def _apply_entry(self, entry: Entry) -> None:
-        waiter = self._waiters.pop(entry.index, None)
         result: object = None
         failure: Exception | None = None
         if entry.kind is EntryKind.DATA:
@@ -468,26 +389,14 @@
                 result = self._machine.apply(entry.index, entry.data)
             except Exception as error:  # the same on all replicas: it goes to who proposed the entry
                 failure = error
-        if waiter is None:
-            return
-        if waiter.term != entry.term:
-            failure = ProposalLost("another leader's entry took its place")
-        if failure is not None:
-            _set_exception(waiter.future, failure)
-        else:
-            _set_result(waiter.future, result)
-
-    def _lose_waiters(self, up_to: float) -> None:
-        for index in [index for index in self._waiters if index <= up_to]:
-            waiter = self._waiters.pop(index)
-            _set_exception(waiter.future, ProposalLost("its outcome is not known here"))
+        self._proposals.applied(entry, result, failure)
 
     def _start_anew(self) -> None:
         """This replica is out of the group: forget all and join under a fresh id."""
         log.info("group {}: removed as {}; joining anew", self.name, self.replica_id)
         self._replica = None
         self._held.clear()
-        self._lose_waiters(math.inf)
+        self._proposals.lose(math.inf)
         self._machine.restore(self._empty_machine)
         self._applied_index = 0
         self._make(joining_state(fresh_replica_id()), _nothing)
@@ -535,26 +444,6 @@
             self._on_change()
 
 
-def _with_first_members(identity: NodeIdentity, bootstrap: bool, seeds: Sequence[str]) -> NodeIdentity:
-    """An identity that was made by hand for a bootstrap gets the seeds as its first members."""
-    is_first = identity.replica_id == first_replica_id(identity.address)
-    if bootstrap and is_first and not identity.first_members:
-        return NodeIdentity(identity.node_name, identity.address, identity.replica_id, tuple(seeds))
-    return identity
-
-
-def _set_result(future: asyncio.Future[object] | asyncio.Future[StoredState | None], result: object) -> None:
-    if not future.done():
-        future.set_result(result)  # type: ignore[arg-type]
-
-
-def _set_exception(
-    future: asyncio.Future[object] | asyncio.Future[StoredState | None], error: Exception
-) -> None:
-    if not future.done():
-        future.set_exception(error)
-
-
 def _nothing() -> None:
     """Nobody wants to know."""
 
--- /dev/null
+++ b/granitewell/coordination/consensus/held_messages.py
@@ -0,0 +1,48 @@
+"""Messages that claim something of this replica's disk, until the disk has synced it."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from granitewell.coordination.consensus.ready import Outgoing
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    write: int
+    batch: int
+    messages: tuple[Outgoing, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """What a synced write sets free. batch: the newest of the replica's batches that it covers, or 0."""
+
+    batch: int
+    messages: tuple[Outgoing, ...]
+
+
+class HeldMessages:
+    """In the order of the writes that they wait for."""
+
+    def __init__(self) -> None:
+        self._held: deque[_Held] = deque()
+
+    def hold(self, write: int, batch: int, messages: tuple[Outgoing, ...]) -> None:
+        """Keep messages of a batch until a write is synced."""
+        self._held.append(_Held(write, batch, messages))
+
+    def release(self, write: int) -> Released:
+        """All writes up to one are synced."""
+        batch = 0
+        released: list[Outgoing] = []
+        while self._held and self._held[0].write <= write:
+            held = self._held.popleft()
+            batch = held.batch
+            released += held.messages
+        return Released(batch, tuple(released))
+
+    def clear(self) -> None:
+        """Forget them: their sender is no replica any more."""
+        self._held.clear()
--- /dev/null
+++ b/granitewell/coordination/consensus/proposals.py
@@ -0,0 +1,54 @@
+"""Proposals of this node that wait for their outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from granitewell.coordination.consensus.replica import Position
+from granitewell.coordination.consensus.terms import Entry
+from granitewell.model.errors import ProposalLost
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiter:
+    term: int
+    future: asyncio.Future[object]
+
+
+class Proposals:
+    """By log index; each is told the state machine's result, or raises ProposalLost."""
+
+    def __init__(self) -> None:
+        self._waiters: dict[int, _Waiter] = {}
+
+    def wait(self, position: Position) -> asyncio.Future[object]:
+        """The outcome of a proposal; whatever waited at its index is lost."""
+        older = self._waiters.get(position.index)
+        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        self._waiters[position.index] = _Waiter(position.term, future)
+        if older is not None:
+            _fail(older, ProposalLost("another leader's entry took its place"))
+        return future
+
+    def applied(self, entry: Entry, result: object, failure: Exception | None) -> None:
+        """The state machine has taken a committed entry, or refused it."""
+        waiter = self._waiters.pop(entry.index, None)
+        if waiter is None:
+            return
+        if waiter.term != entry.term:
+            failure = ProposalLost("another leader's entry took its place")
+        if failure is not None:
+            _fail(waiter, failure)
+        elif not waiter.future.done():
+            waiter.future.set_result(result)
+
+    def lose(self, up_to: float) -> None:
+        """What waits for entries up to an index will not be known here."""
+        for index in [index for index in self._waiters if index <= up_to]:
+            _fail(self._waiters.pop(index), ProposalLost("its outcome is not known here"))
+
+
+def _fail(waiter: _Waiter, error: Exception) -> None:
+    if not waiter.future.done():
+        waiter.future.set_exception(error)
--- /dev/null
+++ b/granitewell/coordination/consensus/recovery.py
@@ -0,0 +1,93 @@
+"""What a replica starts from: its log on the disk, or a new state where there is none that can be used."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import replace
+
+import logbook
+
+from granitewell.coordination.consensus.identity import (
+    NodeIdentity,
+    first_replica_id,
+    first_state,
+    fresh_replica_id,
+    joining_state,
+)
+from granitewell.coordination.consensus.storage import UnreadableRecords, decode_records, replay
+from granitewell.coordination.consensus.terms import StoredState
+from granitewell.coordination.disk_thread import Executor
+from granitewell.coordination.durable_log import RETRY_S
+from granitewell.coordination.log_file import LogFile
+from granitewell.coordination.log_format import CorruptLog
+
+log = logbook.Logger("granitewell.consensus")
+
+
+class Recovery:
+    """One start of a group's replica."""
+
+    def __init__(self, group: str, identity: NodeIdentity, file: LogFile, executor: Executor) -> None:
+        self._group = group
+        self._identity = identity
+        self._file = file
+        self._executor = executor
+
+    async def load(self) -> StoredState | None:
+        """What is on the disk; None where a new log is to be made. Waits for a disk that can't be read."""
+        while True:
+            loaded: asyncio.Future[StoredState | None] = asyncio.get_running_loop().create_future()
+            self._executor.submit(lambda future=loaded: self._load_on_disk_thread(future))  # type: ignore[misc]
+            try:
+                return await loaded
+            except OSError as error:
+                log.warning("group {}: the disk can't be read: {}", self._group, error)
+                await asyncio.sleep(RETRY_S)
+
+    def new_state(self) -> StoredState:
+        """The state of a log that is to be made."""
+        if self._identity.first_members:
+            return first_state(self._identity)
+        return joining_state(self._identity.replica_id)
+
+    def _load_on_disk_thread(self, future: asyncio.Future[StoredState | None]) -> None:
+        loop = future.get_loop()
+        try:
+            state = self._read_log()
+        except Exception as error:
+            loop.call_soon_threadsafe(_set_exception, future, error)
+        else:
+            loop.call_soon_threadsafe(_set_result, future, state)
+
+    def _read_log(self) -> StoredState | None:
+        try:
+            batches = self._file.load()
+            if batches is None:
+                return None
+            return replay(record for batch in batches for record in decode_records(batch))
+        except (CorruptLog, UnreadableRecords) as error:
+            log.error("group {}: {}; this replica starts anew under another id", self._group, error)
+            with suppress(OSError):
+                self._file.keep_corrupt()
+            self._identity = replace(self._identity, replica_id=fresh_replica_id(), first_members=())
+            return None
+
+
+def with_first_members(identity: NodeIdentity, bootstrap: bool, seeds: Sequence[str]) -> NodeIdentity:
+    """An identity that was made by hand for a bootstrap gets the seeds as its first members."""
+    is_first = identity.replica_id == first_replica_id(identity.address)
+    if bootstrap and is_first and not identity.first_members:
+        return replace(identity, first_members=tuple(seeds))
+    return identity
+
+
+def _set_result(future: asyncio.Future[StoredState | None], result: StoredState | None) -> None:
+    if not future.done():
+        future.set_result(result)
+
+
+def _set_exception(future: asyncio.Future[StoredState | None], error: Exception) -> None:
+    if not future.done():
+        future.set_exception(error)
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -126,6 +126,8 @@
     "granitewell.rpc.transport",
     "granitewell.discovery.reader",
     "granitewell.coordination.consensus.group",
+    "granitewell.coordination.consensus.proposals",
+    "granitewell.coordination.consensus.recovery",
     "granitewell.coordination.consensus.identity",  # random ids, kept on the disk
     "granitewell.coordination.disk_thread",
     "granitewell.controlplane.configuration.answers",
