Control node split by job; shards no longer know the node that runs them

Cause: nodes/control.py and nodes/shards.py named each other (a TYPE_CHECKING circle), and control.py held four jobs. Change: messages of other nodes in control_messages.py, the operator API's HTTP server in operator_server.py, who owns or follows a shard in shard_keeper.py, following a table in table_follower.py. An owned shard gets what it needs as ShardServices. Names of groups stand in layout.py. Behaviour is unchanged. Tests of nodes, the system's command line and demo (processes on loopback), project and imports pass.

--- /dev/null
+++ b/granitewell/nodes/control_messages.py
@@ -0,0 +1,106 @@
+"""The messages that a control node takes from other nodes, and what it tells them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from granitewell.controlplane.ownership.owner import Claimant
+from granitewell.controlplane.publication.publisher import EdgeCounter, Publisher
+from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.coordination.rendezvous import shard_of
+from granitewell.nodes.layout import SHARDS, shard_group
+from granitewell.nodes.shards import OwnedShard
+from granitewell.rpc.messages import (
+    DemandReport,
+    EdgeCount,
+    GroupMessage,
+    WatchRequest,
+    decode,
+    encode,
+)
+from granitewell.rpc.translation import demand_from_message
+from granitewell.rpc.transport import Handler, Method, RpcPeers
+
+EDGE_COUNT_EVERY_S = 1.0
+EDGE_COUNT_FIRST_S = 0.3  # a process that has restarted makes that known soon
+
+
+class ControlMessages:
+    """Handlers by method. incarnations: of other control nodes' processes, as heard last."""
+
+    def __init__(
+        self,
+        claimant: Claimant,
+        peers: RpcPeers,
+        groups: Mapping[str, ReplicatedGroup],
+        publisher: Publisher,
+        edges: EdgeCounter,
+        owned: Mapping[int, OwnedShard],
+    ) -> None:
+        self._claimant = claimant
+        self._peers = peers
+        self._groups = groups
+        self._publisher = publisher
+        self._edges = edges
+        self._owned = owned
+        self.incarnations: dict[str, str] = {}
+        self.handlers: dict[int, Handler] = {
+            Method.WATCH: self._watch,
+            Method.DEMAND: self._demand,
+            Method.GROUP: self._group_message,
+            Method.EDGES: self._edge_count,
+        }
+
+    async def _group_message(self, payload: bytes, peer: str) -> bytes:
+        message = decode(GroupMessage, payload)
+        group = self._groups.get(message.group)
+        if group is not None:
+            group.receive(message.sender_address, message.payload)
+        return b""
+
+    async def _watch(self, payload: bytes, peer: str) -> bytes:
+        request = decode(WatchRequest, payload)
+        return encode(await self._publisher.watch(request))
+
+    async def _edge_count(self, payload: bytes, peer: str) -> bytes:
+        count = decode(EdgeCount, payload)
+        self._edges.told(count.node, count.edges, time.monotonic())
+        self.incarnations[count.node] = count.incarnation or ""
+        return b""
+
+    async def _demand(self, payload: bytes, peer: str) -> bytes:
+        report = decode(DemandReport, payload)
+        by_shard: dict[int, list[Any]] = {}
+        for demand in report.demands or ():
+            by_shard.setdefault(shard_of(demand.service_name, SHARDS), []).append(demand)
+        for shard, demands in by_shard.items():
+            self._route_demand(shard, report, demands)
+        return b""
+
+    def _route_demand(self, shard: int, report: Any, demands: list[Any]) -> None:
+        owned = self._owned.get(shard)
+        if owned is not None:
+            owned.add_demand([demand_from_message(demand) for demand in demands], report.node)
+            return
+        leader = self._groups[shard_group(shard)].leader_address
+        if leader is not None and leader != self._claimant.address and not report.forwarded:
+            onward = DemandReport(node=report.node, zone=report.zone, demands=demands, forwarded=True)
+            self._peers[leader].send(Method.DEMAND, encode(onward))
+
+    async def tell_edge_count(self, control_nodes: Callable[[], Sequence[str]]) -> None:
+        """Tell the other control nodes how many edges ask here, until cancelled."""
+        pause = EDGE_COUNT_FIRST_S
+        while True:
+            await asyncio.sleep(pause)
+            pause = EDGE_COUNT_EVERY_S
+            count = self._edges.here(time.monotonic())
+            claimant = self._claimant
+            message = encode(
+                EdgeCount(node=claimant.node_name, edges=count, incarnation=claimant.incarnation)
+            )
+            for address in control_nodes():
+                if address != claimant.address:
+                    self._peers[address].send(Method.EDGES, message)
--- /dev/null
+++ b/granitewell/nodes/operator_server.py
@@ -0,0 +1,33 @@
+"""The HTTP server of the operator API in a control process."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from granitewell.controlplane.configuration.api import OperatorApi
+
+MOST_REQUEST_BYTES = 32 * 1024 * 1024  # the library's bound; the API's own is lower
+
+
+class OperatorServer:
+    """Listens at a control address (`ip:port`) for operators."""
+
+    def __init__(self, api: OperatorApi, address: str) -> None:
+        self._api = api
+        self._address = address
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen; raises OSError."""
+        app = web.Application(client_max_size=MOST_REQUEST_BYTES)
+        self._api.routes(app)
+        runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        await runner.setup()
+        host, _, port = self._address.rpartition(":")
+        await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+        self._runner = runner
+
+    async def stop(self) -> None:
+        """Answer what has been taken, and listen no more."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/granitewell/nodes/shard_keeper.py
@@ -0,0 +1,65 @@
+"""Each shard in a control process: owned while this node leads its group, followed otherwise."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Mapping
+
+from granitewell.controlplane.publication.table import ServerTable
+from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.nodes.shards import LEASE_LOOK_S, OwnedShard, ShardServices
+from granitewell.nodes.table_follower import TableFollower
+from granitewell.rpc.transport import RpcPeers
+
+LEADER_LOOK_S = 0.1  # between two looks for a shard's owner, where none is known
+
+
+class ShardKeeper:
+    """Owns or follows the shards. owned: those that this node owns now."""
+
+    def __init__(
+        self,
+        groups: Mapping[int, ReplicatedGroup],
+        tables: Mapping[int, ServerTable],
+        peers: RpcPeers,
+        services: ShardServices,
+        owned: dict[int, OwnedShard],
+    ) -> None:
+        self._groups = groups
+        self._tables = tables
+        self._peers = peers
+        self._services = services
+        self._owned = owned
+
+    async def keep(self, shard: int) -> None:
+        """Own the shard while this node leads its group; follow its owner's table otherwise."""
+        group, table, services = self._groups[shard], self._tables[shard], self._services
+        follower = TableFollower(shard, table, self._peers, services.settings(), services.changed)
+        own_address = services.claimant.address
+        while True:
+            if group.holds_lease():
+                await self._own(shard)
+                continue
+            leader = group.leader_address
+            if leader is None or leader == own_address:
+                await asyncio.sleep(LEADER_LOOK_S)
+                continue
+            await self._until_leading(group, follower.poll(leader))
+
+    async def _own(self, shard: int) -> None:
+        """Until the lease is lost."""
+        owned = OwnedShard(shard, self._groups[shard], self._tables[shard], self._services)
+        self._owned[shard] = owned
+        try:
+            await owned.run()
+        finally:
+            self._owned.pop(shard, None)
+
+    async def _until_leading(self, group: ReplicatedGroup, poll: Coroutine[None, None, None]) -> None:
+        """A poll, given up once this node leads: its owner may be cut off and never answer."""
+        task = asyncio.create_task(poll)
+        try:
+            while not task.done() and not group.holds_lease():
+                await asyncio.wait({task}, timeout=LEASE_LOOK_S)
+        finally:
+            task.cancel()
