A change is identified by operation, base and body; a repeat is told its own version

Cause: the digest of a change left out If-Match. A body that was taken long ago was acknowledged under any other If-Match, so two changes on one version could both be confirmed (a patch to 7 taken on 5, one to 9 taken on 7; the first sent with If-Match 7: 200). A repeat was told the current version in place of its own. A repeat from before the 10,000 changes that are remembered was refused with 412 although it had been taken. A body that was too slow was refused with 408, which operators count as a refusal at the third try, although the same change may have been taken before. Patches could make the configuration larger than a reply between nodes carries (32 MiB), after which no edge could be told the whole.

Change: what is taken forms one chain, so the base version is the key under which a change is remembered, and the digest of operation and body the rest of its identity (history.py). A repeat gets 200 with its own version, and `current-version` where a later change has come; what is built on a version from before the history gets 503; a body that did not come in time 503. The whole configuration is bounded to 24 MiB. The command line reads `current-version`.

--- a/granitewell/cli/system/control_client.py
+++ b/granitewell/cli/system/control_client.py
@@ -93,13 +93,14 @@
         return version
 
     async def change(self, method: Method, body: bytes, if_match: int) -> int | None:
-        """Put or patch; the version that is in force after it, where the node says so. Raises
+        """Put or patch; the version that is in force after it, where the node says so (that of a later change
+        where this one was taken before). Raises
         OtherVersionInForce, RefusedByControl, NoControlNode."""
         reply = await self._call(Call(method, body, if_match))
         if reply.status == 412:
             raise OtherVersionInForce(if_match, _reason(reply))
         _raise_refusal(reply)
-        return _version_in(reply)
+        return _version_in(reply, "current-version") or _version_in(reply)
 
     async def _call(self, call: Call) -> Reply:
         plan = CallPlan(self._addresses, self._clock(), self._patience_s)
@@ -125,12 +126,12 @@
         raise RefusedByControl(reply.status, _reason(reply))
 
 
-def _version_in(reply: Reply) -> int | None:
+def _version_in(reply: Reply, field: str = "version") -> int | None:
     try:
         document = orjson.loads(reply.body)
     except orjson.JSONDecodeError:
         return None
-    version = document.get("version") if isinstance(document, dict) else None
+    version = document.get(field) if isinstance(document, dict) else None
     return version if isinstance(version, int) else None
 
 
--- a/granitewell/controlplane/configuration/answers.py
+++ b/granitewell/controlplane/configuration/answers.py
@@ -28,7 +28,9 @@
 def changed(result: ChangeResult) -> web.Response:
     """The answer to a change that has an outcome."""
     if result.outcome in (Outcome.TAKEN, Outcome.REPEATED):
-        return _json(200, {"version": result.version})
+        return _taken(result)
+    if result.outcome is Outcome.FORGOTTEN:
+        return unavailable("built on a version too old to say whether it was taken; get the newest")
     if result.outcome is Outcome.STALE:
         return _json(412, {"error": "another version is current", "version": result.version})
     if result.error is None:
@@ -36,6 +38,14 @@
     return failure(Failure(400, result.error.reason, result.error.field))
 
 
+def _taken(result: ChangeResult) -> web.Response:
+    """An acknowledgement names the change's own version, and the current one where a later one has come."""
+    content = {"version": result.version}
+    if result.current_version != result.version:
+        content["current-version"] = result.current_version
+    return _json(200, content)
+
+
 def document(body: bytes) -> web.Response:
     """The configuration."""
     return web.Response(status=200, body=body, content_type="application/json")
--- a/granitewell/controlplane/configuration/api.py
+++ b/granitewell/controlplane/configuration/api.py
@@ -5,6 +5,9 @@
 proposed to the replica group and answered by what applying it gave. Everybody else points at the leader
 (307), or says 503 where none is known in time. A change without a clear outcome is a 503: sending it again is
 safe.
+
+A change is refused (4xx) without the lease only for what no node can read, whatever its state: no version in
+If-Match, a body that is too large or can't be decoded, a path or method that is not there.
 """
 
 from __future__ import annotations
@@ -101,7 +104,7 @@
         """The newest configuration, whole."""
         leadership = await self._leadership()
         if leadership.standing is not Standing.SERVING:
-            return self._elsewhere(leadership, request)
+            return self._elsewhere(leadership, request.path_qs)
         answer = self._newest()
         return answer if self._group.holds_lease() else answers.unavailable("the lease has ended")
 
@@ -120,14 +123,18 @@
         body = await self._bodies.read(request)
         if isinstance(body, answers.Failure):
             return answers.failure(body)
+        return await self.answer(Change(operation, version, body), request.path_qs)
+
+    async def answer(self, change: Change, path: str) -> web.Response:
+        """Takes a change that was read whole, or says why not. path: to ask for at another node."""
         leadership = await self._leadership()
         if leadership.standing is not Standing.SERVING:
-            return self._elsewhere(leadership, request)
+            return self._elsewhere(leadership, path)
         if self._waiting >= MOST_WAITING:
             return answers.unavailable("too many changes wait")
-        return await self._in_turn(request, Change(operation, version, body))
+        return await self._in_turn(change, path)
 
-    async def _in_turn(self, request: web.Request, change: Change) -> web.Response:
+    async def _in_turn(self, change: Change, path: str) -> web.Response:
         """One change at a time, so that each is checked against the newest state."""
         arrived = self._clock()
         self._waiting += 1
@@ -135,25 +142,25 @@
             async with self._turn:
                 if self._clock() - arrived > TURN_WAIT_S:
                     return answers.unavailable("too long a wait for earlier changes")
-                return await self._judged(request, change)
+                return await self._judged(change, path)
         finally:
             self._waiting -= 1
 
-    async def _judged(self, request: web.Request, change: Change) -> web.Response:
+    async def _judged(self, change: Change, path: str) -> web.Response:
         leadership = self._leadership_now()
         if leadership.standing is not Standing.SERVING:
-            return self._elsewhere(leadership, request)
+            return self._elsewhere(leadership, path)
         result = self._store.check(change)
         if result is None:
-            return await self._proposed(request, change)
+            return await self._proposed(change, path)
         answer = answers.changed(result)
         return answer if self._group.holds_lease() else answers.unavailable("the lease has ended")
 
-    async def _proposed(self, request: web.Request, change: Change) -> web.Response:
+    async def _proposed(self, change: Change, path: str) -> web.Response:
         try:
             result = await self._group.propose(change.encode(), timeout_s=PROPOSAL_TIMEOUT_S)
         except NotLeader:
-            return self._elsewhere(self._leadership_now(), request)
+            return self._elsewhere(self._leadership_now(), path)
         except (ProposalLost, TimeoutError) as error:
             log.warning("a change on version {} has no outcome: {}", change.base_version, error)
             return answers.unavailable("no outcome; send it again")
@@ -187,7 +194,7 @@
             return Leadership(Standing.UNKNOWN)  # leading, and without a lease so far
         return Leadership(Standing.FOLLOWING, address)
 
-    def _elsewhere(self, leadership: Leadership, request: web.Request) -> web.Response:
+    def _elsewhere(self, leadership: Leadership, path: str) -> web.Response:
         if leadership.address is None:
             return answers.unavailable("no leader is known")
-        return answers.redirect(f"http://{leadership.address}{request.path_qs}")
+        return answers.redirect(f"http://{leadership.address}{path}")
--- a/granitewell/controlplane/configuration/body.py
+++ b/granitewell/controlplane/configuration/body.py
@@ -1,4 +1,8 @@
-"""Reads the bodies of changes, bounded in size, in time and over all requests together."""
+"""Reads the bodies of changes, bounded in size, in time and over all requests together.
+
+What no node can take, whatever its state, is refused with a 4xx. What has not come whole is left without a
+clear answer (503): the same change may have been taken when it was sent before.
+"""
 
 from __future__ import annotations
 
@@ -14,9 +18,10 @@
 BODY_TIMEOUT_S = 10.0  # a client that has not sent all by then is given up
 
 TOO_LARGE = Failure(413, f"the body is above {MOST_BODY} bytes")
-TOO_SLOW = Failure(408, f"the body was not there after {BODY_TIMEOUT_S:g} s")
+TOO_SLOW = Failure(503, f"the body was not there after {BODY_TIMEOUT_S:g} s")
 TOO_MANY = Failure(503, "too many bodies at once")
-BROKEN = Failure(400, "the body broke off or can't be decoded")
+BROKEN_OFF = Failure(503, "the connection broke off within the body")
+UNDECODABLE = Failure(400, "the body can't be decoded")
 
 
 class BodyReader:
@@ -51,8 +56,10 @@
                     return TOO_LARGE
                 if self._held > MOST_BODIES:
                     return TOO_MANY
-        except (web.RequestPayloadError, web.PayloadAccessError, OSError):
-            return BROKEN
+        except (web.PayloadAccessError, OSError):
+            return BROKEN_OFF
+        except web.RequestPayloadError:
+            return UNDECODABLE
         finally:
             self._held -= size
         return b"".join(chunks)
--- a/granitewell/controlplane/configuration/change.py
+++ b/granitewell/controlplane/configuration/change.py
@@ -27,7 +27,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One change. base_version: the version it builds on (If-Match); body: the bytes as they were sent."""
+    """One change; two are the same if all three fields are. base_version: the version that it builds on
+    (If-Match); body: the bytes as they were sent."""
 
     operation: Operation
     base_version: int
@@ -53,7 +54,6 @@
         return cls(operation, base_version, bytes(data[HEAD.size :]))
 
     def digest(self) -> bytes:
-        """What tells this change from others. The body holds the new version, so that it alone identifies the
-        change: a change that is sent again is the same one whatever its If-Match says."""
+        """Of operation and body. Together with the base version it tells this change from all others."""
         code = _CODES[self.operation]
         return hashlib.sha256(bytes((code,)) + self.body).digest()
--- /dev/null
+++ b/granitewell/controlplane/configuration/history.py
@@ -0,0 +1,89 @@
+"""The changes that were taken, remembered so that one that is sent again is known.
+
+What is taken forms one chain: each change is built on the version that the one before has led to. So the
+version that a change builds on says which of the changes taken it can be, if any, and the rest of its
+identity (operation and body) says whether it is that one. The oldest are forgotten beyond MOST_TAKEN; of a
+change on a version from before those that are remembered, it can't be told any more whether it was taken.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import pairwise
+
+from granitewell.controlplane.configuration.change import Change
+from granitewell.controlplane.configuration.errors import UnreadableSnapshot
+
+MOST_TAKEN = 10_000  # changes remembered: weeks at some hundred changes a day, in 400 KB of a snapshot
+
+RECORD = struct.Struct("!32sq")  # digest, version
+UNKNOWN_DIGEST = bytes(
+    32
+)  # of the record, before all others, whose version is that of the last one forgotten
+FULL_WITHOUT_MARK = 10_000  # records from a program that left no such mark: as many as it remembered at most
+
+
+@dataclass(frozen=True, slots=True)
+class TakenChange:
+    """A change that was taken. digest: of its operation and body; version: what it has led to."""
+
+    digest: bytes
+    version: int
+
+
+class ChangeHistory:
+    """The newest of the changes that were taken, by the version that each is built on."""
+
+    def __init__(self) -> None:
+        self._taken: dict[int, TakenChange] = {}
+        self._forgotten_version = 0
+
+    @property
+    def version(self) -> int:
+        """What the last change has led to."""
+        return self._taken[next(reversed(self._taken))].version if self._taken else self._forgotten_version
+
+    def add(self, change: Change, version: int) -> None:
+        """A change was taken."""
+        self._append(TakenChange(change.digest(), version))
+
+    def version_of(self, change: Change) -> int | None:
+        """The version that a change was taken as, None where it wasn't or isn't remembered."""
+        taken = self._taken.get(change.base_version)
+        return taken.version if taken is not None and taken.digest == change.digest() else None
+
+    def reaches(self, base_version: int) -> bool:
+        """Whether all changes that were taken on a version or on later ones are remembered."""
+        return base_version >= self._forgotten_version
+
+    def records(self) -> list[bytes]:
+        """All of it, for a snapshot."""
+        taken = [RECORD.pack(change.digest, change.version) for change in self._taken.values()]
+        if not self._forgotten_version:
+            return taken
+        return [RECORD.pack(UNKNOWN_DIGEST, self._forgotten_version), *taken]
+
+    @classmethod
+    def read(cls, data: bytes) -> ChangeHistory:
+        """The history from the records of a snapshot; raises UnreadableSnapshot."""
+        changes = [TakenChange(*fields) for fields in RECORD.iter_unpack(data)]
+        history = cls()
+        if changes and (changes[0].digest == UNKNOWN_DIGEST or len(changes) >= FULL_WITHOUT_MARK):
+            history._forgotten_version = changes.pop(0).version
+        _check_rising([history._forgotten_version, *(change.version for change in changes)])
+        for change in changes:
+            history._append(change)
+        return history
+
+    def _append(self, change: TakenChange) -> None:
+        self._taken[self.version] = change
+        while len(self._taken) > MOST_TAKEN:
+            oldest = next(iter(self._taken))
+            self._forgotten_version = self._taken.pop(oldest).version
+
+
+def _check_rising(versions: Iterable[int]) -> None:
+    if any(later <= earlier for earlier, later in pairwise(versions)):
+        raise UnreadableSnapshot("versions of changes don't rise")
--- a/granitewell/controlplane/configuration/state.py
+++ b/granitewell/controlplane/configuration/state.py
@@ -62,10 +62,11 @@
         """The services, for reading those that are sent again."""
         return HeldItems(self.configuration.services, self.service_documents)
 
-    def items_size(self) -> int:
-        """The bytes of all routes and services as JSON: nearly those of the whole document."""
-        sizes = map(len, self.route_documents.values())
-        return sum(sizes) + sum(map(len, self.service_documents.values()))
+    def size(self) -> int:
+        """The bytes of all parts as JSON: nearly those of the whole document."""
+        parts = (self.route_documents, self.service_documents, self.other)
+        size = sum(sum(map(len, part.values())) for part in parts)
+        return size + len(self.limits_document or b"")
 
     def document(self) -> bytes:
         """The whole configuration as JSON."""
--- a/granitewell/controlplane/configuration/store.py
+++ b/granitewell/controlplane/configuration/store.py
@@ -1,8 +1,11 @@
 """The configuration as a replicated state machine: compare-and-set by version, a history of what was taken.
 
-A change is judged in this order: taken before -> REPEATED; built on another version -> STALE; invalid ->
-INVALID; else TAKEN. By the history, a change that is sent again after its acknowledgement was lost is the
-same change; it is part of the snapshot. Nothing here reads a clock or anything else that replicas differ in.
+A change is identified by its operation, the version that it builds on, and the bytes of its body. Built on
+the current version, it is TAKEN or INVALID. Built on another, it is REPEATED where the history (a part of the
+snapshot) has that very change, also when later ones have followed; FORGOTTEN where the history does not reach
+back far enough to tell; else STALE. STALE, INVALID and REPEATED are final, as a version that was left never
+comes back; only a change on a version that nobody has reached yet, named by mistake, is STALE too early.
+Nothing here reads a clock or anything else that replicas differ in.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 
 from granitewell.controlplane.configuration.change import Change, Operation
 from granitewell.controlplane.configuration.errors import UnreadableSnapshot
+from granitewell.controlplane.configuration.history import RECORD, ChangeHistory
 from granitewell.controlplane.configuration.state import (
     EMPTY,
     ConfigurationState,
@@ -29,9 +33,12 @@
 __all__ = ["Change", "ChangeResult", "ConfigurationDelta", "ConfigurationStore", "Operation", "Outcome"]
 
 SNAPSHOT_FORMAT = 1
-SNAPSHOT_HEAD = struct.Struct("!BIII")  # format, checksum of the rest, length of the document, changes taken
-TAKEN_CHANGE = struct.Struct("!32sq")  # digest, version
-MOST_TAKEN = 10_000  # changes remembered: weeks at some hundred changes a day, in 400 KB of a snapshot
+SNAPSHOT_HEAD = struct.Struct(
+    "!BIII"
+)  # format, checksum of the rest, length of the document, records of changes
+MOST_DOCUMENT = (
+    24 * 1024 * 1024
+)  # bytes; patch by patch it may grow, and must fit into a snapshot and a reply
 MOST_STEPS = 128  # patches kept for edges that lag; one further behind is sent the whole
 
 
@@ -42,14 +49,17 @@
     REPEATED = "repeated"
     STALE = "stale"
     INVALID = "invalid"
+    FORGOTTEN = "forgotten"
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeResult:
-    """What became of a change. version: the current one after it; error: why it is INVALID."""
+    """What became of a change. version: the one that it was TAKEN as, also where it is REPEATED; else the
+    current one. current_version: after it; error: why it is INVALID."""
 
     outcome: Outcome
     version: int
+    current_version: int
     error: InvalidConfiguration | None = None
 
 
@@ -84,7 +94,7 @@
 
     def __init__(self, on_taken: Callable[[], None] | None = None) -> None:
         self._state = EMPTY
-        self._taken: dict[bytes, int] = {}
+        self._history = ChangeHistory()
         self._steps: deque[_Step] = deque(maxlen=MOST_STEPS)
         self._document: bytes | None = None
         self._whole_size = 0
@@ -122,7 +132,7 @@
         if isinstance(verdict, ChangeResult):
             return verdict
         self._take(change, verdict, data)
-        return ChangeResult(Outcome.TAKEN, self.version)
+        return self._result(Outcome.TAKEN)
 
     def changes_since(self, version: int) -> ConfigurationDelta:
         """What leads from a version to the current one: patches where they are still kept, else the whole."""
@@ -136,9 +146,9 @@
     def snapshot(self) -> bytes:
         """All that a replica needs to go on from here."""
         document = self.document() if self.version else b""
-        taken = b"".join(TAKEN_CHANGE.pack(digest, version) for digest, version in self._taken.items())
-        rest = document + taken
-        return SNAPSHOT_HEAD.pack(SNAPSHOT_FORMAT, zlib.crc32(rest), len(document), len(self._taken)) + rest
+        records = self._history.records()
+        rest = document + b"".join(records)
+        return SNAPSHOT_HEAD.pack(SNAPSHOT_FORMAT, zlib.crc32(rest), len(document), len(records)) + rest
 
     def restore(self, data: bytes) -> None:
         """Goes on from a snapshot instead of what was held; raises UnreadableSnapshot and then keeps it."""
@@ -148,29 +158,43 @@
         if version != SNAPSHOT_FORMAT:
             raise UnreadableSnapshot(f"format {version} is not known")
         rest = data[SNAPSHOT_HEAD.size :]
-        if len(rest) != length + count * TAKEN_CHANGE.size or zlib.crc32(rest) != checksum:
+        if len(rest) != length + count * RECORD.size or zlib.crc32(rest) != checksum:
             raise UnreadableSnapshot("damaged")
         state = _restored_state(bytes(rest[:length]))
-        self._taken = dict(TAKEN_CHANGE.iter_unpack(rest[length:]))
+        history = ChangeHistory.read(rest[length:])
+        if history.version != state.version:
+            raise UnreadableSnapshot(
+                f"changes lead to {history.version}, the configuration is {state.version}"
+            )
+        self._history = history
         self._steps.clear()
         self._set_state(state)
 
     def _judge(self, change: Change) -> ChangeResult | _Candidate:
-        digest = change.digest()
-        if digest in self._taken:
-            return ChangeResult(Outcome.REPEATED, self.version)
         if change.base_version != self.version:
-            return ChangeResult(Outcome.STALE, self.version)
+            return self._judge_on_another_version(change)
+        digest = change.digest()
         if self._checked is not None and self._checked.digest == digest:
             return self._checked
         try:
-            return _Candidate(digest, changed(self._state, change))
+            return _Candidate(digest, _bounded(changed(self._state, change)))
         except InvalidConfiguration as error:
-            return ChangeResult(Outcome.INVALID, self.version, error)
+            return self._result(Outcome.INVALID, error)
+
+    def _judge_on_another_version(self, change: Change) -> ChangeResult:
+        version = self._history.version_of(change)
+        if version is not None:
+            return ChangeResult(Outcome.REPEATED, version, self.version)
+        if self._history.reaches(change.base_version):
+            return self._result(Outcome.STALE)
+        return self._result(Outcome.FORGOTTEN)
+
+    def _result(self, outcome: Outcome, error: InvalidConfiguration | None = None) -> ChangeResult:
+        return ChangeResult(outcome, self.version, self.version, error)
 
     def _take(self, change: Change, candidate: _Candidate, data: bytes) -> None:
         before, after = self._state, candidate.after
-        self._remember(candidate.digest, after.version)
+        self._history.add(change, after.version)
         patch = bytes(data) if change.operation is Operation.PATCH else _as_patch(before, after)
         if patch is None:
             self._steps.clear()
@@ -178,11 +202,6 @@
             self._steps.append(_Step(before.version, after.version, patch))
         self._set_state(after)
 
-    def _remember(self, digest: bytes, version: int) -> None:
-        self._taken[digest] = version
-        while len(self._taken) > MOST_TAKEN:
-            del self._taken[next(iter(self._taken))]
-
     def _drop_long_steps(self) -> None:
         """Keeps no more than is of use: together no longer than the whole."""
         size = sum(len(step.data) for step in self._steps)
@@ -192,13 +211,20 @@
     def _set_state(self, state: ConfigurationState) -> None:
         self._state = state
         self._document = None
-        self._whole_size = state.items_size()
+        self._whole_size = state.size()
         self._checked = None
         self._drop_long_steps()
         if self._on_taken is not None:
             self._on_taken()
 
 
+def _bounded(state: ConfigurationState) -> ConfigurationState:
+    """A state that is small enough to be kept; raises InvalidConfiguration."""
+    if state.size() > MOST_DOCUMENT:
+        raise InvalidConfiguration("body", f"the whole configuration would be above {MOST_DOCUMENT} bytes")
+    return state
+
+
 def _as_patch(before: ConfigurationState, after: ConfigurationState) -> bytes | None:
     """A whole configuration told as an encoded patch of the one before, None where that can't be."""
     body = difference(before, after)
