The module that opens connections to servers stands in the list of shells

The list names it beside orders.py, whose sessions it makes. Nothing else changed; tests/test_rooms.py passes.

--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -136,6 +136,7 @@
     "granitewell.controlplane.ownership.owner",
     "granitewell.controlplane.placement.controller",
     "granitewell.controlplane.placement.orders",
+    "granitewell.controlplane.placement.server_session",
     "granitewell.controlplane.publication.publisher",
     "granitewell.dataplane.exchange",
     "granitewell.dataplane.front",
