--- a/tests/coordination/defects.py
+++ b/tests/coordination/defects.py
@@ -2,24 +2,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
-from granitewell.coordination.consensus import identity, membership, tracker
+from granitewell.coordination.consensus import election, identity, membership, tracker
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.election import Election
 from granitewell.coordination.consensus.leadership import Leadership
+from granitewell.coordination.consensus.membership import MemberView
 from granitewell.coordination.consensus.persistence import Persistence
 from granitewell.coordination.consensus.progress import HeartbeatRounds
 from granitewell.coordination.consensus.quorum import NEVER, Quorum, majority, quorum_of
 from granitewell.coordination.consensus.ready import Ready
 from granitewell.coordination.consensus.replica import Replica
-from granitewell.coordination.consensus.terms import HardState, StoredState
+from granitewell.coordination.consensus.terms import HardState, Membership, StoredState, VoterChange
+from granitewell.coordination.consensus.tracker import ProgressTracker
 from tests.coordination import world
 from tests.coordination.world import Machine, Process
 
+Plant = Callable[[pytest.MonkeyPatch], None]
+"""Plants one."""
+
 
 def send_before_persist(patch: pytest.MonkeyPatch) -> None:
     """The shell does not wait for the disk."""
@@ -159,3 +165,98 @@
     patch.setattr(
         HeartbeatRounds, "sent_at", lambda self, number: self._sent_at[-1] if self._sent_at else NEVER
     )
+
+
+# Joint consensus
+
+
+def _only(membership: Membership, *, outgoing: bool) -> Quorum:
+    """A quorum of one side of a change."""
+    side = membership.outgoing_voters if outgoing and membership.is_joint else membership.voters
+    return quorum_of(Membership(side))
+
+
+def election_counts_new_voters_only(patch: pytest.MonkeyPatch) -> None:
+    """A candidate does not need the outgoing voters."""
+    patch.setattr(election, "quorum_of", lambda membership: _only(membership, outgoing=False))
+
+
+def commit_counts_old_voters_only(patch: pytest.MonkeyPatch) -> None:
+    """Entries are committed without the voters that come in."""
+    _commit_counts(patch, outgoing=True)
+
+
+def commit_counts_new_voters_only(patch: pytest.MonkeyPatch) -> None:
+    """Entries are committed without the outgoing voters."""
+    _commit_counts(patch, outgoing=False)
+
+
+def _commit_counts(patch: pytest.MonkeyPatch, *, outgoing: bool) -> None:
+    real = Leadership.advance_commit
+
+    def advance_commit(self: Leadership) -> None:
+        with pytest.MonkeyPatch.context() as inner:
+            inner.setattr(tracker, "quorum_of", lambda membership: _only(membership, outgoing=outgoing))
+            real(self)
+
+    patch.setattr(Leadership, "advance_commit", advance_commit)
+
+
+def lease_counts_new_voters_only(patch: pytest.MonkeyPatch) -> None:
+    """The lease, and staying in office, need no outgoing voters."""
+    for method in ("acknowledged_at", "_lost_quorum"):
+        _count_new_only(patch, method)
+
+
+def _count_new_only(patch: pytest.MonkeyPatch, method: str) -> None:
+    real = getattr(Leadership, method)
+
+    def counted(self: Leadership, now: float) -> Any:
+        with pytest.MonkeyPatch.context() as inner:
+            inner.setattr(tracker, "quorum_of", lambda membership: _only(membership, outgoing=False))
+            return real(self, now)
+
+    patch.setattr(Leadership, method, counted)
+
+
+def change_without_joint_majorities(patch: pytest.MonkeyPatch) -> None:
+    """Voters are swapped at once: the voters before the change no longer count."""
+    real = membership._joint
+
+    def swapped(before: Membership, change: VoterChange) -> Membership:
+        after = real(before, change)
+        gone = tuple(member.replica_id for member in change.removed)
+        return Membership(after.voters, (*after.removed, *gone))
+
+    patch.setattr(membership, "_joint", swapped)
+
+
+def change_begins_before_catching_up(patch: pytest.MonkeyPatch) -> None:
+    """A learner gets a vote before it has the log."""
+    real = ProgressTracker.learner_views
+
+    def views(self: ProgressTracker, now: float) -> list[MemberView]:
+        return [replace(view, caught_up=True, answering=True) for view in real(self, now)]
+
+    patch.setattr(ProgressTracker, "learner_views", views)
+
+
+def change_ends_before_arrival(patch: pytest.MonkeyPatch) -> None:
+    """A change ends although who came in does not hold its entry."""
+    patch.setattr(membership, "_has_arrived", lambda members, voters: True)
+
+
+def change_is_never_taken_back(patch: pytest.MonkeyPatch) -> None:
+    """A change under way waits for a newcomer that is lost."""
+    patch.setattr(membership, "_is_stuck", lambda members, voters, under_way_s, settings: False)
+
+
+def change_removes_first(patch: pytest.MonkeyPatch) -> None:
+    """As before joint consensus: the voter goes, and the newcomer is added afterwards."""
+    real = membership._wanted_changes
+
+    def wanted(*arguments: Any) -> Iterable[VoterChange]:
+        for change in real(*arguments):
+            yield VoterChange((), change.removed) if change.removed else change
+
+    patch.setattr(membership, "_wanted_changes", wanted)
--- a/tests/coordination/faults.py
+++ b/tests/coordination/faults.py
@@ -202,6 +202,7 @@
     """A disk is well again."""
     machine.disk.delay_s = 0.001
     machine.disk.refusing = False
+    machine.disk.hanging = False
 
 
 Trouble = Callable[[Day], None]
--- a/tests/coordination/test_scenarios.py
+++ b/tests/coordination/test_scenarios.py
@@ -438,7 +438,7 @@
 
 def test_an_unsynced_own_entry_that_counts_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
     count_unsynced_own_entry(monkeypatch)
-    with pytest.raises(Violation, match="lacks entry"):
+    with pytest.raises(Violation, match="committed 3 on 1 of 3 disks"):
         own_entry_unsynced(Group(0))
 
 
--- a/tests/coordination/world.py
+++ b/tests/coordination/world.py
@@ -19,18 +19,21 @@
     first_state,
     joining_state,
 )
-from granitewell.coordination.consensus.messages import Message, VoteReply
+from granitewell.coordination.consensus.messages import Heartbeat, HeartbeatReply, Message, VoteReply
+from granitewell.coordination.consensus.packing import unpack_end
 from granitewell.coordination.consensus.ready import Outgoing, Ready
 from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.settings import ReplicaSettings
 from granitewell.coordination.consensus.storage import replay, state_records
 from granitewell.coordination.consensus.terms import (
     Entry,
+    EntryKind,
     Identity,
     Member,
     Membership,
     Record,
     Role,
+    Snapshot,
     StoredState,
 )
 from granitewell.model.errors import NotLeader, ProposalLost
@@ -60,15 +63,21 @@
     unsynced: list[Record | Rewrite] = field(default_factory=list)
     delay_s: float = 0.001
     refusing: bool = False
+    hanging: bool = False
 
-    def settle(self, kept: bool) -> None:
-        """What was not synced reaches the disk, all of it (it is one frame), or is lost."""
+    def settle(self, kept: bool) -> list[Record]:
+        """What was not synced reaches the disk, all of it (it is one frame), or is lost; what is there now
+        that was not before."""
         pending, self.unsynced = self.unsynced, []
+        arrived: list[Record] = []
         for record in pending if kept else []:
             if isinstance(record, Rewrite):
                 self.synced = list(record.records)
+                arrived += record.records
             else:
                 self.synced.append(record)
+                arrived.append(record)
+        return arrived
 
     def state(self) -> StoredState | None:
         """What a replica that starts from this disk finds."""
@@ -89,6 +98,40 @@
         self.dead_ids: set[str] = set()
         self.committed_in: dict[int, int] = {}
         self.membership = Membership()
+        self.copies: dict[tuple[int, int], set[str]] = {}
+        self.snapshots: dict[str, int] = {}
+        self.change_began = Entry(0, 0, EntryKind.NO_OPERATION)
+
+    def on_disk(self, replica_id: str, records: list[Record]) -> None:
+        """Records are synced on a replica's disk."""
+        for record in records:
+            if isinstance(record, Entry):
+                self.copies.setdefault((record.index, record.term), set()).add(replica_id)
+            elif isinstance(record, Snapshot):
+                self.snapshots[replica_id] = max(record.index, self.snapshots.get(replica_id, 0))
+
+    def _stands(self, entry: Entry, in_force: Membership) -> None:
+        """What is committed was synced by a majority of the voters in force, and by one of the outgoing."""
+        holders = self.copies.get((entry.index, entry.term), set())
+        for group in (in_force.voters, in_force.outgoing_voters):
+            ids = {member.replica_id for member in group}
+            held = {id for id in ids if id in holders or self.snapshots.get(id, 0) >= entry.index}
+            if ids and 2 * len(held) <= len(ids):
+                raise Violation(f"committed {entry.index} on {len(held)} of {len(ids)} disks")
+
+    def _changed(self, entry: Entry, membership: Membership) -> None:
+        """A change ends for the new voters only once each that came in has the entry that began it."""
+        if entry.kind is EntryKind.CHANGE_VOTERS:
+            self.change_began = entry
+        if entry.kind is EntryKind.END_CHANGE and unpack_end(entry.data):
+            began = self.change_began
+            holders = self.copies.get((began.index, began.term), set())
+            for member in membership.voters:
+                id = member.replica_id
+                if member in self.membership.outgoing_voters or id in holders:
+                    continue
+                if self.snapshots.get(id, 0) < began.index:
+                    raise Violation(f"the change of entry {began.index} ends without {id}")
 
     def logged(self, entry: Entry, previous_term: int) -> None:
         """Log matching: an index and a term name one entry, with one before it."""
@@ -96,8 +139,9 @@
         if known != (entry, previous_term):
             raise Violation(f"two entries {entry.index} in term {entry.term}")
 
-    def commit(self, entry: Entry, term: int, membership: Membership) -> None:
-        """What is committed stays, and is the same everywhere. term: of who says so."""
+    def commit(self, entry: Entry, term: int, membership: Membership, in_force: Membership) -> None:
+        """What is committed stays, is the same everywhere, and is on enough disks. term: of who says so.
+        in_force: the membership that counted."""
         known = self.committed.get(entry.index)
         if known is not None:
             if known != entry:
@@ -105,6 +149,8 @@
             return
         if entry.index != self.last_committed + 1:
             raise Violation(f"committed {entry.index} after {self.last_committed}")
+        self._stands(entry, in_force)
+        self._changed(entry, membership)
         self.committed[entry.index] = entry
         self.committed_in[entry.index] = term
         self.last_committed = entry.index
@@ -269,7 +315,8 @@
             if entry.index != self.applied_index + 1:
                 raise Violation(f"applied {entry.index} after {self.applied_index}")
             log = self.replica._core.log
-            world.invariants.commit(entry, self.replica.term, log.membership_at(entry.index))
+            membership = log.membership_at(entry.index)
+            world.invariants.commit(entry, self.replica.term, membership, log.membership)
             self.applied_index = entry.index
             self.chain = b"%x" % crc32(b"%d %s" % (entry.term, entry.data), int(self.chain, 16))
             world.invariants.chain.setdefault(entry.index, self.chain)
@@ -318,6 +365,9 @@
             self.run(lambda: self.replica.disk_failed(self.now))
             self.world.after(DISK_RETRY_S, lambda: self._try_write(number, records))
             return
+        if disk.hanging:
+            self.world.after(DISK_RETRY_S, lambda: self._try_write(number, records))
+            return
         disk.unsynced = records
         self.world.after(disk.delay_s, lambda: self._synced(number, records))
 
@@ -325,7 +375,8 @@
         disk = self.machine.disk
         if not self.alive or disk.unsynced is not records:
             return
-        disk.settle(kept=True)
+        self.world.invariants.on_disk(self.replica.replica_id, disk.settle(kept=True))
+        self.world.step()
         self.run(lambda: self._written(number))
 
     def _written(self, number: int) -> None:
@@ -395,9 +446,11 @@
         """The process is killed, or the machine loses power."""
         if self.process is None:
             return
+        replica_id = self.process.replica.replica_id
         self.process.alive = False
         self.process = None
-        self.disk.settle(kept=not power or self.world.rng.random() < 0.5)
+        arrived = self.disk.settle(kept=not power or self.world.rng.random() < 0.5)
+        self.world.invariants.on_disk(replica_id, arrived)
 
     def wipe(self) -> None:
         """The disk is lost, with the process."""
@@ -431,6 +484,7 @@
         self.invariants = Invariants()
         self.beyond_tolerance = False
         self.on_acknowledged: Callable[[], None] | None = None
+        self.on_step: Callable[[], None] | None = None
         self.quiet = Link()
         self.links: dict[tuple[str, str], Link] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -488,6 +542,13 @@
         for machine in self.machines:
             if machine.address == outgoing.address and machine.process is not None:
                 machine.process.receive(sender, outgoing.message)
+        if not isinstance(outgoing.message, Heartbeat | HeartbeatReply):
+            self.step()
+
+    def step(self) -> None:
+        """A write was synced, or a message that is no heartbeat has come."""
+        if self.on_step is not None:
+            self.on_step()
 
     def acknowledged(self) -> None:
         """A client has its answer."""
