A wish to leave lapses; a learner without its state is not told that it is in touch

Causes, each shown by a test that failed before: a leader kept for its whole term that a voter had asked to leave, so that one which nobody could replace and which was back long since lost its place to the next spare.

--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -69,7 +69,7 @@
         self._uncommitted: deque[Entry] = deque()
         self._uncommitted_bytes = 0
         self._changed_at = now
-        self._leaving: set[str] = set()
+        self._leaving_until: dict[str, float] = {}
         self._removals: list[Member] = []
         self.given_up = False
         self.heartbeat_at = now
@@ -159,7 +159,8 @@
         self._announce_commit = False
         for id, peer in self._tracker.peers.items():
             commit = min(peer.match_index, core.commit_index)
-            core.send(peer.member.address, Heartbeat(core.id, id, core.term, number, commit, leased))
+            in_touch = leased and not peer.lacks_state
+            core.send(peer.member.address, Heartbeat(core.id, id, core.term, number, commit, in_touch))
 
     def _resend(self, now: float) -> None:
         settings = self._core.settings
@@ -288,7 +289,7 @@
 
     def on_leave(self, replica_id: str, now: float) -> bool:
         """A voter is about to stop; says whether its place is being filled."""
-        self._leaving.add(replica_id)
+        self._leaving_until[replica_id] = now + self._core.settings.leave_s
         self.change_members(now)
         return not stays_voter(self._core.log.membership, replica_id)
 
@@ -314,7 +315,7 @@
             self._tracker.voter_views(now),
             self._tracker.learner_views(now),
             self._target_voters,
-            self._leaving,
+            [replica_id for replica_id, until in self._leaving_until.items() if now < until],
             core.settings,
         )
         if change is not None:
--- a/granitewell/coordination/consensus/messages.py
+++ b/granitewell/coordination/consensus/messages.py
@@ -50,8 +50,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat(Message):
-    """The leader lives. round: counted by the leader, who knows when it sent it. leased: it held its
-    lease."""
+    """The leader lives. round: counted by the leader, who knows when it sent it. leased: it held its lease,
+    and the receiver is not known to lack what is committed."""
 
     round: int
     commit_index: int
--- a/tests/coordination/test_joint_consensus.py
+++ b/tests/coordination/test_joint_consensus.py
@@ -233,3 +233,18 @@
     ]
     assert len(ends) == 1
     assert group.world.invariants.leaders[ends[0].term] != process.replica.replica_id
+
+
+def test_a_voter_that_has_restarted_keeps_its_place_although_a_spare_comes() -> None:
+    group = Group(2)
+    restarted = group.others[0]
+    process = process_of(restarted)
+    process.run(lambda: leave(process))
+    group.run(0.1)
+    restarted.stop(power=False)
+    restarted.start()
+    group.run(2)
+    group.add_spare()
+    group.run(3)
+    assert restarted.address in voters(group)
+    assert process_of(restarted).replica.replica_id == process.replica.replica_id
--- a/tests/coordination/test_scenarios.py
+++ b/tests/coordination/test_scenarios.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from granitewell.coordination.consensus.messages import HeartbeatReply
@@ -480,3 +482,20 @@
     group.heal()
     group.run(1)
     assert process_of(laggard).replica.commit_index == process_of(group.leader).replica.commit_index
+
+
+def test_a_learner_that_waits_for_its_snapshot_is_not_in_touch() -> None:
+    group = Group(15)
+    for _ in range(40):
+        group.propose()
+        group.run(0.05)
+    spare = group.add_spare()
+    core = process_of(spare).replica._core
+    core.settings, all_settings = replace(core.settings, snapshot_most_bytes=-1), core.settings
+    group.run(2)
+    assert core.commit_index == 0 and core.leader_id is not None
+    assert process_of(spare).replica.contact_age(process_of(spare).now) > 1.5
+    core.settings = all_settings
+    group.run(1)
+    assert core.commit_index == process_of(group.leader).replica.commit_index
+    assert process_of(spare).replica.contact_age(process_of(spare).now) < 0.5
