--- a/tests/coordination/faults.py
+++ b/tests/coordination/faults.py
@@ -14,6 +14,7 @@
 
 TROUBLE_S = 9.0
 CALM_S = 7.0
+LEAVE_LOOK_S = 0.05
 PROGRESS_S = 5.0
 """After the trouble's end, all are voters and a leader commits by this time."""
 
@@ -111,14 +112,63 @@
             return
         machine.wipe()
         machine.gone = True
+        self._add_machine(machine.address)
+
+    def _add_machine(self, *old_seeds: str) -> None:
+        """A machine with an empty disk comes, at a new address."""
         world = self.world
         self.machine_number += 1
         address = f"10.0.1.{self.machine_number}:7"
-        seeds = (*(other.address for other in world.machines if not other.gone), machine.address)
+        seeds = (*(other.address for other in world.machines if not other.gone), *old_seeds)
         new = Machine(world, f"core-{self.machine_number}", address, seeds, first=False)
         world.machines.append(new)
         world.after(world.rng.uniform(0.0, 1.0), new.start)
 
+    def leave_and_come_back(self) -> None:
+        """A process gets SIGTERM, and is started again."""
+        machine = self.someone()
+        if machine is not None:
+            self._leave(machine, lambda: self._restart(machine))
+
+    def _restart(self, machine: Machine) -> None:
+        machine.stop(power=False)
+        self.world.after(self.world.rng.uniform(0.05, 1.0), machine.start)
+
+    def leave_for_good(self) -> None:
+        """Another machine comes; then one gets SIGTERM and goes for good."""
+        machine = self.someone()
+        if machine is not None:
+            self._add_machine()
+            go = partial(self._leave, machine, lambda: self._go(machine))
+            self.world.after(self.world.rng.uniform(0.0, 2.0), go)
+
+    def _go(self, machine: Machine) -> None:
+        if not machine.gone and self.may_lose(machine):
+            machine.wipe()
+            machine.gone = True
+
+    def _leave(self, machine: Machine, then: Callable[[], None]) -> None:
+        """What a process does on SIGTERM, and what comes when it is done, or when its time is over."""
+        process = machine.process
+        if process is None:
+            return
+        end = self.world.now + self.world.settings.leave_s
+        waits = True
+
+        def ask() -> None:
+            nonlocal waits
+            waits = process.replica.leave(process.now)
+
+        def step() -> None:
+            process.run(ask)
+            if waits and process.alive and self.world.now < end:
+                self.world.after(LEAVE_LOOK_S, step)
+                return
+            process.run(partial(_transfer, process))
+            self.world.after(LEAVE_LOOK_S, then)
+
+        step()
+
     def freeze(self) -> None:
         """A process stands still for seconds."""
         machine = self.someone()
@@ -223,6 +273,8 @@
     Day.bad_links,
     Day.slow_disk,
     Day.transfer,
+    Day.leave_and_come_back,
+    Day.leave_for_good,
 )
 
 
@@ -232,9 +284,10 @@
     settings: ReplicaSettings = SETTINGS,
     pace_s: float = 1.0,
     progress: bool = True,
+    voters: int = 3,
 ) -> World:
     """One day; raises Violation, which names the seed."""
-    world = World(seed, settings=settings)
+    world = World(seed, machines=voters, settings=settings)
     day = Day(world)
     try:
         _trouble(day, troubles, pace_s)
--- a/tests/coordination/test_simulation.py
+++ b/tests/coordination/test_simulation.py
@@ -1,5 +1,5 @@
 """Many short days of a simulated group, each from its seed. `python -m tests.coordination.test_simulation
-FIRST LAST` plays more of them, and one again."""
+FIRST LAST` plays more of them, and one again, each also with replacements only and with five voters."""
 
 from __future__ import annotations
 
@@ -7,10 +7,21 @@
 
 import pytest
 
-from tests.coordination.faults import play
+from tests.coordination.faults import Day, play
 
 DAYS = 500
 DAYS_A_TEST = 50
+DAYS_OF_FIVE = 12
+DAYS_OF_REPLACEMENTS = 25
+REPLACEMENTS = (
+    Day.wipe,
+    Day.replace,
+    Day.leave_and_come_back,
+    Day.leave_for_good,
+    Day.slow_disk,
+    Day.cut,
+    Day.kill,
+)
 
 
 @pytest.mark.parametrize("first", range(0, DAYS, DAYS_A_TEST))
@@ -21,6 +32,18 @@
     assert acknowledged > 5 * DAYS_A_TEST
 
 
+def test_days_of_five_voters() -> None:
+    acknowledged = 0
+    for seed in range(DAYS_OF_FIVE):
+        acknowledged += play(seed, voters=5).invariants.last_acknowledged
+    assert acknowledged > 5 * DAYS_OF_FIVE
+
+
+def test_days_of_replacements() -> None:
+    for seed in range(DAYS_OF_REPLACEMENTS):
+        play(seed, REPLACEMENTS, pace_s=0.7)
+
+
 def test_a_day_is_the_same_whenever_it_is_played() -> None:
     first, second = play(7), play(7)
     assert first.invariants.committed == second.invariants.committed
@@ -29,3 +52,5 @@
 if __name__ == "__main__":
     for number in range(int(sys.argv[1]), int(sys.argv[2])):
         play(number)
+        play(number, REPLACEMENTS, pace_s=0.7)
+        play(number, voters=5)
