Invariants of the simulation in a module; what stays after a change is looked at

Once a change has ended, what was committed just before and in it must stand on disks of a majority of the voters that stay. Entries of older versions, both ends of a change and a move of a voter in between have unit tests.

--- a/tests/coordination/defects.py
+++ b/tests/coordination/defects.py
@@ -20,7 +20,7 @@
 from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.terms import HardState, Membership, StoredState, VoterChange
 from granitewell.coordination.consensus.tracker import ProgressTracker
-from tests.coordination import world
+from tests.coordination import invariants
 from tests.coordination.world import Machine, Process
 
 Plant = Callable[[pytest.MonkeyPatch], None]
@@ -147,7 +147,7 @@
 def joiner_skips_first_members(patch: pytest.MonkeyPatch) -> None:
     """A replica that joins takes the log without the snapshot that names the first members."""
     patch.setattr(identity, "FIRST_INDEX", 0)
-    patch.setattr(world, "FIRST_INDEX", 0)
+    patch.setattr(invariants, "FIRST_INDEX", 0)
 
 
 def stable_past_truncation(patch: pytest.MonkeyPatch) -> None:
--- a/tests/coordination/faults.py
+++ b/tests/coordination/faults.py
@@ -10,7 +10,8 @@
 from granitewell.coordination.consensus.quorum import quorum_of
 from granitewell.coordination.consensus.settings import ReplicaSettings
 from granitewell.coordination.consensus.terms import Role
-from tests.coordination.world import SETTINGS, Link, Machine, Process, Violation, World, replica_id
+from tests.coordination.invariants import Violation
+from tests.coordination.world import SETTINGS, Link, Machine, Process, World, replica_id
 
 TROUBLE_S = 9.0
 CALM_S = 7.0
--- /dev/null
+++ b/tests/coordination/invariants.py
@@ -0,0 +1,124 @@
+"""What must hold of all replicas of a simulated group together, after every event."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from granitewell.coordination.consensus.identity import FIRST_INDEX
+from granitewell.coordination.consensus.messages import Message, VoteReply
+from granitewell.coordination.consensus.packing import unpack_end
+from granitewell.coordination.consensus.replica import Replica
+from granitewell.coordination.consensus.terms import Entry, EntryKind, Membership, Record, Snapshot
+
+LOOKED_BACK = 10
+"""Entries before a change that are looked at once it has ended."""
+
+
+class Violation(AssertionError):
+    """An invariant does not hold."""
+
+
+class Invariants:
+    """What must hold of all replicas together, over all time."""
+
+    def __init__(self) -> None:
+        self.leaders: dict[int, str] = {}
+        self.votes: dict[tuple[str, int], str] = {}
+        self.entries: dict[tuple[int, int], tuple[Entry, int]] = {}
+        self.committed: dict[int, Entry] = {}
+        self.chain: dict[int, bytes] = {FIRST_INDEX: b"0"}
+        self.last_committed = FIRST_INDEX
+        self.last_acknowledged = FIRST_INDEX
+        self.dead_ids: set[str] = set()
+        self.committed_in: dict[int, int] = {}
+        self.membership = Membership()
+        self.copies: dict[tuple[int, int], set[str]] = {}
+        self.snapshots: dict[str, int] = {}
+        self.change_began = Entry(0, 0, EntryKind.NO_OPERATION)
+
+    def on_disk(self, replica_id: str, records: list[Record]) -> None:
+        """Records are synced on a replica's disk."""
+        for record in records:
+            if isinstance(record, Entry):
+                self.copies.setdefault((record.index, record.term), set()).add(replica_id)
+            elif isinstance(record, Snapshot):
+                self.snapshots[replica_id] = max(record.index, self.snapshots.get(replica_id, 0))
+
+    def _stands(self, entry: Entry, in_force: Membership) -> None:
+        """What is committed was synced by a majority of the voters in force, and by one of the outgoing."""
+        holders = self.copies.get((entry.index, entry.term), set())
+        for group in (in_force.voters, in_force.outgoing_voters):
+            ids = {member.replica_id for member in group}
+            held = {id for id in ids if id in holders or self.snapshots.get(id, 0) >= entry.index}
+            if ids and 2 * len(held) <= len(ids):
+                raise Violation(f"committed {entry.index} on {len(held)} of {len(ids)} disks")
+
+    def _changed(self, entry: Entry, membership: Membership) -> None:
+        """A change ends for the new voters only once each that came in has the entry that began it; and what
+        was committed before and in it stands on disks of a majority of those that stay."""
+        if entry.kind is EntryKind.CHANGE_VOTERS:
+            self.change_began = entry
+        if entry.kind is EntryKind.END_CHANGE and unpack_end(entry.data):
+            began = self.change_began
+            holders = self.copies.get((began.index, began.term), set())
+            for member in membership.voters:
+                id = member.replica_id
+                if member in self.membership.outgoing_voters or id in holders:
+                    continue
+                if self.snapshots.get(id, 0) < began.index:
+                    raise Violation(f"the change of entry {began.index} ends without {id}")
+            for index in range(max(FIRST_INDEX + 1, began.index - LOOKED_BACK), entry.index):
+                self._stands(self.committed[index], membership)
+
+    def logged(self, entry: Entry, previous_term: int) -> None:
+        """Log matching: an index and a term name one entry, with one before it."""
+        known = self.entries.setdefault((entry.index, entry.term), (entry, previous_term))
+        if known != (entry, previous_term):
+            raise Violation(f"two entries {entry.index} in term {entry.term}")
+
+    def commit(self, entry: Entry, term: int, membership: Membership, in_force: Membership) -> None:
+        """What is committed stays, is the same everywhere, and is on enough disks. term: of who says so.
+        in_force: the membership that counted."""
+        known = self.committed.get(entry.index)
+        if known is not None:
+            if known != entry:
+                raise Violation(f"committed {known}, then {entry}")
+            return
+        if entry.index != self.last_committed + 1:
+            raise Violation(f"committed {entry.index} after {self.last_committed}")
+        self._stands(entry, in_force)
+        self._changed(entry, membership)
+        self.committed[entry.index] = entry
+        self.committed_in[entry.index] = term
+        self.last_committed = entry.index
+        self.membership = membership
+
+    def lead(self, replica: Replica) -> None:
+        """One leader a term, and it has all that was committed in terms before."""
+        leader = self.leaders.setdefault(replica.term, replica.replica_id)
+        if leader != replica.replica_id:
+            raise Violation(f"two leaders in term {replica.term}")
+        log = replica._core.log
+        last = self.last_committed
+        while self.committed_in.get(last, 0) >= replica.term:
+            last -= 1
+        if last > log.last_index or (
+            last > log.snapshot.index and log.term_at(last) != self.committed[last].term
+        ):
+            raise Violation(f"the leader of term {replica.term} lacks entry {last}")
+
+    def say(self, message: Message) -> None:
+        """A replica whose disk is gone says nothing, and votes are given once a term."""
+        if message.sender in self.dead_ids:
+            raise Violation(f"{message.sender} speaks after its disk was lost")
+        if isinstance(message, VoteReply) and message.granted:
+            vote = self.votes.setdefault((message.sender, message.term), message.receiver)
+            if vote != message.receiver:
+                raise Violation(f"{message.sender} votes twice in term {message.term}")
+
+    def leases(self, applied: Sequence[int]) -> None:
+        """One holder of a lease, and it has all that was acknowledged. applied: of each holder."""
+        if len(applied) > 1:
+            raise Violation(f"{len(applied)} hold leases")
+        if applied and applied[0] < self.last_acknowledged:
+            raise Violation(f"a lease at {applied[0]}, acknowledged {self.last_acknowledged}")
--- a/tests/coordination/replacement.py
+++ b/tests/coordination/replacement.py
@@ -18,7 +18,8 @@
 
 from granitewell.coordination.consensus.terms import Role
 from tests.coordination.faults import Day, describe
-from tests.coordination.world import Link, Machine, Process, Violation, World
+from tests.coordination.invariants import Violation
+from tests.coordination.world import Link, Machine, Process, World
 
 SETTLED_S = 4.0
 """By this time of a day there is a leader, and a spare has caught up."""
--- a/tests/coordination/test_joint_consensus.py
+++ b/tests/coordination/test_joint_consensus.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from granitewell.coordination.consensus.membership import after_entry, is_voter, stays_voter
+from granitewell.coordination.consensus.packing import pack_change, pack_end, pack_member
 from granitewell.coordination.consensus.quorum import NEVER, Quorum, quorum_of
-from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Membership
+from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Membership, VoterChange
 from tests.coordination.defects import (
     change_begins_before_catching_up,
     change_ends_before_arrival,
@@ -15,8 +17,9 @@
     election_counts_new_voters_only,
     lease_counts_new_voters_only,
 )
+from tests.coordination.invariants import Violation
 from tests.coordination.test_scenarios import Group, leave, process_of, voters
-from tests.coordination.world import Machine, Violation
+from tests.coordination.world import Machine
 
 
 def ids(*names: str) -> tuple[Member, ...]:
@@ -43,6 +46,44 @@
     assert Quorum(()).reached({"a": 1.0}) == NEVER
 
 
+# Entries
+
+
+def changed(membership: Membership, kind: EntryKind, data: bytes) -> Membership:
+    """The membership after an entry."""
+    return after_entry(membership, Entry(7, 1, kind, data))
+
+
+def test_a_change_begins_with_both_sides_and_ends_with_either() -> None:
+    before = Membership(ids("a", "b", "old"), ("gone",))
+    change = VoterChange(ids("new"), ids("old"))
+    joint = changed(before, EntryKind.CHANGE_VOTERS, pack_change(change))
+    assert joint == Membership(ids("a", "b", "new"), ("gone",), before.voters)
+    assert {member.replica_id for member in joint.all_voters()} == {"a", "b", "old", "new"}
+    assert is_voter(joint, "old") and not stays_voter(joint, "old")
+    taken_over = changed(joint, EntryKind.END_CHANGE, pack_end(True))
+    assert taken_over == Membership(ids("a", "b", "new"), ("gone", "old"))
+    assert changed(joint, EntryKind.END_CHANGE, pack_end(False)) == before
+    assert changed(before, EntryKind.END_CHANGE, pack_end(True)) == before
+
+
+def test_entries_of_older_versions_still_change_members() -> None:
+    before = Membership(ids("a", "b", "c"))
+    (member,) = ids("d")
+    added = changed(before, EntryKind.ADD_VOTER, pack_member(member))
+    assert added == Membership(ids("a", "b", "c", "d"))
+    removed = changed(added, EntryKind.REMOVE_VOTER, pack_member(ids("a")[0]))
+    assert removed == Membership(ids("b", "c", "d"), ("a",))
+
+
+@pytest.mark.parametrize("replica_id", ["a", "old", "new"])
+def test_a_voter_that_moves_while_members_change_changes_no_quorum(replica_id: str) -> None:
+    joint = Membership(ids("a", "b", "new"), (), ids("a", "b", "old"))
+    moved = changed(joint, EntryKind.ADD_VOTER, pack_member(Member(replica_id, replica_id, "elsewhere:1")))
+    assert quorum_of(moved) == quorum_of(joint)
+    assert "elsewhere:1" in {member.address for member in moved.all_voters()}
+
+
 # Partitions
 
 
--- a/tests/coordination/test_planted_defects.py
+++ b/tests/coordination/test_planted_defects.py
@@ -13,7 +13,7 @@
 
 from tests.coordination import defects
 from tests.coordination.faults import Day, Trouble, play
-from tests.coordination.world import Violation
+from tests.coordination.invariants import Violation
 
 MOST_SEEDS = 400
 
--- a/tests/coordination/test_replacement_search.py
+++ b/tests/coordination/test_replacement_search.py
@@ -15,6 +15,7 @@
 import pytest
 
 from tests.coordination import defects
+from tests.coordination.invariants import Violation
 from tests.coordination.replacement import (
     DiskTrouble,
     Kind,
@@ -26,7 +27,6 @@
     play,
     steps_of,
 )
-from tests.coordination.world import Violation
 
 DRAWN_IN_CI = 40
 MOST_STEP_DRAWN = 60
--- a/tests/coordination/test_scenarios.py
+++ b/tests/coordination/test_scenarios.py
@@ -19,7 +19,8 @@
     removed_is_not_told,
 )
 from tests.coordination.faults import describe
-from tests.coordination.world import Link, Machine, Process, Violation, World
+from tests.coordination.invariants import Violation
+from tests.coordination.world import Link, Machine, Process, World
 
 
 class Group:
