--- a/granitewell/coordination/consensus/core.py
+++ b/granitewell/coordination/consensus/core.py
@@ -14,7 +14,8 @@
 
 
 class Core:
-    """The state that the parts of one replica work on. me: this replica; its id is the one on the disk."""
+    """The state that the parts of one replica work on. me: this replica; its id is the one on the disk.
+    removed: it knows that it is out of the group."""
 
     def __init__(self, me: Member, state: StoredState, settings: ReplicaSettings, rng: Random) -> None:
         self.me = me
@@ -28,6 +29,7 @@
         self.leader_id: str | None = None
         self.leader_address: str | None = None
         self.restore: Snapshot | None = None
+        self.removed = False
         self.messages: list[Outgoing] = []
         self.synced_messages: list[Outgoing] = []
 
@@ -46,6 +48,10 @@
         """Whether this replica has a vote, as far as its own log says."""
         return is_voter(self.log.membership, self.id)
 
+    def is_removed(self, replica_id: str) -> bool:
+        """Whether it is committed that an id is out of the group."""
+        return replica_id in self.log.membership_at(self.commit_index).removed
+
     def send(self, address: str, message: Message) -> None:
         """A message that claims nothing of this replica's disk."""
         self.messages.append(Outgoing(address, message))
--- a/tests/coordination/defects.py
+++ b/tests/coordination/defects.py
@@ -17,7 +17,6 @@
 from granitewell.coordination.consensus.progress import HeartbeatRounds
 from granitewell.coordination.consensus.quorum import NEVER, Quorum, majority, quorum_of
 from granitewell.coordination.consensus.ready import Ready
-from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.terms import HardState, Membership, StoredState, VoterChange
 from granitewell.coordination.consensus.tracker import ProgressTracker
 from tests.coordination import invariants
@@ -157,7 +156,7 @@
 
 def removed_is_not_told(patch: pytest.MonkeyPatch) -> None:
     """A replica that lost its place is not told so."""
-    patch.setattr(Replica, "_is_removed", lambda self, replica_id: False)
+    patch.setattr(Core, "is_removed", lambda self, replica_id: False)
 
 
 def late_round_renews(patch: pytest.MonkeyPatch) -> None:
--- a/tests/coordination/test_joint_consensus.py
+++ b/tests/coordination/test_joint_consensus.py
@@ -96,7 +96,7 @@
     goes_id = process_of(goes).replica.replica_id
 
     def begin() -> None:
-        leadership = leader.replica._leadership
+        leadership = leader.replica._roles.leadership
         assert leadership is not None and leadership.on_leave(goes_id, leader.now)
 
     leader.run(begin)
