Answers end where their framing ends, at any split; no connection carries an id twice

Found by playing every split point of a request and an answer in memory (the search follows): - TWICE: a server that turned a request away, got it again over the same connection, ran it, and said its refusal a second time (one late extra answer) was believed: the id is the same. A request that may run once ran twice. A connection now never carries an id twice. - A blank line behind a head that came in two segments made the count of the body's bytes wrong: the last bytes were held to be surplus and the answer never ended. The ends of head, length, and chunks are followed in framing.py wherever bytes are split. - Half an answer behind a chunked one in the same segment was not noticed and spoiled the next answer. - An answer without length was always 502. A clean close of the server now ends it, a reset never does; a stream without length that ends within an event is broken. - A connection is not kept while bytes of its request are unwritten (early answer), and doesn't wait for an answer behind the server's end of stream. - Codings other than chunked, 101, two ids, heads with bare line ends: no answer. Failures that no rule asks for: an idle connection whose end or stray bytes the kernel has already, and one whose first write the kernel refuses, are replaced (nothing was written); a refusal whose body doesn't come within 50 ms is sent on at once rather than held until the request's time is over.

The pool moves to upstream_pool.py, which joins upstream.py in the list of shells (tests/test_rooms.py). The state table stands on top of upstream.py.

--- a/granitewell/dataplane/exchange.py
+++ b/granitewell/dataplane/exchange.py
@@ -30,7 +30,8 @@
 )
 from granitewell.dataplane.request import AttemptEnd, Attempts, passes_unchanged, proves_not_executed
 from granitewell.dataplane.servers import MOVED_FOR_S, ServerRecord
-from granitewell.dataplane.upstream import BrokenAnswer, NotWritten, UpstreamConnection, UpstreamPool
+from granitewell.dataplane.upstream import BrokenAnswer, NotWritten, UpstreamConnection
+from granitewell.dataplane.upstream_pool import UpstreamPool
 from granitewell.dataplane.waiting import LineFull
 from granitewell.model.configuration import Route, RouteKind
 from granitewell.model.errors import GranitewellError
@@ -44,6 +45,7 @@
 RETRY_AFTER_AIM = 0.25  # of the aim after which a client that was refused for want of slots may come again
 RETRY_AFTER_MISSING_S = 0.3  # the same for want of a model: a load is about to be done
 MOST_RETRY_AFTER_S = 2.0
+REFUSAL_BODY_S = 0.05  # in which the body of a refusal comes, or its connection is not worth keeping
 STREAM_TYPE = "text/event-stream"
 
 
@@ -308,10 +310,24 @@
         x.dispatcher.ended(x.want, record, now)
 
     async def _send(self) -> None:
+        """Raises NotWritten. An idle connection that takes not one byte had ended: that says nothing of the
+        server."""
         x = self._x
-        self._connection = connection = await x.upstreams.connection(self._record.server)
-        connection.write(self._request_bytes(), method=x.request.method, repeatable=x.route.repeatable)
-        x.attempts.written()
+        while True:
+            connection = await x.upstreams.connection(self._record.server, x.request.request_id)
+            self._connection = connection
+            try:
+                connection.write(
+                    self._request_bytes(), method=x.request.method, repeatable=x.route.repeatable
+                )
+            except NotWritten:
+                if not connection.used_before:
+                    raise
+                x.upstreams.release(connection, None)
+                self._connection = None
+            else:
+                x.attempts.written()
+                return
 
     def _request_bytes(self) -> bytes:
         x, request = self._x, self._x.request
@@ -371,9 +387,10 @@
             self._record.refused(now)
         try:
             assert self._connection is not None
-            await self._connection.read_body(body)
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                await self._connection.read_body(body)
             self._whole = message
-        except BrokenAnswer:
+        except (BrokenAnswer, TimeoutError):
             self._whole = None  # its word stands; the connection goes
 
     def _take_whole(self, message: RawResponseMessage, data: bytes, marked: bool) -> WholeAnswer | None:
@@ -416,6 +433,8 @@
                 raise BrokenAnswer(str(error)) from error
             if events:
                 await self._pass_events(message, events)
+        if cutter.rest and connection.ends_with_connection:
+            raise BrokenAnswer("a stream that ends within an event")
         await self._pass_bytes(message, cutter.rest)
         self._whole = message
         await x.stream.end()
--- /dev/null
+++ b/granitewell/dataplane/framing.py
@@ -0,0 +1,131 @@
+"""How many of the bytes that a server sends belong to an answer. Pure.
+
+aiohttp's parser reads what an answer says; these types follow the same bytes only to tell where its head and
+its body end, wherever the network has split them, so that no byte behind an answer is taken for a part of it.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Protocol
+
+HEAD_END = b"\r\n\r\n"
+MOST_LINE_BYTES = 4_096  # of a chunk's size or of a trailer
+
+_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
+
+
+class MalformedFraming(Exception):
+    """What came can't be the body that the head has announced."""
+
+
+class HeadFraming:
+    """Finds the blank line behind a head."""
+
+    __slots__ = ("_last",)
+
+    def __init__(self) -> None:
+        self._last = b""  # bytes that may be the beginning of the blank line
+
+    def take(self, data: bytes) -> tuple[int, bool]:
+        """How many of these bytes belong to the head, and whether it ends with them."""
+        window = self._last + data
+        start = window.find(HEAD_END)
+        if start < 0:
+            self._last = window[1 - len(HEAD_END) :]
+            return len(data), False
+        taken = start + len(HEAD_END) - len(self._last)
+        self._last = b""
+        return taken, True
+
+
+class BodyFraming(Protocol):
+    """Follows a body."""
+
+    @property
+    def whole(self) -> bool:
+        """Whether all of it has come."""
+
+    def take(self, data: bytes) -> int:
+        """How many of these bytes belong to it; raises MalformedFraming."""
+
+
+class LengthFraming:
+    """A body of a length that the head tells."""
+
+    __slots__ = ("_left",)
+
+    def __init__(self, length: int) -> None:
+        self._left = length
+
+    @property
+    def whole(self) -> bool:
+        """See BodyFraming."""
+        return self._left == 0
+
+    def take(self, data: bytes) -> int:
+        """See BodyFraming."""
+        taken = min(self._left, len(data))
+        self._left -= taken
+        return taken
+
+
+class ChunkedFraming:
+    """A body in chunks."""
+
+    __slots__ = ("_in_trailer", "_left", "_line", "whole")
+
+    def __init__(self) -> None:
+        self._left = 0  # bytes of the chunk to come, with its line end
+        self._line = b""  # the beginning of a line
+        self._in_trailer = False
+        self.whole = False
+
+    def take(self, data: bytes) -> int:
+        """See BodyFraming."""
+        at = 0
+        while at < len(data) and not self.whole:
+            if self._left:
+                step = min(self._left, len(data) - at)
+                self._left -= step
+                at += step
+            else:
+                at = self._take_line(data, at)
+        return at
+
+    def _take_line(self, data: bytes, at: int) -> int:
+        end = data.find(b"\n", at)
+        if end < 0:
+            self._line += data[at:]
+            if len(self._line) > MOST_LINE_BYTES:
+                raise MalformedFraming("a line beyond all bounds")
+            return len(data)
+        line, self._line = self._line + data[at:end], b""
+        self._line_came(line.removesuffix(b"\r"))
+        return end + 1
+
+    def _line_came(self, line: bytes) -> None:
+        if self._in_trailer:
+            self.whole = not line
+            return
+        size = line.partition(b";")[0].strip()
+        if not _CHUNK_SIZE.fullmatch(size):
+            raise MalformedFraming("a chunk without a size")
+        length = int(size, 16)
+        self._in_trailer = length == 0
+        self._left = length + 2 if length else 0
+
+
+class CloseFraming:
+    """A body that ends with its connection: its bytes never tell that it is whole."""
+
+    __slots__ = ()
+
+    @property
+    def whole(self) -> bool:
+        """See BodyFraming."""
+        return False
+
+    def take(self, data: bytes) -> int:
+        """See BodyFraming."""
+        return len(data)
--- a/granitewell/dataplane/plane.py
+++ b/granitewell/dataplane/plane.py
@@ -38,7 +38,7 @@
 )
 from granitewell.dataplane.readiness import ReadinessServer
 from granitewell.dataplane.routes import RouteTable, choose_service, host_name, path_of
-from granitewell.dataplane.upstream import UpstreamPool
+from granitewell.dataplane.upstream_pool import UpstreamPool
 from granitewell.model.configuration import Configuration, Limits, Route
 from granitewell.model.servers import ModelDemand, ModelRef, Server
 from granitewell.model.settings import Settings
--- a/granitewell/dataplane/upstream.py
+++ b/granitewell/dataplane/upstream.py
@@ -1,15 +1,42 @@
-"""Connections to servers: aiohttp's client protocol (its parser and body streams) under a pool of our own.
+"""A connection to a server: aiohttp's client protocol (its parser and body streams), used request by request.
 
 `aiohttp.ClientSession` is not used, as it doesn't tell what the rules ask of a connection: whether a byte of
-a request was written (else it has not run), whether bytes came while it was idle (they belong to no
-request), which incarnation of a server it leads to, and how long that server keeps it open. Path, query and
-headers are written byte for byte as they came.
+a request was written (else it has not run), whether bytes came that belong to no request, which incarnation
+of a server it leads to, and how long that server keeps it open. Path, query and headers are written byte for
+byte as they came.
+
+What an event means in each state. "Proof": the request has certainly not run; "broken": it may have run;
+"kept": the connection may carry another request, else it is reset.
+
+    state                  reset or close          bytes from the server                    client, time gone
+    ---------------------  ----------------------  ---------------------------------------  -----------------
+    connecting             proof                   -                                        given up
+    idle, nothing written  forgotten; a write      belong to nothing: reset                 -
+                           that the kernel
+                           refuses is proof
+    written in part        broken                  an answer counts as any other; not kept  reset
+                                                   while bytes of the request are left
+    written whole          broken                  the head                                 reset
+    head                   broken                  1xx is passed over, 101 is broken; one   reset
+                                                   late answer to an earlier request is
+                                                   dropped, and the connection not kept;
+                                                   any other id, two ids, codings other
+                                                   than chunked: broken
+    body with length or    broken                  the body, to its end                     reset
+    in chunks
+    body without length    close: whole; reset:    the body, all of them                    reset
+                           broken
+    whole                  the answer stands       belong to nothing: not kept              the answer stands
+
+A head with `Granitewell-Not-Executed` (503, 429, 408) or a 421 is proof once it is there, whatever follows.
+Only the id tells a late answer from the one that is due, so a connection never carries the same id twice.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -20,18 +47,25 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import EofStream, StreamReader
 
+from granitewell.dataplane.framing import (
+    BodyFraming,
+    ChunkedFraming,
+    CloseFraming,
+    HeadFraming,
+    LengthFraming,
+    MalformedFraming,
+)
 from granitewell.dataplane.headers import REQUEST_ID, parse_keep_alive
 from granitewell.model.errors import GranitewellError
-from granitewell.model.servers import Server
 
-CONNECT_TIMEOUT_S = 0.4  # a lost opening packet is sent again after seconds: another server is sooner
 SILENT_KEEP_ALIVE_S = 0.4  # use of an idle connection whose server doesn't say how long it keeps it
 KEEP_ALIVE_MARGIN_S = 0.5  # before the server closes an idle connection: a request must not cross that
 KEEP_ALIVE_PART = 0.6  # of the server's time, where that is short
-MOST_IDLE_A_SERVER = 32
 EARLIER_REQUESTS = 8  # of a connection, of which a second answer may come late
 MOST_HEAD_BYTES = 65_536  # of an answer's line or header
 MOST_HEADERS = 256
+SWITCHING_PROTOCOLS = 101
+WITHOUT_BODY = frozenset({204, 304})
 MOST_BODY_BYTES = 32 * 1024 * 1024  # of an answer that is read whole
 DEAD_AFTER_MS = 1_500  # unacknowledged bytes or probes for so long: the server's machine is gone
 PROBE_EVERY_S = 1  # of a silent connection, by the kernel
@@ -58,12 +92,15 @@
         self.idle_since = 0.0
         self.idle_for = SILENT_KEEP_ALIVE_S
         self._idle = True  # no request is out: whatever comes belongs to none
-        self._body_left = -1  # bytes of the answer's body to come, -1: not known, or not by length
-        self._in_head = True
         self._no_body = False
+        self._malformed = ""  # why what came is no answer
         self._surplus = b""  # what came behind a whole answer
+        self._closed_by_server = False
         self._notices_death = False
         self._earlier: deque[str] = deque(maxlen=EARLIER_REQUESTS)  # ids of requests that it has carried
+        self._head = HeadFraming()
+        self._body: BodyFraming = LengthFraming(0)
+        self._in_head = True
 
     # --- Bytes from the server --------------------------------------------------------------------------
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -71,30 +108,51 @@
         super().connection_lost(exc)
         self._forget(self)
 
+    def eof_received(self) -> None:
+        """The server has closed its side, properly. What it has not taken of a request it never will."""
+        self._closed_by_server = True
+        super().eof_received()
+        if not self.all_written and self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
-        """Feeds the parser no byte beyond an answer whose length is known: one stray byte there would spoil
-        the whole answer before it."""
-        if self._idle and data:
+        """Feeds the parser no byte beyond an answer: one stray byte there would spoil the whole answer before
+        it. Without bytes the parser goes on with what it has."""
+        if not data:
+            super().data_received(data)
+        elif self._idle:
             self.abort()
-            return
-        while self._in_head and (end := data.find(b"\r\n\r\n")) >= 0 and end + 4 < len(data):
-            super().data_received(data[: end + 4])
-            data = data[end + 4 :]
-        if not self._in_head and 0 <= self._body_left < len(data):
-            self._surplus += data[self._body_left :]
-            data = data[: self._body_left]
-            if not data:
-                return
-        super().data_received(data)
-        if not self._in_head and self._body_left > 0:
-            self._body_left -= len(data)
+        else:
+            rest = self._head_received(data)
+            if rest:
+                self._body_received(rest)
+
+    def _head_received(self, data: bytes) -> bytes:
+        """What is behind the head."""
+        while data and self._in_head:
+            taken, ended = self._head.take(data)
+            super().data_received(data[:taken])
+            data = data[taken:]
+            if not ended and not self._in_head:
+                self._malformed = "a head without its blank line"
+        return data
+
+    def _body_received(self, data: bytes) -> None:
+        try:
+            taken = self._body.take(data)
+        except MalformedFraming as error:
+            self._malformed, taken = str(error), len(data)  # the parser says what is to be said
+            self.force_close()
+        self._surplus += data[taken:]
+        if taken:
+            super().data_received(data[:taken])
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """A head has come: note how long its body is."""
+        """A head has come: note where its body ends."""
         message = data[0]
         if message.code >= 200:
             self._in_head = False
-            self._body_left = _body_length(message, self._no_body)
+            self._body = _body_framing(message, self._no_body)
         super().feed_data(data, size)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -108,6 +166,30 @@
         """Whether a request may be written to it."""
         return self.is_connected() and not self.should_close
 
+    @property
+    def all_written(self) -> bool:
+        """Whether the kernel has all bytes of its requests."""
+        return self.transport is None or not self.transport.get_write_buffer_size()
+
+    @property
+    def used_before(self) -> bool:
+        """Whether it has carried a request to its answer."""
+        return bool(self._earlier)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a late answer to an earlier send of this request may come on it."""
+        return request_id in self._earlier
+
+    def silent(self) -> bool:
+        """Whether nothing has come on it that the loop hasn't seen: the end of an idle connection, too, is
+        there for a moment before the loop reads it."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def write(self, request: bytes, *, method: str, repeatable: bool) -> None:
         """Write a whole request; raises NotWritten, after which nothing of it can have arrived."""
         if not self.usable or self.transport is None:
@@ -117,7 +199,7 @@
         self._expect_head()
         self.set_response_params(
             skip_payload=self._no_body,
-            read_until_eof=False,
+            read_until_eof=True,
             auto_decompress=False,
             max_line_size=MOST_HEAD_BYTES,
             max_field_size=MOST_HEAD_BYTES,
@@ -125,9 +207,12 @@
         )
         self._notice_death(repeatable)
         self.transport.write(request)
+        if self.transport.is_closing():
+            raise NotWritten("the kernel refused the first byte")
 
     def _expect_head(self) -> None:
-        self._in_head, self._body_left = True, -1
+        self._head = HeadFraming()
+        self._in_head = True
 
     def _notice_death(self, wanted: bool) -> None:
         """Whether the connection ends when the server's machine says nothing at all. Only where the request
@@ -155,11 +240,9 @@
             if surplus:
                 self.data_received(surplus)
             message, body = await self._next_head()
-        if message.headers.get(REQUEST_ID) != request_id:
+        if message.headers.getall(REQUEST_ID, ()) != [request_id]:
             raise BrokenAnswer("an answer to another request")
         self._earlier.append(request_id)
-        if not _ends_by_itself(message, self._no_body):
-            raise BrokenAnswer("an answer whose end can't be told")
         return message, body
 
     async def _next_head(self) -> tuple[RawResponseMessage, StreamReader]:
@@ -168,6 +251,8 @@
                 message, body = await self.read()
             except BREAKS as error:
                 raise BrokenAnswer(repr(error)) from error
+            if self._malformed or message.code == SWITCHING_PROTOCOLS or not _coding_is_known(message):
+                raise BrokenAnswer(self._malformed or "an answer that can't be read")
             if message.code >= 200:
                 return message, body
 
@@ -185,9 +270,17 @@
     async def read_part(self, body: StreamReader) -> bytes:
         """What has come of a body; empty at its proper end; raises BrokenAnswer."""
         try:
-            return await body.readany()
+            part = await body.readany()
         except BREAKS as error:
             raise BrokenAnswer(repr(error)) from error
+        if not part and self.ends_with_connection and not self._closed_by_server:
+            raise BrokenAnswer("an answer without length was reset")
+        return part
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells the end of this answer."""
+        return isinstance(self._body, CloseFraming)
 
     def rest(self, message: RawResponseMessage, now: float) -> None:
         """The answer has come whole."""
@@ -198,95 +291,21 @@
             self.idle_for = SILENT_KEEP_ALIVE_S
         else:
             self.idle_for = max(told - KEEP_ALIVE_MARGIN_S, told * KEEP_ALIVE_PART)
-        if self._surplus:
+        if self._surplus or not self._body.whole or not self.all_written:
             self.force_close()
 
 
-def _body_length(message: RawResponseMessage, no_body: bool) -> int:
-    """Bytes of its body; -1 where it has chunks or does not tell."""
-    if no_body or message.code in (204, 304):
-        return 0
+def _body_framing(message: RawResponseMessage, no_body: bool) -> BodyFraming:
+    if no_body or message.code in WITHOUT_BODY:
+        return LengthFraming(0)
+    if message.chunked:
+        return ChunkedFraming()
     length = message.headers.get("Content-Length")
-    if message.chunked or length is None or not length.isdigit():
-        return -1
-    return int(length)
-
-
-def _ends_by_itself(message: RawResponseMessage, no_body: bool) -> bool:
-    return message.chunked or _body_length(message, no_body) >= 0
-
-
-class UpstreamPool:
-    """Idle connections by server, and new ones."""
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self._clock = clock
-        self._idle: dict[str, deque[UpstreamConnection]] = {}
-        self._busy: set[UpstreamConnection] = set()
-
-    async def connection(self, server: Server) -> UpstreamConnection:
-        """An idle connection that its server keeps open, or a new one; raises NotWritten."""
-        connection = self._take_idle(server.id)
-        if connection is None:
-            connection = await self._connect(server)
-        self._busy.add(connection)
-        return connection
-
-    def _take_idle(self, server_id: str) -> UpstreamConnection | None:
-        idle = self._idle.get(server_id)
-        now = self._clock()
-        while idle:
-            connection = idle.pop()
-            if connection.usable and now - connection.idle_since < connection.idle_for:
-                return connection
-            connection.close()
-        return None
-
-    async def _connect(self, server: Server) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        host, _, port = server.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop, self._forget), host, int(port)
-                )
-        except (OSError, ValueError) as error:  # a TimeoutError is an OSError
-            raise NotWritten(f"{server.address}: {error!r}") from error
-        connection.server_id = server.id
-        return connection
-
-    def release(self, connection: UpstreamConnection, message: RawResponseMessage | None) -> None:
-        """A request has ended on it; message: the head of its whole answer, None for any other end."""
-        self._busy.discard(connection)
-        if message is None:
-            connection.abort()
-            return
-        connection.rest(message, self._clock())
-        idle = self._idle.setdefault(connection.server_id, deque())
-        if not connection.usable or len(idle) >= MOST_IDLE_A_SERVER:
-            connection.close()
-            if not idle:
-                self._idle.pop(connection.server_id, None)
-            return
-        idle.append(connection)
+    if length is not None and length.isdigit():
+        return LengthFraming(int(length))
+    return CloseFraming()
 
-    def _forget(self, connection: UpstreamConnection) -> None:
-        idle = self._idle.get(connection.server_id)
-        if idle is None:
-            return
-        with contextlib.suppress(ValueError):
-            idle.remove(connection)
-        if not idle:
-            self._idle.pop(connection.server_id, None)
-
-    def close_server(self, server_id: str) -> None:
-        """The server is gone: its idle connections are of no use."""
-        for connection in list(self._idle.pop(server_id, ())):
-            connection.close()
-
-    def close(self) -> None:
-        """Close them all."""
-        for server_id in list(self._idle):
-            self.close_server(server_id)
-        for connection in list(self._busy):
-            connection.abort()
+
+def _coding_is_known(message: RawResponseMessage) -> bool:
+    codings = message.headers.getall("Transfer-Encoding", ())
+    return not codings or [coding.strip().lower() for coding in codings] == ["chunked"]
--- /dev/null
+++ b/granitewell/dataplane/upstream_pool.py
@@ -0,0 +1,96 @@
+"""Connections to servers: idle ones by server, and new ones."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+
+from aiohttp.http_parser import RawResponseMessage
+
+from granitewell.dataplane.upstream import NotWritten, UpstreamConnection
+from granitewell.model.servers import Server
+
+CONNECT_TIMEOUT_S = 0.4  # a lost opening packet is sent again after seconds: another server is sooner
+MOST_IDLE_A_SERVER = 32
+
+
+class UpstreamPool:
+    """Idle connections by server, and new ones."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._idle: dict[str, deque[UpstreamConnection]] = {}
+        self._busy: set[UpstreamConnection] = set()
+
+    async def connection(self, server: Server, request_id: str) -> UpstreamConnection:
+        """An idle connection that its server keeps open and that hasn't carried this request, or a new one;
+        raises NotWritten."""
+        connection = self._take_idle(server.id, request_id)
+        if connection is None:
+            connection = await self._connect(server)
+        self._busy.add(connection)
+        return connection
+
+    def _take_idle(self, server_id: str, request_id: str) -> UpstreamConnection | None:
+        idle = self._idle.get(server_id, deque())
+        now = self._clock()
+        for connection in reversed(tuple(idle)):
+            if connection.has_carried(request_id):
+                continue
+            idle.remove(connection)
+            kept = connection.usable and now - connection.idle_since < connection.idle_for
+            if kept and connection.silent():
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, server: Server) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        host, _, port = server.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(loop, self._forget), host, int(port)
+                )
+        except (OSError, ValueError) as error:  # a TimeoutError is an OSError
+            raise NotWritten(f"{server.address}: {error!r}") from error
+        connection.server_id = server.id
+        return connection
+
+    def release(self, connection: UpstreamConnection, message: RawResponseMessage | None) -> None:
+        """A request has ended on it; message: the head of its whole answer, None for any other end."""
+        self._busy.discard(connection)
+        if message is None or not connection.all_written:
+            connection.abort()
+            return
+        connection.rest(message, self._clock())
+        idle = self._idle.setdefault(connection.server_id, deque())
+        if not connection.usable or len(idle) >= MOST_IDLE_A_SERVER:
+            connection.close()
+            if not idle:
+                self._idle.pop(connection.server_id, None)
+            return
+        idle.append(connection)
+
+    def _forget(self, connection: UpstreamConnection) -> None:
+        idle = self._idle.get(connection.server_id)
+        if idle is None:
+            return
+        with contextlib.suppress(ValueError):
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(connection.server_id, None)
+
+    def close_server(self, server_id: str) -> None:
+        """The server is gone: its idle connections are of no use."""
+        for connection in list(self._idle.pop(server_id, ())):
+            connection.close()
+
+    def close(self) -> None:
+        """Close them all."""
+        for server_id in list(self._idle):
+            self.close_server(server_id)
+        for connection in list(self._busy):
+            connection.abort()
--- a/tests/dataplane/standin.py
+++ b/tests/dataplane/standin.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -127,6 +129,12 @@
         """Break off."""
         self.writer.transport.abort()
 
+    def reset_by_kernel(self) -> None:
+        """Break off so that the other side is told of a reset, not of an end."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
 
 Behaviour = Callable[[Seen], Awaitable[None] | None]
 
--- /dev/null
+++ b/tests/dataplane/test_framing.py
@@ -0,0 +1,101 @@
+"""Where answers end in the bytes of a connection, wherever the bytes are split."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from granitewell.dataplane.framing import (
+    MOST_LINE_BYTES,
+    BodyFraming,
+    ChunkedFraming,
+    CloseFraming,
+    HeadFraming,
+    LengthFraming,
+    MalformedFraming,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nA: b\r\nC: \r\n\r\n"
+CHUNKED = b"3;x=y\r\nabc\r\n0A \r\n0\r\n\r\n678\r\r\r\n00\r\nT: 1\r\n\r\n"
+
+
+def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    edges = [0, *sorted({cut % (len(data) + 1) for cut in cuts}), len(data)]
+    return [data[start:end] for start, end in pairwise(edges) if start < end]
+
+
+def taken(framing: BodyFraming, parts: list[bytes]) -> int:
+    """Bytes that belong to the body; nothing is given to it behind them."""
+    total = 0
+    for part in parts:
+        count = framing.take(part)
+        total += count
+        if count < len(part):
+            assert framing.whole
+            break
+    return total
+
+
+CUTS = st.lists(st.integers(0, 200), max_size=12)
+STRAYS = st.sampled_from([b"", b"H", b"\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"0\r\n\r\n"])
+
+
+@given(CUTS, STRAYS)
+def test_a_head_ends_at_its_blank_line(cuts: list[int], stray: bytes) -> None:
+    framing, total = HeadFraming(), 0
+    for part in pieces(HEAD + stray, cuts):
+        count, ended = framing.take(part)
+        total += count
+        if ended:
+            break
+        assert count == len(part)
+    assert total == len(HEAD)
+
+
+def test_one_head_after_another() -> None:
+    framing = HeadFraming()
+    assert framing.take(HEAD[:-1]) == (len(HEAD) - 1, False)
+    assert framing.take(HEAD[-1:] + HEAD) == (1, True)
+    assert framing.take(HEAD) == (len(HEAD), True)
+
+
+@given(CUTS, STRAYS)
+def test_chunks_end_behind_the_last_one_and_its_trailer(cuts: list[int], stray: bytes) -> None:
+    framing = ChunkedFraming()
+    assert taken(framing, pieces(CHUNKED + stray, cuts)) == len(CHUNKED)
+    assert framing.whole
+
+
+@given(st.integers(0, len(CHUNKED) - 1), CUTS)
+def test_chunks_that_are_cut_are_not_whole(length: int, cuts: list[int]) -> None:
+    framing = ChunkedFraming()
+    assert taken(framing, pieces(CHUNKED[:length], cuts)) == length
+    assert not framing.whole
+
+
+@given(st.integers(0, 30), st.binary(max_size=40), CUTS)
+def test_a_body_of_known_length(length: int, data: bytes, cuts: list[int]) -> None:
+    framing = LengthFraming(length)
+    assert taken(framing, pieces(data, cuts)) == min(length, len(data))
+    assert framing.whole == (len(data) >= length)
+
+
+@pytest.mark.parametrize("data", [b"\r\n", b"x\r\n", b"-1\r\n", b"1_0\r\n", b"0x1\r\n", b"1" * 16 + b"\r\n"])
+def test_what_is_no_chunk(data: bytes) -> None:
+    with pytest.raises(MalformedFraming):
+        ChunkedFraming().take(data)
+
+
+def test_a_line_without_end_is_bounded() -> None:
+    framing = ChunkedFraming()
+    with pytest.raises(MalformedFraming):
+        for _ in range(MOST_LINE_BYTES + 1):
+            framing.take(b"1")
+
+
+def test_without_length_every_byte_belongs_to_the_body() -> None:
+    framing = CloseFraming()
+    assert framing.take(b"abc") == 3 and not framing.whole
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -143,6 +143,7 @@
     "granitewell.dataplane.plane",
     "granitewell.dataplane.readiness",
     "granitewell.dataplane.upstream",
+    "granitewell.dataplane.upstream_pool",
 }
 IMPURE = {"asyncio", "socket", "select", "selectors", "time", "threading", "subprocess", "multiprocessing",
           "concurrent", "signal", "ssl", "secrets", "uuid", "tempfile", "sqlite3", "uvloop",
