--- /dev/null
+++ b/tests/dataplane/wire_defects.py
@@ -0,0 +1,144 @@
+"""Guards of the calls to servers, taken out on purpose. Each function plants one defect for the time of a
+test."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import pytest
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from granitewell.dataplane import exchange, request
+from granitewell.dataplane.events import Event, EventCutter
+from granitewell.dataplane.exchange import _Attempt
+from granitewell.dataplane.framing import HeadFraming
+from granitewell.dataplane.request import CONSEQUENCES, PROMISES, AttemptEnd, Consequence
+from granitewell.dataplane.upstream import UpstreamConnection
+
+
+def reuse_after_extra_bytes(patch: pytest.MonkeyPatch) -> None:
+    """A connection is kept although bytes came behind a whole answer."""
+
+    def rest(self: UpstreamConnection, message: RawResponseMessage, now: float) -> None:
+        self._surplus = b""
+        real(self, message, now)
+
+    real = UpstreamConnection.rest
+    patch.setattr(UpstreamConnection, "rest", rest)
+
+
+def idle_bytes_wait_for_the_next_answer(patch: pytest.MonkeyPatch) -> None:
+    """Bytes on an idle connection are taken for the beginning of the next answer."""
+
+    def data_received(self: UpstreamConnection, data: bytes) -> None:
+        self._idle = False
+        real(self, data)
+
+    real = UpstreamConnection.data_received
+    patch.setattr(UpstreamConnection, "data_received", data_received)
+    patch.setattr(UpstreamConnection, "usable", property(UpstreamConnection.is_connected))
+
+
+def id_not_checked(patch: pytest.MonkeyPatch) -> None:
+    """The first answer on a connection counts, whoever it is for."""
+
+    async def read_head(self: UpstreamConnection, request_id: str) -> tuple[RawResponseMessage, StreamReader]:
+        return await self._next_head()
+
+    patch.setattr(UpstreamConnection, "read_head", read_head)
+
+
+def same_id_twice_on_a_connection(patch: pytest.MonkeyPatch) -> None:
+    """A request that was turned away may go over the same connection again."""
+    patch.setattr(UpstreamConnection, "has_carried", lambda self, request_id: False)
+
+
+def reuse_after_early_answer(patch: pytest.MonkeyPatch) -> None:
+    """A connection is kept although bytes of the request have not been written."""
+    patch.setattr(UpstreamConnection, "all_written", True)
+
+
+def reset_without_length_is_whole(patch: pytest.MonkeyPatch) -> None:
+    """Any end of a connection ends an answer without length."""
+    patch.setattr(UpstreamConnection, "ends_with_connection", False)
+
+
+def broken_is_taken_for_not_run(patch: pytest.MonkeyPatch) -> None:
+    """A reset after the whole request was written counts as proof that it has not run."""
+    table: Mapping[AttemptEnd, Consequence] = MappingProxyType({
+        **CONSEQUENCES, AttemptEnd.BROKEN: Consequence(reached=True, may_have_run=False)
+    })  # fmt: skip
+    patch.setattr(request, "CONSEQUENCES", table)
+
+
+def written_part_is_taken_for_not_run(patch: pytest.MonkeyPatch) -> None:
+    """A break counts as proof where not all of the request could be written at once."""
+
+    def write(self: UpstreamConnection, request: bytes, *, method: str, repeatable: bool) -> None:
+        real_write(self, request, method=method, repeatable=repeatable)
+        if not self.all_written:
+            in_part.add(self)
+
+    def ended(self: _Attempt, end: AttemptEnd) -> None:
+        unread = end is AttemptEnd.BROKEN and self._connection in in_part
+        real_ended(self, AttemptEnd.NOT_CONNECTED if unread else end)
+
+    in_part: set[UpstreamConnection] = set()
+    real_write, real_ended = UpstreamConnection.write, _Attempt._ended
+    patch.setattr(UpstreamConnection, "write", write)
+    patch.setattr(_Attempt, "_ended", ended)
+
+
+def not_executed_not_needed(patch: pytest.MonkeyPatch) -> None:
+    """A bare 503 counts as proof."""
+    patch.setattr(exchange, "proves_not_executed", lambda status, marked: status in PROMISES)
+
+
+def bare_promise_passes(patch: pytest.MonkeyPatch) -> None:
+    """A server's 503 without its word goes to the client."""
+    patch.setattr(exchange, "passes_unchanged", lambda status, sealed, marked: sealed or status >= 300)
+
+
+def seal_not_needed(patch: pytest.MonkeyPatch) -> None:
+    """A success without its seal goes to the client."""
+    patch.setattr(exchange, "passes_unchanged", lambda status, sealed, marked: status not in PROMISES)
+
+
+def pieces_pass_as_they_come(patch: pytest.MonkeyPatch) -> None:
+    """Parts of events go to the client."""
+
+    class Cutter(EventCutter):
+        def feed(self, data: bytes) -> list[Event]:
+            whole = super().feed(data)
+            rest, self._rest = self.rest, b""
+            return [*whole, Event(rest, whole[-1].id if whole else None)] if rest else whole
+
+    patch.setattr(exchange, "EventCutter", Cutter)
+
+
+def resumed_from_the_start(patch: pytest.MonkeyPatch) -> None:
+    """The second server is not told where to go on, and nothing is left out."""
+    real = _Attempt._request_bytes
+
+    def request_bytes(self: _Attempt) -> bytes:
+        self._resumes_after, told = None, self._x.resume_at
+        self._x.resume_at = None
+        try:
+            return real(self)
+        finally:
+            self._x.resume_at = told
+
+    patch.setattr(_Attempt, "_request_bytes", request_bytes)
+
+
+def head_end_within_one_segment(patch: pytest.MonkeyPatch) -> None:
+    """The blank line behind a head is found only where one segment holds all of it."""
+
+    def take(self: HeadFraming, data: bytes) -> tuple[int, bool]:
+        self._last = b""
+        return real(self, data)
+
+    real = HeadFraming.take
+    patch.setattr(HeadFraming, "take", take)
