--- a/granitewell/dataplane/framing.py
+++ b/granitewell/dataplane/framing.py
@@ -6,14 +6,11 @@
 
 from __future__ import annotations
 
-import re
 from typing import Protocol
 
 HEAD_END = b"\r\n\r\n"
 MOST_LINE_BYTES = 4_096  # of a chunk's size or of a trailer
 
-_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
-
 
 class MalformedFraming(Exception):
     """What came can't be the body that the head has announced."""
@@ -83,35 +80,38 @@
 
     def take(self, data: bytes) -> int:
         """See BodyFraming."""
-        at = 0
-        while at < len(data) and not self.whole:
+        at, size = 0, len(data)
+        while at < size and not self.whole:
             if self._left:
-                step = min(self._left, len(data) - at)
+                step = min(self._left, size - at)
                 self._left -= step
                 at += step
-            else:
-                at = self._take_line(data, at)
+                continue
+            end = data.find(b"\n", at)
+            if end < 0:
+                self._begin_line(data[at:])
+                return size
+            self._line_came(self._line + data[at:end])
+            at = end + 1
         return at
 
-    def _take_line(self, data: bytes, at: int) -> int:
-        end = data.find(b"\n", at)
-        if end < 0:
-            self._line += data[at:]
-            if len(self._line) > MOST_LINE_BYTES:
-                raise MalformedFraming("a line beyond all bounds")
-            return len(data)
-        line, self._line = self._line + data[at:end], b""
-        self._line_came(line.removesuffix(b"\r"))
-        return end + 1
+    def _begin_line(self, data: bytes) -> None:
+        self._line += data
+        if len(self._line) > MOST_LINE_BYTES:
+            raise MalformedFraming("a line beyond all bounds")
 
     def _line_came(self, line: bytes) -> None:
+        """A line without its end. What is no number here is none to the parser either, which is stricter."""
+        self._line = b""
         if self._in_trailer:
-            self.whole = not line
+            self.whole = line in (b"", b"\r")
             return
-        size = line.partition(b";")[0].strip()
-        if not _CHUNK_SIZE.fullmatch(size):
-            raise MalformedFraming("a chunk without a size")
-        length = int(size, 16)
+        try:
+            length = int(line.partition(b";")[0] if b";" in line else line, 16)
+        except ValueError as error:
+            raise MalformedFraming("a chunk without a size") from error
+        if length < 0:
+            raise MalformedFraming("a chunk of a negative size")
         self._in_trailer = length == 0
         self._left = length + 2 if length else 0
 
--- a/granitewell/dataplane/upstream.py
+++ b/granitewell/dataplane/upstream.py
@@ -122,10 +122,10 @@
             super().data_received(data)
         elif self._idle:
             self.abort()
-        else:
-            rest = self._head_received(data)
-            if rest:
-                self._body_received(rest)
+        elif not self._in_head:
+            self._body_received(data)
+        elif rest := self._head_received(data):
+            self._body_received(rest)
 
     def _head_received(self, data: bytes) -> bytes:
         """What is behind the head."""
@@ -143,9 +143,11 @@
         except MalformedFraming as error:
             self._malformed, taken = str(error), len(data)  # the parser says what is to be said
             self.force_close()
-        self._surplus += data[taken:]
-        if taken:
-            super().data_received(data[:taken])
+        if taken < len(data):
+            self._surplus += data[taken:]
+            data = data[:taken]
+        if data:
+            super().data_received(data)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """A head has come: note where its body ends."""
