A request with two ids is refused; what servers work by is shown to reach them unchanged

Two `Granitewell-Request-Id` went along both, and the first of them was matched with the answer: which of them a server runs is its own choice. Now 400, as for two Host headers (the test failed before: the server had seen it). Model, token usage, prompt prefix, id, method, path, query, body: odd case, repeated, odd space, named by `Connection`, sent a second time: reached the server as the client's before, too; now there is a test.

--- a/granitewell/dataplane/plane.py
+++ b/granitewell/dataplane/plane.py
@@ -210,9 +210,9 @@
         route = routes.find(host_name(request.headers["Host"]), path_of(request.raw_path))
         if route is None:
             raise RefusedRequest(404, "no such route")
-        request_id = request.headers.get(REQUEST_ID)
-        if not request_id:
-            raise RefusedRequest(400, f"{REQUEST_ID} is missing")
+        request_ids = request.headers.getall(REQUEST_ID, [])
+        if len(request_ids) != 1 or not request_ids[0]:
+            raise RefusedRequest(400, f"one {REQUEST_ID} is needed")
         return await self._exchanged(request, self._client_request(request, route, body, arrived_at), route)
 
     async def _wait_for_configuration(self, request: BaseRequest) -> None:
--- a/tests/dataplane/test_plane.py
+++ b/tests/dataplane/test_plane.py
@@ -80,6 +80,52 @@
     play(run())
 
 
+def test_what_a_server_works_by_reaches_it_as_the_client_s() -> None:
+    """Names in any case, repeated, with odd space and bytes, named by a Connection header, resent or not."""
+    given = [
+        (b"granitewell-MODEL", b"m1/a1"),
+        (b"Granitewell-Token-Usage", b"1460,80"),
+        (b"GRANITEWELL-PROMPT-PREFIX", b"5c1e07a2:800,91bd3f06:410"),
+        (b"Granitewell-Prompt-Prefix", b"e4402b7d:250 , \tx\xe9"),
+        (b"Granitewell-Token-Usage", b""),
+        (b"Granitewell-Request-Id", b"00AbC"),
+    ]
+    lines = b"".join(name + b": \t " + value + b" \r\n" for name, value in given)
+    connection = b"Connection: Granitewell-Model, granitewell-token-usage, Granitewell-Prompt-Prefix\r\n"
+
+    async def run() -> None:
+        async with scene(Seen.refuse, well) as s:
+            s.fund()
+            for _ in range(4):
+                client = await s.connect()
+                client.writer.write(
+                    b"PUT /again//%7e?%41 HTTP/1.1\r\nhOST: shop.example\r\n" + connection + lines
+                    + b"content-LENGTH: 3\r\n\r\n\x00\r\n"
+                )  # fmt: skip
+                answer = await client.answer()
+                assert answer is not None and answer.status == 200
+            assert all(stand_in.seen for stand_in in s.stand_ins)
+            for seen in [*s.stand_ins[0].seen, *s.stand_ins[1].seen]:
+                assert (seen.first_line, seen.body) == ("PUT /again//%7e?%41 HTTP/1.1", b"\x00\r\n")
+                pairs = [(name.encode(), value.encode("latin-1")) for name, value in seen.headers]
+                assert [pair for pair in pairs if pair in given] == given
+
+    play(run())
+
+
+def test_a_request_with_two_ids_reaches_no_server() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            ids = b"Granitewell-Request-Id: 1\r\ngranitewell-request-ID: 2\r\n"
+            client.writer.write(b"GET /once/x HTTP/1.1\r\nHost: shop.example\r\n" + ids + b"\r\n")
+            answer = await client.answer()
+            assert answer is not None and answer.status == 400
+            assert s.stand_ins[0].seen == []
+
+    play(run())
+
+
 def test_a_client_s_own_instance_and_priority_are_not_believed() -> None:
     async def run() -> None:
         async with scene(well) as s:
