--- a/tests/dataplane/wire_faults.py
+++ b/tests/dataplane/wire_faults.py
@@ -7,13 +7,14 @@
 from dataclasses import dataclass
 from random import Random
 
-from tests.dataplane.wire_world import KINDS, Act, Extra, Runner, Then, When, World, answer_of
+from tests.dataplane.wire_world import KINDS, Act, Connect, Extra, Runner, Then, When, World, answer_of
 
 PLAIN = (
     "length", "chunked", "until-close", "continue", "closing", "refused", "moved", "failed", "busy",
     "timeout", "unsealed",
 )  # fmt: skip
 STREAMS = ("stream", "stream-length", "stream-until-close", "length", "refused", "busy")
+MORE_REFUSALS = ("refused-429", "too-many")  # in courses only: they differ by their status alone
 ANSWERS = {"once": PLAIN, "again": PLAIN, "stream": STREAMS, "resume": STREAMS}
 PIECES = (0, 1, 3)  # bytes of the segments in which the rest comes
 REQUEST_BYTES = range(1, 400)  # a request is a little shorter
@@ -21,6 +22,7 @@
     (Then.GO_ON, None), (Then.RESET, 0), (Then.CLOSE, 0), (Then.SILENCE, 0), (Then.CANCEL, 0), (Then.LATE, 0),
     (Then.RESET, 100), (Then.CLOSE, 100),
 )  # fmt: skip
+CONNECTS = (*Connect, Connect.UP, Connect.UP, Connect.UP)  # most come up
 SPOILS_THE_NEXT = (Extra.OTHER_ANSWER, Extra.RUBBISH, Extra.ONE_BYTE)  # where they come in its place
 
 
@@ -90,13 +92,19 @@
     rng = Random(seed)
     kind = rng.choice(list(KINDS))
     script = [_act(rng, kind) for _ in range(rng.randint(1, 6))]
+    connects = [rng.choice(CONNECTS) for _ in range(rng.randint(0, 4))]
     return runner.play(
-        kind, script, servers=rng.randint(1, 3), together=rng.randint(1, 3), then=rng.randint(0, 4)
+        kind,
+        script,
+        servers=rng.randint(1, 3),
+        connects=connects,
+        together=rng.randint(1, 3),
+        then=rng.randint(0, 4),
     )
 
 
 def _act(rng: Random, kind: str) -> Act:
-    answer = rng.choice(ANSWERS[kind])
+    answer = rng.choice(ANSWERS[kind] + MORE_REFUSALS)
     if rng.random() < 0.2:
         then, sends = rng.choice(REQUEST_ENDS)
         return Act(answer, takes=rng.choice(REQUEST_BYTES), sends=sends, then=then)
--- a/tests/dataplane/wire_world.py
+++ b/tests/dataplane/wire_world.py
@@ -17,8 +17,8 @@
 from granitewell.dataplane.exchange import Answer, ClientRequest, Exchange, OwnAnswer, StreamEnd, WholeAnswer
 from granitewell.dataplane.headers import for_sending
 from granitewell.dataplane.request import PROMISES
-from granitewell.dataplane.upstream import UpstreamConnection
-from granitewell.dataplane.upstream_pool import UpstreamPool
+from granitewell.dataplane.upstream import NotWritten, UpstreamConnection
+from granitewell.dataplane.upstream_pool import CONNECT_TIMEOUT_S, UpstreamPool
 from granitewell.model.configuration import Configuration, Route, RouteKind, Service
 from granitewell.model.servers import Server, ServerState
 from granitewell.model.settings import Bounds
@@ -80,6 +80,18 @@
     NEXT_REQUEST = auto()  # in the place of the answer to the next request on this connection
 
 
+class Connect(Enum):
+    """What becomes of a new connection."""
+
+    UP = auto()
+    SLOW = auto()
+    REFUSED = auto()
+    LOST = auto()  # no answer at all
+    RESET = auto()  # it comes up, and is reset before anything is written
+    SPEAKS = auto()  # the server speaks first
+    CANCEL = auto()  # the clients leave while it comes up
+
+
 @dataclass(frozen=True)
 class Act:
     """What a server does with one request. takes: bytes of the request that it takes first (None: all);
@@ -416,6 +428,9 @@
         self.world.loop.call_at(self._due_at, end)
 
 
+CONNECTS_IN_S = {Connect.SLOW: PAUSE_S, Connect.LOST: CONNECT_TIMEOUT_S, Connect.CANCEL: PAUSE_S}
+
+
 class WirePool(UpstreamPool):
     """Connects in memory."""
 
@@ -424,11 +439,21 @@
         self._world = world
 
     async def _connect(self, server: Server) -> UpstreamConnection:
+        what = self._world.next_connect()
+        if what is Connect.CANCEL:
+            self._world.loop.call_soon(self._world.cancel, "")
+        await asyncio.sleep(CONNECTS_IN_S.get(what, LATENCY_S))
+        if what in (Connect.REFUSED, Connect.LOST):
+            raise NotWritten(what.name)
         connection = UpstreamConnection(self._world.loop, self._forget)
         connection.server_id = server.id
         wire = Wire(self._world, server.id, connection)
         self._world.connections += 1
         connection.connection_made(wire)
+        if what is Connect.RESET:
+            wire._end(ConnectionResetError(104, "reset"))
+        elif what is Connect.SPEAKS:
+            connection.data_received(b"220 hello\r\n")
         return connection
 
 
@@ -477,8 +502,16 @@
 class World:
     """Servers that play a script, one data plane's exchanges, and the callers."""
 
-    def __init__(self, loop: VirtualLoop, kind: str, script: Sequence[Act], servers: int = 2) -> None:
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        kind: str,
+        script: Sequence[Act],
+        servers: int = 2,
+        connects: Sequence[Connect] = (),
+    ) -> None:
         self.loop, self.route, self._script = loop, route_of(kind), list(script)
+        self._connects = list(connects)
         self._played = 0
         self.connections = 0
         self.arrivals: list[Arrival] = []
@@ -507,6 +540,10 @@
     def next_act(self) -> None:
         self._played += 1
 
+    def next_connect(self) -> Connect:
+        """What becomes of the next connection."""
+        return self._connects.pop(0) if self._connects else Connect.UP
+
     def take_all_of_upcoming(self) -> None:
         """The server only pauses within the next request."""
         self._script[self._played : self._played + 1] = [replace(self.upcoming, takes=None)]
@@ -689,11 +726,18 @@
         self._errors.append(context.get("exception") or RuntimeError(str(context)))
 
     def play(
-        self, kind: str, script: Sequence[Act], *, servers: int = 2, together: int = 1, then: int = 2
+        self,
+        kind: str,
+        script: Sequence[Act],
+        *,
+        servers: int = 2,
+        connects: Sequence[Connect] = (),
+        together: int = 1,
+        then: int = 2,
     ) -> World:
         """A world at its end, checked."""
         self._errors.clear()
-        world = World(self._loop, kind, script, servers)
+        world = World(self._loop, kind, script, servers, connects)
         world.failures = self._errors
         self._loop.run_until_complete(world.play(together, then))
         world.check()
