--- a/tests/dataplane/wire_faults.py
+++ b/tests/dataplane/wire_faults.py
@@ -19,7 +19,7 @@
 PIECES = (0, 1, 3)  # bytes of the segments in which the rest comes
 REQUEST_BYTES = range(1, 400)  # a request is a little shorter
 REQUEST_ENDS = (
-    (Then.GO_ON, None), (Then.RESET, 0), (Then.CLOSE, 0), (Then.SILENCE, 0), (Then.CANCEL, 0), (Then.LATE, 0),
+    (Then.GO_ON, 1000), (Then.RESET, 0), (Then.CLOSE, 0), (Then.SILENCE, 0), (Then.CANCEL, 0), (Then.LATE, 0),
     (Then.RESET, 100), (Then.CLOSE, 100),
 )  # fmt: skip
 CONNECTS = (*Connect, Connect.UP, Connect.UP, Connect.UP)  # most come up
@@ -105,10 +105,11 @@
 
 def _act(rng: Random, kind: str) -> Act:
     answer = rng.choice(ANSWERS[kind] + MORE_REFUSALS)
+    takes, then, sends = None, rng.choice(list(Then)), rng.randint(0, answer_length(answer))
     if rng.random() < 0.2:
+        takes = rng.choice(REQUEST_BYTES)
         then, sends = rng.choice(REQUEST_ENDS)
-        return Act(answer, takes=rng.choice(REQUEST_BYTES), sends=sends, then=then)
+    extra, when = Extra.NONE, rng.choice(list(When))
     if rng.random() < 0.4:
-        return Act(answer, extra=rng.choice(list(Extra)), when=rng.choice(list(When)))
-    sends = rng.randint(0, answer_length(answer))
-    return Act(answer, sends=sends, then=rng.choice(list(Then)), piece=rng.choice(PIECES))
+        extra, then = rng.choice(list(Extra)), Then.GO_ON
+    return Act(answer, takes, sends, then, extra, when, rng.choice(PIECES))
