An owner waits behind another machine, whatever its name, until its orders arrived

Causes, by review of ownership: - the holder before was compared by node name: a machine that takes another's name took turns with it at once; - behind a claim of its own nothing was waited for, also where that claim was made during a wait behind another machine (leadership lost and regained within the lease), or its outcome was never learned, or by an earlier process of this machine; without fencing that is two machines within lease-ms; - the wait ended 0.1 s after lease-ms, while an order lasts 0.8 s: without fencing, or with a slow server that puts nobody out of touch, a late order of the machine before came within lease-ms of the next one's; - silence and restarts shortened the wait also where contact-ms is below lease-ms, and behind a member that was replaced while it ran (no member there counted as silent for ever).

Ruled out: a longer SILENT_S. A kill, freeze, cut or slow-down of a core machine puts all of the core out of touch for contact-ms, so where that is at least lease-ms no turn behind such a holder counts.

Change: one ownership for the life of the process; holders compared by internal address and incarnation, which nodes tell each other with that address; the wait is lease-ms and 1 s. Seven of the new cases fail on the earlier code (same name, wait that goes on with and without fencing, outcome not learned, own earlier process, member that is no longer one, contact-ms below lease-ms).

The test that nothing is waited for behind a claim of the same name without an address is replaced: such a claim may be another machine's. Behind a claim of this very process, and with fencing behind its earlier one, there is still no wait, each with its own test.

--- a/granitewell/controlplane/ownership/owner.py
+++ b/granitewell/controlplane/ownership/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,7 +10,7 @@
 
 from granitewell.controlplane.ownership.record import NOBODY, OwnerClaimed
 
-TURN_MARGIN_S = 0.1  # beyond lease-ms, for timers that fire late
+ORDER_LASTS_S = 1.0  # an order that has left has arrived, or its connection was reset, within this time
 SILENT_S = 0.8  # longer than any lease of a replica group and than what a loss or two can hide
 
 
@@ -24,7 +25,7 @@
         """Whether this node leads and a quorum grants it that now."""
 
     def silent_s(self, address: str) -> float:
-        """Seconds since the member at an internal address was heard."""
+        """Seconds since the member at an internal address was heard; infinite where there is none."""
 
     async def propose(self, data: bytes, timeout_s: float = 3.0) -> object:
         """Commit an entry; the result of its apply."""
@@ -39,34 +40,59 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class TurnRules:
+    """When two machines may order one server. lease_s: the least time between their orders; contact_s: how
+    long a machine must be free of faults to be in touch; fencing: whether servers refuse a lower token, so
+    that only the turns of machines in touch count."""
+
+    lease_s: float
+    contact_s: float
+    fencing: bool
+
+    @property
+    def wait_s(self) -> float:
+        """From a claim to the first order, behind another machine whose last order left before the claim."""
+        return self.lease_s + ORDER_LASTS_S
+
+    @property
+    def faults_excuse(self) -> bool:
+        """Whether nothing need be waited for behind a holder that a fault took away: the fault puts this
+        machine out of touch as well, for at least as long as the wait."""
+        return self.fencing and self.contact_s >= self.lease_s
+
+
 class ShardOwnership:
-    """The right to order a shard's servers. holder and fence go into each order.
+    """The right of this process to order a shard's servers. holder and fence go into each order.
+
+    Two machines must not take turns within `lease-ms`, so a claim behind another machine is followed by a
+    wait. A holder that this leader has not heard for SILENT_S is down, frozen or cut off, and one that is
+    heard under another incarnation has restarted; behind these nothing is waited for where faults excuse it
+    (`TurnRules`). One that is no longer a member proves nothing: it may have been replaced while it ran.
 
-    Two holders must not take turns within `lease-ms`. Where servers check fences that counts only among
-    holders that are in touch. A previous holder that this leader has not heard for SILENT_S is not: it is
-    down, frozen or cut off, and needs `contact-ms` to be in touch again. Nor is one whose process has ended:
-    it is heard, but under another incarnation than the one that claimed. Behind these nothing is waited for.
+    One object lasts as long as its process: a wait that has begun goes on where this process loses leadership
+    and claims again, and a claim of its own whose outcome it never learned hides the holder before it.
     """
 
     def __init__(
         self,
         group: LeasedGroup,
         claimant: Claimant,
-        incarnation_of: Callable[[str], str | None],
-        lease_s: float,
-        fencing: bool,
+        incarnation_at: Callable[[str], str | None],
+        rules: TurnRules,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        """incarnation_at: of the process heard last from an internal address."""
         self.holder = claimant.node_name
         self._group = group
         self._claimant = claimant
-        self._incarnation_of = incarnation_of
-        self._lease_s = lease_s
-        self._fencing = fencing
+        self._incarnation_at = incarnation_at
+        self._rules = rules
         self._clock = clock
         self._claimed_term = 0
-        self._order_from = 0.0
-        self._previous = NOBODY
+        self._last_claim = NOBODY
+        self._order_from = -math.inf
+        self._predecessor = NOBODY
 
     @property
     def fence(self) -> int:
@@ -79,32 +105,48 @@
 
     def may_order(self) -> bool:
         """Whether an order may be sent in this turn."""
-        return self.owns() and (self._clock() >= self._order_from or self._previous_is_gone())
+        return self.owns() and (self._clock() >= self._order_from or self._predecessor_is_gone())
 
-    def _previous_is_gone(self) -> bool:
+    async def claim(self) -> None:
+        """Write the claim to the log; raises NotLeader or ProposalLost. The last order of whoever it follows
+        left before this commits."""
+        term = self._group.term
+        claimant = self._claimant
+        claim = OwnerClaimed(self.holder, term, claimant.address, claimant.incarnation)
+        previous = await self._group.propose(claim.encode())
+        if not isinstance(previous, OwnerClaimed):
+            return
+        self._follow(previous)
+        self._last_claim = claim
+        if self._group.term == term:
+            self._claimed_term = term
+
+    def _follow(self, previous: OwnerClaimed) -> None:
+        """Begin the wait that is due behind a claim."""
+        if previous == self._last_claim:
+            return
+        self._predecessor = NOBODY if self._is_own(previous) else previous
+        self._order_from = self._clock() + (self._rules.wait_s if previous != NOBODY else 0.0)
+
+    def _is_own(self, claim: OwnerClaimed) -> bool:
+        own = self._claimant
+        return claim.address == own.address and claim.incarnation == own.incarnation
+
+    def _predecessor_is_gone(self) -> bool:
         """Whether the process that ordered before is known to be out of touch."""
-        if not self._fencing or not self._previous.address:
+        if not self._rules.faults_excuse or not self._predecessor.address:
             return False
-        if not self._has_restarted() and self._group.silent_s(self._previous.address) < SILENT_S:
+        if not self._has_restarted() and not self._is_silent():
             return False
         self._order_from = self._clock()
         return True
 
     def _has_restarted(self) -> bool:
-        heard = self._incarnation_of(self._previous.holder)
-        return heard is not None and bool(self._previous.incarnation) and heard != self._previous.incarnation
-
-    async def claim(self) -> None:
-        """Write the claim to the log; raises NotLeader or ProposalLost. Another holder's last order was sent
-        before this commits, so orders begin `lease-ms` later, or once that holder is known to be silent."""
-        term = self._group.term
-        claimant = self._claimant
-        claim = OwnerClaimed(self.holder, term, claimant.address, claimant.incarnation)
-        previous = await self._group.propose(claim.encode())
-        if self._group.term != term or not isinstance(previous, OwnerClaimed):
-            return
-        follows_another = previous.holder not in (NOBODY.holder, self.holder)
-        wait = self._lease_s + TURN_MARGIN_S if follows_another else 0.0
-        self._previous = previous
-        self._order_from = self._clock() + wait
-        self._claimed_term = term
+        predecessor = self._predecessor
+        if predecessor.address == self._claimant.address:
+            return True
+        heard = self._incarnation_at(predecessor.address)
+        return heard is not None and bool(predecessor.incarnation) and heard != predecessor.incarnation
+
+    def _is_silent(self) -> bool:
+        return SILENT_S <= self._group.silent_s(self._predecessor.address) < math.inf
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -10,12 +10,11 @@
 from random import Random
 from typing import Any
 
-import aiohttp
-
 from granitewell.controlplane.configuration.api import OperatorApi
 from granitewell.controlplane.configuration.store import ConfigurationStore
 from granitewell.controlplane.ownership.owner import Claimant
 from granitewell.controlplane.ownership.record import OwnerRecord
+from granitewell.controlplane.placement.server_session import open_server_session
 from granitewell.controlplane.publication.publisher import EdgeCounter, Publisher
 from granitewell.controlplane.publication.table import ServerTable
 from granitewell.coordination.consensus.group import ReplicatedGroup
@@ -125,7 +124,7 @@
         for group in self.groups.values():
             await group.start()
         await self._operator_server.start()
-        self._session = aiohttp.ClientSession(auto_decompress=False)
+        self._session = open_server_session()
         groups = {shard: self.groups[shard_group(shard)] for shard in range(SHARDS)}
         keeper = ShardKeeper(groups, self.tables, self.peers, self._shard_services(), self.owned)
         self._tasks = [asyncio.create_task(self._messages.tell_edge_count(self.control_nodes))]
@@ -138,7 +137,7 @@
         return ShardServices(
             settings=lambda: self.settings,
             claimant=self.claimant,
-            incarnation_of=self._messages.incarnations.get,
+            incarnation_at=self._messages.incarnations.get,
             instances=instances,
             configuration=lambda: self.store.configuration,
             session=self._session,
--- a/granitewell/nodes/control_messages.py
+++ b/granitewell/nodes/control_messages.py
@@ -29,7 +29,8 @@
 
 
 class ControlMessages:
-    """Handlers by method. incarnations: of other control nodes' processes, as heard last."""
+    """Handlers by method. incarnations: of other control nodes' processes, as heard last from
+    an internal address."""
 
     def __init__(
         self,
@@ -68,7 +69,8 @@
     async def _edge_count(self, payload: bytes, peer: str) -> bytes:
         count = decode(EdgeCount, payload)
         self._edges.told(count.node, count.edges, time.monotonic())
-        self.incarnations[count.node] = count.incarnation or ""
+        if count.address:
+            self.incarnations[count.address] = count.incarnation or ""
         return b""
 
     async def _demand(self, payload: bytes, peer: str) -> bytes:
@@ -99,7 +101,12 @@
             count = self._edges.here(time.monotonic())
             claimant = self._claimant
             message = encode(
-                EdgeCount(node=claimant.node_name, edges=count, incarnation=claimant.incarnation)
+                EdgeCount(
+                    node=claimant.node_name,
+                    edges=count,
+                    incarnation=claimant.incarnation,
+                    address=claimant.address,
+                )
             )
             for address in control_nodes():
                 if address != claimant.address:
--- a/granitewell/nodes/shard_keeper.py
+++ b/granitewell/nodes/shard_keeper.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Coroutine, Mapping
 
+from granitewell.controlplane.ownership.owner import ShardOwnership, TurnRules
 from granitewell.controlplane.publication.table import ServerTable
 from granitewell.coordination.consensus.group import ReplicatedGroup
 from granitewell.nodes.shards import LEASE_LOOK_S, OwnedShard, ShardServices
@@ -35,10 +36,11 @@
         """Own the shard while this node leads its group; follow its owner's table otherwise."""
         group, table, services = self._groups[shard], self._tables[shard], self._services
         follower = TableFollower(shard, table, self._peers, services.settings(), services.changed)
+        ownership = self._ownership(group)
         own_address = services.claimant.address
         while True:
             if group.holds_lease():
-                await self._own(shard)
+                await self._own(shard, ownership)
                 continue
             leader = group.leader_address
             if leader is None or leader == own_address:
@@ -46,9 +48,16 @@
                 continue
             await self._until_leading(group, follower.poll(leader))
 
-    async def _own(self, shard: int) -> None:
+    def _ownership(self, group: ReplicatedGroup) -> ShardOwnership:
+        """One for the life of this process: a wait behind another owner goes on if leadership comes back."""
+        services = self._services
+        bounds = services.settings().bounds
+        rules = TurnRules(bounds.lease_ms / 1000.0, bounds.contact_ms / 1000.0, bounds.fencing)
+        return ShardOwnership(group, services.claimant, services.incarnation_at, rules)
+
+    async def _own(self, shard: int, ownership: ShardOwnership) -> None:
         """Until the lease is lost."""
-        owned = OwnedShard(shard, self._groups[shard], self._tables[shard], self._services)
+        owned = OwnedShard(shard, ownership, self._tables[shard], self._services)
         self._owned[shard] = owned
         try:
             await owned.run()
--- a/granitewell/nodes/shards.py
+++ b/granitewell/nodes/shards.py
@@ -11,7 +11,7 @@
 import aiohttp
 from logbook import Logger
 
-from granitewell.controlplane.ownership.owner import Claimant, LeasedGroup, ShardOwnership
+from granitewell.controlplane.ownership.owner import Claimant, ShardOwnership
 from granitewell.controlplane.placement.controller import ListedServer, PlacementController
 from granitewell.controlplane.publication.table import ServerTable
 from granitewell.coordination.rendezvous import shard_of
@@ -38,13 +38,13 @@
 
 @dataclass(frozen=True)
 class ShardServices:
-    """What a node gives to each shard that it owns. settings: those in force now; incarnation_of: the process
-    that another control node runs, as heard last; session: for calls to servers; changed: a table has
-    news."""
+    """What a node gives to each shard that it owns. settings: those in force now; incarnation_at: of the
+    process heard last from a control node's internal address; session: for calls to servers; changed: a
+    table has news."""
 
     settings: Callable[[], Settings]
     claimant: Claimant
-    incarnation_of: Callable[[str], str | None]
+    incarnation_at: Callable[[str], str | None]
     instances: SharedReader
     configuration: Callable[[], Configuration | None]
     session: aiohttp.ClientSession
@@ -54,7 +54,9 @@
 class OwnedShard:
     """What the owner of a shard does: reads the platform's list, places models, writes the table."""
 
-    def __init__(self, shard: int, group: LeasedGroup, table: ServerTable, services: ShardServices) -> None:
+    def __init__(
+        self, shard: int, ownership: ShardOwnership, table: ServerTable, services: ShardServices
+    ) -> None:
         self._shard = shard
         self._services = services
         self._table = table
@@ -62,12 +64,8 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._instances: tuple[ListedInstance, ...] = ()
         self._listed_at: float | None = None
-        settings = services.settings()
-        bounds = settings.bounds
-        self.ownership = ShardOwnership(
-            group, services.claimant, services.incarnation_of, bounds.lease_ms / 1000.0, bounds.fencing
-        )
-        self._list_every_s = list_every_s(settings)
+        self.ownership = ownership
+        self._list_every_s = list_every_s(services.settings())
 
     async def run(self) -> None:
         """Until the lease is lost."""
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -39,4 +39,4 @@
 
 // How many edges a control node hears from, and which process of that node says so, told to the other control
 // nodes.
-struct EdgeCount { 1: string node, 2: i32 edges, 3: string incarnation }
+struct EdgeCount { 1: string node, 2: i32 edges, 3: string incarnation, 4: string address }
--- a/tests/controlplane/test_ownership.py
+++ b/tests/controlplane/test_ownership.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 
-from granitewell.controlplane.ownership.owner import SILENT_S, TURN_MARGIN_S, Claimant, ShardOwnership
+from granitewell.controlplane.ownership.owner import (
+    ORDER_LASTS_S,
+    SILENT_S,
+    Claimant,
+    ShardOwnership,
+    TurnRules,
+)
 from granitewell.controlplane.ownership.record import BadClaim, OwnerClaimed, OwnerRecord
-from granitewell.model.errors import NotLeader
+from granitewell.controlplane.placement.orders import ORDER_TIMEOUT_S
+from granitewell.model.errors import NotLeader, ProposalLost
+
+OTHER_ADDRESS = "10.0.0.2:7660"
+OWN_ADDRESS = "10.0.0.1:7660"
 
 
 class Group:
@@ -38,10 +49,13 @@
         return self.now
 
 
-def owner(record: OwnerRecord, fencing: bool = True) -> tuple[ShardOwnership, Group, Clock]:
+def owner(
+    record: OwnerRecord, fencing: bool = True, contact_s: float = 3.0
+) -> tuple[ShardOwnership, Group, Clock]:
     group, clock = Group(record), Clock()
-    claimant = Claimant("core-1", "10.0.0.1:7660", "process-1")
-    return ShardOwnership(group, claimant, group.incarnations.get, 3.0, fencing, clock), group, clock
+    claimant = Claimant("core-1", OWN_ADDRESS, "process-1")
+    rules = TurnRules(3.0, contact_s, fencing)
+    return ShardOwnership(group, claimant, group.incarnations.get, rules, clock), group, clock
 
 
 def test_the_first_owner_orders_at_once() -> None:
@@ -60,14 +74,14 @@
     assert ownership.owns() and not ownership.may_order()
     clock.now += 3.0
     assert not ownership.may_order()
-    clock.now += TURN_MARGIN_S
+    clock.now += ORDER_LASTS_S
     assert ownership.may_order() and ownership.fence == 5
 
 
-def claimed_behind_another(fencing: bool) -> tuple[ShardOwnership, Group, Clock]:
+def claimed_behind_another(fencing: bool, contact_s: float = 3.0) -> tuple[ShardOwnership, Group, Clock]:
     record = OwnerRecord()
-    record.apply(1, OwnerClaimed("core-2", 4, "10.0.0.2:7660", "process-2").encode())
-    ownership, group, clock = owner(record, fencing)
+    record.apply(1, OwnerClaimed("core-2", 4, OTHER_ADDRESS, "process-2").encode())
+    ownership, group, clock = owner(record, fencing, contact_s)
     group.term = 5
     asyncio.run(ownership.claim())
     return ownership, group, clock
@@ -75,45 +89,127 @@
 
 def test_behind_a_holder_that_has_fallen_silent_orders_do_not_wait() -> None:
     ownership, group, _ = claimed_behind_another(fencing=True)
-    group.silent["10.0.0.2:7660"] = SILENT_S - 0.1
+    group.silent[OTHER_ADDRESS] = SILENT_S - 0.1
     assert not ownership.may_order()
-    group.silent["10.0.0.2:7660"] = SILENT_S
+    group.silent[OTHER_ADDRESS] = SILENT_S
     assert ownership.may_order()
-    group.silent["10.0.0.2:7660"] = 0.0  # back: in touch only after contact-ms, and no holder any more
+    group.silent[OTHER_ADDRESS] = 0.0  # back: in touch only after contact-ms, and no holder any more
     assert ownership.may_order()
 
 
 def test_behind_a_holder_that_has_restarted_orders_do_not_wait() -> None:
     ownership, group, _ = claimed_behind_another(fencing=True)
-    group.incarnations["core-2"] = "process-2"
+    group.incarnations[OTHER_ADDRESS] = "process-2"
     assert not ownership.may_order()
-    group.incarnations["core-2"] = "process-9"
+    group.incarnations[OTHER_ADDRESS] = "process-9"
     assert ownership.may_order()
 
 
 def test_without_fences_a_restart_shortens_nothing() -> None:
     ownership, group, _ = claimed_behind_another(fencing=False)
-    group.incarnations["core-2"] = "process-9"
+    group.incarnations[OTHER_ADDRESS] = "process-9"
     assert not ownership.may_order()
 
 
 def test_where_servers_check_no_fences_silence_shortens_nothing() -> None:
     ownership, group, clock = claimed_behind_another(fencing=False)
-    group.silent["10.0.0.2:7660"] = 100.0
+    group.silent[OTHER_ADDRESS] = 100.0
+    assert not ownership.may_order()
+    clock.now += 3.0
+    assert not ownership.may_order()  # an order that has left may still be on its way
+    clock.now += ORDER_LASTS_S
+    assert ownership.may_order()
+
+
+def test_an_order_is_over_before_a_follower_without_fences_orders() -> None:
+    assert ORDER_TIMEOUT_S + 0.2 <= ORDER_LASTS_S
+
+
+def test_behind_a_member_that_is_no_longer_one_orders_wait() -> None:
+    ownership, group, _ = claimed_behind_another(fencing=True)
+    group.silent[OTHER_ADDRESS] = math.inf  # replaced, perhaps while it ran
+    assert not ownership.may_order()
+
+
+def test_where_a_machine_is_in_touch_again_before_the_lease_ends_silence_shortens_nothing() -> None:
+    ownership, group, clock = claimed_behind_another(fencing=True, contact_s=2.9)
+    group.silent[OTHER_ADDRESS] = 100.0
+    group.incarnations[OTHER_ADDRESS] = "process-9"
     assert not ownership.may_order()
-    clock.now += 3.0 + TURN_MARGIN_S
+    clock.now += 3.0 + ORDER_LASTS_S
     assert ownership.may_order()
 
 
-def test_behind_itself_there_is_no_pause_and_the_fence_rises() -> None:
+def test_another_machine_under_the_same_name_is_another_holder() -> None:
     record = OwnerRecord()
-    record.apply(1, OwnerClaimed("core-1", 4).encode())
-    ownership, group, _ = owner(record)
+    record.apply(1, OwnerClaimed("core-1", 4, OTHER_ADDRESS, "process-2").encode())
+    ownership, group, clock = owner(record)
+    group.term = 5
+    asyncio.run(ownership.claim())
+    assert not ownership.may_order()
+    clock.now += 3.0 + ORDER_LASTS_S
+    assert ownership.may_order()
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_behind_its_own_claim_there_is_no_pause_and_the_fence_rises(fencing: bool) -> None:
+    ownership, group, _ = owner(OwnerRecord(), fencing)
+    asyncio.run(ownership.claim())
     group.term = 6
     asyncio.run(ownership.claim())
     assert ownership.may_order() and ownership.fence == 6
 
 
+def test_behind_its_own_earlier_process_it_waits_only_where_servers_check_no_fences() -> None:
+    record = OwnerRecord()
+    record.apply(1, OwnerClaimed("core-1", 4, OWN_ADDRESS, "process-0").encode())
+    fenced, group, _ = owner(record)
+    group.term = 5
+    asyncio.run(fenced.claim())
+    assert fenced.may_order()
+
+    record.apply(2, OwnerClaimed("core-1", 6, OWN_ADDRESS, "process-0").encode())
+    unfenced, group, clock = owner(record, fencing=False)  # whom that process followed is not known
+    group.term = 7
+    asyncio.run(unfenced.claim())
+    assert not unfenced.may_order()
+    clock.now += 3.0 + ORDER_LASTS_S
+    assert unfenced.may_order()
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_a_wait_goes_on_where_leadership_is_lost_and_gained_again(fencing: bool) -> None:
+    ownership, group, clock = claimed_behind_another(fencing)
+    clock.now += 1.5
+    group.term = 7
+    asyncio.run(ownership.claim())
+    assert ownership.owns() and not ownership.may_order()
+    clock.now += 1.5 + ORDER_LASTS_S
+    assert ownership.may_order()
+
+
+def test_a_claim_whose_outcome_was_not_learned_hides_whom_it_follows() -> None:
+    record = OwnerRecord()
+    record.apply(1, OwnerClaimed("core-2", 4, OTHER_ADDRESS, "process-2").encode())
+    ownership, group, clock = owner(record)
+    real = group.propose
+
+    async def lost(data: bytes, timeout_s: float = 3.0) -> object:
+        await real(data)
+        raise ProposalLost("stepped down")
+
+    group.term = 5
+    group.propose = lost  # type: ignore[method-assign]
+    with pytest.raises(ProposalLost):
+        asyncio.run(ownership.claim())
+    group.term = 6
+    group.propose = real  # type: ignore[method-assign]
+    asyncio.run(ownership.claim())
+    assert ownership.owns() and not ownership.may_order()
+    clock.now += 3.0 + ORDER_LASTS_S
+    assert ownership.may_order()
+
+
 def test_without_the_lease_or_in_another_term_nothing_is_ordered() -> None:
     ownership, group, _ = owner(OwnerRecord())
     asyncio.run(ownership.claim())
