--- a/tools/worst_day_points.py
+++ b/tools/worst_day_points.py
@@ -111,7 +111,7 @@
             yield event("after_ack_kill", 1.0 + number * step_s, count=count, for_s=2.0, how=how)
 
     yield Scenario("races", raced)
-    for name, how in {"power": "", "kill": "kill", "timed": "timed"}.items():
+    for name, how in {"power": "", "kill": "kill", "timed": "timed", "taken": "taken"}.items():
         yield Scenario(f"races-{name}", (*raced, *killed(how, 3, site.losses)))
     storm = event("config_storm", for_s=16.0, gap_s=0.25)
     yield Scenario("storm", (storm, lost_answers(0.0, 18.0, 0.5), *killed("timed", 3)))
@@ -125,11 +125,19 @@
     yield Scenario("restarts", (*raced, terms))
     herd = [event("herd_kill", 3.0 + 8.0 * n, on="core", how=how) for n, how in enumerate(("", "power"))]
     yield Scenario("herd", (*raced, *herd))
+    yield Scenario("everything", (*raced, event("herd_kill", 4.0, on="core", how="taken all")))
     leader = event("node_kill", 2.0, on="core", count=1, for_s=2.0, how="leader race hard")
     yield Scenario("leader-race", (*raced, leader, dict(leader) | {"at": 2.0 + step_s}))
-    for kind, how in {"power_off_all": "timed", "kill_all": "timed", "wipe_after_ack": "aimed"}.items():
+    ends = (
+        ("power_off_all", "timed"),
+        ("power_off_all", "taken"),
+        ("kill_all", "timed"),
+        ("wipe_after_ack", "aimed"),
+    )
+    for kind, how in ends:
         closing = {"kind": kind, "down_s": 1.2, "how": how}
-        yield Scenario(f"races-then-{kind}", (races(12.0, 8, 1.2), lost_answers(11.0, 14.0)), closing)
+        raced_late = (races(12.0, 8, 1.2), lost_answers(11.0, 14.0))
+        yield Scenario(f"races-then-{kind}-{how}", raced_late, closing)
 
 
 def second_losses(site: Site) -> Iterator[Scenario]:
@@ -219,6 +227,8 @@
     answers = event("answer_lost", how="reset", share=0.5, x=0.05, for_s=15.0)
     for how in ("reset", "mute", "hang", "busy", "shed"):
         yield Scenario(f"grey-{how}", (grey(how), resets))
+    for how in ("reset", "mute", "hang"):
+        yield Scenario(f"grey-{how}-all", (grey(f"{how} all", 0.6), resets))
     for how in ("hang", "reset"):
         yield Scenario(f"lying-{how}", (event("srv_lying_health", how=how, share=0.2, for_s=12.0),))
     for name in ("extra", "unframed", "early", "extra early unframed"):
