After a stall of a node, requests of clients that have left are not sent on

Cause: a client gives a try up when its node has not read it within a second. Request and end of the connection then lie in the socket together; the loop reads the request first and, on an idle upstream connection, writes it to a server before it sees the end (GONE: a request that reaches a server over half a second after its client left). Ruled out: the other stages. Waiting for the configuration, a server, a connection, a repeat, an answer or the next piece of a stream all end with the client, shown stage by stage on virtual time, with a close, a reset and an end of the client's side only (which can't be told from a close and counts as one).

--- a/granitewell/dataplane/front.py
+++ b/granitewell/dataplane/front.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import math
+import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -33,12 +34,35 @@
 MOST_HEADERS = 512  # of a request; the limit in bytes counts besides
 DEFECT_GAP_S = 5.0  # between two lines about defects of ours
 LINGER_S = 2.0  # in which a refused body is read away, so that the answer isn't lost with a reset
+MOST_FIELD_BYTES = 262_144  # of a line or field that is read at all; check_head knows the limit in force
+LIBRARY_KEEP_ALIVE_S = 86_400.0  # the library's own; idle connections end by the limit in force, see _sweep
+UNSENT_LOOK_S = 0.02  # between two looks whether the last answers have been sent
 
 _log = logbook.Logger("granitewell.dataplane")
 
 Handler = Callable[[BaseRequest], Awaitable[web.StreamResponse]]
 
 
+def has_more_requests(request: BaseRequest) -> bool:
+    """Whether the client's next requests on the connection have been read already."""
+    connection = request.protocol
+    return isinstance(connection, ClientConnection) and connection.has_more_requests
+
+
+def peer_has_closed(transport: asyncio.BaseTransport | None) -> bool:
+    """Whether the end of a connection has arrived, though the loop may not have read it yet: after a stall,
+    requests are read whose clients left long ago."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None:
+        return False
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class RefusedRequest(GranitewellError):
     """A request that is not taken; status: the answer to it."""
 
@@ -69,14 +93,17 @@
 
 
 class ClientConnection(RequestHandler):
-    """A connection of a client; it also knows since when a request's head is incomplete."""
+    """A connection of a client; it also knows since when a request's head is incomplete, or nothing comes."""
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, *args: Any, idle_timeout_s: float, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.head_since: float | None = None
+        self._active_at = asyncio.get_running_loop().time()
+        self._idle_timeout_s = idle_timeout_s  # when it began: its client may know no other
 
     def data_received(self, data: bytes) -> None:
         """As the library does; what is neither part of a body nor a whole head begins a head."""
+        self.mark_active()
         before = self._request_count
         super().data_received(data)
         if self._request_count != before or self._request_in_progress or self._messages:
@@ -84,11 +111,33 @@
         elif self.head_since is None and data:
             self.head_since = asyncio.get_running_loop().time()
 
-    def end_after_answer(self) -> None:
-        """Take no more requests: closed now if it is idle, else behind the answer."""
-        if self._waiter is not None and not self._waiter.done():
+    def mark_active(self) -> None:
+        """Bytes have come, or an answer has ended."""
+        self._active_at = asyncio.get_running_loop().time()
+
+    @property
+    def idle(self) -> bool:
+        """Whether it waits for a request."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def has_more_requests(self) -> bool:
+        """Whether requests that have been read wait behind the one that is being answered."""
+        return bool(self._messages)
+
+    def idle_too_long(self, now: float, idle_timeout_s: float) -> bool:
+        """Whether its client may use it no more, by the limit in force and by the one that it began with."""
+        return self.idle and now - self._active_at > max(idle_timeout_s, self._idle_timeout_s)
+
+    def end_if_idle(self) -> None:
+        """Close it, unless a request has been read or is being read."""
+        if self.idle:
             self.force_close()
-        else:
+
+    def end_behind_answer(self) -> None:
+        """An answer has been made: the connection ends once it is written. Not sooner: the library reads no
+        more of a body once `close` has been called."""
+        if not self.has_more_requests:
             self.close()
 
     def handle_error(
@@ -117,6 +166,11 @@
         super().__init__(handler, handler_cancellation=True)
         self.limits = limits
 
+    @property
+    def transports(self) -> dict[ClientConnection, asyncio.Transport]:
+        """Of each connection, also of those that are being closed."""
+        return {c: t for c, t in self._connections.items() if isinstance(c, ClientConnection)}
+
     def __call__(self) -> RequestHandler:
         limits = self.limits
         return ClientConnection(
@@ -124,9 +178,10 @@
             loop=self._loop,
             access_log=None,
             logger=QUIET_LOGGER,
-            keepalive_timeout=limits.idle_timeout_ms / 1000.0,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
+            idle_timeout_s=limits.idle_timeout_ms / 1000.0,
+            keepalive_timeout=LIBRARY_KEEP_ALIVE_S,
+            max_line_size=max(limits.max_header_bytes, MOST_FIELD_BYTES),
+            max_field_size=max(limits.max_header_bytes, MOST_FIELD_BYTES),
             max_headers=MOST_HEADERS,
             lingering_time=LINGER_S,
             auto_decompress=False,
@@ -146,6 +201,7 @@
         self._busy = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._ending = False
 
     async def start(self, address: str) -> None:
         """Listen on `ip:port`."""
@@ -173,30 +229,49 @@
             self._busy -= 1
             if not self._busy:
                 self._idle.set()
+            connection = request.protocol
+            if isinstance(connection, ClientConnection):
+                connection.mark_active()
+                if self._ending:
+                    connection.end_behind_answer()
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         self._sweeper = loop.call_later(SWEEP_S, self._sweep)
-        latest = loop.time() - self._limits.header_timeout_ms / 1000.0
+        now = loop.time()
+        latest = now - self._limits.header_timeout_ms / 1000.0
+        idle_timeout_s = self._limits.idle_timeout_ms / 1000.0
         for connection in self._connections():
-            if connection.head_since is not None and connection.head_since < latest:
+            if connection.head_since is not None:
+                if connection.head_since < latest:
+                    connection.force_close()
+            elif connection.idle_too_long(now, idle_timeout_s):
                 connection.force_close()
 
     def _connections(self) -> list[ClientConnection]:
-        found = self._server.connections if self._server is not None else []
-        return [connection for connection in found if isinstance(connection, ClientConnection)]
+        return list(self._server.transports) if self._server is not None else []
 
     # --- The end ----------------------------------------------------------------------------------------
     def stop_listening(self) -> None:
         """Take no new connections; idle ones are closed, the others after their answer."""
+        self._ending = True
         if self._listener is not None:
             self._listener.close()
         for connection in self._connections():
-            connection.end_after_answer()
+            connection.end_if_idle()
 
     async def wait_idle(self) -> None:
-        """Until no request is being answered."""
-        await self._idle.wait()
+        """Until no request is being answered, and the answers have been sent: what a slow client has not
+        taken yet is lost with `abort`."""
+        while self._busy or self._unsent():
+            await self._idle.wait()
+            await asyncio.sleep(UNSENT_LOOK_S)
+
+    def _unsent(self) -> bool:
+        if self._server is None:
+            return False
+        connections = self._server.transports.items()
+        return any(c.has_more_requests or t.get_write_buffer_size() for c, t in connections)
 
     def abort(self) -> None:
         """Cut what is left."""
--- a/granitewell/dataplane/plane.py
+++ b/granitewell/dataplane/plane.py
@@ -22,8 +22,10 @@
     RefusedRequest,
     StreamedAnswer,
     check_head,
+    has_more_requests,
     own_response,
     passed_response,
+    peer_has_closed,
     read_body,
 )
 from granitewell.dataplane.headers import (
@@ -49,6 +51,7 @@
 CONFIGURATION_HOLD_S = 1.5  # an election and a long-poll
 CONFIGURATION_HOLD_PART = 0.4  # of a request's time, so that a retry elsewhere has some left
 MOST_HELD_FOR_CONFIGURATION = 256  # requests, with their bodies
+BEYOND_LIMITS = frozenset({413, 431})  # statuses that only the limits in force can justify
 LISTENS_ON_S = 2.5  # after SIGTERM: the platform asks each second and needs two misses
 END_MARGIN_S = 0.6  # before SIGKILL
 EXPIRE_MARGIN_S = 0.2  # before that: what has no answer yet gets one that promises no more than is known
@@ -194,14 +197,17 @@
             response = own_response(OwnAnswer(refused.status, refused.message))
             if refused.status != 404:
                 response.force_close()
-        if self._draining_since is not None and not response.prepared:
+        if not response.prepared and self._ends_connection(request):
             response.force_close()
         return response
 
+    def _ends_connection(self, request: BaseRequest) -> bool:
+        """Whether an answer tells the client to use its connection no more: not while requests that have been
+        read wait behind it."""
+        return self._draining_since is not None and not has_more_requests(request)
+
     async def _routed(self, request: BaseRequest, arrived_at: float) -> web.StreamResponse:
-        limits = self._configuration.limits if self._configuration is not None else Limits()
-        check_head(request, limits)
-        body = await read_body(request, limits)
+        body = await self._read(request)
         if self._routes is None:
             await self._wait_for_configuration(request)
         routes = self._routes
@@ -213,8 +219,23 @@
         request_ids = request.headers.getall(REQUEST_ID, [])
         if len(request_ids) != 1 or not request_ids[0]:
             raise RefusedRequest(400, f"one {REQUEST_ID} is needed")
+        if peer_has_closed(request.transport):
+            raise RefusedRequest(503, "the client has left")
         return await self._exchanged(request, self._client_request(request, route, body, arrived_at), route)
 
+    async def _read(self, request: BaseRequest) -> bytes | None:
+        """The body of a request within the limits in force. Before any are known, the usual ones protect this
+        process, yet what goes beyond them may be allowed: no refusal of the request itself."""
+        configuration = self._configuration
+        limits = configuration.limits if configuration is not None else Limits()
+        try:
+            check_head(request, limits)
+            return await read_body(request, limits)
+        except RefusedRequest as refused:
+            if configuration is None and refused.status in BEYOND_LIMITS:
+                raise RefusedRequest(503, "no configuration yet") from refused
+            raise
+
     async def _wait_for_configuration(self, request: BaseRequest) -> None:
         """A process that has just started learns the configuration in a moment, where the control plane is
         up: a refusal would cost the client its retry."""
@@ -255,7 +276,7 @@
         self, request: BaseRequest, client_request: ClientRequest, route: Route
     ) -> web.StreamResponse:
         service = choose_service(route, self._rng)
-        stream = StreamedAnswer(request, lambda: self._draining_since is not None)
+        stream = StreamedAnswer(request, lambda: self._ends_connection(request))
         exchange = Exchange(
             self._dispatcher,
             self._upstreams,
--- a/tests/dataplane/standin.py
+++ b/tests/dataplane/standin.py
@@ -292,7 +292,8 @@
 ) -> AsyncIterator[Scene]:
     """A data plane with a configuration and these servers: s0, s1, ... all told as servers of the service."""
     demands: list[int] = []
-    plane = DataPlane(settings(), Random(1), on_demand=lambda: demands.append(1))
+    clock = asyncio.get_running_loop().time
+    plane = DataPlane(settings(), Random(1), clock, on_demand=lambda: demands.append(1))
     stand_ins = [StandIn(f"s{k}", behaviour) for k, behaviour in enumerate(behaviours)]
     for stand_in in stand_ins:
         await stand_in.start()
--- /dev/null
+++ b/tests/dataplane/test_leaving_clients.py
@@ -0,0 +1,253 @@
+"""GONE: after a client has left, nothing of its request reaches a server, and servers at work are told."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+
+import pytest
+
+from granitewell.dataplane.front import peer_has_closed
+from tests.dataplane.simulated_network import SimulatedTransport, play_simulated
+from tests.dataplane.standin import Client, Scene, Seen, configuration, route, scene, well
+
+TOLD_WITHIN_S = 0.5  # of the client's leaving, as the rule has it
+
+
+class Watched:
+    """A server that notes when each of its connections ends."""
+
+    def __init__(self, events: int = 0) -> None:
+        self._events = events
+        self.at_work = asyncio.Event()
+        self.told_at: list[float] = []
+
+    async def __call__(self, seen: Seen) -> None:
+        if self._events:
+            seen.events(*range(1, self._events + 1))
+        self.at_work.set()
+        with suppress(ConnectionError):
+            await seen.reader.read()
+        self.told_at.append(asyncio.get_running_loop().time())
+
+
+def assert_nothing_is_left(s: Scene) -> None:
+    """No place in a line, no request counted at a server."""
+    for state in s.plane._dispatcher._services.values():
+        assert not state.line
+        for record in state.records.values():
+            assert record.in_flight == record.unanswered == 0
+    assert not s.plane._exchanges and s.plane._front._busy == 0
+
+
+async def leave(client: Client, how: str) -> None:
+    """closed: a proper end; reset; half: only the client's side of the connection ends."""
+    transport = client.writer.transport
+    assert isinstance(transport, SimulatedTransport)
+    if how == "reset":
+        transport.reset()
+    elif how == "closed":
+        client.writer.close()
+    else:
+        client.writer.write_eof()
+
+
+@pytest.mark.parametrize("how", ["closed", "reset", "half"])
+@pytest.mark.parametrize("target", ["/once/x", "/again/x", "/stream/x", "/resume/x"])
+def test_a_server_at_work_is_told_at_once(target: str, how: str) -> None:
+    async def run() -> None:
+        server = Watched(events=2 if target in ("/stream/x", "/resume/x") else 0)
+        async with scene(server) as s:
+            client = await s.connect()
+            client.send(target, Granitewell_Request_Id="1")
+            await server.at_work.wait()
+            await asyncio.sleep(0.05)
+            left_at = asyncio.get_running_loop().time()
+            await leave(client, how)
+            await asyncio.sleep(TOLD_WITHIN_S)
+            assert [told - left_at < TOLD_WITHIN_S for told in server.told_at] == [True]
+            assert_nothing_is_left(s)
+
+    play_simulated(run())
+
+
+def test_one_that_waits_for_a_model_leaves_the_line_and_is_never_sent() -> None:
+    async def run() -> None:
+        async with scene(well, service="engine") as s:
+            client = await s.connect()
+            client.send("/model/x", Granitewell_Request_Id="1", Granitewell_Model="m1")
+            while not s.demands:
+                await asyncio.sleep(0.01)
+            client.close()
+            await asyncio.sleep(0.01)
+            assert_nothing_is_left(s)
+            s.tell("engine", ["m1"])
+            await asyncio.sleep(1.0)
+            assert s.stand_ins[0].seen == []
+            assert_nothing_is_left(s)
+
+    play_simulated(run())
+
+
+def test_one_that_waits_for_a_slot_leaves_the_line_and_the_next_gets_the_slot() -> None:
+    async def run() -> None:
+        release = asyncio.Event()
+
+        async def behaviour(seen: Seen) -> None:
+            await release.wait()
+            seen.answer()
+
+        async with scene(behaviour) as s:
+            s.plane.apply_servers([s.server(s.stand_ins[0], slots=1)], [])
+            clients = [await s.connect() for _ in range(3)]
+            for number, client in enumerate(clients):
+                client.send("/once/x", Granitewell_Request_Id=str(number))
+                await asyncio.sleep(0.01)
+            clients[1].close()
+            await asyncio.sleep(0.01)
+            release.set()
+            answer = await clients[2].answer()
+            assert answer is not None and answer.status == 200
+            seen = [m.header("Granitewell-Request-Id") for m in s.stand_ins[0].seen]
+            assert seen == ["0", "2"]
+
+    play_simulated(run())
+
+
+def test_one_that_waits_for_a_repeat_is_not_sent_again() -> None:
+    async def run() -> None:
+        async def behaviour(seen: Seen) -> None:
+            client.close()
+            await asyncio.sleep(0.0005)
+            seen.reset()
+
+        async with scene(behaviour, behaviour) as s:
+            s.fund()
+            client = await s.connect()
+            client.send("/again/x", Granitewell_Request_Id="1")
+            await asyncio.sleep(2.0)
+            assert sum(len(stand_in.seen) for stand_in in s.stand_ins) == 1
+            assert_nothing_is_left(s)
+
+    play_simulated(run())
+
+
+def test_one_that_waits_for_the_configuration_is_not_sent() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            s.plane._configuration = s.plane._routes = None
+            s.plane._configured.clear()
+            client = await s.connect()
+            client.send("/once/x", Granitewell_Request_Id="1")
+            await asyncio.sleep(0.1)
+            assert s.plane._held_for_configuration == 1
+            client.close()
+            await asyncio.sleep(0.1)
+            assert s.plane._held_for_configuration == 0
+            s.plane.apply_configuration(configuration(2))
+            await asyncio.sleep(1.0)
+            assert s.stand_ins[0].seen == []
+
+    play_simulated(run())
+
+
+def test_a_body_that_is_cut_off_reaches_no_server() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            client.send("/once/x", Content_Length="100", Granitewell_Request_Id="1")
+            client.writer.write(b"half")
+            await asyncio.sleep(0.01)
+            client.close()
+            await asyncio.sleep(1.0)
+            assert s.stand_ins[0].seen == []
+            assert_nothing_is_left(s)
+
+    play_simulated(run())
+
+
+# --- A request that was read late: its client may have gone before ----------------------------------------
+@contextmanager
+def socket_pair() -> Iterator[tuple[socket.socket, socket.socket]]:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        yield ours, theirs
+
+
+class WithSocket:
+    """Of a transport, what the question needs."""
+
+    def __init__(self, sock: socket.socket | None) -> None:
+        self._socket = sock
+
+    def get_extra_info(self, name: str) -> socket.socket | None:
+        return self._socket if name == "socket" else None
+
+
+@pytest.mark.skipif(not hasattr(select, "POLLRDHUP"), reason="Linux tells the end of a peer so")
+def test_the_end_of_a_peer_is_seen_before_it_is_read() -> None:
+    with socket_pair() as (ours, theirs):
+        assert not peer_has_closed(WithSocket(ours))  # type: ignore[arg-type]
+        theirs.send(b"a request")
+        assert not peer_has_closed(WithSocket(ours))  # type: ignore[arg-type]
+        theirs.close()
+        assert peer_has_closed(WithSocket(ours))  # type: ignore[arg-type]
+    assert peer_has_closed(WithSocket(ours))  # type: ignore[arg-type]  # ours is closed
+    assert not peer_has_closed(WithSocket(None))  # type: ignore[arg-type]
+    assert not peer_has_closed(None)
+
+
+def test_a_request_whose_client_had_left_before_it_was_read_is_not_sent() -> None:
+    """As after a stall of the whole process: the request and the connection's end were both there."""
+
+    async def run() -> None:
+        async with scene(well) as s:
+            loop = asyncio.get_running_loop()
+            with socket.create_connection(("127.0.0.1", s.plane.front_port)) as client:
+                while not s.plane._front._connections():
+                    await asyncio.sleep(0)
+                head = b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nGranitewell-Request-Id: 1\r\n"
+                client.sendall(head + b"Content-Length: 0\r\n\r\n")
+            await _until(lambda: not s.plane._front._connections(), loop)
+            assert s.stand_ins[0].seen == []
+
+    asyncio.run(asyncio.wait_for(run(), 10.0))
+
+
+async def _until(done: object, loop: asyncio.AbstractEventLoop) -> None:
+    assert callable(done)
+    end = loop.time() + 5.0
+    while not done() and loop.time() < end:
+        await asyncio.sleep(0)
+
+
+# --- The price: a server that works on, half a second after the client has left -----------------------------
+def test_a_client_that_leaves_between_two_servers_of_one_stream_frees_both() -> None:
+    async def run() -> None:
+        second = Watched(events=0)
+
+        async def behaviour(seen: Seen) -> None:
+            if seen.request.header("Last-Event-Id"):
+                await second(seen)
+                return
+            seen.events(1)
+            seen.writer.close()
+
+        async with scene(behaviour, behaviour) as s:
+            s.plane.apply_configuration(
+                configuration(2, [route("resume", "streaming", resumable=True, timeout_ms=9000.0)])
+            )
+            s.fund()
+            client = await s.connect()
+            client.send("/resume/x", Granitewell_Request_Id="1")
+            await second.at_work.wait()
+            left_at = asyncio.get_running_loop().time()
+            client.close()
+            await asyncio.sleep(TOLD_WITHIN_S)
+            assert len(second.told_at) == 1 and second.told_at[0] - left_at < TOLD_WITHIN_S
+            assert_nothing_is_left(s)
+
+    play_simulated(run())
