--- /dev/null
+++ b/tests/dataplane/test_refusals.py
@@ -0,0 +1,102 @@
+"""DENIED: which answers of its own a node may give.
+
+A proper request gets a 3xx or 4xx from a configuration in force only; a node that knows none says 503,
+whatever is asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from granitewell.model.configuration import Configuration, Limits
+from tests.dataplane.simulated_network import play_simulated
+from tests.dataplane.standin import ROUTES, Scene, Seen, configuration, scene, well
+
+NOT_COUNTED = (408, 421, 429)  # 4xx that promise that a request has not run
+LONG_BODY = b"a" * (Limits().max_body_bytes + 1)
+LONG_FIELD = "a" * (Limits().max_header_bytes + 1)
+
+
+def without_configuration(s: Scene) -> None:
+    """As at the start of a process."""
+    s.plane._configuration = s.plane._routes = None
+    s.plane._configured.clear()
+
+
+def limited(version: int, limits: Limits) -> Configuration:
+    """The usual routes under other limits."""
+    made = configuration(version)
+    return Configuration(version, made.routes, made.services, limits)
+
+
+@pytest.mark.parametrize("target", ["/once/x", "/stream/x", "/nowhere/x", "/"])
+@pytest.mark.parametrize("host", ["shop.example", "elsewhere.example"])
+def test_a_node_without_a_configuration_says_503(target: str, host: str) -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            without_configuration(s)
+            answer = await s.call(target, Host=host)
+            assert answer.status == 503 and answer.header("Retry-After")
+            assert s.stand_ins[0].seen == [] and not s.plane.ready
+
+    play_simulated(run())
+
+
+@pytest.mark.parametrize(("body", "field"), [(LONG_BODY, "1"), (b"", LONG_FIELD)], ids=["body", "head"])
+def test_limits_that_nobody_has_told_refuse_nothing(body: bytes, field: str) -> None:
+    """The usual limits protect a node that knows none, but the day's may be wider."""
+
+    async def run() -> None:
+        async with scene(well) as s:
+            without_configuration(s)
+            assert (await s.call("/once/x", body=body, X_Long=field)).status == 503
+
+    play_simulated(run())
+
+
+def test_limits_that_grow_count_for_connections_that_are_open() -> None:
+    async def run() -> None:
+        async with scene(well) as s:
+            small = Limits(max_header_bytes=1_000, max_body_bytes=1_000, header_timeout_ms=300)
+            s.plane.apply_configuration(limited(2, small))
+            client = await s.connect()
+            client.send("/once/x", Granitewell_Request_Id="1")
+            answer = await client.answer()
+            assert answer is not None and answer.status == 200
+            s.plane.apply_configuration(limited(3, Limits(max_header_bytes=100_000, max_body_bytes=100_000)))
+            client.send("/once/x", body=b"a" * 50_000, X_Long="b" * 50_000, Granitewell_Request_Id="2")
+            answer = await client.answer()
+            assert answer is not None and answer.status == 200
+            assert s.stand_ins[0].seen[1].header("X-Long") == "b" * 50_000
+
+    play_simulated(run())
+
+
+def test_a_route_of_all_configurations_is_never_refused_while_they_change() -> None:
+    """Out of touch, with an old version, or while versions come in quick succession."""
+
+    async def run() -> None:
+        async with scene(well) as s:
+            for version in range(2, 30):
+                other = ROUTES if version % 2 else ROUTES[:1]
+                call = asyncio.create_task(s.call("/once/x"))
+                s.plane.apply_configuration(configuration(version, other))
+                assert (await call).status == 200
+
+    play_simulated(run())
+
+
+@pytest.mark.parametrize("target", [f"/{route.name}/x" for route in ROUTES])
+def test_troubles_at_servers_are_no_refusals_of_the_request(target: str) -> None:
+    """Full servers, no server, no model, too many that wait: 5xx, or what promises that it has not run."""
+
+    async def run() -> None:
+        async with scene(Seen.refuse, Seen.refuse) as s:
+            for _ in range(2):
+                status = (await s.call(target, Granitewell_Model="m1")).status
+                assert status >= 500 or status in NOT_COUNTED
+                s.plane.apply_servers([], ["s0", "s1"])
+
+    play_simulated(run())
