What has no second attempt avoids servers in doubt; what may be repeated finds out

Cause: any whole answer ended a server's avoidance at once, also one to a request from before the failure. A server that breaks off a part of its requests was never avoided for long, and a request whose failure is final met it as often as one that may go to a second server. One silent request did not count once another was answered. A request on its last attempt (max-attempts 1, not repeatable, or one attempt left) is picked among servers not in doubt as long as one has room; the others go as before and so find out. An avoidance ends by answers to requests from after the failure only. Unchanged without failures: shared order, prefix, random draws (test_without_failures_careful_requests_are_spread_as_all_others). In exchange.py and request.py only what tells the record of it. test_dispatch.py: worked() is told when the answered request began.

--- a/granitewell/dataplane/dispatch.py
+++ b/granitewell/dataplane/dispatch.py
@@ -43,6 +43,7 @@
     granted: Callable[[ServerRecord], None]
     passed_over: set[str] = field(default_factory=set)
     excluded: set[str] = field(default_factory=set)
+    careful: bool = False  # a failure of the next attempt would be final
     missing: bool = False  # it waits because no server has the model
 
 
@@ -210,7 +211,7 @@
             return None
         kept = self._memory.kept_tokens(pool.key, want.parts) if want.parts else None
         room = self._room(want, pool, now)
-        record = pool.pick(now, self._edges, want.passed_over, want.excluded, kept, room)
+        record = pool.pick(now, self._edges, want.passed_over, want.excluded, kept, room, want.careful)
         if record is None:
             return None
         pool.sent(record, now)
--- a/granitewell/dataplane/exchange.py
+++ b/granitewell/dataplane/exchange.py
@@ -221,6 +221,7 @@
     async def _server(self) -> ServerRecord:
         """A server that may have the request; it counts as being there. Raises NoServer."""
         now = self.clock()
+        self.want.careful = self.attempts.last
         record = self.dispatcher.choose(self.want, now)
         if record is not None:
             return record
@@ -307,6 +308,7 @@
         pool = x.dispatcher.pool(x.want.service, x.want.ref, now)
         if self._first_at == math.inf:
             record.given_up(now, pool.patience)
+            record.doubt.given_up(self, now, pool.patience)
         x.dispatcher.ended(x.want, record, now)
 
     async def _send(self) -> None:
@@ -327,6 +329,7 @@
                 self._connection = None
             else:
                 x.attempts.written()
+                self._record.doubt.written(self, x.clock())
                 return
 
     def _request_bytes(self) -> bytes:
@@ -366,6 +369,7 @@
     def _answer_began(self, message: RawResponseMessage) -> None:
         now = self._first_at = self._x.clock()
         self._record.answered(now)
+        self._record.doubt.answered(self)
         self._record.first_byte_came(now - self._began_at, self._waiting)
         load = parse_server_load(message.headers.get(SERVER_LOAD))
         if load is not None:
@@ -413,7 +417,7 @@
     def _answered(self) -> None:
         """A whole answer: the sizing learns from it."""
         x, now = self._x, self._x.clock()
-        self._record.worked()
+        self._record.worked(self._began_at)
         pool = x.dispatcher.pool(x.want.service, x.want.ref, now)
         first_ms, hold_ms = (self._first_at - self._began_at) * 1000.0, (now - self._began_at) * 1000.0
         pool.traffic.answered(first_ms, hold_ms, x.route.target_ms)
--- a/granitewell/dataplane/pool.py
+++ b/granitewell/dataplane/pool.py
@@ -192,15 +192,17 @@
         excluded: Collection[str] = (),
         kept_tokens: Mapping[str, int] | None = None,
         has_room: Callable[[ServerRecord], bool] = lambda _: True,
+        careful: bool = False,
     ) -> ServerRecord | None:
         """The server for a request; None if none may have it now. passed_over: servers that have had it, used
-        again only where there are no others; excluded: never used; has_room: what else must hold."""
+        again only where there are no others; excluded: never used; has_room: what else must hold; careful: it
+        has no second attempt, so servers in doubt are used only where there are no others."""
         patience = self.patience
 
         def fits(record: ServerRecord) -> bool:
             if record.id in passed_over or record.id in excluded or self._has_moved(record, now):
                 return False
-            if self._busy(record, edges) or not record.sound(now, patience):
+            if self._busy(record, edges) or not record.sound(now, patience, careful):
                 return False
             return has_room(record) and not record.full(now)
 
@@ -208,7 +210,7 @@
         if kept_tokens:
             drawn = self._with_kept(drawn, now, kept_tokens, fits)
         if drawn is None:
-            drawn = self._scan(now, edges, passed_over, excluded, has_room)
+            drawn = self._scan(now, edges, passed_over, excluded, has_room, careful)
         return drawn
 
     def _draw(self, now: float, fits: Callable[[ServerRecord], bool]) -> ServerRecord | None:
@@ -254,6 +256,7 @@
         passed_over: Collection[str],
         excluded: Collection[str],
         has_room: Callable[[ServerRecord], bool],
+        careful: bool,
     ) -> ServerRecord | None:
         """The same over the whole order: past the prefix, then busy servers, then those that look ill or have
         had the request."""
@@ -261,6 +264,9 @@
         open_ones = [record for record in usable if not record.full(now) and has_room(record)]
         if not open_ones:
             return None
+        if careful:
+            patience = self.patience
+            open_ones = [r for r in open_ones if not r.doubt.holds(now, patience)] or open_ones
         idle = [record for record in open_ones if not self._busy(record, edges)]
         return min(idle or open_ones, key=lambda record: record.cost(now))
 
--- a/granitewell/dataplane/request.py
+++ b/granitewell/dataplane/request.py
@@ -77,6 +77,11 @@
             return False
         return self._repeatable or not self.may_have_run
 
+    @property
+    def last(self) -> bool:
+        """Whether a failure of the next attempt would be final."""
+        return not self._repeatable or self.arrivals + 1 >= self._most
+
     @property
     def failure_status(self) -> int:
         """The status of a final answer of our own, now."""
--- a/granitewell/dataplane/servers.py
+++ b/granitewell/dataplane/servers.py
@@ -8,6 +8,7 @@
 
 import math
 
+from granitewell.dataplane.doubt import Doubt
 from granitewell.dataplane.headers import ServerLoad
 from granitewell.model.servers import Server
 
@@ -26,8 +27,9 @@
     """One incarnation of a server as this node sees it."""
 
     __slots__ = (
-        "_errors", "_load", "_load_at", "_others_running", "_others_waiting", "_read_s", "_refused_until",
-        "_silent_since", "avoided_until", "failures", "in_flight", "server", "unanswered",
+        "_errors", "_failed_at", "_load", "_load_at", "_others_running", "_others_waiting", "_read_s",
+        "_refused_until", "_silent_since", "avoided_until", "doubt", "failures", "in_flight", "server",
+        "unanswered",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -36,7 +38,9 @@
         self.unanswered = 0  # of those, the ones without a first byte of their answer
         self.failures = 0  # in a row
         self._errors = 0  # the same for failures that it answered with
+        self.doubt = Doubt()  # for requests without a second attempt
         self.avoided_until = -math.inf
+        self._failed_at = -math.inf
         self._refused_until = -math.inf
         self._silent_since = math.inf
         self._read_s = 0.0  # mean time to a first byte for each request in line there, 0: not known
@@ -87,19 +91,25 @@
     def erred(self, now: float) -> None:
         """It answered with a failure of its own: a few of them in a row speak against it."""
         self._errors += 1
+        self.doubt.erred(now)
         if self._errors >= ERRORS_IN_A_ROW:
             self._errors = 0
             self.failed(now)
 
-    def worked(self) -> None:
-        """A whole answer speaks for the server."""
-        self.failures = self._errors = 0
-        self.avoided_until = -math.inf
+    def worked(self, began_at: float) -> None:
+        """A whole answer speaks for the server, unless the request went there before its last failure."""
+        self._errors = 0
+        self.doubt.succeeded(began_at)
+        if began_at >= self._failed_at:
+            self.failures = 0
+            self.avoided_until = -math.inf
 
     def failed(self, now: float) -> None:
         """It could not be reached, broke off, or sent what is no answer."""
+        self.doubt.broke(now)
         if now < self.avoided_until:
             return  # requests that were there together failed together: this counts once
+        self._failed_at = now
         self.failures += 1
         wait = FIRST_AVOIDANCE_S * 2.0 ** min(self.failures - 1, 8)
         self.avoided_until = now + min(wait, MOST_AVOIDANCE_S)
@@ -147,6 +157,8 @@
         """Whether it owes answers and has begun none for so long."""
         return now - self._silent_since > patience
 
-    def sound(self, now: float, patience: float) -> bool:
-        """Whether nothing speaks against it."""
-        return now >= self.avoided_until and not self.suspect(now, patience)
+    def sound(self, now: float, patience: float, careful: bool = False) -> bool:
+        """Whether nothing speaks against it. careful: for a request without a second attempt."""
+        if now < self.avoided_until or self.suspect(now, patience):
+            return False
+        return not (careful and self.doubt.holds(now, patience))
--- a/tests/dataplane/test_dispatch.py
+++ b/tests/dataplane/test_dispatch.py
@@ -124,7 +124,7 @@
     sick.failed(now)
     made.servers[1].failed(now)
     assert set(picks(made, 30, now=now)) <= {"s00", "s01"} and picks(made, 1, now=now)
-    sick.worked()
+    sick.worked(now)
     assert sick.sound(now, 1.0)
 
 
@@ -132,7 +132,7 @@
     record = records(1)[0]
     for _ in range(2):
         record.erred(0.0)
-    record.worked()
+    record.worked(0.0)
     for _ in range(2):
         record.erred(0.0)
     assert record.sound(0.0, 1.0)
--- /dev/null
+++ b/tests/dataplane/test_doubt.py
@@ -0,0 +1,158 @@
+"""Which servers a request without a second attempt avoids, and who finds out about them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from granitewell.dataplane.doubt import DOUBT_LASTS_S, MOST_PROOFS, PROOFS_AFTER_BREAK, Doubt
+from granitewell.dataplane.pool import Pool
+from granitewell.dataplane.servers import FIRST_AVOIDANCE_S, ServerRecord
+from granitewell.model.servers import Server, ServerState
+
+PATIENCE_S = 0.5
+
+
+# --- The evidence -----------------------------------------------------------------------------------------
+def test_nothing_is_doubted_before_a_failure() -> None:
+    doubt = Doubt()
+    doubt.written("a", 0.0)
+    doubt.answered("a")
+    doubt.succeeded(0.0)
+    assert not doubt.holds(100.0, PATIENCE_S)
+
+
+def test_a_break_is_doubted_until_whole_answers_in_a_row() -> None:
+    doubt = Doubt()
+    doubt.broke(1.0)
+    for _ in range(PROOFS_AFTER_BREAK):
+        assert doubt.holds(2.0, PATIENCE_S)
+        doubt.succeeded(1.5)
+    assert not doubt.holds(2.0, PATIENCE_S)
+
+
+def test_answers_to_requests_from_before_the_failure_prove_nothing() -> None:
+    doubt = Doubt()
+    doubt.erred(1.0)
+    doubt.succeeded(0.9)
+    assert doubt.holds(1.1, PATIENCE_S)
+    doubt.succeeded(1.0)
+    assert not doubt.holds(1.1, PATIENCE_S)
+
+
+def test_doubt_is_bounded_in_proofs_and_in_time() -> None:
+    doubt = Doubt()
+    for _ in range(50):
+        doubt.broke(1.0)
+    for _ in range(MOST_PROOFS):
+        doubt.succeeded(1.0)
+    assert not doubt.holds(1.0, PATIENCE_S)
+    doubt.broke(2.0)
+    assert doubt.holds(2.0 + DOUBT_LASTS_S - 0.1, PATIENCE_S)
+    assert not doubt.holds(2.0 + DOUBT_LASTS_S, PATIENCE_S)
+
+
+def test_one_silent_request_counts_whatever_is_answered_since() -> None:
+    doubt = Doubt()
+    doubt.written("mute", 0.0)
+    for k in range(10):
+        doubt.written(k, k * 0.1)
+        doubt.answered(k)
+    assert not doubt.holds(PATIENCE_S, PATIENCE_S)
+    assert doubt.holds(1.0, PATIENCE_S)
+    doubt.answered("mute")
+    assert not doubt.holds(1.0, PATIENCE_S)
+
+
+def test_silence_is_remembered_once_its_request_is_given_up() -> None:
+    doubt = Doubt()
+    doubt.written("left soon", 0.0)
+    doubt.given_up("left soon", 0.1, PATIENCE_S)
+    assert not doubt.holds(0.1, PATIENCE_S)
+    doubt.written("mute", 0.0)
+    doubt.given_up("mute", 1.0, PATIENCE_S)
+    doubt.given_up("mute", 1.0, PATIENCE_S)
+    assert doubt.holds(1.0, PATIENCE_S) and not doubt.holds(1.0 + DOUBT_LASTS_S, PATIENCE_S)
+
+
+# --- The pick ---------------------------------------------------------------------------------------------
+def pool(count: int) -> Pool:
+    made = Pool("p", None, 2.0, Random(1))
+    servers = [Server(f"s{k}", "plain", f"10.0.0.1:{k + 1}", "a", 6, ServerState.READY) for k in range(count)]
+    made.set_servers([ServerRecord(server) for server in servers])
+    return made
+
+
+def picks(made: Pool, now: float, careful: bool) -> Counter[str]:
+    found = [made.pick(now, 1, careful=careful) for _ in range(200)]
+    return Counter(record.id for record in found if record is not None)
+
+
+def test_without_failures_careful_requests_are_spread_as_all_others() -> None:
+    assert picks(pool(4), 0.0, careful=True) == picks(pool(4), 0.0, careful=False)
+
+
+def test_after_its_avoidance_a_failed_server_is_tried_only_by_what_may_be_repeated() -> None:
+    made = pool(3)
+    made.servers[0].failed(0.0)
+    now = FIRST_AVOIDANCE_S
+    assert set(picks(made, now, careful=True)) == {"s1", "s2"}
+    assert set(picks(made, now, careful=False)) == {"s0", "s1", "s2"}
+    for _ in range(PROOFS_AFTER_BREAK):
+        made.servers[0].worked(now)
+    assert set(picks(made, now, careful=True)) == {"s0", "s1", "s2"}
+
+
+def test_with_doubt_of_all_servers_there_is_still_a_pick() -> None:
+    made = pool(3)
+    for record in made.servers:
+        record.failed(0.0)
+    assert picks(made, 0.1, careful=True) and picks(made, FIRST_AVOIDANCE_S, careful=True)
+
+
+def test_a_doubted_server_is_used_rather_than_none_with_room() -> None:
+    """The others are full: waiting would be no better."""
+    made = pool(2)
+    made.servers[0].failed(0.0)
+    made.servers[1].refused(FIRST_AVOIDANCE_S)
+    assert set(picks(made, FIRST_AVOIDANCE_S, careful=True)) == {"s0"}
+
+
+def test_an_answer_from_before_the_failure_does_not_end_the_avoidance() -> None:
+    made = pool(2)
+    made.servers[0].failed(1.0)
+    made.servers[0].worked(0.5)
+    assert set(picks(made, 1.1, careful=False)) == {"s1"}
+    made.servers[0].worked(1.0)
+    assert set(picks(made, 1.1, careful=False)) == {"s0", "s1"}
+
+
+@pytest.mark.parametrize("share", [0.2, 0.45, 0.7])
+def test_what_has_one_attempt_fares_no_worse_than_what_may_be_repeated(share: float) -> None:
+    """A model of a service: some servers break off a share of their requests, both kinds come at once. The
+    careful kind sees far fewer failures than by luck, and all servers stay in use."""
+    rng = Random(7)
+    made = pool(8)
+    faulty = {"s0", "s1"}
+    failures: Counter[bool] = Counter()
+    sent: Counter[bool] = Counter()
+    used: set[str] = set()
+    now = 0.0
+    for _ in range(4000):
+        now += 0.02
+        careful = rng.random() < 0.3
+        record = made.pick(now, 1, careful=careful)
+        assert record is not None
+        used.add(record.id)
+        sent[careful] += 1
+        if record.id in faulty and rng.random() < share:
+            failures[careful] += 1
+            record.failed(now)
+        else:
+            record.worked(now)
+    by_luck = share * len(faulty) / 8
+    assert failures[True] / sent[True] < by_luck / 4
+    assert failures[True] / sent[True] < failures[False] / sent[False]
+    assert len(used) == 8
