A whole edge node under random troubles on virtual time, by seeds

24 clients of one node over 6 s: some leave, servers refuse, fail, fall silent, break off and come late, configurations and servers change, then SIGTERM and the end within grace-s. Nine planted defects, each noticed within 60 seeds.

--- /dev/null
+++ b/tests/dataplane/node_world.py
@@ -0,0 +1,323 @@
+"""A whole edge node for some seconds of virtual time, by one seed.
+
+Clients come and leave, servers have faults, come and go, configurations change, and there is a SIGTERM. Then
+`check` holds what all have seen against the rules.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from granitewell.model.configuration import Route
+from granitewell.model.servers import ServerState
+from tests.dataplane.simulated_network import SimulatedTransport
+from tests.dataplane.standin import Message, Scene, Seen, configuration, route, scene
+
+GRACE_S = 8.0
+BOUND_S = 0.5  # of the rules on time: after a client left, after a request's time, beyond a client's deadline
+TRAVEL_S = 0.01  # of a message, both ways and with some loop turns
+LISTENS_S = 2.0  # after SIGTERM: sooner, no client may find the node closed
+LOOK_S = 0.02  # of a server at work, for the end of its connection
+CLIENTS = 24
+SPAN_S = 6.0  # in which clients come
+EVENTS = 4
+KINDS = ("once", "again", "stream", "resume", "model")
+
+
+class Violation(AssertionError):
+    """A rule is broken."""
+
+
+@dataclass
+class Sent:
+    """A client's request, as the client saw it. told_s: its deadline, None: it tells none; timeout_s and
+    least_timeout_s: of the route, the longest and shortest that were in force while it was under way."""
+
+    id: str
+    name: str
+    told_s: float | None
+    sent_at: float = 0.0
+    left_at: float | None = None
+    answer: Message | None = None
+    ended_at: float | None = None
+    timeout_s: float = 0.0
+    least_timeout_s: float = 0.0
+
+    @property
+    def due_at(self) -> float:
+        """When its time is over at the latest."""
+        return self.sent_at + min(self.told_s or self.timeout_s, self.timeout_s)
+
+    @property
+    def soonest_due_at(self) -> float:
+        """When its time is over, whichever configuration counts."""
+        return self.sent_at + min(self.told_s or self.least_timeout_s, self.least_timeout_s)
+
+
+@dataclass
+class Arrival:
+    """A request at a server, as the server saw it."""
+
+    id: str
+    server: str
+    at: float
+    handed_s: float
+    ran: bool = True
+    faulty: bool = False  # the server broke off, or was silent
+    ended_at: float = 0.0
+
+
+@dataclass
+class World:
+    """What happened."""
+
+    rng: Random
+    sent: list[Sent] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    term_at: float = 0.0
+    gone_at: float = 0.0
+    timeout_s: float = 2.0
+
+    # --- Servers ----------------------------------------------------------------------------------------
+    async def serve(self, seen: Seen) -> None:
+        """One request at a server, with some fault or none."""
+        loop = asyncio.get_running_loop()
+        handed = seen.request.header("Granitewell-Deadline-Ms")
+        if handed is None:
+            raise Violation(f"{seen.id} without the time that is left")
+        arrival = Arrival(seen.id, seen.server.name, loop.time(), int(handed) / 1000.0)
+        self.arrivals.append(arrival)
+        fault = self.rng.choice(("none", "none", "none", "refuse", "silent", "close", "error", "late"))
+        works_s = self.rng.choice((0.0, 0.01, 0.2, 1.5)) + (3.0 if fault == "late" else 0.0)
+        if not await self._work(seen, works_s):
+            fault = "left"
+        await self._answer(seen, arrival, fault)
+        arrival.ended_at = loop.time()
+
+    async def _work(self, seen: Seen, for_s: float) -> bool:
+        """Whether nobody has closed the connection meanwhile."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + for_s
+        while loop.time() < end:
+            if seen.reader.at_eof() or seen.reader.exception() is not None:
+                return False
+            await asyncio.sleep(LOOK_S)
+        return True
+
+    async def _answer(self, seen: Seen, arrival: Arrival, fault: str) -> None:
+        if fault == "left":
+            return
+        arrival.faulty = fault in ("silent", "close")
+        if fault == "refuse":
+            arrival.ran = False
+            seen.refuse()
+        elif fault == "silent":
+            await self._work(seen, 60.0)
+        elif fault == "error":
+            seen.answer(500, seen.id.encode())
+        elif "stream" in seen.request.target or "resume" in seen.request.target:
+            await self._stream(seen, fault)
+        elif fault == "close":
+            seen.writer.close()
+        else:
+            seen.answer(body=seen.id.encode())
+
+    async def _stream(self, seen: Seen, fault: str) -> None:
+        seen.writer.write(seen.head(Content_Type="text/event-stream"))
+        first = int(seen.request.header("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            seen.event(number, seen.id)
+            if not await self._work(seen, self.rng.choice((0.0, 0.1, 0.6))):
+                return
+            if fault == "close" and number == first + 1:
+                seen.chunk(b"id: 9\nda")
+                seen.writer.close()
+                return
+        seen.chunk(b"")
+
+    # --- Clients ----------------------------------------------------------------------------------------
+    async def client(self, s: Scene, number: int) -> None:
+        """One client with one request; some leave before its answer."""
+        rng, loop = self.rng, asyncio.get_running_loop()
+        told_s = rng.choice((None, 0.4, 1.0, 3.0, 30.0))
+        request = Sent(f"{number:016x}", rng.choice(KINDS), told_s)
+        leaves_after_s, how = rng.random() * 2.0, rng.choice(("", "", "close", "reset"))
+        await asyncio.sleep(rng.random() * SPAN_S)
+        try:
+            client = await s.connect()
+        except ConnectionError:
+            if loop.time() < self.term_at + LISTENS_S or not self.term_at:
+                raise Violation(f"{request.id} finds nobody at {loop.time():.3f}") from None
+            return
+        self.sent.append(request)
+        request.sent_at = loop.time()
+        request.timeout_s = request.least_timeout_s = self.timeout_s
+        client.send(
+            f"/{request.name}/x",
+            body=b"b" * rng.choice((0, 10, 90_000)),
+            Granitewell_Request_Id=request.id,
+            Granitewell_Deadline_Ms="" if told_s is None else str(int(told_s * 1000)),
+            Granitewell_Model=rng.choice(("m1", "m2")),
+        )
+        answer = asyncio.create_task(client.answer())
+        await asyncio.wait([answer], timeout=leaves_after_s if how else None)
+        request.ended_at = loop.time()
+        if answer.done():
+            request.answer = answer.result()
+        else:
+            request.left_at = loop.time()
+            answer.cancel()
+        transport = client.writer.transport
+        assert isinstance(transport, SimulatedTransport)
+        if how == "reset":
+            transport.reset()
+        else:
+            transport.close()
+
+    # --- The operator and the platform --------------------------------------------------------------------
+    async def operator(self, s: Scene) -> None:
+        """New configurations and servers; each request may see the longest time-out of its life."""
+        for version in range(2, 9):
+            await asyncio.sleep(self.rng.random() * 1.5)
+            timeout_s = self.rng.choice((0.5, 1.0, 2.0, 15.0))
+            for request in self.sent:
+                if request.ended_at is None:
+                    request.timeout_s = max(request.timeout_s, timeout_s)
+                    request.least_timeout_s = min(request.least_timeout_s, timeout_s)
+            self.timeout_s = timeout_s
+            s.plane.apply_configuration(configuration(version, routes(timeout_s, version % 2 == 0)))
+            s.plane.set_edges(version % 3 + 1, 4)
+            stand_in = self.rng.choice(s.stand_ins[1:])
+            state = self.rng.choice((ServerState.READY, ServerState.DRAINING))
+            plain = stand_in is not s.stand_ins[-1]
+            service, models = ("plain", ()) if plain else ("engine", ("m1",))
+            s.plane.apply_servers([s.server(stand_in, service, models, state=state)], [])
+
+    async def platform(self, s: Scene) -> None:
+        """SIGTERM, and the end of the process."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(2.0 + self.rng.random() * 3.0)
+        self.term_at = loop.time()
+        s.plane.begin_drain()
+        await s.plane.finish(GRACE_S)
+        self.gone_at = loop.time()
+
+
+def routes(timeout_s: float, more: bool) -> Sequence[Route]:
+    """One of each kind, and one that comes and goes."""
+    fields: dict[str, Any] = {"timeout_ms": timeout_s * 1000.0}
+    made = [
+        route("once", **fields),
+        route("again", "idempotent", max_attempts=3, **fields),
+        route("stream", "streaming", **fields),
+        route("resume", "streaming", resumable=True, max_attempts=3, **fields),
+        route("model", service="engine", priority=1, **fields),
+    ]
+    return [*made, route("more")] if more else made
+
+
+async def play(seed: int) -> World:
+    """One node's seconds; raises Violation."""
+    world = World(Random(seed))
+    async with scene(*[world.serve] * 4) as s:
+        s.plane.apply_configuration(configuration(1, routes(world.timeout_s, True)))
+        s.plane.apply_servers([s.server(s.stand_ins[-1], "engine", ("m1",))], [])
+        s.fund()
+        tasks = [asyncio.create_task(world.client(s, k + 1)) for k in range(CLIENTS)]
+        tasks += [asyncio.create_task(world.operator(s)), asyncio.create_task(world.platform(s))]
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(1.0)
+        check(world)
+        check_nothing_is_left(s)
+    return world
+
+
+# --- The rules --------------------------------------------------------------------------------------------
+def check(world: World) -> None:
+    """Raises Violation."""
+    if world.gone_at - world.term_at > GRACE_S:
+        raise Violation(f"the process needs {world.gone_at - world.term_at:.3f} s to end")
+    for request in world.sent:
+        arrivals = [arrival for arrival in world.arrivals if arrival.id == request.id]
+        _check_arrivals(request, arrivals)
+        if request.left_at is None:
+            _check_answer(world, request, arrivals)
+        else:
+            _check_after_leaving(request, arrivals)
+
+
+def _check_arrivals(request: Sent, arrivals: list[Arrival]) -> None:
+    most = 3 if request.name in ("again", "resume") else 2
+    if len(arrivals) > most:
+        raise Violation(f"{request} on {len(arrivals)} servers")
+    ran = [arrival for arrival in arrivals if arrival.ran]
+    if request.name in ("once", "stream", "model") and len(ran) > 1:
+        raise Violation(f"{request} runs twice")
+    for arrival in arrivals:
+        if arrival.at + arrival.handed_s > request.due_at + TRAVEL_S:
+            raise Violation(f"{arrival} is handed more time than is left of {request}")
+
+
+def _check_after_leaving(request: Sent, arrivals: list[Arrival]) -> None:
+    assert request.left_at is not None
+    for arrival in arrivals:
+        if arrival.at > request.left_at + BOUND_S:
+            raise Violation(f"{arrival} after its client left: {request}")
+        if arrival.ended_at > request.left_at + BOUND_S:
+            raise Violation(f"{arrival} is worked on after its client left: {request}")
+
+
+def _check_answer(world: World, request: Sent, arrivals: list[Arrival]) -> None:
+    answer, ended_at = request.answer, request.ended_at
+    assert ended_at is not None
+    if ended_at > request.due_at + BOUND_S:
+        raise Violation(f"{request} has no end at {request.due_at:.3f}")
+    if answer is None:
+        if arrivals or not world.term_at or request.sent_at < world.term_at + LISTENS_S:
+            raise Violation(f"{request} is lost")
+        return
+    if answer.status not in (200, 500, 502, 503, 504):
+        raise Violation(f"{request} is denied: {answer}")
+    if answer.status == 503 and any(arrival.ran for arrival in arrivals):
+        raise Violation(f"{request} has run, yet it gets 503")
+    if answer.status in (200, 500):
+        _check_passed_answer(world, request, answer, arrivals)
+    elif not answer.complete:
+        raise Violation(f"{request} gets a part of an answer of the node's own: {answer}")
+
+
+def _check_passed_answer(world: World, request: Sent, answer: Message, arrivals: list[Arrival]) -> None:
+    sealed = answer.header("Granitewell-Response-Seal") is not None
+    if answer.header("Granitewell-Request-Id") != request.id or not sealed:
+        raise Violation(f"{request} gets an answer to another one: {answer}")
+    events = [b"id: %d\ndata: %s\n\n" % (k, request.id.encode()) for k in range(1, EVENTS + 1)]
+    streams = answer.status == 200 and request.name in ("stream", "resume")
+    whole = b"".join(events) if streams else request.id.encode()
+    if answer.complete and answer.body != whole:
+        raise Violation(f"{request} gets a wrong answer: {answer}")
+    if not answer.complete and not _may_be_cut(world, request, arrivals):
+        raise Violation(f"{request} is cut, and nobody but the node did it: {arrivals}")
+    if streams and answer.body not in [b"".join(events[:k]) for k in range(EVENTS + 1)]:
+        raise Violation(f"{request} gets no whole events in order: {answer}")
+
+
+def _may_be_cut(world: World, request: Sent, arrivals: list[Arrival]) -> bool:
+    """Its time was over, its server broke off, or the grace period was."""
+    assert request.ended_at is not None
+    overdue = request.ended_at >= request.soonest_due_at - BOUND_S / 4
+    graceless = bool(world.term_at) and request.ended_at > world.term_at + GRACE_S / 2
+    return overdue or graceless or any(arrival.faulty for arrival in arrivals)
+
+
+def check_nothing_is_left(s: Scene) -> None:
+    """No place in a line, no request counted at a server, none under way."""
+    for state in s.plane._dispatcher._services.values():
+        counts = [(record.in_flight, record.unanswered) for record in state.records.values()]
+        if state.line or any(count != (0, 0) for count in counts):
+            raise Violation(f"{len(state.line)} in line, {counts} at servers")
+    if s.plane._exchanges or s.plane._front._busy or s.plane._upstreams._busy:
+        raise Violation("requests or connections are left")
--- /dev/null
+++ b/tests/dataplane/test_node_world.py
@@ -0,0 +1,73 @@
+"""A whole node under random troubles, by seeds: GRANITEWELL_SEEDS sets how many."""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from granitewell.dataplane.dispatch import Dispatcher
+from granitewell.dataplane.exchange import Exchange
+from granitewell.dataplane.request import Attempts
+from tests.dataplane import test_planted_defects as defects
+from tests.dataplane.node_world import Violation, play
+from tests.dataplane.simulated_network import play_simulated
+
+SEEDS = int(os.environ.get("GRANITEWELL_SEEDS", "30"))
+MOST_SEEDS = 60  # in which a planted defect must show
+
+
+def test_no_rule_is_broken_whatever_happens() -> None:
+    statuses: Counter[Any] = Counter()
+    for seed in range(SEEDS):
+        try:
+            world = play_simulated(play(seed))
+        except Violation as violation:
+            raise AssertionError(f"seed {seed}: {violation}") from violation
+        statuses.update("left" if r.left_at else r.answer and r.answer.status for r in world.sent)
+    assert statuses[200] > SEEDS and statuses["left"] > SEEDS  # the days are not empty
+    assert {500, 502, 503, 504} <= set(statuses)
+
+
+def promises_whatever_ran(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Attempts, "failure_status", property(lambda attempts: 503))
+
+
+def repeats_what_may_have_run(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Attempts, "may_repeat", lambda attempts: attempts.arrivals < attempts._most)
+
+
+def grants_are_not_given_back(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Dispatcher, "ended", lambda dispatcher, want, record, now: None)
+
+
+def grace_is_not_kept(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("granitewell.dataplane.plane.END_MARGIN_S", -1.0)
+    patch.setattr(Exchange, "expire", lambda exchange: None)
+
+
+DEFECTS: tuple[Callable[[pytest.MonkeyPatch], None], ...] = (
+    promises_whatever_ran,
+    repeats_what_may_have_run,
+    grants_are_not_given_back,
+    grace_is_not_kept,
+    defects.deadline_handed_on_unchanged,
+    defects.place_in_line_kept,
+    defects.handlers_outlive_clients,
+    defects.time_without_end,
+    defects.listener_closed_at_once,
+)
+
+
+@pytest.mark.parametrize("plant", DEFECTS, ids=lambda plant: plant.__name__)
+def test_a_planted_defect_is_noticed(plant: Callable[[Any], None], monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    for seed in range(MOST_SEEDS):
+        try:
+            play_simulated(play(seed))
+        except (Violation, TimeoutError):
+            return
+    raise AssertionError(f"not noticed in {MOST_SEEDS} seeds")
