Tests of rank and versions on the wire

The route's priority goes to the server as Priority, 0 to 9; Expect-Version and Versions pass through, a 421 moves the request on, an event that begins with its version passes whole and keeps its id. No change of code was needed.

--- /dev/null
+++ b/tests/dataplane/test_versions_and_priority.py
@@ -0,0 +1,64 @@
+"""What a node does with `Priority`, `Expect-Version` and `Versions`."""
+
+from __future__ import annotations
+
+import pytest
+
+from granitewell.dataplane.events import EventCutter
+from tests.dataplane.simulated_network import play_simulated
+from tests.dataplane.standin import Seen, configuration, route, scene, well
+
+
+@pytest.mark.parametrize(("ranked", "told"), [(0, "0"), (3, "3"), (9, "9"), (12, "9"), (-1, "0")])
+def test_the_rank_of_the_route_goes_to_the_server_within_its_bounds(ranked: int, told: str) -> None:
+    """The client's own word doesn't count."""
+
+    async def run() -> None:
+        async with scene(well) as s:
+            s.plane.apply_configuration(configuration(2, [route("r", priority=ranked)]))
+            assert (await s.call("/r/x", Priority="4")).status == 200
+            assert s.stand_ins[0].seen[0].header("Priority") == told
+
+    play_simulated(run())
+
+
+def test_a_server_with_another_version_is_passed_over() -> None:
+    def old(seen: Seen) -> None:
+        assert seen.request.header("Expect-Version") == "7"
+        seen.refuse(421)
+
+    def new(seen: Seen) -> None:
+        seen.answer(Versions="7")
+
+    async def run() -> None:
+        async with scene(old, new) as s:
+            s.fund()
+            for _ in range(6):
+                answer = await s.call("/once/x", Expect_Version="7")
+                assert (answer.status, answer.header("Versions")) == (200, "7")
+
+    play_simulated(run())
+
+
+def test_the_line_at_a_change_of_version_passes_within_its_event() -> None:
+    changed = b"versions: 8\nid: 2\ndata: word\n\n"
+
+    def behaviour(seen: Seen) -> None:
+        seen.writer.write(seen.head(Content_Type="text/event-stream", Versions="7"))
+        seen.event(1)
+        seen.chunk(changed)
+        seen.event(3)
+        seen.chunk(b"")
+
+    async def run() -> None:
+        async with scene(behaviour) as s:
+            answer = await s.call("/stream/x")
+            assert answer.complete and answer.header("Versions") == "7"
+            assert answer.body == b"id: 1\ndata: word\n\n" + changed + b"id: 3\ndata: word\n\n"
+
+    play_simulated(run())
+
+
+def test_an_event_that_begins_with_its_version_is_still_known_by_its_id() -> None:
+    (event,) = EventCutter().feed(b"versions: 8\nid: 41\ndata: id: 5\n\n")
+    assert event.id == "41"
