A log that was read is synced again; another's log refused; a full disk's queue bounded

A last batch whose sync had failed before the kill was synced once more, which does nothing where the system had dropped its pages; it is written again now, and after a rename nothing is appended until the folder's sync has succeeded in the same call.

While a disk refuses, compactions (a whole state each) piled up behind the batch that is tried again. A rewrite takes the place of waiting batches that are no shorter than it, and is then no longer dropped when refused.

A log says whose it is (version 2, upper half of the salt): a file of another group is ForeignLog and left as it is; version 1 is read as before. A newer version is refused before anything is removed. The copy of a damaged log is synced, and a disk that refuses it is tried again, instead of replacing the only one. Work that fails does not end the disk thread that all logs share.

Planted and caught: folder not synced, failed sync of file or folder counted, torn tail kept, tail only synced or not at all, name given before the sync. The existing tests name the owner; the refused newer version is 3 now.

--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -113,7 +113,7 @@
         self._settings = settings or ReplicaSettings()
         self._on_change = on_change or _nothing
         self._executor = executor or DiskThread.shared()
-        self._file = LogFile(files or OsFiles(), str(directory), lambda: rng.getrandbits(64))
+        self._file = LogFile(files or OsFiles(), str(directory), name, lambda: rng.getrandbits(64))
         self._log: DurableLog | None = None
         self._replica: Replica | None = None
         self._empty_machine = b""
--- a/granitewell/coordination/consensus/recovery.py
+++ b/granitewell/coordination/consensus/recovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Sequence
-from contextlib import suppress
 from dataclasses import replace
 
 import logbook
@@ -36,7 +35,8 @@
         self._executor = executor
 
     async def load(self) -> StoredState | None:
-        """What is on the disk; None where a new log is to be made. Waits for a disk that can't be read."""
+        """What is on the disk; None where a new log is to be made. Waits for a disk that can't be read. A log
+        of a newer program or of another group raises DurableLogError and is left as it is."""
         while True:
             loaded: asyncio.Future[StoredState | None] = asyncio.get_running_loop().create_future()
             self._executor.submit(lambda future=loaded: self._load_on_disk_thread(future))  # type: ignore[misc]
@@ -69,8 +69,7 @@
             return replay(record for batch in batches for record in decode_records(batch))
         except (CorruptLog, UnreadableRecords) as error:
             log.error("group {}: {}; this replica starts anew under another id", self._group, error)
-            with suppress(OSError):
-                self._file.keep_corrupt()
+            self._file.keep_corrupt()  # refused: tried again, since the damaged log is about to be replaced
             self._identity = replace(self._identity, replica_id=fresh_replica_id(), first_members=())
             return None
 
--- a/granitewell/coordination/disk_thread.py
+++ b/granitewell/coordination/disk_thread.py
@@ -7,6 +7,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import logbook
+
+log = logbook.Logger("granitewell.disk")
+
 
 class DiskThread:
     """One background thread that runs disk work in order, for all logs of a process."""
@@ -40,7 +44,10 @@
                 while not self._work:
                     self._wake.wait()
                 work = self._work.popleft()
-            work()
+            try:
+                work()
+            except Exception:  # the thread is everybody's: other logs go on
+                log.exception("disk work failed")
 
 
 class Executor(Protocol):
--- a/granitewell/coordination/durable_log.py
+++ b/granitewell/coordination/durable_log.py
@@ -65,6 +65,11 @@
         """Whether all is written."""
         return not self._busy and not self._waiting
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Of what waits for its turn; what is being written does not count."""
+        return sum(len(job.payload) for job in self._waiting)
+
     def append(self, batch: int, payload: bytes) -> None:
         """Write a batch after all others."""
         self._waiting.append(_Job(batch, payload, whole=False))
@@ -72,7 +77,11 @@
 
     def rewrite(self, batch: int, payload: bytes, *, optional: bool) -> None:
         """Replace the file, after all batches before, by one payload that stands for all of them. optional:
-        it only makes the file shorter, so it is dropped where the disk refuses it."""
+        it only makes the file shorter, so it is dropped where the disk refuses it. It takes the place of
+        batches that wait and are no shorter than it, so what waits for a disk that refuses stays bounded."""
+        if self.waiting_bytes >= len(payload):
+            optional = optional and not self._waiting
+            self._waiting.clear()
         self._waiting.append(_Job(batch, payload, whole=True, optional=optional))
         self._next()
 
--- a/granitewell/coordination/log_file.py
+++ b/granitewell/coordination/log_file.py
@@ -1,8 +1,8 @@
 """One open log file: batches are appended and synced, or the file is replaced as a whole.
 
 A file is replaced by `rewrite`: new file, sync, rename, sync of the folder. Until the folder is synced
-nothing later counts as synced. A write that fails is reported and may be tried again at the same place, from
-the first byte that was not synced.
+nothing is appended. A write or sync that fails is reported, and all that it was for is written again: after a
+failed sync the operating system may count as clean what never reached the disk.
 """
 
 from __future__ import annotations
@@ -11,7 +11,16 @@
 from contextlib import suppress
 
 from granitewell.coordination.disk_files import Files
-from granitewell.coordination.log_format import HEAD_BYTES, CorruptLog, frame, head, parse
+from granitewell.coordination.log_format import (
+    HEAD_BYTES,
+    Contents,
+    CorruptLog,
+    fingerprint,
+    frame,
+    head,
+    parse,
+    salt_of,
+)
 
 LOG_NAME = "log"
 NEW_NAME = "log.new"
@@ -20,47 +29,68 @@
 
 class LogFile:
     """One open log, used by the disk thread alone. Each call does one step of work or raises OSError; a
-    failed call may be made again and goes on where it must."""
+    failed call may be made again. owner: whose log it is, kept in its head: another's is refused."""
 
-    def __init__(self, files: Files, folder: str, salts: Callable[[], int]) -> None:
+    def __init__(self, files: Files, folder: str, owner: str, salts: Callable[[], int]) -> None:
         self._files = files
         self._folder = folder
+        self._owner = fingerprint(owner)
         self._salts = salts
         self._path = f"{folder}/{LOG_NAME}"
         self._new_path = f"{folder}/{NEW_NAME}"
         self._handle: int | None = None
         self._salt = 0
         self._length = 0
-        self._folder_synced = True
-        self._name_unknown = False
+        self._must_rewrite = False
+        self._tail_in_doubt = False
 
     @property
     def length(self) -> int:
         """Bytes that are synced."""
         return self._length
 
+    @property
+    def must_rewrite(self) -> bool:
+        """Whether a rewrite has failed after its rename began, so that it is not known which file a loss of
+        power leaves: nothing may be appended before a whole `rewrite`."""
+        return self._must_rewrite
+
+    # Opening
+
     def load(self) -> tuple[bytes, ...] | None:
         """Open the log and cut off what was never synced; its batches, or None where there is no log. Raises
-        CorruptLog and UnknownLogVersion too."""
+        CorruptLog, UnknownLogVersion and ForeignLog too, and has changed nothing then."""
         self._files.make_folder(self._folder)
         data = self._files.read(self._path)
         if data is None and (data := self._whole_new_file()) is None:
             return None
+        contents = parse(self._path, data, self._owner)
         with suppress(FileNotFoundError):
             self._files.remove(self._new_path)
-        contents = parse(self._path, data)
         handle = self._files.open(self._path, create=False)
         try:
-            if contents.length < len(data):
-                self._files.truncate(handle, contents.length)
-            self._files.sync(handle)  # a killed process may have left good frames that were not synced yet
+            self._settle(handle, data, contents)
             self._files.sync_folder(self._folder)
         except OSError:
+            self._tail_in_doubt = True
             self._files.close(handle)
             raise
         self._take(handle, contents.salt, contents.length)
         return contents.payloads
 
+    def _settle(self, handle: int, data: bytes, contents: Contents) -> None:
+        """Bring what was read to the disk. A killed process may have left a last batch that was not synced,
+        or whose sync had failed, so it is written once more. A full disk may refuse that; then its sync has
+        to do, unless a sync has failed before."""
+        if contents.length < len(data):
+            self._files.truncate(handle, contents.length)
+        if self._tail_in_doubt:
+            self._files.write(handle, 0, data[: contents.length])
+        elif len(contents.payloads) > 1:  # the first batch was synced before the file got its name
+            with suppress(OSError):
+                self._files.write(handle, contents.last_offset, data[contents.last_offset : contents.length])
+        self._files.sync(handle)
+
     def _whole_new_file(self) -> bytes | None:
         """A loss of power may take the old name and not yet give the new one: then the new file is the
         log."""
@@ -68,27 +98,33 @@
         if data is None:
             return None
         try:
-            whole = len(parse(self._new_path, data).payloads) > 0
+            whole = len(parse(self._new_path, data, self._owner).payloads) > 0
         except CorruptLog:
             whole = False
         if not whole:
             return None
+        self._sync_again(data)
         self._files.rename(self._new_path, self._path)
         return data
 
-    @property
-    def must_rewrite(self) -> bool:
-        """Whether a rename has failed halfway, so that nothing may be appended before a whole `rewrite`."""
-        return self._name_unknown
+    def _sync_again(self, data: bytes) -> None:
+        """Bring the new file to the disk before it gets its name: its process may have died before that."""
+        handle = self._files.open(self._new_path, create=False)
+        try:
+            self._files.write(handle, 0, data)
+            self._files.sync(handle)
+        finally:
+            self._files.close(handle)
 
     def _take(self, handle: int, salt: int, length: int) -> None:
         self.close()
         self._handle, self._salt, self._length = handle, salt, length
 
+    # Writing
+
     def append(self, payload: bytes) -> None:
         """Write a batch and sync it."""
-        assert self._handle is not None
-        self._sync_folder()
+        assert self._handle is not None and not self._must_rewrite
         data = frame(self._salt, self._length, payload)
         try:
             self._files.write(self._handle, self._length, data)
@@ -101,28 +137,25 @@
 
     def rewrite(self, payload: bytes) -> None:
         """Replace the whole file by one with this batch alone."""
-        salt = self._salts()
+        salt = salt_of(self._owner, self._salts())
         data = head(salt) + frame(salt, HEAD_BYTES, payload)
         handle = self._files.open(self._new_path, create=True)
         try:
             self._files.write(handle, 0, data)
             self._files.sync(handle)
-            self._name_unknown = True
+            self._must_rewrite = True
             self._files.rename(self._new_path, self._path)
-            self._name_unknown = False
         except OSError:
             self._files.close(handle)
             with suppress(OSError):
                 self._files.remove(self._new_path)
             raise
         self._take(handle, salt, len(data))
-        self._folder_synced = False
         self._sync_folder()
+        self._must_rewrite = False
 
     def _sync_folder(self) -> None:
-        if not self._folder_synced:
-            self._files.sync_folder(self._folder)
-            self._folder_synced = True
+        self._files.sync_folder(self._folder)
 
     def keep_corrupt(self) -> None:
         """Copy a damaged log aside, for whoever wants to look at it; the damaged one stays until it is
@@ -133,6 +166,7 @@
         handle = self._files.open(f"{self._folder}/{CORRUPT_NAME}", create=True)
         try:
             self._files.write(handle, 0, data)
+            self._files.sync(handle)
         finally:
             self._files.close(handle)
 
--- a/granitewell/coordination/log_format.py
+++ b/granitewell/coordination/log_format.py
@@ -6,7 +6,9 @@
 
 - a frame that does not check and has no good frame after it was never acknowledged: the file is cut there;
 - a frame that does not check and has a good frame after it is damage: `CorruptLog`;
-- a file of another version is refused and left alone: `UnknownLogVersion`.
+- a file of another version is refused and left alone: `UnknownLogVersion`;
+- so is a file that belongs to another owner: `ForeignLog`. The upper half of the salt tells whose a file is;
+  in version 1 all of it was random.
 """
 
 from __future__ import annotations
@@ -18,11 +20,15 @@
 from granitewell.model.errors import GranitewellError
 
 MAGIC = b"GWDL"
-VERSION = 1
+VERSION = 2
+OWNERLESS_VERSION = 1
+"""Like the present one, but its salt does not tell whose log it is."""
 _HEAD = struct.Struct("!4sHQI")  # magic, version, salt, checksum of what stands before
 _FRAME = struct.Struct("!4sIQI")  # mark, payload length, place in the file, checksum
 _MARK = b"\xf7GWf"
 HEAD_BYTES = _HEAD.size
+_RANDOM_BITS = 32
+_RANDOM_MASK = (1 << _RANDOM_BITS) - 1
 
 
 class DurableLogError(GranitewellError):
@@ -42,10 +48,28 @@
     """A log was written by a newer program."""
 
     def __init__(self, path: str, version: int) -> None:
-        super().__init__(f"{path} has version {version}, known: {VERSION}")
+        super().__init__(f"{path} has version {version}, known: {OWNERLESS_VERSION} to {VERSION}")
         self.version = version
 
 
+class ForeignLog(DurableLogError):
+    """A log is whole, but another's."""
+
+    def __init__(self, path: str) -> None:
+        super().__init__(f"{path} is the log of another owner")
+        self.path = path
+
+
+def fingerprint(owner: str) -> int:
+    """What a file's head says of its owner: 32 bits."""
+    return crc32(owner.encode())
+
+
+def salt_of(owner: int, random_bits: int) -> int:
+    """The salt of an owner's file."""
+    return owner << _RANDOM_BITS | random_bits & _RANDOM_MASK
+
+
 def head(salt: int) -> bytes:
     """The head of a file."""
     bare = _HEAD.pack(MAGIC, VERSION, salt, 0)[:-4]
@@ -64,18 +88,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Contents:
-    """What a file holds. length: of what is good; the rest is to be cut off."""
+    """What a file holds. length: of what is good; the rest is to be cut off. last_offset: of the last good
+    batch."""
 
     salt: int
     payloads: tuple[bytes, ...]
     length: int
+    last_offset: int
 
 
-def parse(path: str, data: bytes) -> Contents:
-    """The batches of a file; raises CorruptLog or UnknownLogVersion."""
-    salt = _parse_head(path, data)
+def parse(path: str, data: bytes, owner: int) -> Contents:
+    """The batches of an owner's file; raises CorruptLog, UnknownLogVersion or ForeignLog."""
+    salt = _parse_head(path, data, owner)
     payloads: list[bytes] = []
-    offset = _HEAD.size
+    offset = last_offset = _HEAD.size
     while offset < len(data):
         payload = _frame_at(salt, data, offset)
         if payload is None:
@@ -83,17 +109,20 @@
                 raise CorruptLog(path, offset)
             break
         payloads.append(payload)
+        last_offset = offset
         offset += _FRAME.size + len(payload)
-    return Contents(salt, tuple(payloads), offset)
+    return Contents(salt, tuple(payloads), offset, last_offset)
 
 
-def _parse_head(path: str, data: bytes) -> int:
+def _parse_head(path: str, data: bytes, owner: int) -> int:
     if len(data) < _HEAD.size:
         raise CorruptLog(path, 0)
     magic, version, salt, checksum = _HEAD.unpack_from(data)
     if magic != MAGIC or crc32(data[: _HEAD.size - 4]) != checksum:
         raise CorruptLog(path, 0)
-    if version != VERSION:
+    if version == VERSION and salt >> _RANDOM_BITS != owner:
+        raise ForeignLog(path)
+    if version not in (VERSION, OWNERLESS_VERSION):
         raise UnknownLogVersion(path, version)
     return int(salt)
 
--- a/tests/coordination/simulated_files.py
+++ b/tests/coordination/simulated_files.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import product
 from random import Random
 
 
@@ -11,27 +13,40 @@
     """The process dies at this call."""
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Write:
     """One change of a file that is not synced. data None: its length was set to offset."""
 
     offset: int
     data: bytes | None
 
+    def outcomes(self) -> tuple[_Write | None, ...]:
+        """What a loss of power may leave of it: nothing, all, or a part."""
+        if not self.data:
+            return (None, self)
+        return (None, self, _Write(self.offset, self.data[: (len(self.data) + 1) // 2]))
+
 
 @dataclass
 class _File:
+    """synced: what is on the disk for good. unsynced: what the next sync brings there. cached: what a process
+    reads; a sync that failed leaves there what will never reach the disk."""
+
     synced: bytes = b""
+    cached: bytes = b""
     unsynced: list[_Write] = field(default_factory=list)
 
-    def content(self) -> bytes:
-        """What a process reads."""
-        return _apply(self.synced, self.unsynced)
+    def change(self, write: _Write) -> None:
+        """A write or a truncation by a process."""
+        self.cached = _apply(self.cached, [write])
+        self.unsynced.append(write)
 
 
-def _apply(content: bytes, writes: list[_Write]) -> bytes:
+def _apply(content: bytes, writes: Sequence[_Write | None]) -> bytes:
     now = bytearray(content)
     for write in writes:
+        if write is None:
+            continue
         if write.data is None:
             now = now[: write.offset].ljust(write.offset, b"\0")
         else:
@@ -42,113 +57,199 @@
 
 class SimulatedFiles:
     """The calls of `disk_files.Files`. kill_at: the call by number at which the process dies; refusing: the
-    error number of all writes."""
+    error number of all writes, or only of the calls in `refused_calls`; failing_syncs: how many of the next
+    syncs fail; room: bytes that the disk still takes; refuse_at:
+    the one call by number that is refused; a rename may take place all the same (`renames_anyway`). A file's
+    sync that fails drops what it was for, as Linux does; a folder's keeps its names to be synced."""
 
     def __init__(self, rng: Random) -> None:
         self.calls = 0
         self.kill_at: int | None = None
         self.refusing: int | None = None
+        self.refused_calls: frozenset[str] = frozenset()
+        self.failing_syncs = 0
+        self.room: int | None = None
+        self.refuse_at: int | None = None
+        self.renames_anyway = False
         self._rng = rng
         self._files: dict[int, _File] = {}
         self._names: dict[str, int] = {}
         self._synced_names: dict[str, int] = {}
+        self._unsynced_names: set[str] = set()
 
-    def _call(self, *, writes: bool = True) -> None:
+    def _call(self, name: str = "", *, writes: bool = True) -> None:
         self.calls += 1
         if self.kill_at is not None and self.calls >= self.kill_at:
             raise Killed
-        if writes and self.refusing is not None:
+        refused = not self.refused_calls or name in self.refused_calls
+        if writes and refused and self.refusing is not None:
             raise OSError(self.refusing, errno.errorcode[self.refusing])
+        if writes and self.calls == self.refuse_at:
+            self._refuse_once(name)
+
+    def _refuse_once(self, name: str) -> None:
+        if name in ("sync", "sync_folder"):
+            self.failing_syncs = 1
+        elif name != "rename" or not self.renames_anyway:
+            raise OSError(errno.EIO, "EIO")
 
     def read(self, path: str) -> bytes | None:
         """The whole file, or None."""
         self._call(writes=False)
         number = self._names.get(path)
-        return None if number is None else self._files[number].content()
+        return None if number is None else self._files[number].cached
 
     def open(self, path: str, *, create: bool) -> int:
         """The file's number stands for a handle."""
-        self._call(writes=create)
+        self._call("open", writes=create)
         if create:
             number = self._names.get(path)
             if number is None:
                 number = self._names[path] = len(self._files)
                 self._files[number] = _File()
+                self._unsynced_names.add(path)
             else:
-                self._files[number].unsynced.append(_Write(0, None))
+                self._files[number].change(_Write(0, None))
         return self._names[path]
 
     def write(self, handle: int, offset: int, data: bytes) -> None:
         """Half of it, then the rest: a process may die between."""
         half = len(data) // 2
         for at, part in ((0, data[:half]), (half, data[half:])):
-            self._call()
-            self._files[handle].unsynced.append(_Write(offset + at, part))
+            self._call("write")
+            self._write(handle, offset + at, part)
+
+    def _write(self, handle: int, offset: int, data: bytes) -> None:
+        if self.room is None:
+            self._files[handle].change(_Write(offset, data))
+            return
+        part = data[: self.room]
+        self._files[handle].change(_Write(offset, part))
+        self.room -= len(part)
+        if len(part) < len(data):
+            raise OSError(errno.ENOSPC, "ENOSPC")
 
     def truncate(self, handle: int, length: int) -> None:
         """Not synced either."""
-        self._call()
-        self._files[handle].unsynced.append(_Write(length, None))
+        self._call("truncate")
+        self._files[handle].change(_Write(length, None))
 
     def sync(self, handle: int) -> None:
         """The file, and the name of a new file."""
-        self._call()
+        self._call("sync")
         file = self._files[handle]
-        file.synced, file.unsynced = file.content(), []
+        writes, file.unsynced = file.unsynced, []
+        self._fail_sync()
+        file.synced = _apply(file.synced, writes)
         if handle not in self._synced_names.values():
             for name, number in self._names.items():
                 if number == handle:
                     self._synced_names[name] = number
+                    self._unsynced_names.discard(name)
+
+    def _fail_sync(self) -> None:
+        if self.failing_syncs > 0:
+            self.failing_syncs -= 1
+            raise OSError(errno.EIO, "EIO")
 
     def close(self, handle: int) -> None:
         """Nothing to do."""
 
     def rename(self, old: str, new: str) -> None:
         """Lost or kept until the folder is synced."""
-        self._call()
+        self._call("rename")
         self._names[new] = self._names.pop(old)
+        self._unsynced_names |= {old, new}
+        if self.calls == self.refuse_at:
+            raise OSError(errno.EIO, "EIO")
 
     def remove(self, path: str) -> None:
         """Lost or kept until the folder is synced."""
-        self._call()
+        self._call("remove")
         if path not in self._names:
             raise FileNotFoundError(path)
         del self._names[path]
+        self._unsynced_names.add(path)
 
     def sync_folder(self, path: str) -> None:
         """All names."""
-        self._call()
-        self._synced_names = dict(self._names)
+        self._call("sync_folder")
+        self._fail_sync()
+        for name in self._unsynced_names:
+            self._put(self._synced_names, name, self._names.get(name))
+        self._unsynced_names = set()
 
     def make_folder(self, path: str) -> None:
         """There is only one."""
         self._call(writes=False)
 
+    @staticmethod
+    def _put(names: dict[str, int], name: str, number: int | None) -> None:
+        if number is None:
+            names.pop(name, None)
+        else:
+            names[name] = number
+
+    # Restarts
+
     def restart(self, *, power: bool) -> None:
         """The process has died; with a loss of power, what was not synced is there, missing or torn, and each
         name that was not synced is the old one or the new one."""
         self.kill_at = None
         if not power:
             return
-        for name in sorted({*self._names, *self._synced_names}):
-            if self._rng.random() < 0.5:
-                self._put_back(name)
-        self._synced_names = dict(self._names)
-        for file in self._files.values():
-            file.synced = _apply(file.synced, [self._torn(write) for write in file.unsynced if self._kept()])
-            file.unsynced = []
-
-    def _put_back(self, name: str) -> None:
-        old = self._synced_names.get(name)
-        if old is None:
-            self._names.pop(name, None)
-        else:
-            self._names[name] = old
-
-    def _kept(self) -> bool:
-        return self._rng.random() < 0.6
+        kept_names = {name for name in sorted(self._unsynced_names) if self._rng.random() < 0.5}
+        kept_writes = {
+            number: [self._torn(write) for write in file.unsynced if self._rng.random() < 0.6]
+            for number, file in self._files.items()
+        }
+        self._lose(kept_names, kept_writes)
 
     def _torn(self, write: _Write) -> _Write:
         if write.data is None or self._rng.random() < 0.5:
             return write
         return _Write(write.offset, write.data[: self._rng.randrange(len(write.data) + 1)])
+
+    def after_power_loss(self) -> Iterator[SimulatedFiles]:
+        """Every disk that a loss of power may leave now: each write and each name by itself."""
+        names = sorted(self._unsynced_names)
+        files = [(number, file) for number, file in self._files.items() if file.unsynced]
+        writes = [[write.outcomes() for write in file.unsynced] for _, file in files]
+        for kept in product((False, True), repeat=len(names)):
+            for chosen in product(*(product(*outcomes) for outcomes in writes)):
+                copy = self.copy()
+                kept_writes = {number: some for (number, _), some in zip(files, chosen, strict=True)}
+                copy._lose({name for name, there in zip(names, kept, strict=True) if there}, kept_writes)
+                yield copy
+
+    def _lose(self, kept_names: set[str], kept_writes: Mapping[int, Sequence[_Write | None]]) -> None:
+        for name in kept_names:
+            self._put(self._synced_names, name, self._names.get(name))
+        self._names = dict(self._synced_names)
+        self._unsynced_names = set()
+        for number, file in self._files.items():
+            file.synced = file.cached = _apply(file.synced, kept_writes.get(number, []))
+            file.unsynced = []
+
+    def copy(self) -> SimulatedFiles:
+        """The same disk once more, with nothing wrong with it."""
+        other = SimulatedFiles(self._rng)
+        other._files = {
+            number: _File(file.synced, file.cached, list(file.unsynced))
+            for number, file in self._files.items()
+        }
+        other._names = dict(self._names)
+        other._synced_names = dict(self._synced_names)
+        other._unsynced_names = set(self._unsynced_names)
+        return other
+
+    def state(self) -> tuple[object, ...]:
+        """All that the next process and the next loss of power may depend on, as a value."""
+        numbers = sorted({*self._names.values(), *self._synced_names.values()})
+        files = [self._files[number] for number in numbers]
+        return (
+            tuple((name, numbers.index(number)) for name, number in sorted(self._names.items())),
+            tuple((name, numbers.index(number)) for name, number in sorted(self._synced_names.items())),
+            tuple(sorted(self._unsynced_names)),
+            tuple((file.synced, file.cached, tuple(file.unsynced)) for file in files),
+        )
--- /dev/null
+++ b/tests/coordination/test_crash_points.py
@@ -0,0 +1,270 @@
+"""Every point at which a log's process may die, and every disk that a loss of power may leave then.
+
+The history is small: a log is made, appended to, rewritten and appended to again, by a process that dies at
+one of its calls; a second one recovers, and may die at one of its own; a third must find all that was said to
+be synced, in order, and nothing that was never written. In between each change of a file and each name that
+was not synced is there, missing or torn, by itself. Each call is refused once too, syncs among them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from granitewell.coordination import log_file, log_format
+from granitewell.coordination.log_file import LogFile
+from granitewell.coordination.log_format import Contents, CorruptLog
+from tests.coordination.simulated_files import Killed, SimulatedFiles
+
+MOST_CALLS = 60
+
+
+def open_log(files: SimulatedFiles) -> LogFile:
+    """The log of one process."""
+    return LogFile(files, "/disk", "group", lambda: 7)
+
+
+class Lost(AssertionError):
+    """What a recovered log holds is not what it must."""
+
+
+class Writer:
+    """Letters, one a batch. synced: how many were reported as synced; tried: how many were handed over."""
+
+    def __init__(self, files: SimulatedFiles, synced: int = 0, tried: int = 0) -> None:
+        self.log = open_log(files)
+        self.synced = synced
+        self.tried = tried
+
+    def write(self) -> None:
+        """The whole history; a refused call is made again, as the queue does."""
+        self._insist(self.log.load)
+        for whole in (True, False, False, True, False):
+            if not whole:
+                self.tried += 1
+            letters = LETTERS[: self.tried] if whole else LETTERS[self.tried - 1 : self.tried]
+            self._insist(lambda w=whole, p=letters: self.log.rewrite(p) if w else self.log.append(p))  # type: ignore[misc]
+            self.synced = self.tried
+
+    def go_on(self) -> None:
+        """Another process finds the log, and writes one letter more."""
+        batches = load(self.log)
+        self.synced = self.tried = check(batches, self.synced, self.tried)
+        if batches is not None and self.tried < len(LETTERS):
+            self.tried += 1
+            self.log.append(LETTERS[self.tried - 1 : self.tried])
+            self.synced = self.tried
+
+    def _insist(self, call: Callable[[], object]) -> None:
+        for _ in range(5):
+            try:
+                call()
+            except OSError:
+                continue
+            return
+        raise AssertionError("refused for ever")
+
+
+LETTERS = b"abcdef"
+
+
+def load(log: LogFile) -> bytes | None:
+    """What a process finds; None where there is no log. Raises Lost."""
+    try:
+        batches = log.load()
+    except CorruptLog as error:
+        raise Lost(str(error)) from error
+    return None if batches is None else b"".join(batches)
+
+
+def check(found: bytes | None, synced: int, tried: int) -> int:
+    """How many letters are there; raises Lost."""
+    if found is None:
+        if synced:
+            raise Lost(f"{synced} were synced, and there is no log")
+        return 0
+    if not synced <= len(found) <= tried or found != LETTERS[: len(found)]:
+        raise Lost(f"{found!r} with {synced} synced of {tried}")
+    return len(found)
+
+
+def disks_after(files: SimulatedFiles) -> list[SimulatedFiles]:
+    """What the next process may find: the files as they are, after a kill, or any of what a loss of power
+    leaves."""
+    states = [files.copy(), *files.after_power_loss()]
+    return list({state.state(): state for state in states}.values())
+
+
+class Search:
+    """All histories. recoveries: how many second processes were looked at, at each of their calls."""
+
+    def __init__(self) -> None:
+        self.recoveries = 0
+        self._seen: set[tuple[object, ...]] = set()
+
+    def run(self) -> int:
+        """No trouble but deaths; then each call refused once, where a rename may take place all the same."""
+        calls = self.deaths()
+        for call in range(1, calls + 1):
+            for anyway in (False, True):
+                self.deaths(call, anyway)
+        return self.recoveries
+
+    def deaths(self, refuse_at: int = 0, renames_anyway: bool = False) -> int:
+        """A first process, one of whose calls may be refused, dies at each of its calls after that; how many
+        calls it makes."""
+        for death in range(refuse_at + 1, MOST_CALLS):
+            files = SimulatedFiles(Random(0))
+            files.refuse_at, files.renames_anyway = refuse_at, renames_anyway
+            files.kill_at = death
+            writer = Writer(files)
+            over = False
+            with suppress(Killed):
+                writer.write()
+                over = True
+            for disk in disks_after(files):
+                self.recover(disk, writer.synced, writer.tried)
+            if over:
+                return files.calls
+        raise AssertionError("the history has more calls than were tried")
+
+    def recover(self, disk: SimulatedFiles, synced: int, tried: int) -> None:
+        """The second process, dying at each of its calls, and the third; the same disk only once."""
+        key = (disk.state(), synced, tried)
+        if key in self._seen:
+            return
+        self._seen.add(key)
+        for death in range(1, MOST_CALLS):
+            self.recoveries += 1
+            files = disk.copy()
+            files.kill_at = death
+            second = Writer(files, synced, tried)
+            over = False
+            with suppress(Killed):
+                second.go_on()
+                over = True
+            files.kill_at = None
+            for last in disks_after(files):
+                check(load(open_log(last)), second.synced, second.tried)
+            if over:
+                return
+
+
+def test_whatever_a_process_dies_at_and_the_disk_keeps_what_was_synced_is_there() -> None:
+    assert Search().run() > 1_000
+
+
+# Guards taken out
+
+
+def folder_is_not_synced(patch: pytest.MonkeyPatch) -> None:
+    """A rewrite does not wait for the sync of its folder."""
+    patch.setattr(LogFile, "_sync_folder", lambda self: None)
+
+
+def failed_sync_counts(patch: pytest.MonkeyPatch) -> None:
+    """A batch whose sync has failed is synced again, and not written again."""
+    real = LogFile.append
+
+    def append(self: LogFile, payload: bytes) -> None:
+        files = self._files
+        sync, self._files.sync = files.sync, lambda handle: _insist_on_sync(sync, handle)  # type: ignore[method-assign]
+        try:
+            real(self, payload)
+        finally:
+            files.sync = sync  # type: ignore[method-assign]
+
+    patch.setattr(LogFile, "append", append)
+
+
+def _insist_on_sync(sync: Callable[[int], None], handle: int) -> None:
+    with suppress(OSError):
+        sync(handle)
+        return
+    sync(handle)
+
+
+def failed_folder_sync_counts(patch: pytest.MonkeyPatch) -> None:
+    """A rewrite whose folder's sync has failed counts as done."""
+
+    def sync_folder(self: LogFile) -> None:
+        with suppress(OSError):
+            self._files.sync_folder(self._folder)
+
+    patch.setattr(LogFile, "_sync_folder", sync_folder)
+
+
+def torn_tail_is_kept(patch: pytest.MonkeyPatch) -> None:
+    """What follows a torn batch is appended after it, and not in its place."""
+    real = log_format.parse
+
+    def parse(path: str, data: bytes, owner: int) -> Contents:
+        return replace(real(path, data, owner), length=len(data))
+
+    patch.setattr(log_file, "parse", parse)
+
+
+def new_file_is_not_synced(patch: pytest.MonkeyPatch) -> None:
+    """A new file gets the log's name before its process's successor has synced it."""
+    patch.setattr(LogFile, "_sync_again", lambda self, data: None)
+
+
+def read_tail_counts(patch: pytest.MonkeyPatch) -> None:
+    """What a process finds counts as synced."""
+
+    def settle(self: LogFile, handle: int, data: bytes, contents: Contents) -> None:
+        if contents.length < len(data):
+            self._files.truncate(handle, contents.length)
+
+    patch.setattr(LogFile, "_settle", settle)
+
+
+def tail_is_only_synced(patch: pytest.MonkeyPatch) -> None:
+    """What a process finds is synced but not written again, although its sync may have failed before."""
+
+    def settle(self: LogFile, handle: int, data: bytes, contents: Contents) -> None:
+        if contents.length < len(data):
+            self._files.truncate(handle, contents.length)
+        self._files.sync(handle)
+
+    patch.setattr(LogFile, "_settle", settle)
+
+
+def rewrite_in_place(patch: pytest.MonkeyPatch) -> None:
+    """A rewrite gives the new file its name before it is synced."""
+    real = LogFile.rewrite
+
+    def rewrite(self: LogFile, payload: bytes) -> None:
+        files = self._files
+        sync, files.sync = files.sync, lambda handle: None  # type: ignore[method-assign]
+        try:
+            real(self, payload)
+        finally:
+            files.sync = sync  # type: ignore[method-assign]
+
+    patch.setattr(LogFile, "rewrite", rewrite)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        folder_is_not_synced,
+        failed_sync_counts,
+        failed_folder_sync_counts,
+        torn_tail_is_kept,
+        new_file_is_not_synced,
+        read_tail_counts,
+        tail_is_only_synced,
+        rewrite_in_place,
+    ],
+)
+def test_a_guard_that_is_taken_out_is_noticed(
+    plant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises(Lost):
+        Search().run()
--- a/tests/coordination/test_durable_log.py
+++ b/tests/coordination/test_durable_log.py
@@ -6,17 +6,31 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from threading import Event
 
 import pytest
 
 from granitewell.coordination import log_format
 from granitewell.coordination.disk_files import OsFiles
+from granitewell.coordination.disk_thread import DiskThread
 from granitewell.coordination.durable_log import DurableLog, WriteFailed
 from granitewell.coordination.log_file import LogFile
-from granitewell.coordination.log_format import CorruptLog, UnknownLogVersion, frame, head, parse
+from granitewell.coordination.log_format import (
+    HEAD_BYTES,
+    CorruptLog,
+    ForeignLog,
+    UnknownLogVersion,
+    fingerprint,
+    frame,
+    head,
+    parse,
+    salt_of,
+)
 from tests.coordination.simulated_files import Killed, SimulatedFiles
 
-SALT = 7
+OWNER = "group"
+OWNER_MARK = fingerprint(OWNER)
+SALT = salt_of(OWNER_MARK, 7)
 BATCHES = (b"first", b"second " * 9, b"", b"last")
 
 
@@ -29,7 +43,7 @@
 
 def log_file(files: SimulatedFiles) -> LogFile:
     salts = Random(1)
-    return LogFile(files, "/disk", lambda: salts.getrandbits(64))
+    return LogFile(files, "/disk", OWNER, lambda: salts.getrandbits(64))
 
 
 # Reading
@@ -40,7 +54,7 @@
     ends = [len(written(BATCHES[:count])) for count in range(len(BATCHES) + 1)]
     for length in range(ends[0], len(data) + 1):
         count = sum(end <= length for end in ends) - 1
-        contents = parse("log", data[:length])
+        contents = parse("log", data[:length], OWNER_MARK)
         assert contents.payloads == BATCHES[:count]
         assert contents.length == ends[count]
 
@@ -48,7 +62,7 @@
 def test_a_file_without_a_whole_head_is_damaged() -> None:
     for length in range(len(head(SALT))):
         with pytest.raises(CorruptLog):
-            parse("log", written()[:length])
+            parse("log", written()[:length], OWNER_MARK)
 
 
 def test_a_flipped_byte_is_damage_or_in_the_last_batch() -> None:
@@ -57,29 +71,75 @@
     for offset in range(len(data)):
         flipped = data[:offset] + bytes([data[offset] ^ 0x41]) + data[offset + 1 :]
         if offset >= last:
-            assert parse("log", flipped).payloads == BATCHES[:-1]
+            assert parse("log", flipped, OWNER_MARK).payloads == BATCHES[:-1]
         else:
             with pytest.raises(CorruptLog):
-                parse("log", flipped)
+                parse("log", flipped, OWNER_MARK)
 
 
 def test_zeros_after_the_last_batch_are_cut_off() -> None:
-    assert parse("log", written() + bytes(100)).payloads == BATCHES
+    assert parse("log", written() + bytes(100), OWNER_MARK).payloads == BATCHES
 
 
 def test_a_log_within_a_log_is_no_frame_of_it() -> None:
     inner = written()
     torn = written((b"x", inner))
     torn = torn[: len(written((b"x",))) + 3] + bytes(5) + torn[len(written((b"x",))) + 8 :]
-    assert parse("log", torn).payloads == (b"x",)
+    assert parse("log", torn, OWNER_MARK).payloads == (b"x",)
 
 
 def test_a_newer_version_is_refused_and_named(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(log_format, "VERSION", 2)
+    monkeypatch.setattr(log_format, "VERSION", 3)
     newer = written()
     monkeypatch.undo()
-    with pytest.raises(UnknownLogVersion, match="version 2, known: 1"):
-        parse("log", newer)
+    with pytest.raises(UnknownLogVersion, match="version 3, known: 1 to 2"):
+        parse("log", newer, OWNER_MARK)
+
+
+def test_a_log_of_another_owner_is_refused_and_left_alone() -> None:
+    files = SimulatedFiles(Random(0))
+    other = LogFile(files, "/disk", "other", lambda: SALT)
+    other.load()
+    other.rewrite(b"theirs")
+    before = files.state()
+    with pytest.raises(ForeignLog):
+        log_file(files).load()
+    assert files.state() == before
+    assert LogFile(files, "/disk", "other", lambda: SALT).load() == (b"theirs",)
+
+
+def test_a_log_of_the_version_without_owners_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(log_format, "VERSION", log_format.OWNERLESS_VERSION)
+    older = head(12345) + frame(12345, HEAD_BYTES, b"first")
+    monkeypatch.undo()
+    assert parse("log", older, OWNER_MARK).payloads == (b"first",)
+
+
+def test_frames_of_another_file_over_the_last_batch_are_cut_off_and_over_another_are_damage() -> None:
+    data = written()
+    foreign_salt = salt_of(OWNER_MARK, 8)
+    for count in range(len(BATCHES)):
+        start = len(written(BATCHES[:count]))
+        foreign = frame(foreign_salt, start, BATCHES[count])
+        overwritten = data[:start] + foreign + data[start + len(foreign) :]
+        if count == len(BATCHES) - 1:
+            assert parse("log", overwritten, OWNER_MARK).payloads == BATCHES[:-1]
+        else:
+            with pytest.raises(CorruptLog):
+                parse("log", overwritten, OWNER_MARK)
+
+
+def test_a_newer_log_is_left_as_it_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    files = SimulatedFiles(Random(0))
+    monkeypatch.setattr(log_format, "VERSION", 3)
+    newer = log_file(files)
+    newer.load()
+    newer.rewrite(b"newer")
+    monkeypatch.undo()
+    before = files.state()
+    with pytest.raises(UnknownLogVersion):
+        log_file(files).load()
+    assert files.state() == before
 
 
 # Writing
@@ -87,20 +147,20 @@
 
 def test_on_a_real_disk_what_is_written_is_read_again(tmp_path: Path) -> None:
     folder = str(tmp_path / "group")
-    log = LogFile(OsFiles(), folder, lambda: SALT)
+    log = LogFile(OsFiles(), folder, OWNER, lambda: SALT)
     assert log.load() is None
     log.rewrite(b"start")
     log.append(b"more")
     log.close()
     with open(f"{folder}/log", "ab") as file:
         file.write(b"torn")
-    again = LogFile(OsFiles(), folder, lambda: SALT)
+    again = LogFile(OsFiles(), folder, OWNER, lambda: SALT)
     assert again.load() == (b"start", b"more")
     again.append(b"and more")
     again.rewrite(b"all")
     again.append(b"after")
     again.close()
-    assert LogFile(OsFiles(), folder, lambda: SALT).load() == (b"all", b"after")
+    assert LogFile(OsFiles(), folder, OWNER, lambda: SALT).load() == (b"all", b"after")
     assert sorted(path.name for path in (tmp_path / "group").iterdir()) == ["log"]
 
 
@@ -289,6 +349,118 @@
     assert log_file(files).load() == (b"a", b"b")
 
 
+def test_what_waits_for_a_disk_that_refuses_stays_bounded() -> None:
+    files, steps = SimulatedFiles(Random(0)), Steps()
+    log, _ = steps.log(files)
+    log.rewrite(1, b"a", optional=False)
+    steps.step()
+    files.refusing = errno.ENOSPC
+    log.append(2, b"2")
+    state = b"2"
+    for batch in range(3, 2_000):
+        log.append(batch, b"." * 10)
+        state += b"."
+        if batch % 100 == 0:
+            log.rewrite(batch, state, optional=True)
+        assert log.waiting_bytes <= 2 * len(state) + 100 * 10
+    files.refusing = None
+    while not log.idle:
+        if not steps.work:
+            steps.pauses.pop()()
+        steps.step()
+    assert steps.synced[-1] == 1_999 and steps.synced == sorted(steps.synced)
+    batches = log_file(files).load() or ()
+    assert batches[0] == b"2" + b"." * 1_898 and b"".join(batches[1:]) == b"." * 990
+
+
+def test_a_rewrite_that_took_the_place_of_batches_is_not_dropped_when_refused() -> None:
+    files, steps = SimulatedFiles(Random(0)), Steps()
+    log, _ = steps.log(files)
+    log.rewrite(1, b"a", optional=False)
+    steps.step()
+    files.refusing = errno.ENOSPC
+    log.append(2, b"b")
+    log.append(3, b"long")
+    log.rewrite(3, b"abl", optional=True)
+    files.refusing = None
+    steps.step()
+    assert steps.synced == [1, 2]
+    files.refusing = errno.ENOSPC
+    steps.step()
+    assert steps.synced == [1, 2] and len(steps.failures) == 1
+    files.refusing = None
+    steps.pauses.pop()()
+    steps.step()
+    assert steps.synced == [1, 2, 3] and log_file(files).load() == (b"abl",)
+
+
+@pytest.mark.parametrize("call", ["open", "write", "truncate", "sync", "rename", "sync_folder"])
+def test_whichever_call_is_refused_the_log_goes_on_once_it_is_not(call: str) -> None:
+    files, steps = SimulatedFiles(Random(0)), Steps()
+    log, file = steps.log(files)
+    log.rewrite(1, b"a", optional=False)
+    steps.step()
+    files.refusing, files.refused_calls = errno.ENOSPC, frozenset({call})
+    log.append(2, b"b")
+    log.rewrite(2, b"ab", optional=True)
+    log.append(3, b"c")
+    for _ in range(20):
+        if not steps.work and steps.pauses:
+            steps.pauses.pop()()
+        if steps.work:
+            steps.step()
+    files.refusing = None
+    while not log.idle:
+        if not steps.work:
+            steps.pauses.pop()()
+        steps.step()
+    assert not file.must_rewrite and steps.synced[-1] == 3
+    for disk in files.after_power_loss():
+        assert b"".join(log_file(disk).load() or ()) == b"abc"
+
+
+def test_a_disk_that_takes_a_part_of_a_batch_leaves_no_trace_of_it() -> None:
+    for room in range(40):
+        files = SimulatedFiles(Random(0))
+        log = log_file(files)
+        log.load()
+        log.rewrite(b"start")
+        files.room = room
+        with pytest.raises(OSError):
+            log.append(b"lost " * 9)
+        files.room = None
+        log.append(b"kept")
+        assert log_file(files).load() == (b"start", b"kept")
+
+
+def test_a_damaged_log_is_kept_aside_or_stays() -> None:
+    files = SimulatedFiles(Random(0))
+    log = log_file(files)
+    log.load()
+    log.rewrite(b"start")
+    log.append(b"more")
+    files.write(files.open("/disk/log", create=False), HEAD_BYTES + 2, b"?")
+    files.refusing = errno.ENOSPC
+    with pytest.raises(OSError):
+        log_file(files).keep_corrupt()
+    files.refusing = None
+    log_file(files).keep_corrupt()
+    for disk in files.after_power_loss():
+        assert disk.read("/disk/log.corrupt") == files.read("/disk/log")
+
+
+def test_the_disk_thread_outlives_work_that_fails() -> None:
+    thread = DiskThread()
+    done = Event()
+
+    def fail() -> None:
+        raise MemoryError
+
+    thread.submit(fail)
+    thread.submit(done.set)
+    assert done.wait(5)
+
+
 def test_a_closed_log_reports_nothing() -> None:
     files, steps = SimulatedFiles(Random(0)), Steps()
     log, _ = steps.log(files)
