An identity that was interrupted or written in part is taken up again

A disk that gets full takes a part of a write; the rest was not written, and the next start found a damaged identity: a fresh replica, no first member. A start that ended before the rename made another identity, though the first was whole beside it. A disk that refuses is tried again for 10 s before the process ends.

--- a/granitewell/coordination/consensus/identity.py
+++ b/granitewell/coordination/consensus/identity.py
@@ -11,6 +11,7 @@
 import json
 import os
 import secrets
+import time
 from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import asdict, dataclass
@@ -27,8 +28,13 @@
 )
 
 IDENTITY_NAME = "identity.json"
+NEW_NAME = f"{IDENTITY_NAME}.new"
 _ID_CHARACTERS = 16
 
+PATIENCE_S = 10.0
+"""How long a disk that refuses the first identity is tried again."""
+_RETRY_S = 0.1
+
 FIRST_INDEX = 1
 """Of the snapshot that names the first members. A replica that joins stands at 0: it lacks that snapshot, so
 it can't take the entries after it without having got it."""
@@ -64,14 +70,30 @@
 def load_identity(
     data_dir: Path, node_name: str, address: str, bootstrap: bool, seeds: Sequence[str]
 ) -> NodeIdentity:
-    """The identity on a disk, made and synced where there is none; raises OSError."""
-    stored = _read(data_dir / IDENTITY_NAME)
+    """The identity on a disk, made and synced where there is none; raises OSError where the disk goes on
+    refusing it."""
+    deadline = time.monotonic() + PATIENCE_S
+    while True:
+        try:
+            stored = _read(data_dir / IDENTITY_NAME) or _make(data_dir, address, bootstrap, seeds)
+        except OSError:
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(_RETRY_S)
+        else:
+            return NodeIdentity(node_name, address, stored.replica_id, stored.first_members)
+
+
+def _make(data_dir: Path, address: str, bootstrap: bool, seeds: Sequence[str]) -> _Stored:
+    """The first identity of a disk. What a start that was interrupted has left whole under the new name is
+    taken; an identity that is damaged makes this disk another's, and no first member."""
+    empty = not (data_dir / IDENTITY_NAME).exists()
+    stored = _read(data_dir / NEW_NAME) if empty else None
     if stored is None:
-        empty = not (data_dir / IDENTITY_NAME).exists()
         first = tuple(seeds) if bootstrap and empty and address in seeds else ()
         stored = _Stored(first_replica_id(address) if first else fresh_replica_id(), first)
-        _write(data_dir, stored)
-    return NodeIdentity(node_name, address, stored.replica_id, stored.first_members)
+    _write(data_dir, stored)
+    return stored
 
 
 def _read(path: Path) -> _Stored | None:
@@ -95,10 +117,10 @@
     body = asdict(stored)
     body["first_members"] = list(stored.first_members)
     text = json.dumps({"identity": body, "checksum": _checksum(body)}).encode()
-    new_path = data_dir / f"{IDENTITY_NAME}.new"
+    new_path = data_dir / NEW_NAME
     handle = os.open(new_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o644)
     try:
-        os.write(handle, text)
+        _write_all(handle, text)
         os.fsync(handle)
     finally:
         os.close(handle)
@@ -108,6 +130,13 @@
         _sync_folder(data_dir.parent)
 
 
+def _write_all(handle: int, data: bytes) -> None:
+    """A disk that gets full takes a part first."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(handle, view) :]
+
+
 def _sync_folder(path: Path) -> None:
     handle = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
--- a/tests/coordination/test_identity.py
+++ b/tests/coordination/test_identity.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import errno
+import os
+import time
 from pathlib import Path
 
+import pytest
+
 from granitewell.coordination.consensus.identity import (
     IDENTITY_NAME,
     first_replica_id,
@@ -52,6 +57,55 @@
         assert identity.replica_id != first_replica_id(SEEDS[0]) and identity.first_members == ()
 
 
+def test_a_start_that_ended_before_the_identity_had_its_name_goes_on_with_it(tmp_path: Path) -> None:
+    first = load_identity(tmp_path, "one", SEEDS[0], True, SEEDS)
+    (tmp_path / IDENTITY_NAME).rename(tmp_path / f"{IDENTITY_NAME}.new")
+    assert load_identity(tmp_path, "one", SEEDS[0], False, ("10.0.0.9:7",)) == first
+    assert (tmp_path / IDENTITY_NAME).exists()
+
+
+def test_a_disk_that_takes_a_part_of_the_identity_gets_the_rest(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    real = os.write
+    monkeypatch.setattr(os, "write", lambda handle, data: real(handle, data[:7]))
+    first = load_identity(tmp_path, "one", SEEDS[0], True, SEEDS)
+    monkeypatch.undo()
+    assert load_identity(tmp_path, "one", SEEDS[0], False, ()) == first
+
+
+def test_a_disk_that_refuses_the_identity_for_a_while_is_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    refusals = iter([OSError(errno.ENOSPC, "full")] * 3)
+    real = os.fsync
+
+    def fsync(handle: int) -> None:
+        for refusal in refusals:
+            raise refusal
+        real(handle)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    monkeypatch.setattr(time, "sleep", lambda seconds: None)
+    assert load_identity(tmp_path, "one", SEEDS[0], True, SEEDS).first_members == SEEDS
+
+
+def test_a_disk_that_goes_on_refusing_the_identity_is_an_error(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = iter(range(10_000))
+
+    def fsync(handle: int) -> None:
+        raise OSError(errno.ENOSPC, "full")
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    monkeypatch.setattr(time, "sleep", lambda seconds: None)
+    monkeypatch.setattr(time, "monotonic", lambda: float(next(now)))
+    with pytest.raises(OSError, match="full"):
+        load_identity(tmp_path, "one", SEEDS[0], True, SEEDS)
+    assert next(now) < 30
+
+
 def test_what_is_left_of_an_interrupted_write_is_no_identity(tmp_path: Path) -> None:
     (tmp_path / f"{IDENTITY_NAME}.new").write_bytes(b"half")
     assert load_identity(tmp_path, "one", SEEDS[0], True, SEEDS).first_members == SEEDS
