A control node's contact age bounds how old its state is, whatever happens to messages

Cause: a follower counted as in touch from the arrival of any heartbeat whose leader held its lease. That says nothing of its state. Ruled out: clocks. Change: a heartbeat brings back the stamp of the receiver's last reply and names all that the leader knows to be committed. A leader before its first own entry answers with what it knew as a follower. Fields are added with defaults, so frames of earlier versions are read (as no contact).

--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -26,7 +26,7 @@
 GATHER_S = 0.015  # changes that come so close together are told together
 EDGE_FORGOTTEN_S = 4.0  # an edge that has not asked for so long is not counted
 PEAK_FORGOTTEN_S = 120.0
-MOST_CONTACT_AGE_S = 0.6  # without word from a leader for longer, this node may be out of date
+MOST_CONTACT_AGE_S = 0.75  # what is published is no older; 0.3 s with all well, and two heartbeats may fail
 
 
 class OutOfTouch(GranitewellError):
--- a/granitewell/coordination/consensus/consensus.thrift
+++ b/granitewell/coordination/consensus/consensus.thrift
@@ -9,9 +9,10 @@
 }
 struct VoteReply { 1: string sender, 2: string receiver, 3: i64 term, 4: bool granted }
 struct Heartbeat {
-  1: string sender, 2: string receiver, 3: i64 term, 4: i64 round, 5: i64 commit_index, 6: bool leased
+  1: string sender, 2: string receiver, 3: i64 term, 4: i64 round, 5: i64 commit_index, 6: bool leased,
+  7: i64 acknowledged_stamp = 0, 8: i64 leader_commit_index = 0
 }
-struct HeartbeatReply { 1: string sender, 2: string receiver, 3: i64 term, 4: i64 round }
+struct HeartbeatReply { 1: string sender, 2: string receiver, 3: i64 term, 4: i64 round, 5: i64 stamp = 0 }
 struct Append {
   1: string sender, 2: string receiver, 3: i64 term, 4: i64 previous_index, 5: i64 previous_term,
   6: i64 commit_index, 7: binary entries
--- a/granitewell/coordination/consensus/election.py
+++ b/granitewell/coordination/consensus/election.py
@@ -27,7 +27,6 @@
         self._votes: set[str] = set()
         self._no_vote_before = NEVER if fresh else now + core.settings.election_least_s
         self.heard_at = NEVER
-        self.contact_at = NEVER
         self.due_at = now
         self.restart_timer(now)
 
--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -185,7 +185,8 @@
         )
 
     def contact_age_s(self) -> float:
-        """Seconds since a leader that held its lease was heard; 0 where this replica holds it."""
+        """The state here holds all that was committed this many seconds ago; 0 where this replica holds the
+        lease."""
         return self._replica.contact_age(self._clock()) if self._replica else math.inf
 
     def silent_s(self, address: str) -> float:
--- a/granitewell/coordination/consensus/handlers.py
+++ b/granitewell/coordination/consensus/handlers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from granitewell.coordination.consensus.contact import LeaderContact
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.election import Election
 from granitewell.coordination.consensus.following import Following
@@ -36,11 +37,14 @@
 class MessageHandlers:
     """Hands messages to the parts of one replica."""
 
-    def __init__(self, core: Core, roles: Roles, election: Election, joining: Joining) -> None:
+    def __init__(
+        self, core: Core, roles: Roles, election: Election, joining: Joining, contact: LeaderContact
+    ) -> None:
         self._core = core
         self._roles = roles
         self._election = election
         self._joining = joining
+        self._contact = contact
         self._following = Following(core)
 
     def handle(self, address: str, message: Message, now: float) -> None:
@@ -89,12 +93,11 @@
     def _on_heartbeat(self, address: str, message: Heartbeat, now: float) -> None:
         core = self._core
         if not self._accept_leader(address, message, now):
-            core.send_in_term(address, HeartbeatReply(core.id, message.sender, core.term, 0))
+            core.send_in_term(address, HeartbeatReply(core.id, message.sender, core.term, 0, 0))
             return
-        if message.leased:
-            self._election.contact_at = now
+        stamp = self._contact.on_heartbeat(message, now)
         core.commit(message.commit_index)
-        core.send_in_term(address, HeartbeatReply(core.id, message.sender, core.term, message.round))
+        core.send_in_term(address, HeartbeatReply(core.id, message.sender, core.term, message.round, stamp))
 
     def _on_snapshot_chunk(self, address: str, message: SnapshotChunk, now: float) -> None:
         if self._accept_leader(address, message, now):
--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -88,6 +88,11 @@
         """Whether proposals are refused because another is to lead."""
         return self._hand_over is not None
 
+    @property
+    def established(self) -> bool:
+        """Whether an entry of this term is committed: all that earlier leaders committed is known then."""
+        return self._core.commit_index >= self.first_index
+
     def has_peer_behind(self, now: float) -> bool:
         """Whether a peer that answers gets a snapshot, or lacks many entries."""
         least = self._core.commit_index - CATCHING_UP_ENTRIES
@@ -99,7 +104,7 @@
 
     def holds_lease(self, now: float) -> bool:
         """Whether no other replica can be leader now."""
-        if self.given_up or self._core.commit_index < self.first_index:
+        if self.given_up or not self.established:
             return False
         return now < self.acknowledged_at(now) + self._core.settings.lease_s
 
@@ -172,7 +177,10 @@
         for id, peer in self._tracker.peers.items():
             commit = min(peer.match_index, core.commit_index)
             in_touch = leased and not peer.lacks_state
-            core.send(peer.member.address, Heartbeat(core.id, id, core.term, number, commit, in_touch))
+            heartbeat = Heartbeat(
+                core.id, id, core.term, number, commit, in_touch, peer.stamp, core.commit_index
+            )
+            core.send(peer.member.address, heartbeat)
 
     def _resend(self, now: float) -> None:
         settings = self._core.settings
@@ -254,6 +262,7 @@
         """A peer has heard a round."""
         peer = self._tracker.heard(reply.sender, now)
         if peer is not None:
+            peer.stamp = reply.stamp
             peer.acknowledged_at = max(peer.acknowledged_at, self._rounds.sent_at(reply.round))
 
     def on_append_reply(self, reply: AppendReply, now: float) -> None:
--- a/granitewell/coordination/consensus/messages.py
+++ b/granitewell/coordination/consensus/messages.py
@@ -50,19 +50,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat(Message):
-    """The leader lives. round: counted by the leader, who knows when it sent it. leased: it held its lease,
-    and the receiver is not known to lack what is committed."""
+    """The leader lives. round: counted by the leader, who knows when it sent it. commit_index: as far as the
+    receiver's log is known to agree. leased: the leader held its lease, and the receiver is not known to lack
+    what is committed. acknowledged_stamp: of the receiver's last reply, 0 for none. leader_commit_index: all
+    that the leader knows to be committed."""
 
     round: int
     commit_index: int
     leased: bool
+    acknowledged_stamp: int
+    leader_commit_index: int
 
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply(Message):
-    """A heartbeat was heard; its sender grants nobody a vote for the least election timeout from now."""
+    """A heartbeat was heard; its sender grants nobody a vote for the least election timeout from now. stamp:
+    comes back with a later heartbeat."""
 
     round: int
+    stamp: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/granitewell/coordination/consensus/progress.py
+++ b/granitewell/coordination/consensus/progress.py
@@ -25,7 +25,7 @@
 class Progress:
     """One peer. match_index: the last entry known to be on its disk; next_index: the next to send; probing:
     one message at a time until its log and ours are known to agree; acknowledged_at: send time of the newest
-    heartbeat that it replied to; answered: anything, in this term."""
+    heartbeat that it replied to; stamp: of its last such reply; answered: anything, in this term."""
 
     member: Member
     next_index: int
@@ -36,6 +36,7 @@
     in_flight_bytes: int = 0
     moved_at: float = NEVER
     acknowledged_at: float = NEVER
+    stamp: int = 0
     transfer: SnapshotTransfer | None = None
     learner: bool = False
     answered: bool = False
--- a/granitewell/coordination/consensus/replica.py
+++ b/granitewell/coordination/consensus/replica.py
@@ -16,6 +16,7 @@
 from random import Random
 from typing import Any
 
+from granitewell.coordination.consensus.contact import LeaderContact
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.election import Election
 from granitewell.coordination.consensus.handlers import MessageHandlers
@@ -54,10 +55,13 @@
     ) -> None:
         self._core = Core(me, state, settings, rng)
         self._election = Election(self._core, now, fresh)
+        self._contact = LeaderContact()
         self._handed_index = state.snapshot.index
         self._joining = Joining(self._core, seeds, now)
         self._roles = Roles(self._core, self._election, target_voters)
-        self._handlers = MessageHandlers(self._core, self._roles, self._election, self._joining)
+        self._handlers = MessageHandlers(
+            self._core, self._roles, self._election, self._joining, self._contact
+        )
         if state.snapshot.index > 0:
             self._core.restore = state.snapshot
 
@@ -120,7 +124,7 @@
 
     def has_peer_behind(self, now: float) -> bool:
         """Whether this replica leads a peer that answers and has yet to catch up."""
-        return self._leadership is not None and self._leadership.has_peer_behind(now)
+        return self._roles.leadership is not None and self._roles.leadership.has_peer_behind(now)
 
     def stored_state(self) -> StoredState:
         """All that the disk should hold once everything handed out is written."""
@@ -132,12 +136,13 @@
         return self._roles.leadership is not None and self._roles.leadership.holds_lease(now)
 
     def contact_age(self, now: float) -> float:
-        """Seconds since a leader that held its lease was heard; 0 for that leader itself."""
-        if self._roles.leadership is None:
-            return now - self._election.contact_at
-        if self._roles.leadership.holds_lease(now):
+        """The state here holds all that was committed this many seconds ago; 0 for who holds the lease."""
+        leadership = self._roles.leadership
+        if leadership is None or not leadership.established:
+            return now - self._contact.proven_at(self._core.commit_index)
+        if leadership.holds_lease(now):
             return 0.0
-        return now - self._roles.leadership.acknowledged_at(now)
+        return now - leadership.acknowledged_at(now)
 
     def silent_s(self, address: str, now: float) -> float:
         """Seconds since this leader heard a member at an address; infinite where it leads nobody there."""
--- a/tests/coordination/test_leaving.py
+++ b/tests/coordination/test_leaving.py
@@ -10,7 +10,7 @@
 import pytest
 
 from granitewell.coordination.consensus.settings import ReplicaSettings
-from tests.coordination.test_group import Cluster, Node, group_of, until
+from tests.coordination.cluster import Cluster, Node, group_of, until
 from tests.coordination.virtual_loop import run
 
 SPARE = "10.0.1.1:7"
