An edge takes a reply only while it is young by the edge's own clock

Cause: a control node checks its contact before it makes a reply, but the reply may leave or arrive any time later: the process is frozen in between, or the edge is. That an edge gave such a reply up rested on the order in which an event loop runs timers and sockets after a freeze. Change: the edge looks at its clock when a reply is there. The test fails without the look in two of three cases.

--- a/granitewell/nodes/control_watch.py
+++ b/granitewell/nodes/control_watch.py
@@ -1,10 +1,17 @@
-"""What an edge learns: from the control plane by long-polls, from the platform's list where that is old."""
+"""What an edge learns: from the control plane by long-polls, from the platform's list where that is old.
+
+A control node publishes nothing that is older than MOST_CONTACT_AGE_S (publisher.py). On the way a reply may
+wait for any time: at a process that was frozen after it had made it, on a slow link, at this edge. So a reply
+counts only if it is here `hold + REPLY_SLACK_S` after its request was sent, by this edge's own clock. What an
+edge takes lacks nothing that was committed `hold + REPLY_SLACK_S + MOST_CONTACT_AGE_S` before, also right
+after its start. Once it has a configuration, its version never falls.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
 from typing import Any
@@ -19,7 +26,7 @@
 from granitewell.dataplane.plane import DataPlane
 from granitewell.discovery.instances import BadList, ListedInstance
 from granitewell.discovery.reader import InstanceReader, ListUnavailable
-from granitewell.model.errors import GranitewellError, RpcError
+from granitewell.model.errors import GranitewellError, RpcError, RpcTimeout
 from granitewell.model.servers import Server, ServerState
 from granitewell.model.settings import Settings
 from granitewell.nodes.control_nodes import ControlNodes
@@ -43,9 +50,12 @@
 class ControlWatch:
     """Long-polls for everything an edge needs."""
 
-    def __init__(self, settings: Settings, plane: DataPlane) -> None:
+    def __init__(
+        self, settings: Settings, plane: DataPlane, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._settings = settings
         self._plane = plane
+        self._clock = clock
         self._view = ConfigurationView()
         self._versions: dict[int, Version] = {}
         self._servers: dict[int, dict[str, Server]] = {}  # by shard and id
@@ -71,14 +81,21 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             try:
-                payload = encode(self._request())
-                reply = await self.peers[node].call(Method.WATCH, payload, self._hold_s + REPLY_SLACK_S)
-                self._take(decode(WatchReply, reply))
+                self._take(await self._ask(node))
             except RpcError as error:
                 log.debug("control node {}: {}", node, error)
                 self.nodes.failed()
                 await asyncio.sleep(RETRY_S)
 
+    async def _ask(self, node: str) -> Any:
+        """A reply that is young enough; raises RpcError."""
+        patience_s = self._hold_s + REPLY_SLACK_S
+        sent_at = self._clock()
+        reply = await self.peers[node].call(Method.WATCH, encode(self._request()), patience_s)
+        if self._clock() - sent_at > patience_s:  # this process was frozen meanwhile
+            raise RpcTimeout(f"{node}: the reply came after {patience_s} s")
+        return decode(WatchReply, reply)
+
     def _request(self) -> Any:
         return WatchRequest(
             node=self._settings.node_name,
@@ -122,7 +139,7 @@
         if update.version < known:
             return
         if message.list_age_ms >= 0:
-            listed_at = time.monotonic() - message.list_age_ms / 1000.0
+            listed_at = self._clock() - message.list_age_ms / 1000.0
             self.listed_at[shard] = max(self.listed_at.get(shard, listed_at), listed_at)
         if update.version == known and not update.whole:
             return
@@ -143,7 +160,7 @@
         """This edge has read the platform's list itself: servers that drain or are gone are used no more.
         What the control plane tells next counts again."""
         listed = {one.id: one for one in instances}
-        now = time.monotonic()
+        now = self._clock()
         self._use_listed(instances)
         for shard, servers in self._servers.items():
             gone = [key for key in servers if key not in listed]
@@ -175,7 +192,7 @@
         """Of the oldest table; infinite before the first."""
         if not self.listed_at:
             return float("inf")
-        return time.monotonic() - min(self.listed_at.values())
+        return self._clock() - min(self.listed_at.values())
 
 
 def _server(one: ListedInstance) -> Server:
--- a/tests/nodes/test_control_watch.py
+++ b/tests/nodes/test_control_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Sequence
 from random import Random
 from typing import Any
@@ -198,3 +199,43 @@
     own = OwnList(SETTINGS, watch, plane, Random(1))  # type: ignore[arg-type]
     watch.most_edges = 300
     assert 300 / own._pause_s() <= SETTINGS.cloud.rate_per_s / 2
+
+
+class LatePeers:
+    """Answers each call after the edge was frozen for a time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.frozen_s: list[float] = []
+        self.calls = 0
+
+    def clock(self) -> float:
+        return self.now
+
+    def __getitem__(self, address: str) -> LatePeers:
+        return self
+
+    async def call(self, method: object, payload: bytes, timeout_s: float) -> bytes:
+        self.calls += 1
+        if not self.frozen_s:
+            raise asyncio.CancelledError
+        self.now += self.frozen_s.pop(0)
+        document = b'{"version":%d,"routes":[],"services":[]}' % self.calls
+        whole = ConfigurationUpdate(version=self.calls, whole=True, documents=[document])
+        made = WatchReply(
+            configuration=whole, tables=[], control_nodes=[], members_digest=0, edges=1, most_edges=1
+        )
+        return encode(made)
+
+
+@pytest.mark.parametrize(("frozen_s", "taken"), [((0.1,), [1]), ((30.0,), []), ((30.0, 0.1), [2])])
+def test_a_reply_that_waited_at_a_frozen_edge_is_not_taken(
+    plane: FakePlane, frozen_s: Sequence[float], taken: list[int]
+) -> None:
+    peers = LatePeers()
+    peers.frozen_s = list(frozen_s)
+    watch = ControlWatch(SETTINGS, plane, peers.clock)  # type: ignore[arg-type]
+    watch.peers = peers  # type: ignore[assignment]
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(watch.run())
+    assert [one.version for one in plane.configurations] == taken
