A change of members rests only on voters whose disks keep up

Cause: a voter whose disk is full answers heartbeats, so it counted for the quorum that a change needs before it begins. A planned replacement then needed the newcomer, and its loss stopped a group that had lost one voter only (shown by a test that failed before).

Change: a voter counts where it answers and holds on its disk all that is committed, or, while members change, the entry that began the change.

--- a/granitewell/coordination/consensus/membership.py
+++ b/granitewell/coordination/consensus/membership.py
@@ -30,14 +30,19 @@
 @dataclass(frozen=True, slots=True)
 class MemberView:
     """What the leader sees of a member. silent_s: since its last answer, 0 for the leader itself, or since
-    the term began; answering: it has answered lately; caught_up: a learner has all that is committed, a voter
-    the entry that brought it in, each on its disk."""
+    the term began; answering: it has answered lately; caught_up: it has on its disk all that is committed, or
+    while members change the entry that began it."""
 
     member: Member
     silent_s: float
     answering: bool
     caught_up: bool
 
+    @property
+    def dependable(self) -> bool:
+        """Whether a change may rest on it: it answers, and its disk takes what it is sent."""
+        return self.answering and self.caught_up
+
 
 @dataclass(frozen=True, slots=True)
 class ProposedChange:
@@ -137,7 +142,7 @@
 ) -> ProposedChange | None:
     """The change that a leader whose last one is committed and ended should begin; None where all is well or
     nothing is safe. leaving: ids of voters that are about to stop."""
-    ready = [view for view in learners if view.caught_up and view.answering]
+    ready = [view for view in learners if view.dependable]
     for change in _wanted_changes(membership, voters, ready, target_voters, leaving, settings):
         if may_begin(membership, change, voters):
             return ProposedChange(EntryKind.CHANGE_VOTERS, pack_change(change))
@@ -168,12 +173,16 @@
 
 
 def may_begin(membership: Membership, change: VoterChange, voters: Sequence[MemberView]) -> bool:
-    """Whether a quorum of both sides answers. Who comes in for another is not counted: a change must not rest
-    on it, so that its loss leaves the group no worse than before."""
-    answering = {view.member.replica_id for view in voters if view.answering}
+    """Whether a quorum of both sides is dependable. Who comes in for another is not counted: a change must
+    not rest on it, so that its loss leaves the group no worse than before."""
+    dependable = _dependable(voters)
     if not change.removed:
-        answering |= {member.replica_id for member in change.added}
-    return quorum_of(_joint(membership, change)).satisfied_by(answering)
+        dependable |= {member.replica_id for member in change.added}
+    return quorum_of(_joint(membership, change)).satisfied_by(dependable)
+
+
+def _dependable(views: Iterable[MemberView]) -> set[str]:
+    return {view.member.replica_id for view in views if view.dependable}
 
 
 def next_end(
@@ -181,11 +190,10 @@
 ) -> ProposedChange | None:
     """How to end the change that is under way: for the new voters once all that came in hold the entry that
     brought them in; for the old ones where that does not come about. None while neither is safe."""
-    answering = {view.member.replica_id for view in voters if view.answering}
     taken_over = _has_arrived(membership, voters)
     if not taken_over and not _is_stuck(membership, voters, under_way_s, settings):
         return None
-    if not quorum_of(_ended(membership, taken_over=taken_over)).satisfied_by(answering):
+    if not quorum_of(_ended(membership, taken_over=taken_over)).satisfied_by(_dependable(voters)):
         return None
     return ProposedChange(EntryKind.END_CHANGE, pack_end(taken_over), taken_over)
 
@@ -200,7 +208,7 @@
 
 
 def _has_arrived(membership: Membership, voters: Iterable[MemberView]) -> bool:
-    return all(view.caught_up and view.answering for view in _incoming(membership, voters))
+    return all(view.dependable for view in _incoming(membership, voters))
 
 
 def _is_stuck(
--- a/granitewell/coordination/consensus/tracker.py
+++ b/granitewell/coordination/consensus/tracker.py
@@ -91,10 +91,10 @@
 
     def _voter_view(self, voter: Member, now: float) -> MemberView:
         core = self._core
-        changed_at = core.log.last_change_index
+        least_index = core.log.last_change_index if core.log.membership.is_joint else core.commit_index
         if voter.replica_id == core.id:
-            return MemberView(voter, 0.0, True, core.persistence.stable_index >= changed_at)
-        return self._view(self.peers[voter.replica_id], changed_at, now)
+            return MemberView(voter, 0.0, True, core.persistence.stable_index >= least_index)
+        return self._view(self.peers[voter.replica_id], least_index, now)
 
     def _view(self, peer: Progress, least_index: int, now: float) -> MemberView:
         caught_up = peer.transfer is None and peer.match_index >= least_index
--- a/tests/coordination/test_scenarios.py
+++ b/tests/coordination/test_scenarios.py
@@ -207,13 +207,17 @@
     assert removal_while_another_is_lost(Group(4))
 
 
-def replacement_that_fails_while_another_is_lost(group: Group) -> bool:
-    """One voter is cut off; the other asks to leave, and the spare dies as soon as it may have a vote.
-    Whether the group, which has lost one voter only, goes on."""
-    cut_off, leaving = group.others
+def replacement_that_fails_while_another_is_lost(group: Group, full_disk: bool = False) -> bool:
+    """One voter is cut off, or its disk is full; the other asks to leave, and the spare dies as soon as it
+    may have a vote. Whether the group, which has lost one voter only, goes on."""
+    lost, leaving = group.others
     successor = group.add_spare()
     group.run(1)
-    group.isolate(cut_off)
+    if full_disk:
+        lost.disk.refusing = True
+        group.propose()
+    else:
+        group.isolate(lost)
     group.run(0.6)
     process = process_of(leaving)
     process.run(lambda: leave(process))
@@ -227,8 +231,9 @@
     return group.commits()
 
 
-def test_a_replacement_waits_for_a_quorum_without_the_successor() -> None:
-    assert replacement_that_fails_while_another_is_lost(Group(4))
+@pytest.mark.parametrize("full_disk", [False, True])
+def test_a_replacement_waits_for_a_quorum_without_the_successor(full_disk: bool) -> None:
+    assert replacement_that_fails_while_another_is_lost(Group(4), full_disk)
 
 
 def test_a_replacement_that_rests_on_the_successor_stops_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
