Replica: one name for what it does as a leader, which two changes called differently

After the split by job, a view that came from another change asked for an attribute that was gone: a leader that was asked whether a peer is behind raised AttributeError. Found by the type checker and by the tests of catching up; both pass again.

--- a/granitewell/coordination/consensus/replica.py
+++ b/granitewell/coordination/consensus/replica.py
@@ -21,6 +21,7 @@
 from granitewell.coordination.consensus.election import Election
 from granitewell.coordination.consensus.handlers import MessageHandlers
 from granitewell.coordination.consensus.joining import Joining
+from granitewell.coordination.consensus.leadership import Leadership
 from granitewell.coordination.consensus.messages import Message
 from granitewell.coordination.consensus.ready import Ready
 from granitewell.coordination.consensus.roles import Roles
@@ -65,6 +66,11 @@
         if state.snapshot.index > 0:
             self._core.restore = state.snapshot
 
+    @property
+    def _leadership(self) -> Leadership | None:
+        """What this replica does as a leader; None while it is none."""
+        return self._roles.leadership
+
     # Views
 
     @property
@@ -133,11 +139,11 @@
 
     def holds_lease(self, now: float) -> bool:
         """Whether this replica leads, and no other can now."""
-        return self._roles.leadership is not None and self._roles.leadership.holds_lease(now)
+        return self._leadership is not None and self._leadership.holds_lease(now)
 
     def contact_age(self, now: float) -> float:
         """The state here holds all that was committed this many seconds ago; 0 for who holds the lease."""
-        leadership = self._roles.leadership
+        leadership = self._leadership
         if leadership is None or not leadership.established:
             return now - self._contact.proven_at(self._core.commit_index)
         if leadership.holds_lease(now):
@@ -146,15 +152,15 @@
 
     def silent_s(self, address: str, now: float) -> float:
         """Seconds since this leader heard a member at an address; infinite where it leads nobody there."""
-        return math.inf if self._roles.leadership is None else self._roles.leadership.silent_s(address, now)
+        return math.inf if self._leadership is None else self._leadership.silent_s(address, now)
 
     @property
     def wake_at(self) -> float:
         """When `tick` must be called at the latest."""
         if self.removed:
             return float("inf")
-        if self._roles.leadership is not None:
-            return self._roles.leadership.heartbeat_at
+        if self._leadership is not None:
+            return self._leadership.heartbeat_at
         if self._core.is_voter:
             return min(self._election.due_at, self._joining.due_at)
         return self._joining.due_at
@@ -174,8 +180,8 @@
         """Do what is due."""
         if self.removed:
             return
-        if self._roles.leadership is not None:
-            self._roles.leadership.tick(now)
+        if self._leadership is not None:
+            self._leadership.tick(now)
         else:
             self._election.tick(now)
             self._joining.tick(now, self._election.heard_at)
@@ -183,7 +189,7 @@
 
     def propose(self, data: bytes, now: float) -> Position:
         """Append an entry; raises NotLeader, or ProposalLost where too much waits already."""
-        leadership = self._roles.leadership
+        leadership = self._leadership
         if leadership is None or leadership.handing_over or leadership.given_up:
             raise NotLeader(self._core.leader_address if leadership is None else None)
         settings = self._core.settings
@@ -198,8 +204,8 @@
         """The disk has synced all batches up to one."""
         self._core.persistence.persisted(batch)
         self._election.own_vote_synced()
-        if self._roles.leadership is not None:
-            self._roles.leadership.advance_commit()
+        if self._leadership is not None:
+            self._leadership.advance_commit()
         self._roles.settle(now)
 
     def disk_failed(self, now: float) -> None:
@@ -212,18 +218,18 @@
 
     def transfer(self, now: float) -> bool:
         """Hand leadership over; False where this replica does not lead or no follower answers."""
-        if self._roles.leadership is None:
+        if self._leadership is None:
             return False
-        started = self._roles.leadership.hand_over(now)
+        started = self._leadership.hand_over(now)
         self._roles.settle(now)
         return started
 
     def leave(self, now: float) -> bool:
         """This replica is about to stop: have its place filled by a learner that is ready. Whether that may
         still come about; to be called again while it may."""
-        if self.removed or self._roles.leadership is None:
+        if self.removed or self._leadership is None:
             return not self.removed and self._joining.leave(now)
-        filling = self._roles.leadership.on_leave(self._core.id, now)
+        filling = self._leadership.on_leave(self._core.id, now)
         self._roles.settle(now)
         return filling
 
@@ -239,8 +245,8 @@
     def ready(self, now: float) -> Ready | None:
         """The next batch of work; None where there is none."""
         core = self._core
-        if self._roles.leadership is not None:
-            self._roles.leadership.flush(now)
+        if self._leadership is not None:
+            self._leadership.flush(now)
         persistence = core.persistence
         records = persistence.take(core.log.last_index, core.term, now)
         messages, synced = core.messages, core.synced_messages
