A member that gets SIGTERM waits until what it holds is on the disks of enough others

Cause: a group of three commits with two disks. Where the third is behind, the member that leaves holds one of two copies; if it goes for good, one is left until the third has caught up.

Change: who leaves asks the leader as before; the answer is to wait also while what was committed at the first request is on the disks of no quorum without it and a voter that lacks it answers. Bound `leave_s` as before; a voter that does not answer is not waited for. Two tests failed before (leader or follower leaves, another's disk takes 0.3 s a write).

--- a/granitewell/coordination/consensus/consensus.thrift
+++ b/granitewell/coordination/consensus/consensus.thrift
@@ -29,4 +29,4 @@
 struct Join { 1: string sender, 2: string receiver, 3: i64 term, 4: binary member, 5: bool forwarded }
 struct Removed { 1: string sender, 2: string receiver, 3: i64 term }
 struct Leave { 1: string sender, 2: string receiver, 3: i64 term }
-struct LeaveReply { 1: string sender, 2: string receiver, 3: i64 term, 4: bool filling }
+struct LeaveReply { 1: string sender, 2: string receiver, 3: i64 term, 4: bool wait }
--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -269,8 +269,8 @@
                     await self._changed.wait()
 
     async def leave(self) -> None:
-        """Before a stop: have this replica's place filled by a learner that is ready. Returns once it is,
-        once there is none, or after `leave_s`."""
+        """Before a stop: have this replica's place filled by a learner that is ready, or what it holds copied
+        by the others. Returns once that is so, once nobody can, or after `leave_s`."""
         with suppress(TimeoutError):
             async with asyncio.timeout(self._settings.leave_s):
                 while (replica := self._replica) is not None and replica.leave(self._clock()):
--- a/granitewell/coordination/consensus/handlers.py
+++ b/granitewell/coordination/consensus/handlers.py
@@ -141,8 +141,8 @@
 
     def _on_leave(self, address: str, message: Leave, now: float) -> None:
         if self._roles.leadership is not None and message.term == self._core.term:
-            filling = self._roles.leadership.on_leave(message.sender, now)
-            self._core.send(address, LeaveReply(self._core.id, message.sender, message.term, filling))
+            wait = self._roles.leadership.on_leave(message.sender, now)
+            self._core.send(address, LeaveReply(self._core.id, message.sender, message.term, wait))
 
     def _on_leave_reply(self, address: str, message: LeaveReply, now: float) -> None:
         self._joining.on_leave_reply(message)
--- a/granitewell/coordination/consensus/joining.py
+++ b/granitewell/coordination/consensus/joining.py
@@ -1,5 +1,5 @@
 """What a replica asks of the group for itself: to be taken in where it has no vote, and before it stops, to
-have its place filled."""
+have its place filled and its copies made elsewhere."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
         self._core = core
         self._started_at = now
         self._leave_at = now
-        self._stays = False
+        self._may_go = False
         self.seeds = tuple(seeds)
         self.due_at = now
         self.neighbour: str | None = None
@@ -48,9 +48,9 @@
         return list(addresses)
 
     def leave(self, now: float) -> bool:
-        """Ask the leader to have this replica's place filled; whether that may still come about."""
+        """Ask the leader whether this replica may stop; whether to wait and ask again."""
         core = self._core
-        if self._stays or not core.is_voter:
+        if self._may_go or not core.is_voter:
             return False
         if core.leader_id is not None and core.leader_address is not None and now >= self._leave_at:
             self._leave_at = now + core.settings.leave_again_s
@@ -58,6 +58,6 @@
         return True
 
     def on_leave_reply(self, reply: LeaveReply) -> None:
-        """The leader says whether the place is being filled."""
-        if not reply.filling:
-            self._stays = True
+        """The leader says whether there is anything to wait for."""
+        if not reply.wait:
+            self._may_go = True
--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -49,6 +49,15 @@
 """After a hand-over that found nobody ready in time."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Leaving:
+    """A voter that is about to stop. until: when that lapses; index: what was committed when it first said
+    so."""
+
+    until: float
+    index: int
+
+
 @dataclass(slots=True)
 class _HandOver:
     target: str
@@ -72,7 +81,7 @@
         self._uncommitted: deque[Entry] = deque()
         self._uncommitted_bytes = 0
         self._changed_at = now
-        self._leaving_until: dict[str, float] = {}
+        self._leaving: dict[str, _Leaving] = {}
         self._removals: list[Member] = []
         self.given_up = False
         self.heartbeat_at = now
@@ -308,10 +317,16 @@
             self._tracker.add_learner(member, now)
 
     def on_leave(self, replica_id: str, now: float) -> bool:
-        """A voter is about to stop; says whether its place is being filled."""
-        self._leaving_until[replica_id] = now + self._core.settings.leave_s
+        """A voter is about to stop; says whether it should wait: its place is being filled, or it holds one
+        of too few copies while others that answer are still behind."""
+        core = self._core
+        asked = self._leaving.get(replica_id)
+        index = asked.index if asked is not None and now < asked.until else core.commit_index
+        self._leaving[replica_id] = _Leaving(now + core.settings.leave_s, index)
         self.change_members(now)
-        return not stays_voter(self._core.log.membership, replica_id)
+        if not stays_voter(core.log.membership, replica_id):
+            return True
+        return self._tracker.lacks_copies(index, replica_id, now)
 
     def _may_change(self) -> bool:
         """One change at a time, and none before an entry of this term is committed."""
@@ -335,7 +350,7 @@
             self._tracker.voter_views(now),
             self._tracker.learner_views(now),
             self._target_voters,
-            [replica_id for replica_id, until in self._leaving_until.items() if now < until],
+            [replica_id for replica_id, leaving in self._leaving.items() if now < leaving.until],
             core.settings,
         )
         if change is not None:
--- a/granitewell/coordination/consensus/messages.py
+++ b/granitewell/coordination/consensus/messages.py
@@ -129,11 +129,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Leave(Message):
-    """A voter is about to stop, and asks the leader to have its place filled by a learner that is ready."""
+    """A voter is about to stop: a learner that is ready should take its place, and others have its copies."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeaveReply(Message):
-    """filling: the place is being filled. Where not, nobody is ready to take it."""
+    """wait: that is under way. Where not, there is nothing to wait for."""
 
-    filling: bool
+    wait: bool
--- a/granitewell/coordination/consensus/replica.py
+++ b/granitewell/coordination/consensus/replica.py
@@ -225,13 +225,13 @@
         return started
 
     def leave(self, now: float) -> bool:
-        """This replica is about to stop: have its place filled by a learner that is ready. Whether that may
-        still come about; to be called again while it may."""
+        """This replica is about to stop: have its place filled by a learner that is ready, or its copies
+        made elsewhere. Whether to wait for that, and call again."""
         if self.removed or self._leadership is None:
             return not self.removed and self._joining.leave(now)
-        filling = self._leadership.on_leave(self._core.id, now)
+        wait = self._leadership.on_leave(self._core.id, now)
         self._roles.settle(now)
-        return filling
+        return wait
 
     def receive(self, address: str, message: Message, now: float) -> None:
         """A message has come. address: where its sender is reached."""
--- a/granitewell/coordination/consensus/tracker.py
+++ b/granitewell/coordination/consensus/tracker.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from granitewell.coordination.consensus.core import Core
-from granitewell.coordination.consensus.membership import MemberView, stays_voter
+from granitewell.coordination.consensus.membership import MemberView, is_voter, stays_voter
 from granitewell.coordination.consensus.progress import Progress
 from granitewell.coordination.consensus.quorum import NEVER, quorum_of
 from granitewell.coordination.consensus.terms import Member
@@ -53,6 +53,22 @@
         heard = [peer.heard_at for peer in self.peers.values() if peer.member.address == address]
         return now - max(heard, default=NEVER)
 
+    def lacks_copies(self, index: int, leaving_id: str, now: float) -> bool:
+        """Whether an entry is on the disks of no quorum without one voter, but will be: voters that lack it
+        answer."""
+        matches = {id: peer.match_index for id, peer in self.peers.items() if id != leaving_id}
+        if leaving_id != self._core.id:
+            matches[self._core.id] = self._core.persistence.stable_index
+        membership = self._core.log.membership
+        if quorum_of(membership).satisfied_by([id for id, match in matches.items() if match >= index]):
+            return False
+        behind = [id for id, match in matches.items() if match < index and is_voter(membership, id)]
+        return any(self._answers(id, now) for id in behind)
+
+    def _answers(self, replica_id: str, now: float) -> bool:
+        peer = self.peers.get(replica_id)
+        return peer is None or (peer.answered and now - peer.heard_at <= self._core.settings.answering_s)
+
     # Learners
 
     @property
@@ -98,7 +114,7 @@
 
     def _view(self, peer: Progress, least_index: int, now: float) -> MemberView:
         caught_up = peer.transfer is None and peer.match_index >= least_index
-        answering = peer.answered and now - peer.heard_at <= self._core.settings.answering_s
+        answering = self._answers(peer.member.replica_id, now)
         return MemberView(peer.member, now - peer.heard_at, answering, caught_up)
 
     # Handing over
--- a/tests/coordination/test_leaving.py
+++ b/tests/coordination/test_leaving.py
@@ -110,3 +110,43 @@
         await group_of(leader).propose(b"third")
 
     day(3, check)
+
+
+def copies(cluster: Cluster) -> set[str]:
+    """Addresses of the nodes that have all entries on their disks."""
+    cores = {
+        node.address: node.group._replica._core
+        for node in cluster.nodes.values()
+        if node.group is not None and node.group._replica is not None
+    }
+    last = max(core.log.last_index for core in cores.values())
+    return {address for address, core in cores.items() if core.persistence.stable_index >= last}
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_member_that_holds_one_of_two_copies_waits_until_the_others_have_them(leads: bool) -> None:
+    async def check(cluster: Cluster, leader: Node) -> None:
+        followers = cluster.others(leader)
+        leaving, slow = (leader, followers[0]) if leads else (followers[0], followers[1])
+        assert slow.executor is not None
+        slow.executor.delay_s = 0.3
+        await group_of(leader).propose(b"second")
+        stays = {node.address for node in cluster.nodes.values()} - {leaving.address}
+        assert not stays <= copies(cluster)
+        await group_of(leaving).leave()
+        assert stays <= copies(cluster)
+
+    day(4, check)
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_member_does_not_wait_for_one_that_does_not_answer(leads: bool) -> None:
+    async def check(cluster: Cluster, leader: Node) -> None:
+        followers = cluster.others(leader)
+        leaving, dead = (leader, followers[0]) if leads else (followers[0], followers[1])
+        await dead.die(power=False)
+        await asyncio.sleep(1)
+        await group_of(leader).propose(b"second")
+        assert await leave(cluster, leaving) < 0.2
+
+    day(5, check)
