--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -185,9 +185,8 @@
         self._announce_commit = False
         for id, peer in self._tracker.peers.items():
             commit = min(peer.match_index, core.commit_index)
-            in_touch = leased and not peer.lacks_state
             heartbeat = Heartbeat(
-                core.id, id, core.term, number, commit, in_touch, peer.stamp, core.commit_index
+                core.id, id, core.term, number, commit, leased, peer.stamp, core.commit_index
             )
             core.send(peer.member.address, heartbeat)
 
--- a/granitewell/coordination/consensus/messages.py
+++ b/granitewell/coordination/consensus/messages.py
@@ -51,9 +51,8 @@
 @dataclass(frozen=True, slots=True)
 class Heartbeat(Message):
     """The leader lives. round: counted by the leader, who knows when it sent it. commit_index: as far as the
-    receiver's log is known to agree. leased: the leader held its lease, and the receiver is not known to lack
-    what is committed. acknowledged_stamp: of the receiver's last reply, 0 for none. leader_commit_index: all
-    that the leader knows to be committed."""
+    receiver's log is known to agree. leased: the leader held its lease. acknowledged_stamp: of the receiver's
+    last reply, 0 for none. leader_commit_index: all that the leader knows to be committed."""
 
     round: int
     commit_index: int
--- a/granitewell/coordination/consensus/progress.py
+++ b/granitewell/coordination/consensus/progress.py
@@ -75,11 +75,6 @@
         """Whether the peer gets heartbeats only, since it does not answer."""
         return now - self.heard_at > settings.reachable_s
 
-    @property
-    def lacks_state(self) -> bool:
-        """Whether the peer may know far less than is committed: a snapshot is on its way, or it is new."""
-        return self.transfer is not None or (self.learner and self.probing)
-
     def rejected(self, hint: int) -> None:
         """The peer's log does not have what was sent after; hint: the last entry that may agree."""
         self.restart(min(self.next_index - 1, hint + 1))
--- a/granitewell/coordination/consensus/replica.py
+++ b/granitewell/coordination/consensus/replica.py
@@ -130,7 +130,7 @@
 
     def has_peer_behind(self, now: float) -> bool:
         """Whether this replica leads a peer that answers and has yet to catch up."""
-        return self._roles.leadership is not None and self._roles.leadership.has_peer_behind(now)
+        return self._leadership is not None and self._leadership.has_peer_behind(now)
 
     def stored_state(self) -> StoredState:
         """All that the disk should hold once everything handed out is written."""
