--- a/granitewell/coordination/consensus/leadership.py
+++ b/granitewell/coordination/consensus/leadership.py
@@ -17,25 +17,18 @@
 
 from granitewell.coordination.consensus.core import Core
 from granitewell.coordination.consensus.log import ENTRY_OVERHEAD_BYTES
-from granitewell.coordination.consensus.membership import (
-    ProposedChange,
-    is_voter,
-    move_voter,
-    next_change,
-    next_end,
-    stays_voter,
-)
+from granitewell.coordination.consensus.membership import is_voter
 from granitewell.coordination.consensus.messages import (
     Append,
     AppendReply,
     HandOver,
     Heartbeat,
     HeartbeatReply,
-    Removed,
     SnapshotChunk,
     SnapshotReply,
 )
 from granitewell.coordination.consensus.progress import HeartbeatRounds, Progress, SnapshotTransfer
+from granitewell.coordination.consensus.reconfiguration import Reconfiguration
 from granitewell.coordination.consensus.terms import Entry, EntryKind, Member
 from granitewell.coordination.consensus.tracker import ProgressTracker
 
@@ -49,15 +42,6 @@
 """After a hand-over that found nobody ready in time."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Leaving:
-    """A voter that is about to stop. until: when that lapses; index: what was committed when it first said
-    so."""
-
-    until: float
-    index: int
-
-
 @dataclass(slots=True)
 class _HandOver:
     target: str
@@ -71,7 +55,6 @@
         self, core: Core, now: float, target_voters: int, old_leader: str | None, old_leader_heard_at: float
     ) -> None:
         self._core = core
-        self._target_voters = target_voters
         self._elected_at = now
         self._rounds = HeartbeatRounds()
         self._tracker = ProgressTracker(core, now)
@@ -80,9 +63,9 @@
         self._announce_commit = False
         self._uncommitted: deque[Entry] = deque()
         self._uncommitted_bytes = 0
-        self._changed_at = now
-        self._leaving: dict[str, _Leaving] = {}
-        self._removals: list[Member] = []
+        self._reconfiguration = Reconfiguration(
+            core, self._tracker, target_voters, now, self._append, self.hand_over
+        )
         self.given_up = False
         self.heartbeat_at = now
         if old_leader in self._tracker.peers:
@@ -153,7 +136,7 @@
         if index > core.commit_index and core.log.term_at(index) == core.term:
             core.commit(index)
             self._announce_commit = True
-            self._tell_removed()
+            self._reconfiguration.tell_removed()
             if not is_voter(core.log.membership_at(core.commit_index), core.id):
                 self.given_up = True
 
@@ -311,21 +294,15 @@
         membership = self._core.log.membership
         if is_voter(membership, member.replica_id):
             if member not in membership.all_voters() and self._may_change():
-                self._change(move_voter(member), now)
+                self._reconfiguration.move(member, now)
         elif member.replica_id not in membership.removed:
             self._tracker.add_learner(member, now)
 
     def on_leave(self, replica_id: str, now: float) -> bool:
-        """A voter is about to stop; says whether it should wait: its place is being filled, or it holds one
-        of too few copies while others that answer are still behind."""
-        core = self._core
-        asked = self._leaving.get(replica_id)
-        index = asked.index if asked is not None and now < asked.until else core.commit_index
-        self._leaving[replica_id] = _Leaving(now + core.settings.leave_s, index)
+        """A voter is about to stop; says whether it should wait."""
+        self._reconfiguration.leaves(replica_id, now)
         self.change_members(now)
-        if not stays_voter(core.log.membership, replica_id):
-            return True
-        return self._tracker.lacks_copies(index, replica_id, now)
+        return self._reconfiguration.should_wait(replica_id, now)
 
     def _may_change(self) -> bool:
         """One change at a time, and none before an entry of this term is committed."""
@@ -335,57 +312,8 @@
 
     def change_members(self, now: float) -> None:
         """Begin the next change of members, or end the one under way, where that is due."""
-        if not self._may_change():
-            return
-        if self._core.log.membership.is_joint:
-            self._end_change(now)
-        elif self._tracker.has_learners:
-            self._begin_change(now)
-
-    def _begin_change(self, now: float) -> None:
-        core = self._core
-        change = next_change(
-            core.log.membership,
-            self._tracker.voter_views(now),
-            self._tracker.learner_views(now),
-            self._target_voters,
-            [replica_id for replica_id, leaving in self._leaving.items() if now < leaving.until],
-            core.settings,
-        )
-        if change is not None:
-            self._change(change, now)
-
-    def _end_change(self, now: float) -> None:
-        """A leader that goes itself leaves the end to one that stays: the lease moves with the leadership."""
-        core = self._core
-        membership = core.log.membership
-        under_way_s = now - self._changed_at
-        change = next_end(membership, self._tracker.voter_views(now), under_way_s, core.settings)
-        if change is None:
-            return
-        if change.takes_over and not stays_voter(membership, core.id) and self.hand_over(now):
-            return
-        self._change(change, now)
-        if change.takes_over:
-            staying = core.log.membership
-            self._removals = [
-                voter for voter in membership.outgoing_voters if not is_voter(staying, voter.replica_id)
-            ]
-
-    def _change(self, change: ProposedChange, now: float) -> None:
-        self._append(change.kind, change.data)
-        self._changed_at = now
-        self._tracker.follow_membership(now)
-
-    def _tell_removed(self) -> None:
-        """Once it is committed that voters are out, tell them; who misses it is told when it next asks."""
-        core = self._core
-        if not self._removals or core.commit_index < core.log.last_change_index:
-            return
-        removals, self._removals = self._removals, []
-        for member in removals:
-            if member.replica_id != core.id:
-                core.send(member.address, Removed(core.id, member.replica_id, core.term))
+        if self._may_change():
+            self._reconfiguration.step(now)
 
     # Handing over
 
