--- a/granitewell/coordination/consensus/quorum.py
+++ b/granitewell/coordination/consensus/quorum.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 
 from granitewell.coordination.consensus.terms import Membership
 
@@ -38,14 +39,15 @@
 
     def reached(self, values: Mapping[str, float]) -> float:
         """The greatest value that a quorum has reached; NEVER stands for a replica without one."""
-        return min((_reached_by_majority(group, values) for group in self.groups), default=NEVER)
+        return min([_reached_by_majority(group, values) for group in self.groups], default=NEVER)
 
 
 def _reached_by_majority(group: frozenset[str], values: Mapping[str, float]) -> float:
-    descending = sorted((values.get(replica_id, NEVER) for replica_id in group), reverse=True)
-    return descending[majority(len(group)) - 1]
+    ascending = sorted([values.get(replica_id, NEVER) for replica_id in group])
+    return ascending[-majority(len(ascending))]
 
 
+@lru_cache(maxsize=64)
 def quorum_of(membership: Membership) -> Quorum:
     """The quorum under a membership."""
     groups = (membership.voters, membership.outgoing_voters)
