Model of changes: all orders of operators, repeats, lost answers, elections and restores

Two models hold every answer against what was committed: never two changes confirmed on one version or under one number, never a refusal of what was taken or of what is taken later, never 200 for what is not in force, the version in a 200 the change's own, and a clear answer for every change once all is well.

--- /dev/null
+++ b/tests/controlplane/change_defects.py
@@ -0,0 +1,141 @@
+"""Guards of changes, taken out on purpose. Each plants one defect for the time of a test."""
+
+from __future__ import annotations
+
+import pytest
+from aiohttp import web
+
+from granitewell.controlplane.configuration import answers, history
+from granitewell.controlplane.configuration.api import Leadership, OperatorApi, Standing
+from granitewell.controlplane.configuration.history import UNKNOWN_DIGEST, ChangeHistory, TakenChange
+from granitewell.controlplane.configuration.store import Change, ChangeResult, ConfigurationStore, Outcome
+from tests.controlplane.change_world import Entry, Node, Waiter
+
+
+def identity_without_base(patch: pytest.MonkeyPatch) -> None:
+    """A body that was taken is acknowledged under any If-Match."""
+    real = ConfigurationStore._judge
+
+    def judge(self: ConfigurationStore, change: Change) -> object:
+        for taken in self._history._taken.values():
+            if taken.digest == change.digest():
+                return ChangeResult(Outcome.REPEATED, taken.version, self.version)
+        return real(self, change)
+
+    patch.setattr(ConfigurationStore, "_judge", judge)
+
+
+def identity_without_body(patch: pytest.MonkeyPatch) -> None:
+    """All changes on one version count as the one that was taken there."""
+
+    def version_of(self: ChangeHistory, change: Change) -> int | None:
+        taken = self._taken.get(change.base_version)
+        return None if taken is None else taken.version
+
+    patch.setattr(ChangeHistory, "version_of", version_of)
+
+
+def history_not_in_snapshot(patch: pytest.MonkeyPatch) -> None:
+    """A replica that was restored knows only the configuration."""
+
+    def read(data: bytes) -> ChangeHistory:
+        _, version = history.RECORD.unpack(data[-history.RECORD.size :])
+        restored = ChangeHistory()
+        restored._taken = {-1: TakenChange(UNKNOWN_DIGEST, version)}
+        return restored
+
+    patch.setattr(ChangeHistory, "read", read)
+
+
+def stale_before_repeated(patch: pytest.MonkeyPatch) -> None:
+    """What is built on another version is refused without a look at the history."""
+
+    def judge(self: ConfigurationStore, change: Change) -> ChangeResult:
+        return self._result(Outcome.STALE)
+
+    patch.setattr(ConfigurationStore, "_judge_on_another_version", judge)
+
+
+def repeat_is_told_the_current_version(patch: pytest.MonkeyPatch) -> None:
+    """As it was once."""
+    real = ConfigurationStore._judge_on_another_version
+
+    def judge(self: ConfigurationStore, change: Change) -> ChangeResult:
+        result = real(self, change)
+        return ChangeResult(result.outcome, self.version, self.version)
+
+    patch.setattr(ConfigurationStore, "_judge_on_another_version", judge)
+
+
+def forgotten_is_refused(patch: pytest.MonkeyPatch) -> None:
+    """What the history does not reach counts as not taken."""
+    patch.setattr(ChangeHistory, "reaches", lambda self, base_version: True)
+
+
+def forgotten_version_not_in_snapshot(patch: pytest.MonkeyPatch) -> None:
+    """A replica that was restored takes its history for whole."""
+    real = ChangeHistory.records
+
+    def records(self: ChangeHistory) -> list[bytes]:
+        return real(self)[1 if self._forgotten_version else 0 :]
+
+    patch.setattr(ChangeHistory, "records", records)
+
+
+def lease_not_looked_at(patch: pytest.MonkeyPatch) -> None:
+    """A node that led once judges changes by the state that it has."""
+
+    async def judged(self: OperatorApi, change: Change, path: str) -> web.Response:
+        result = self._store.check(change)
+        return await self._proposed(change, path) if result is None else answers.changed(result)
+
+    patch.setattr(OperatorApi, "_leadership_now", lambda self: Leadership(Standing.SERVING))
+    patch.setattr(OperatorApi, "_judged", judged)
+
+
+def lost_proposal_is_refused(patch: pytest.MonkeyPatch) -> None:
+    """A proposal that was not committed in time counts as not taken."""
+    real = OperatorApi._proposed
+
+    async def proposed(self: OperatorApi, change: Change, path: str) -> web.Response:
+        response = await real(self, change, path)
+        if response.status != 503:
+            return response
+        return answers.changed(ChangeResult(Outcome.STALE, self._store.version, self._store.version))
+
+    patch.setattr(OperatorApi, "_proposed", proposed)
+
+
+def lost_proposal_is_confirmed(patch: pytest.MonkeyPatch) -> None:
+    """What passed the check is confirmed, whatever became of its entry."""
+    real = OperatorApi._proposed
+
+    async def proposed(self: OperatorApi, change: Change, path: str) -> web.Response:
+        before = self._store.check(change)
+        response = await real(self, change, path)
+        if response.status != 503 or before is not None or self._store._checked is None:
+            return response
+        version = self._store._checked.after.version
+        return answers.changed(ChangeResult(Outcome.TAKEN, version, version))
+
+    patch.setattr(OperatorApi, "_proposed", proposed)
+
+
+def result_of_another_entry(patch: pytest.MonkeyPatch) -> None:
+    """The outcome of whichever entry took the place goes to who proposed one there."""
+
+    def tell(self: Node, waiter: Waiter, entry: Entry, result: object) -> None:
+        waiter.future.set_result(result)
+
+    patch.setattr(Node, "tell", tell)
+
+
+def restore_keeps_waiters(patch: pytest.MonkeyPatch) -> None:
+    """A proposal that a snapshot has passed over is told what came last."""
+
+    def lose_waiters(self: Node, up_to: int) -> None:
+        for waiter in [waiter for waiter in self.waiters if waiter.index <= up_to]:
+            self.waiters.remove(waiter)
+            waiter.future.set_result(ChangeResult(Outcome.TAKEN, self.store.version, self.store.version))
+
+    patch.setattr(Node, "lose_waiters", lose_waiters)
--- /dev/null
+++ b/tests/controlplane/test_changes_on_bad_days.py
@@ -0,0 +1,344 @@
+"""Operators against three control nodes on virtual time: real stores, API, replica groups and log format.
+
+Disks refuse all writes for a while (on one, on two, on all nodes), links are cut, processes are killed and
+machines lose power, snapshots are taken every few entries. Each answer is held against what was committed,
+and after the last trouble every change must get its clear answer. More seeds:
+
+    GRANITEWELL_CHANGE_DAYS=500 python -m pytest tests/controlplane/test_changes_on_bad_days.py
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from random import Random
+
+import orjson
+import pytest
+from aiohttp import web
+
+from granitewell.controlplane.configuration.api import OperatorApi
+from granitewell.controlplane.configuration.store import Change, ChangeResult, ConfigurationStore, Operation
+from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.coordination.consensus.identity import NodeIdentity, first_replica_id
+from granitewell.coordination.consensus.settings import ReplicaSettings
+from tests.controlplane.change_world import UNCLEAR, Operator, Reference, Step, Violation
+from tests.coordination.simulated_files import SimulatedFiles
+from tests.coordination.virtual_loop import LoopExecutor, run
+
+ADDRESSES = ("10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7")
+DAYS = int(os.environ.get("GRANITEWELL_CHANGE_DAYS", "10"))
+TROUBLES = 6  # in a day
+ANSWER_S = 1.0  # an operator moves on then
+RECOVERY_S = 20.0  # after the last trouble; elections, a refused disk's retry, three proposals that time out
+LOST = 0.2  # of the answers
+ROOM_AGAIN_S = 4.0  # until a change is taken: one proposal may time out, one leader may change
+MOST_PAUSE_S = 0.4  # between the changes of one operator
+
+
+class Committed:
+    """What the nodes apply: the same everywhere, and told to the reference in order."""
+
+    def __init__(self) -> None:
+        self.reference = Reference()
+        self._entries: dict[int, bytes] = {}
+
+    def applied(self, index: int, data: bytes) -> None:
+        """A node has applied an entry."""
+        if index not in self._entries:
+            self._entries[index] = data
+            self.reference.commit(Change.decode(data))
+        elif self._entries[index] != data:
+            raise Violation(f"two entries at {index}")
+
+
+class WatchedStore(ConfigurationStore):
+    """Tells what it applies."""
+
+    def __init__(self, committed: Committed) -> None:
+        super().__init__()
+        self._committed = committed
+
+    def apply(self, index: int, data: bytes) -> ChangeResult:
+        """As the real one."""
+        self._committed.applied(index, bytes(data))
+        return super().apply(index, data)
+
+
+class ControlNode:
+    """A machine: its disk, and a group, store and API while its process runs."""
+
+    def __init__(self, day: Day, address: str) -> None:
+        self.day = day
+        self.address = address
+        self.files = SimulatedFiles(day.rng)
+        self.group: ReplicatedGroup | None = None
+        self.api: OperatorApi | None = None
+        self.calls: set[asyncio.Task[web.Response]] = set()
+        self._executor: LoopExecutor | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        day = self.day
+        store = WatchedStore(day.committed)
+        self._executor = LoopExecutor(day.loop)
+        group = ReplicatedGroup(
+            name="configuration",
+            directory=Path("/data/configuration"),
+            identity=NodeIdentity(self.address, self.address, first_replica_id(self.address)),
+            bootstrap=True,
+            seeds=ADDRESSES,
+            target_voters=3,
+            machine=store,
+            send=lambda to, name, payload: day.send(self.address, to, payload),
+            rng=day.rng,
+            clock=day.loop.time,
+            settings=ReplicaSettings(compact_entries=4),
+            executor=self._executor,
+            files=self.files,
+        )
+        self.group = group
+        await group.start()
+        self.api = OperatorApi(store, group, str, day.loop.time, own_address=self.address)
+
+    async def die(self, *, power: bool) -> None:
+        """The process is killed, or the machine loses power; its callers hear no more."""
+        group, executor = self.group, self._executor
+        if group is None or executor is None:
+            return
+        self.group = self.api = None
+        executor.dead = True
+        await group.stop()
+        for call in self.calls:
+            call.cancel()
+        self.files.refusing = None
+        self.files.restart(power=power)
+
+
+class Day:
+    """Three nodes, their network, two operators, troubles."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.committed = Committed()
+        self.nodes = {address: ControlNode(self, address) for address in ADDRESSES}
+        self.cut: set[frozenset[str]] = set()
+        self.violations: list[Violation] = []
+        self.ending = False
+
+    def send(self, sender: str, to: str, payload: bytes) -> None:
+        """Bring a message, a moment later, where the link is there."""
+        if frozenset((sender, to)) not in self.cut:
+            self.loop.call_later(0.001, self._deliver, sender, to, payload)
+
+    def _deliver(self, sender: str, to: str, payload: bytes) -> None:
+        node = self.nodes.get(to)
+        if node is not None and node.group is not None:
+            node.group.receive(sender, payload)
+
+    # Operators
+
+    async def operate(self, operator: Operator) -> None:
+        """Send the changes of a plan, each until it has a clear answer, until the day ends."""
+        address = self.rng.choice(ADDRESSES)
+        while not operator.done and not (self.ending and operator.sent == 0):
+            operator.sent += 1
+            change = operator.change()
+            answer = await self._asked(address, change)
+            if answer is not None and answer.status not in UNCLEAR:
+                operator.hear(answer.status, orjson.loads(_bytes(answer)).get("version", 0))
+                await asyncio.sleep(self.rng.uniform(0, MOST_PAUSE_S))
+            elif answer is not None and answer.status == 307:
+                address = answer.headers["Location"].split("/")[2]
+                await asyncio.sleep(0.01)
+                continue
+            else:
+                await asyncio.sleep(self.rng.uniform(0.05, 0.3))
+            address = self.rng.choice(ADDRESSES)
+
+    async def _asked(self, address: str, change: Change) -> web.Response | None:
+        """One call; None where no answer was heard."""
+        node = self.nodes[address]
+        if node.api is None:
+            return None
+        call = self.loop.create_task(node.api.answer(change, "/config"))
+        node.calls.add(call)
+        call.add_done_callback(lambda call: self._judge(node, change, call))
+        await asyncio.wait({call}, timeout=ANSWER_S)
+        if not call.done() or call.cancelled() or self.rng.random() < LOST:
+            return None
+        return call.result()
+
+    def _judge(self, node: ControlNode, change: Change, call: asyncio.Task[web.Response]) -> None:
+        """Every answer counts, heard or not."""
+        node.calls.discard(call)
+        if call.cancelled():
+            return
+        try:
+            response = call.result()
+            self.committed.reference.answer(change, response.status, orjson.loads(_bytes(response)))
+        except Violation as violation:
+            self.violations.append(violation)
+
+    # Troubles
+
+    async def full_disks(self) -> None:
+        """Writes are refused on one, two or all."""
+        nodes = self.rng.sample(list(self.nodes.values()), self.rng.randint(1, 3))
+        for node in nodes:
+            node.files.refusing = errno.ENOSPC
+        await asyncio.sleep(self.rng.uniform(0.1, 6))
+        for node in nodes:
+            node.files.refusing = None
+
+    async def cut_off(self) -> None:
+        """One node from the others, or one link."""
+        first, *others = self.rng.sample(ADDRESSES, 3)
+        links = {frozenset((first, other)) for other in others[: self.rng.randint(1, 2)]}
+        self.cut |= links
+        await asyncio.sleep(self.rng.uniform(0.1, 5))
+        self.cut -= links
+
+    async def restart(self) -> None:
+        """One node, or all at once."""
+        nodes = self.rng.sample(list(self.nodes.values()), self.rng.choice((1, 1, 3)))
+        for node in nodes:
+            await node.die(power=self.rng.random() < 0.5)
+        await asyncio.sleep(self.rng.uniform(0, 2))
+        await asyncio.gather(*(node.start() for node in nodes if node.group is None))
+
+    async def hand_over(self) -> None:
+        """The leader gives up leadership."""
+        for node in self.nodes.values():
+            if node.group is not None and node.group.is_leader:
+                await node.group.transfer()
+
+    # All of it
+
+    async def play(self, troubles: Sequence[Callable[[Day], Awaitable[None]]], plans: Plans) -> None:
+        """A day with its troubles, and the recovery."""
+        await asyncio.gather(*(node.start() for node in self.nodes.values()))
+        await self.operate(Operator([Step(Operation.PUT, 1, "first")], known=0))
+        operators = [Operator(plan) for plan in plans]
+        operating = [self.loop.create_task(self.operate(operator)) for operator in operators]
+        for trouble in troubles:
+            await trouble(self)
+            await asyncio.sleep(self.rng.uniform(0, 1))
+            self.check()
+        self.ending = True
+        _, late = await asyncio.wait(operating, timeout=RECOVERY_S)
+        self.check()
+        if late:
+            raise Violation(
+                f"no clear answer: {[operator.change() for operator in operators if operator.sent]}"
+            )
+        await self._read_back()
+
+    def check(self) -> None:
+        """No answer was wrong."""
+        if self.violations:
+            raise self.violations[0]
+
+    async def _read_back(self) -> None:
+        """All nodes come to the newest version."""
+        async with asyncio.timeout(RECOVERY_S):
+            while {self._version(node) for node in self.nodes.values()} != {self.committed.reference.version}:
+                await asyncio.sleep(0.1)
+
+    def _version(self, node: ControlNode) -> int:
+        return -1 if node.api is None else node.api._store.version
+
+
+Plans = Sequence[Sequence[Step]]
+
+
+def _bytes(response: web.Response) -> bytes:
+    assert isinstance(response.body, bytes)
+    return response.body
+
+
+def plans_of(rng: Random) -> Plans:
+    """Two operators, whose changes are alike at times."""
+
+    def step() -> Step:
+        return Step(
+            rng.choice(tuple(Operation)), rng.randint(1, 3), rng.choice("xy"), again=rng.random() < 0.1
+        )
+
+    return [[step() for _ in range(300)] for _ in range(2)]
+
+
+ALL = (Day.full_disks, Day.full_disks, Day.cut_off, Day.restart, Day.hand_over)
+
+
+def played(seed: int, troubles: Sequence[Callable[[Day], Awaitable[None]]]) -> None:
+    """A day of one seed."""
+    rng = Random(seed)
+    chosen = [rng.choice(troubles) for _ in range(TROUBLES)]
+
+    async def day() -> None:
+        try:
+            await Day(seed).play(chosen, plans_of(rng))
+        except Violation as violation:
+            raise Violation(f"seed {seed}, {[trouble.__name__ for trouble in chosen]}: {violation}") from None
+
+    run(day())
+
+
+@pytest.mark.parametrize("seed", range(DAYS))
+def test_a_bad_day(seed: int) -> None:
+    played(seed, ALL)
+
+
+async def statuses(day: Day, change: Change, seconds: float) -> list[int]:
+    """The answers to a change that is sent to one node after the other, until it is taken."""
+    found: list[int] = []
+    deadline = day.loop.time() + seconds
+    while day.loop.time() < deadline and 200 not in found:
+        node = day.nodes[ADDRESSES[len(found) % 3]]
+        assert node.api is not None
+        found.append((await node.api.answer(change, "/config")).status)
+        day.committed.reference.answer(change, found[-1], {"version": 2})
+        await asyncio.sleep(0.05)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("full", "taken"), [("follower", True), ("leader", True), ("two followers", False), ("all", False)]
+)
+def test_changes_while_disks_are_full(full: str, taken: bool) -> None:
+    """A majority that can write takes changes. Without one, no change has a clear answer; one that is sent on
+    is taken soon after there is room again."""
+
+    async def play() -> None:
+        day = Day(1)
+        await asyncio.gather(*(node.start() for node in day.nodes.values()))
+        await day.operate(Operator([Step(Operation.PUT, 1, "first")], known=0))
+        leader = next(node for node in day.nodes.values() if node.group is not None and node.group.is_leader)
+        followers = [node for node in day.nodes.values() if node is not leader]
+        which = {
+            "follower": followers[:1],
+            "leader": [leader],
+            "two followers": followers,
+            "all": [leader, *followers],
+        }
+        for node in which[full]:
+            node.files.refusing = errno.ENOSPC
+        change = Step(Operation.PATCH, 1, "x").change(1)
+        told = await statuses(day, change, 9.0)
+        assert (told[-1] == 200) is taken and set(told[:-1]) <= set(UNCLEAR)
+        if not taken:
+            assert set(told) <= set(UNCLEAR) and day.committed.reference.version == 1
+        for node in which[full]:
+            node.files.refusing = None
+        before = day.loop.time()
+        told = await statuses(day, change, 9.0)
+        assert told[-1] == 200 and set(told[:-1]) <= set(UNCLEAR)
+        assert day.loop.time() - before < ROOM_AGAIN_S
+        await day._read_back()
+
+    run(play())
