--- a/tests/controlplane/change_defects.py
+++ b/tests/controlplane/change_defects.py
@@ -39,6 +39,8 @@
     """A replica that was restored knows only the configuration."""
 
     def read(data: bytes) -> ChangeHistory:
+        if not data:
+            return ChangeHistory()
         _, version = history.RECORD.unpack(data[-history.RECORD.size :])
         restored = ChangeHistory()
         restored._taken = {-1: TakenChange(UNKNOWN_DIGEST, version)}
--- a/tests/controlplane/test_changes_on_bad_days.py
+++ b/tests/controlplane/test_changes_on_bad_days.py
@@ -12,9 +12,12 @@
 import asyncio
 import errno
 import os
+import re
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from random import Random
+from types import SimpleNamespace
+from typing import cast
 
 import orjson
 import pytest
@@ -25,12 +28,14 @@
 from granitewell.coordination.consensus.group import ReplicatedGroup
 from granitewell.coordination.consensus.identity import NodeIdentity, first_replica_id
 from granitewell.coordination.consensus.settings import ReplicaSettings
+from tests.controlplane import change_defects as defects
 from tests.controlplane.change_world import UNCLEAR, Operator, Reference, Step, Violation
 from tests.coordination.simulated_files import SimulatedFiles
 from tests.coordination.virtual_loop import LoopExecutor, run
 
 ADDRESSES = ("10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7")
 DAYS = int(os.environ.get("GRANITEWELL_CHANGE_DAYS", "10"))
+MOST_DEFECT_DAYS = 60
 TROUBLES = 6  # in a day
 ANSWER_S = 1.0  # an operator moves on then
 RECOVERY_S = 20.0  # after the last trouble; elections, a refused disk's retry, three proposals that time out
@@ -129,6 +134,7 @@
         self.cut: set[frozenset[str]] = set()
         self.violations: list[Violation] = []
         self.ending = False
+        self.tasks: list[asyncio.Task[None]] = []
 
     def send(self, sender: str, to: str, payload: bytes) -> None:
         """Bring a message, a moment later, where the link is there."""
@@ -184,6 +190,21 @@
         except Violation as violation:
             self.violations.append(violation)
 
+    async def read(self) -> None:
+        """Get the configuration again and again: an answer is the newest that was taken."""
+        request = cast(web.Request, SimpleNamespace(path_qs="/config"))
+        while True:
+            await asyncio.sleep(self.rng.uniform(0, MOST_PAUSE_S))
+            node = self.nodes[self.rng.choice(ADDRESSES)]
+            if node.api is None:
+                continue
+            response = await node.api.get(request)
+            newest = self.committed.reference.version
+            if response.status == 200 and orjson.loads(_bytes(response))["version"] != newest:
+                self.violations.append(Violation(f"read {_bytes(response)!r}, the newest is {newest}"))
+            elif response.status not in (200, *UNCLEAR):
+                self.violations.append(Violation(f"{response.status} for a GET"))
+
     # Troubles
 
     async def full_disks(self) -> None:
@@ -225,6 +246,7 @@
         await self.operate(Operator([Step(Operation.PUT, 1, "first")], known=0))
         operators = [Operator(plan) for plan in plans]
         operating = [self.loop.create_task(self.operate(operator)) for operator in operators]
+        self.tasks = [*operating, self.loop.create_task(self.read())]
         for trouble in troubles:
             await trouble(self)
             await asyncio.sleep(self.rng.uniform(0, 1))
@@ -236,14 +258,22 @@
             raise Violation(
                 f"no clear answer: {[operator.change() for operator in operators if operator.sent]}"
             )
-        await self._read_back()
+        await self.read_back()
+
+    async def stop(self) -> None:
+        """End all that runs."""
+        for task in self.tasks:
+            task.cancel()
+        for node in self.nodes.values():
+            await node.die(power=False)
+        await asyncio.sleep(0)
 
     def check(self) -> None:
         """No answer was wrong."""
         if self.violations:
             raise self.violations[0]
 
-    async def _read_back(self) -> None:
+    async def read_back(self) -> None:
         """All nodes come to the newest version."""
         async with asyncio.timeout(RECOVERY_S):
             while {self._version(node) for node in self.nodes.values()} != {self.committed.reference.version}:
@@ -280,13 +310,16 @@
     rng = Random(seed)
     chosen = [rng.choice(troubles) for _ in range(TROUBLES)]
 
-    async def day() -> None:
+    async def play() -> None:
+        day = Day(seed)
         try:
-            await Day(seed).play(chosen, plans_of(rng))
+            await day.play(chosen, plans_of(rng))
         except Violation as violation:
             raise Violation(f"seed {seed}, {[trouble.__name__ for trouble in chosen]}: {violation}") from None
+        finally:
+            await day.stop()
 
-    run(day())
+    run(play())
 
 
 @pytest.mark.parametrize("seed", range(DAYS))
@@ -294,6 +327,30 @@
     played(seed, ALL)
 
 
+DEFECTS: dict[Callable[[pytest.MonkeyPatch], None], str] = {
+    defects.identity_without_base: "confirmed, and not in force",
+    defects.identity_without_body: "confirmed, and not in force",
+    defects.stale_before_repeated: "412 for what was taken",
+    defects.history_not_in_snapshot: "412 for what was taken",
+    defects.repeat_is_told_the_current_version: "confirmed as .*, taken as",
+    defects.lease_not_looked_at: "4.. for|refused, and then taken|read .*, the newest is",
+    defects.lost_proposal_is_refused: "412 for|refused, and then taken",
+    defects.lost_proposal_is_confirmed: "confirmed, and not in force",
+}
+
+
+@pytest.mark.parametrize("plant", DEFECTS, ids=lambda plant: getattr(plant, "__name__", ""))
+def test_bad_days_notice(
+    plant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises(Violation) as raised:
+        for seed in range(MOST_DEFECT_DAYS):
+            played(seed, ALL)
+    print(raised.value)
+    assert re.search(DEFECTS[plant], str(raised.value))
+
+
 async def statuses(day: Day, change: Change, seconds: float) -> list[int]:
     """The answers to a change that is sent to one node after the other, until it is taken."""
     found: list[int] = []
@@ -339,6 +396,7 @@
         told = await statuses(day, change, 9.0)
         assert told[-1] == 200 and set(told[:-1]) <= set(UNCLEAR)
         assert day.loop.time() - before < ROOM_AGAIN_S
-        await day._read_back()
+        await day.read_back()
+        await day.stop()
 
     run(play())
