A head is read up to 64 KiB or the limit in force, all its fields together

Cause: the change before let a field have 256 KiB whatever limit a connection began with, and nothing bounded the fields together: 512 of them could take a node's memory. Now 64 KiB a field, and a head that is not whole ends its connection beyond that sum (or the limit in force). Bytes of a refused body, which are read away, are no head: test_a_body_beyond_the_limit_is_read_away_behind_its_refusal.

--- a/granitewell/dataplane/front.py
+++ b/granitewell/dataplane/front.py
@@ -34,7 +34,7 @@
 MOST_HEADERS = 512  # of a request; the limit in bytes counts besides
 DEFECT_GAP_S = 5.0  # between two lines about defects of ours
 LINGER_S = 2.0  # in which a refused body is read away, so that the answer isn't lost with a reset
-MOST_FIELD_BYTES = 262_144  # of a line or field that is read at all; check_head knows the limit in force
+MOST_HEAD_BYTES = 65_536  # of a head that is read at all, or the limit in force where that is more
 LIBRARY_KEEP_ALIVE_S = 86_400.0  # the library's own; idle connections end by the limit in force, see _sweep
 UNSENT_LOOK_S = 0.02  # between two looks whether the last answers have been sent
 
@@ -100,6 +100,7 @@
         self.head_since: float | None = None
         self._active_at = asyncio.get_running_loop().time()
         self._idle_timeout_s = idle_timeout_s  # when it began: its client may know no other
+        self._head_bytes = 0  # of a head that is not whole yet
 
     def data_received(self, data: bytes) -> None:
         """As the library does; what is neither part of a body nor a whole head begins a head."""
@@ -107,9 +108,19 @@
         before = self._request_count
         super().data_received(data)
         if self._request_count != before or self._request_in_progress or self._messages:
-            self.head_since = None
-        elif self.head_since is None and data:
+            self.head_since, self._head_bytes = None, 0
+        elif data:
+            self._head_grew(len(data))
+
+    def _head_grew(self, by: int) -> None:
+        if self.head_since is None:
             self.head_since = asyncio.get_running_loop().time()
+        if not self.idle:
+            return  # the rest of a body that was refused is read away
+        self._head_bytes += by
+        server = self._manager
+        if isinstance(server, FrontServer) and self._head_bytes > server.most_head_bytes:
+            self.force_close()
 
     def mark_active(self) -> None:
         """Bytes have come, or an answer has ended."""
@@ -166,6 +177,11 @@
         super().__init__(handler, handler_cancellation=True)
         self.limits = limits
 
+    @property
+    def most_head_bytes(self) -> int:
+        """Of a head that is read at all: check_head knows the limit in force, also for older connections."""
+        return max(self.limits.max_header_bytes, MOST_HEAD_BYTES)
+
     @property
     def transports(self) -> dict[ClientConnection, asyncio.Transport]:
         """Of each connection, also of those that are being closed."""
@@ -180,8 +196,8 @@
             logger=QUIET_LOGGER,
             idle_timeout_s=limits.idle_timeout_ms / 1000.0,
             keepalive_timeout=LIBRARY_KEEP_ALIVE_S,
-            max_line_size=max(limits.max_header_bytes, MOST_FIELD_BYTES),
-            max_field_size=max(limits.max_header_bytes, MOST_FIELD_BYTES),
+            max_line_size=self.most_head_bytes,
+            max_field_size=self.most_head_bytes,
             max_headers=MOST_HEADERS,
             lingering_time=LINGER_S,
             auto_decompress=False,
--- a/tests/dataplane/test_refusals.py
+++ b/tests/dataplane/test_refusals.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from granitewell.dataplane.front import MOST_HEAD_BYTES
 from granitewell.model.configuration import Configuration, Limits
 from tests.dataplane.simulated_network import play_simulated
 from tests.dataplane.standin import ROUTES, Scene, Seen, configuration, scene, well
@@ -74,6 +75,45 @@
     play_simulated(run())
 
 
+def test_a_head_without_end_is_not_kept_in_memory() -> None:
+    """Each of its fields is within the limit, all together are not."""
+
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            client.writer.write(b"POST /once/x HTTP/1.1\r\n")
+            sent = 0
+            while sent < 4 * MOST_HEAD_BYTES and not client.reader.at_eof():
+                field = b"X-%d: " % sent + b"a" * 1_000 + b"\r\n"
+                client.writer.write(field)
+                sent += len(field)
+                await asyncio.sleep(0.001)
+            assert await client.reader.read() == b""
+            assert MOST_HEAD_BYTES < sent < 1.2 * MOST_HEAD_BYTES
+
+    play_simulated(run())
+
+
+@pytest.mark.parametrize("told", [True, False], ids=["length", "chunks"])
+def test_a_body_beyond_the_limit_is_read_away_behind_its_refusal(told: bool) -> None:
+    """Else the refusal would be lost with a reset."""
+
+    async def run() -> None:
+        async with scene(well) as s:
+            client = await s.connect()
+            length, coding = ("200000", "") if told else ("", "chunked")
+            client.send(
+                "/once/x", Content_Length=length, Transfer_Encoding=coding, Granitewell_Request_Id="1"
+            )
+            for _ in range(20):
+                client.writer.write(b"a" * 10_000 if told else b"2710\r\n" + b"a" * 10_000 + b"\r\n")
+                await asyncio.sleep(0.01)
+            answer = await client.answer()
+            assert answer is not None and (answer.status, answer.complete) == (413, True)
+
+    play_simulated(run())
+
+
 def test_a_route_of_all_configurations_is_never_refused_while_they_change() -> None:
     """Out of touch, with an old version, or while versions come in quick succession."""
 
