--- a/tests/test_worst_days.py
+++ b/tests/test_worst_days.py
@@ -8,6 +8,8 @@
 import json
 import tomllib
 from collections.abc import Mapping
+from dataclasses import replace
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -155,6 +157,45 @@
             assert len({json.dumps(entry) for entry in day.entries()}) == len([*day.entries()]), day.name
 
 
+COUNTED = {
+    "core_cut", "node_kill", "node_freeze", "after_ack_kill", "after_ack_wipe", "disk_slow", "disk_full",
+    "disk_stall",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("losses", [1, 2])
+def test_no_more_counted_machines_are_lost_at_a_blow_than_is_to_be_borne(losses: int, site: Site) -> None:
+    bearing = replace(site, losses=losses)
+    hit = [
+        entry["count"]
+        for scenarios in POINTS.values()
+        for scenario in scenarios(bearing)
+        for entry in scenario.entries
+        if entry["kind"] in COUNTED
+    ]
+    assert max(hit) == losses and min(hit) == 1
+
+
+@pytest.mark.parametrize("end", ["-in-a-row", "-then-power", "gone-then-wiped", "oldest-wiped"])
+def test_a_second_loss_comes_when_the_first_machine_has_caught_up(end: str, site: Site) -> None:
+    scenarios = [each for each in POINTS["3-second-losses"](site) if each.name.endswith(end)]
+    assert scenarios
+    for scenario in scenarios:
+        lost = sorted(span_of_loss(entry, site) for entry in scenario.entries if is_loss(entry))
+        assert len(lost) >= 3
+        assert all(over <= next_at for (_, over), (next_at, _) in pairwise(lost)), scenario.name
+
+
+def is_loss(entry: Mapping[str, Any]) -> bool:
+    return entry["kind"] in COUNTED or entry["kind"] == "replace_core"
+
+
+def span_of_loss(entry: Mapping[str, Any], site: Site) -> tuple[float, float]:
+    """From the loss until the machine, or the one in its place, has had its time to catch up."""
+    down_s = entry["x"] if entry["kind"] == "replace_core" else entry["for_s"]
+    return entry["at"], entry["at"] + down_s + site.catch_up_s
+
+
 def test_plays_are_points_by_deployments_by_seeds_by_moments(site: Site, listing: Listing) -> None:
     plays = all_plays({site: listing}, Choice(seeds=(1, 2), moments_s=(3.0, 8.0)))
     assert len({play.stem for play in plays}) == len(plays)
