--- a/tests/test_worst_days.py
+++ b/tests/test_worst_days.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import replace
@@ -207,6 +208,22 @@
     assert wanted and all("races" in play.day.name and play.day.name[0] == "2" for play in wanted)
 
 
+def test_mixed_days_hold_two_points_and_are_drawn_by_site_seed_and_moment(
+    site: Site, listing: Listing
+) -> None:
+    def drawn(seed: int, moment_s: float) -> list[Day]:
+        choice = Choice(seeds=(seed,), moments_s=(moment_s,), points=("none",), mixed=4)
+        return [play.day for play in all_plays({site: listing}, choice)]
+
+    days = drawn(1, 3.0)
+    assert len(days) == 4 and days == drawn(1, 3.0)
+    assert days != drawn(2, 3.0)
+    for day in days:
+        found = re.fullmatch(r"mixed-\d-(\d)-[a-z_-]+\+(\d)-[a-z_-]+-3", day.name)
+        assert found and found[1] != found[2]
+        assert all(3.0 <= entry["at"] < TRAFFIC_S and listing.allows(entry) for entry in day.entries())
+
+
 def test_fewer_plays_are_spread_over_all() -> None:
     plays = [Play(None, Day(str(n), (), ())) for n in range(10)]  # type: ignore[arg-type]
     assert [play.day.name for play in spread(plays, 4)] == ["0", "2", "5", "7"]
--- a/tools/worst_day_points.py
+++ b/tools/worst_day_points.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from random import Random
 from typing import Any
 
 from tools.bench_days import Day, Entry, Listing, Site
@@ -15,6 +16,7 @@
 CUT_S = 20.0
 BACK_S = 1.0  # a machine that lost its power or its disk is down so long
 SLACK_S = 0.5
+LATER_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,3 +263,19 @@
     "4-many-changes": many_changes,
     "5-calls": calls,
 }
+
+MIXED = "mixed"
+
+
+def mixed(site: Site, listing: Listing, draw: Random) -> Scenario:
+    """Two scenarios of different points on one day, the second a little after the first, drawn by lot."""
+    allowed = {
+        point[0]: [allowed for each in scenarios(site) if (allowed := each.on(listing))]
+        for point, scenarios in POINTS.items()
+    }
+    points = draw.sample([point for point, scenarios in allowed.items() if scenarios], 2)
+    first, second = (draw.choice(allowed[point]) for point in points)
+    later_s = round(draw.uniform(0.0, LATER_S), 2)
+    entries = [dict(entry) | {"at": round(entry["at"] + later_s, 2)} for entry in second.entries]
+    name = f"{points[0]}-{first.name}+{points[1]}-{second.name}"
+    return Scenario(name, (*first.entries, *entries), first.closing or second.closing)
--- a/tools/worst_days.py
+++ b/tools/worst_days.py
@@ -1,7 +1,8 @@
 """Writes and plays the worst days: five points x deployments x seeds x moments.
 
     python -m tools.worst_days BENCH OUT SITE... [--seeds 1 2] [--moments 3 9] [--points 1 4]
-        [--only WORD] [--most N] [--slot scale] [--jobs N] [--why TEXT] [--write-only] [--table FILE]
+        [--mixed N] [--only WORD] [--most N] [--slot scale] [--jobs N] [--why TEXT] [--write-only]
+        [--table FILE]
 
 Run it at the root of a clone: the bench builds and measures what stands there, and leaves its journal
 entries there. OUT takes each day's file, the bench's report and what it printed; a day that is there with
@@ -17,10 +18,11 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from random import Random
 from statistics import fmean
 
-from tools.bench_days import Bench, Listing, Play, Result, Site, each_done
-from tools.worst_day_points import POINTS
+from tools.bench_days import Bench, Day, Listing, Play, Result, Site, each_done
+from tools.worst_day_points import MIXED, POINTS, mixed
 
 MOMENTS_S = (3.0, 8.0)
 SEEDS = (1,)
@@ -29,11 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Which of all days are wanted. points: their first letters; only: a word in the day's name."""
+    """Which of all days are wanted. points: their first letters; mixed: days of two points, for each seed and
+    moment; only: a word in the day's name."""
 
     seeds: Sequence[int] = SEEDS
     moments_s: Sequence[float] = MOMENTS_S
     points: Sequence[str] = ("",)
+    mixed: int = 0
     only: str = ""
     most: int | None = None
 
@@ -44,17 +48,31 @@
         Play(site, day, seed)
         for seed in choice.seeds
         for moment_s in choice.moments_s
-        for point, scenarios in POINTS.items()
-        if point.startswith(tuple(choice.points))
         for site, listing in sites.items()
-        for scenario in (each.on(listing) for each in scenarios(site))
-        if scenario is not None
-        for day in [scenario.day(point, moment_s)]
+        for day in (
+            *days_of_points(site, listing, choice.points, moment_s),
+            *mixed_days(site, listing, choice.mixed, seed, moment_s),
+        )
         if choice.only in day.name
     ]
     return spread(plays, choice.most)
 
 
+def days_of_points(site: Site, listing: Listing, points: Sequence[str], moment_s: float) -> Iterator[Day]:
+    """Each scenario of each point that is wanted."""
+    for point, scenarios in POINTS.items():
+        if point.startswith(tuple(points)):
+            allowed = filter(None, (scenario.on(listing) for scenario in scenarios(site)))
+            yield from (scenario.day(point, moment_s) for scenario in allowed)
+
+
+def mixed_days(site: Site, listing: Listing, count: int, seed: int, moment_s: float) -> Iterator[Day]:
+    """So many days of two points each, other ones for each site, seed and moment."""
+    draw = Random(f"{site.name} {seed} {moment_s:g}")
+    for number in range(1, count + 1):
+        yield mixed(site, listing, draw).day(f"{MIXED}-{number}", moment_s)
+
+
 def spread(plays: Sequence[Play], most: int | None) -> list[Play]:
     """So many of them, evenly over the whole."""
     if most is None or most >= len(plays):
@@ -68,7 +86,7 @@
 
 def point_of(play: Play) -> str:
     """The point that a day belongs to."""
-    return next(point for point in POINTS if play.day.name.startswith(point))
+    return next(point for point in (*POINTS, MIXED) if play.day.name.startswith(point))
 
 
 def by_point_and_site(outcomes: Outcomes) -> dict[tuple[str, str], Outcomes]:
@@ -180,6 +198,7 @@
     parser.add_argument("--seeds", type=int, nargs="+", default=SEEDS)
     parser.add_argument("--moments", type=float, nargs="+", default=MOMENTS_S)
     parser.add_argument("--points", nargs="+", default=("",))
+    parser.add_argument("--mixed", type=int, default=0, help="days of two points, a site, seed and moment")
     parser.add_argument("--only", default="")
     parser.add_argument("--most", type=int)
     parser.add_argument("--slot", default="trouble", help="the standard day whose traffic is taken over")
@@ -201,7 +220,8 @@
     asked.out.mkdir(parents=True, exist_ok=True)
     bench = Bench(asked.bench.resolve(), asked.out.resolve(), asked.why)
     sites = {site: bench.listing(site) for site in sites_of(asked)}
-    plays = all_plays(sites, Choice(asked.seeds, asked.moments, asked.points, asked.only, asked.most))
+    choice = Choice(asked.seeds, asked.moments, asked.points, asked.mixed, asked.only, asked.most)
+    plays = all_plays(sites, choice)
     print(f"{len(plays)} plays", flush=True)
     if asked.write_only:
         for play in plays:
