--- /dev/null
+++ b/tests/controlplane/owner_judge.py
@@ -0,0 +1,146 @@
+"""What the operators' rules ask of orders to servers, held at each order of a simulated day."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from granitewell.controlplane.placement.orders import Operation, Order
+from granitewell.model.servers import ModelRef
+from tests.controlplane.owner_servers import EDGES, ENGINE, SIZES, EngineServer
+from tests.coordination.world import Violation
+
+if TYPE_CHECKING:
+    from tests.controlplane.owner_world import OwnerProcess, OwnerWorld
+
+LEASE_S = 3.0
+CONTACT_S = 3.0
+THAW_S = 0.3
+CEILING_WINDOW_S = 5.0
+CEILING_OVERAGE = 1.1
+
+
+@dataclass
+class Span:
+    """A trouble; until: infinite while it lasts."""
+
+    since: float
+    until: float = float("inf")
+
+
+class Troubles:
+    """When who was out of touch, by the operators' rules. core: of all machines, as each is of the core."""
+
+    def __init__(self) -> None:
+        self._core: list[Span] = []
+        self._machines: dict[str, list[Span]] = {}
+        self._excuses: dict[str, list[float]] = {}
+
+    def core(self, at: float) -> Span:
+        """The bench does something to the core."""
+        span = Span(at)
+        self._core.append(span)
+        return span
+
+    def machine(self, name: str, at: float) -> Span:
+        """The bench does something to a machine that leaves the core stable."""
+        span = Span(at)
+        self._machines.setdefault(name, []).append(span)
+        return span
+
+    def excuse(self, name: str, at: float) -> None:
+        """A machine was thawed, or a link of it has healed."""
+        self._excuses.setdefault(name, []).append(at)
+
+    def in_touch(self, name: str, at: float) -> bool:
+        """Whether nothing has happened to a machine and to the core for long enough."""
+        spans = (*self._core, *self._machines.get(name, ()))
+        return not any(span.since <= at <= span.until + CONTACT_S for span in spans)
+
+    def excused(self, name: str, at: float) -> bool:
+        """Whether an order that arrives now from a machine doesn't count."""
+        return any(0 <= at - healed <= THAW_S for healed in self._excuses.get(name, ()))
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """An order that reached a server."""
+
+    at: float
+    machine: str
+    fence: int
+
+
+class Judge:
+    """What must hold of all orders."""
+
+    def __init__(self, world: OwnerWorld) -> None:
+        self._world = world
+        self._arrivals: dict[str, list[Arrival]] = {}
+        self._holders: dict[int, str] = {}
+        self._sent: dict[str, int] = {}
+        self._loads: deque[float] = deque()
+        self.orders = 0
+        self.taken = 0
+        self.turns = 0
+        self.unloads = 0
+
+    def sent(self, process: OwnerProcess, order: Order, fence: int) -> None:
+        """An order leaves."""
+        machine = process.machine.name
+        if not process.group.holds_lease():
+            raise Violation(f"{machine} orders under the fence {fence} without its lease")
+        if fence < self._sent.get(machine, 0):
+            raise Violation(f"{machine} orders under the fence {fence}, after {self._sent[machine]}")
+        self._sent[machine] = fence
+        if order.operation is Operation.UNLOAD and process.reported != set(EDGES):
+            raise Violation(f"{machine} unloads {order.ref} and has heard {sorted(process.reported)} only")
+
+    def arrived(self, server: str, machine: str, document: Mapping[str, Any], instance: str | None) -> None:
+        """An order has come to a server, whatever that says to it."""
+        at = self._world.now
+        if instance is None or "if-revision" not in document:
+            raise Violation(f"an order of {machine} without an instance or a revision: {document}")
+        fence = int(document["fence-token"])
+        if self._holders.setdefault(fence, machine) != machine:
+            raise Violation(f"{machine} and {self._holders[fence]} order under one fence {fence}")
+        self.orders += 1
+        troubles = self._world.troubles
+        if troubles.excused(machine, at):
+            return
+        if self._world.fencing and not troubles.in_touch(machine, at):
+            return
+        before = self._arrivals.setdefault(server, [])
+        self._check_turn(server, before, Arrival(at, machine, fence))
+        before.append(Arrival(at, machine, fence))
+
+    def _check_turn(self, server: str, before: list[Arrival], now: Arrival) -> None:
+        others = [arrival for arrival in before if arrival.machine != now.machine]
+        self.turns += bool(others) and before[-1].machine != now.machine
+        if others and now.at - others[-1].at < LEASE_S:
+            raise Violation(f"{server} is ordered by {others[-1]}, then {now}")
+        if not self._world.fencing and before and now.fence < max(arrival.fence for arrival in before):
+            raise Violation(f"{server} gets the fence {now.fence} after a higher one")
+
+    def took(self, server: EngineServer, order: Mapping[str, Any], ref: ModelRef) -> None:
+        """A server begins an order."""
+        self.taken += 1
+        if order["operation"] == Operation.UNLOAD.value:
+            self.unloads += 1
+            return
+        mb, adapters = server.usage()
+        mb += SIZES[ref.model].adapter_mb if ref.adapter else SIZES[ref.model].weights_mb
+        adapters += bool(ref.adapter)
+        if mb > ENGINE.weights_mb or adapters > ENGINE.max_adapters:
+            raise Violation(f"{server.address} loads {ref} beyond its memory")
+
+    def loaded_from_store(self) -> None:
+        """A load from the weight store begins."""
+        at = self._world.now
+        self._loads.append(at)
+        while self._loads[0] < at - CEILING_WINDOW_S:
+            self._loads.popleft()
+        if len(self._loads) > ENGINE.loads_per_s * CEILING_WINDOW_S * CEILING_OVERAGE + 3:
+            raise Violation(f"{len(self._loads)} loads within {CEILING_WINDOW_S} s")
--- /dev/null
+++ b/tests/controlplane/owner_servers.py
@@ -0,0 +1,139 @@
+"""Engine servers of a simulated day: what they hold, say of themselves, and do with orders."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Mapping
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from granitewell.controlplane.placement.orders import Operation, Report
+from granitewell.model.configuration import Engine, Model
+from granitewell.model.servers import HeldModel, ModelRef
+
+if TYPE_CHECKING:
+    from tests.controlplane.owner_world import OwnerWorld
+
+SERVICE = "llm"
+SERVERS = 4
+EDGES = ("e1", "e2", "e3")
+BUSY = ("m0", "m1")
+LOAD_S = 0.3
+ADAPTERS = 6
+ADAPTER_MB = 40.0
+MODELS = tuple(
+    Model(f"m{i}", 60_000.0, LOAD_S, ADAPTERS if f"m{i}" in BUSY else 0, ADAPTER_MB) for i in range(24)
+)
+ENGINE = Engine(slots=64, models=MODELS, weights_mb=130_000.0, max_adapters=1, loads_per_s=0.6)
+SIZES = {model.name: model for model in MODELS}
+
+
+class EngineServer:
+    """A server's address, and the incarnation that serves there now."""
+
+    def __init__(self, world: OwnerWorld, number: int) -> None:
+        self.world = world
+        self.address = f"10.1.0.{number}:80"
+        self.up = True
+        self._starts = 0
+        self.on_disk: set[str] = set()
+        self.start()
+
+    def start(self) -> None:
+        """A new incarnation: empty, and with no memory of sequences and fences."""
+        self._starts += 1
+        self.up = True
+        self.id = f"i-{self.address}-{self._starts}"
+        self.sequence = 0
+        self.fence = 0
+        self.order: ModelRef | None = None
+        self.held: dict[str, set[str]] = {}
+        self._reports: deque[tuple[float, Report]] = deque(maxlen=32)
+        self._note()
+
+    def stop(self) -> None:
+        """It is gone for a while."""
+        self.up = False
+        self.order = None
+
+    def usage(self) -> tuple[float, int]:
+        """Memory and adapters held."""
+        mb = sum(SIZES[name].weights_mb + ADAPTER_MB * len(adapters) for name, adapters in self.held.items())
+        return mb, sum(len(adapters) for adapters in self.held.values())
+
+    def hold(self, *names: str) -> None:
+        """It has held models since its start."""
+        for name in names:
+            self.held[name] = set()
+        self._note()
+
+    def models(self) -> tuple[HeldModel, ...]:
+        """What it holds."""
+        return tuple(HeldModel(name, frozenset(adapters)) for name, adapters in self.held.items())
+
+    def _note(self) -> None:
+        models = {model.name: model for model in self.models()}
+        self._reports.append((self.world.now, Report(self.sequence, self.order is not None, models)))
+
+    def report(self) -> Report:
+        """What it says of itself: some hundred ms old."""
+        asked = self.world.now - self.world.rng.uniform(0.05, 0.4)
+        newest = self._reports[0][1]
+        for at, report in self._reports:
+            if at <= asked:
+                newest = report
+        return newest
+
+    def take(self, machine: str, body: bytes, instance: str | None) -> int:
+        """An order has come; the status that it gets."""
+        document = json.loads(body)
+        self.world.judge.arrived(self.address, machine, document, instance)
+        fence = document["fence-token"]
+        if instance != self.id:
+            return 421
+        if self.world.fencing and fence < self.fence:
+            return 412
+        self.fence = max(self.fence, fence)
+        if self.order is not None or document.get("if-revision", self.sequence) != self.sequence:
+            return 409
+        return self._begin(document)
+
+    def _begin(self, document: Mapping[str, Any]) -> int:
+        ref = ModelRef(document["model"], document.get("adapter", ""))
+        held = self.held.get(ref.model)
+        if ref.adapter and held is None:
+            return 400
+        load = document["operation"] == Operation.LOAD.value
+        present = held is not None and (not ref.adapter or ref.adapter in held)
+        if present is load:
+            return 200
+        self.world.judge.took(self, document, ref)
+        self.sequence += 1
+        self.order = ref
+        self._note()
+        self.world.after(self._time(load, ref), partial(self._done, self.id, load, ref))
+        return 202
+
+    def _time(self, load: bool, ref: ModelRef) -> float:
+        if not load or ref.adapter:
+            return 0.01
+        if ref.model in self.on_disk:
+            return LOAD_S * 0.85
+        self.world.judge.loaded_from_store()
+        return LOAD_S * self.world.rng.uniform(1.0, 1.5)
+
+    def _done(self, instance: str, load: bool, ref: ModelRef) -> None:
+        if instance != self.id or not self.up:
+            return
+        self.order = None
+        if load:
+            self.held.setdefault(ref.model, set())
+            if ref.adapter:
+                self.held[ref.model].add(ref.adapter)
+            self.on_disk.add(ref.model)
+        elif ref.adapter:
+            self.held[ref.model].discard(ref.adapter)
+        else:
+            del self.held[ref.model]
+        self._note()
--- /dev/null
+++ b/tests/controlplane/owner_world.py
@@ -0,0 +1,306 @@
+"""Control nodes that order servers, simulated: real replicas, ownership and placement, and a judge.
+
+On top of the simulated group (tests/coordination/world.py) each process runs the real `ShardOwnership` and
+`PlacementController` on a loop of its own. The servers (owner_servers.py), the wire to them (owner_wire.py),
+the platform's list and the edges are simulated; `Judge` (owner_judge.py) holds what the rules ask of orders.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import replace
+from functools import partial
+from random import Random
+from typing import Any, cast
+
+from granitewell.controlplane.ownership.owner import Claimant, ShardOwnership, TurnRules
+from granitewell.controlplane.ownership.record import NOBODY, OwnerClaimed, OwnerRecord
+from granitewell.controlplane.placement.controller import PlacementController
+from granitewell.controlplane.placement.observation import ListedServer
+from granitewell.coordination.consensus.ready import Ready
+from granitewell.coordination.consensus.storage import state_records
+from granitewell.coordination.consensus.terms import EntryKind, StoredState
+from granitewell.model.errors import NotLeader, ProposalLost
+from granitewell.model.servers import ModelDemand, ModelRef, ServerState
+from tests.controlplane.owner_judge import CONTACT_S, LEASE_S, Judge, Span, Troubles
+from tests.controlplane.owner_servers import (
+    ADAPTERS,
+    BUSY,
+    EDGES,
+    ENGINE,
+    MODELS,
+    SERVERS,
+    SERVICE,
+    EngineServer,
+)
+from tests.controlplane.owner_wire import NETWORK_S, SimulatedClient, Wire
+from tests.controlplane.process_loop import ProcessLoop
+from tests.coordination.world import SETTINGS, Machine, Process, Violation, World
+
+LOOK_S = 0.1  # as nodes look whether they lead a shard's group
+LIST_S = 0.5
+LIST_LAG_S = 0.8
+EDGE_REPORT_S = 1.0
+URGENT_S = 0.15  # between reports of an edge where a request has begun to wait
+
+
+class LeasedReplica:
+    """A replica as `LeasedGroup`."""
+
+    def __init__(self, process: OwnerProcess) -> None:
+        self._process = process
+
+    @property
+    def term(self) -> int:
+        """The replica's term."""
+        return self._process.replica.term
+
+    def holds_lease(self) -> bool:
+        """As the shell says it."""
+        process = self._process
+        replica = process.replica
+        return replica.holds_lease(process.now) and process.applied_index >= replica.commit_index
+
+    def silent_s(self, address: str) -> float:
+        """Of a member."""
+        return self._process.replica.silent_s(address, self._process.now)
+
+    async def propose(self, data: bytes, timeout_s: float = 3.0) -> object:
+        """A claim."""
+        process = self._process
+        position = process.replica.propose(data, process.now)
+        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        process.claims[position.index] = (position.term, future)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            raise ProposalLost(f"no outcome in {timeout_s} s") from error
+
+
+class OwnerProcess(Process):
+    """A control process: a replica of the shard's group, and what owns and orders."""
+
+    def __init__(self, world: OwnerWorld, machine: Machine, state: StoredState, fresh: bool) -> None:
+        self.owner_world = world
+        self.record = OwnerRecord()
+        self.claims: dict[int, tuple[int, asyncio.Future[object]]] = {}
+        self.reported: set[str] = set()
+        self.controller: PlacementController | None = None
+        self.incarnation = f"{world.rng.getrandbits(64):016x}"
+        self.incarnations: dict[str, str] = {}
+        self.group = LeasedReplica(self)
+        super().__init__(world, machine, state, fresh)
+        self.loop = ProcessLoop(self)  # type: ignore[abstract]
+        self.ownership = ShardOwnership(
+            self.group,
+            Claimant(machine.name, machine.address, self.incarnation),
+            self.incarnations.get,
+            TurnRules(LEASE_S, CONTACT_S, world.fencing),
+            lambda: self.now,
+        )
+        self.loop.create_task(self._keep())
+        self.loop.create_task(self._tell_incarnation())
+
+    # The replicated record
+
+    def _apply(self, ready: Ready) -> None:
+        super()._apply(ready)
+        owners = self.owner_world.owners
+        if ready.restore is not None:
+            self.record.owner = owners.get(ready.restore.index, NOBODY)
+            self._lose_claims(ready.restore.index)
+        for entry in ready.committed:
+            result: object = None
+            if entry.kind is EntryKind.DATA:
+                result = self.record.apply(entry.index, entry.data)
+            if owners.setdefault(entry.index, self.record.owner) != self.record.owner:
+                raise Violation(f"two owners at {entry.index}")
+            term, future = self.claims.pop(entry.index, (0, None))
+            if future is None or future.done():
+                continue
+            if term == entry.term:
+                future.set_result(result)
+            else:
+                future.set_exception(ProposalLost("another leader's entry took its place"))
+
+    def _lose_claims(self, up_to: int) -> None:
+        for index in [index for index in self.claims if index <= up_to]:
+            _, future = self.claims.pop(index)
+            if not future.done():
+                future.set_exception(ProposalLost("its outcome is not known here"))
+
+    # As the node does it
+
+    async def _keep(self) -> None:
+        while True:
+            if not self.group.holds_lease():
+                await asyncio.sleep(LOOK_S)
+                continue
+            try:
+                await self.ownership.claim()
+            except (NotLeader, ProposalLost):
+                await asyncio.sleep(LOOK_S)
+                continue
+            await self._own()
+
+    async def _own(self) -> None:
+        world = self.owner_world
+        controller = PlacementController(
+            SERVICE, self.ownership, cast(Any, None), Random(world.rng.random()), clock=lambda: self.now,
+            client=SimulatedClient(self),
+        )  # fmt: skip
+        controller.set_engine(ENGINE, 1.0)
+        controller.set_servers(world.listed())
+        self.reported = set()
+        self.controller = controller
+        running = asyncio.create_task(controller.run())
+        listed_at = self.now
+        try:
+            while self.ownership.owns():
+                await asyncio.sleep(LOOK_S)
+                if self.now - listed_at >= LIST_S:
+                    listed_at = self.now
+                    controller.set_servers(world.listed())
+        finally:
+            self.controller = None
+            running.cancel()
+
+    async def _tell_incarnation(self) -> None:
+        await asyncio.sleep(0.3)
+        while True:
+            self.owner_world.tell_incarnation(self)
+            await asyncio.sleep(1.0)
+
+    def add_demand(self, demands: list[ModelDemand], edge: str) -> None:
+        """An edge has reported."""
+        if self.controller is not None:
+            self.reported.add(edge)
+            self.controller.add_demand(demands, edge)
+
+
+class OwnerMachine(Machine):
+    """A machine of the core."""
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.process is not None or self.gone:
+            return
+        state = self.disk.state()
+        fresh = state is None
+        if state is None:
+            state = self._first_state()
+            self.disk.synced = state_records(state)
+        assert isinstance(self.world, OwnerWorld)
+        self.process = OwnerProcess(self.world, self, state, fresh)
+        self.world.ever.append(self.process)
+        self.process.run(lambda: None)
+
+
+class OwnerWorld(World):
+    """Three control machines, servers, edges and the platform. fencing: whether servers check fences."""
+
+    def __init__(self, seed: int, fencing: bool) -> None:
+        super().__init__(seed, settings=replace(SETTINGS, compact_entries=12))
+        self.fencing = fencing
+        self.troubles = Troubles()
+        self.judge = Judge(self)
+        self.wire = Wire(self)
+        self.owners: dict[int, OwnerClaimed] = {}
+        self.ever: list[OwnerProcess] = []
+        self.freeze_before_send = 0.0
+        self._lists: deque[tuple[float, list[ListedServer]]] = deque(maxlen=16)
+        self._events.clear()
+        self.machines = [
+            OwnerMachine(self, f"core-{number}", address, self.seeds, first=True)
+            for number, address in enumerate(self.seeds)
+        ]
+        made = [EngineServer(self, number) for number in range(SERVERS)]
+        self.servers = {server.address: server for server in made}
+        for number, server in enumerate(made):
+            server.hold(*(f"m{(2 * number + k) % 6}" for k in range(2)))
+        for machine in self.machines:
+            self.after(self.rng.uniform(0, 0.3), machine.start)
+        for number, edge in enumerate(EDGES):
+            self.after(number * 0.31, partial(self._report_demand, edge))
+        self.after(1.0, self._report_urgent)
+        self._read_list()
+
+    def owner_processes(self) -> list[OwnerProcess]:
+        """All processes, frozen or not."""
+        return [cast(OwnerProcess, machine.process) for machine in self.machines if machine.process]
+
+    # The platform
+
+    def _read_list(self) -> None:
+        entries = [
+            ListedServer(s.id, s.address, "za", ServerState.READY, 64, -1, s.models())
+            for s in self.servers.values()
+            if s.up
+        ]
+        self._lists.append((self.now, entries))
+        self.after(0.25, self._read_list)
+
+    def listed(self) -> list[ListedServer]:
+        """The platform's list, as old as it is."""
+        seen = self._lists[0][1]
+        for at, entries in self._lists:
+            if at <= self.now - LIST_LAG_S:
+                seen = entries
+        return seen
+
+    # Edges
+
+    def _report_demand(self, edge: str) -> None:
+        """All that an edge knows, every second."""
+        busy = [ModelDemand(SERVICE, ModelRef(name), 5, 0, 2) for name in BUSY]
+        self._tell_demand(edge, [*busy, self._waiting()])
+        self.after(EDGE_REPORT_S, partial(self._report_demand, edge))
+
+    def _report_urgent(self) -> None:
+        """One edge where a request waits."""
+        edge = self.rng.choice(EDGES)
+        busy = [ModelDemand(SERVICE, ModelRef(name), 1, 0, 2) for name in BUSY]
+        self._tell_demand(edge, [*busy, self._waiting()])
+        self.after(URGENT_S, self._report_urgent)
+
+    def _waiting(self) -> ModelDemand:
+        ref = ModelRef(f"m{self.rng.randrange(len(BUSY), len(MODELS))}")
+        if self.rng.random() < 0.5:
+            ref = ModelRef(self.rng.choice(BUSY), f"a{self.rng.randint(1, ADAPTERS)}")
+        return ModelDemand(SERVICE, ref, 1, 1, 0)
+
+    def _tell_demand(self, edge: str, demands: list[ModelDemand]) -> None:
+        for process in self.owner_processes():
+            process.run(partial(process.add_demand, demands, edge))
+
+    # Between nodes
+
+    def tell_incarnation(self, sender: OwnerProcess) -> None:
+        """To all other control nodes, where the links carry it."""
+        address, incarnation = sender.machine.address, sender.incarnation
+        for process in self.owner_processes():
+            link = self.links.get((address, process.machine.address), self.quiet)
+            if process is sender or link.cut or self.rng.random() < link.loss:
+                continue
+            told = partial(process.incarnations.__setitem__, address, incarnation)
+            self.after(NETWORK_S, partial(process.run, told))
+
+    # A freeze at the worst moment
+
+    async def stand_still_before_send(self, process: OwnerProcess) -> None:
+        """Now and then a process freezes between its last look at the lease and the bytes' leaving."""
+        if self.rng.random() >= self.freeze_before_send or process.frozen:
+            return
+        process.frozen = True
+        span = self.troubles.core(self.now)
+        self.after(self.rng.uniform(0.1, 4.0), partial(self.thaw, process, span))
+        await asyncio.sleep(0)
+
+    def thaw(self, process: Process, span: Span) -> None:
+        """A frozen process goes on."""
+        span.until = self.now
+        self.troubles.excuse(process.machine.name, self.now)
+        if process.alive and process.frozen:
+            process.thaw()
--- /dev/null
+++ b/tests/controlplane/process_loop.py
@@ -0,0 +1,111 @@
+"""An asyncio loop inside one process of a simulated world: its callbacks run as events of that world, stop
+while the process is frozen, at whatever await it stands, and never run again once it is dead."""
+
+from __future__ import annotations
+
+import asyncio
+from asyncio import events
+from collections import deque
+from collections.abc import Callable, Coroutine
+from contextvars import Context
+from typing import Any
+
+from tests.coordination.world import Process
+
+
+class ProcessLoop(asyncio.AbstractEventLoop):
+    """Time is the machine's steady clock."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+        self._ready: deque[asyncio.Handle] = deque()
+        self._turn_scheduled = False
+        self._tasks: set[asyncio.Task[Any]] = set()  # kept, so that none is collected half done
+
+    # What asyncio asks of a loop
+
+    def time(self) -> float:
+        """The machine's steady clock."""
+        return self._process.now
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        """In the next turn."""
+        handle = asyncio.Handle(callback, args, self, context)
+        self._ready.append(handle)
+        self._schedule()
+        return handle
+
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        """After a time on the machine's clock."""
+        return self.call_at(self.time() + delay, callback, *args, context=context)
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        """At a time of the machine's clock."""
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        machine = self._process.machine
+        self._process.world.at(machine.true_time(when), lambda: self._process.run(lambda: self._due(handle)))
+        return handle
+
+    def create_future(self) -> asyncio.Future[Any]:
+        """A future of this loop."""
+        return asyncio.Future(loop=self)
+
+    def create_task(self, coro: Coroutine[Any, Any, Any], **options: Any) -> asyncio.Task[Any]:  # type: ignore[override]
+        """A task of this loop."""
+        task = asyncio.Task(coro, loop=self, **options)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            raise error
+
+    def get_debug(self) -> bool:
+        """Never."""
+        return False
+
+    def is_running(self) -> bool:
+        """Always, as far as its callbacks see."""
+        return True
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """A callback has failed, as the end of a failed task does."""
+        error = context.get("exception")
+        if isinstance(error, BaseException):
+            raise error
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        pass
+
+    # Turns
+
+    def _due(self, handle: asyncio.Handle) -> None:
+        self._ready.append(handle)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._turn_scheduled:
+            self._turn_scheduled = True
+            self._process.world.after(0.0, lambda: self._process.run(self._turn))
+
+    def _turn(self) -> None:
+        self._turn_scheduled = False
+        outer = events._get_running_loop()
+        events._set_running_loop(self)
+        try:
+            for _ in range(len(self._ready)):
+                handle = self._ready.popleft()
+                if not handle.cancelled():
+                    handle._run()
+        finally:
+            events._set_running_loop(outer)
+        if self._ready:
+            self._schedule()
