--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -29,7 +29,14 @@
 from granitewell.coordination.consensus.replica import Replica
 from granitewell.coordination.consensus.settings import ReplicaSettings
 from granitewell.coordination.consensus.storage import encode_records, state_records
-from granitewell.coordination.consensus.terms import Entry, EntryKind, Member, Role, StoredState
+from granitewell.coordination.consensus.terms import (
+    Entry,
+    EntryKind,
+    Member,
+    Role,
+    Snapshot,
+    StoredState,
+)
 from granitewell.coordination.disk_files import Files, OsFiles
 from granitewell.coordination.disk_thread import DiskThread, Executor
 from granitewell.coordination.durable_log import DurableLog, WriteFailed
@@ -136,6 +143,8 @@
         self._changed = asyncio.Event()
         self._after_write: dict[int, Callable[[], None]] = {}
         self._disk_failing = False
+        self.halted_by: Exception | None = None
+        """What the state machine said of a snapshot that it can't take; this replica is out of work then."""
 
     # Views
 
@@ -362,6 +371,8 @@
         self._report_change()
 
     def _do(self, ready: Ready) -> None:
+        if ready.restore is not None and not self._restore(ready.restore):
+            return
         self._persist(ready)
         self._send_all(ready.messages)
         self._apply(ready)
@@ -381,14 +392,25 @@
             self._send(outgoing.address, self.name, codec.encode(outgoing.message))
 
     def _apply(self, ready: Ready) -> None:
-        if ready.restore is not None:
-            self._machine.restore(ready.restore.data or self._empty_machine)
-            self._applied_index = ready.restore.index
-            self._proposals.lose(self._applied_index)
         for entry in ready.committed:
             self._apply_entry(entry)
             self._applied_index = entry.index
 
+    def _restore(self, snapshot: Snapshot) -> bool:
+        """Have the state machine take a snapshot, before the disk does. Where it can't, this replica takes no
+        part any more, and its disk stays as it is; says whether it could."""
+        try:
+            self._machine.restore(snapshot.data or self._empty_machine)
+        except Exception as error:  # whatever it is, entries must not be applied to an older state
+            log.error("group {}: halted, its snapshot {} is refused: {}", self.name, snapshot.index, error)
+            self.halted_by = error
+            self._replica = None
+            self._proposals.lose(math.inf)
+            return False
+        self._applied_index = snapshot.index
+        self._proposals.lose(self._applied_index)
+        return True
+
     def _apply_entry(self, entry: Entry) -> None:
         result: object = None
         failure: Exception | None = None
--- a/granitewell/coordination/consensus/packing.py
+++ b/granitewell/coordination/consensus/packing.py
@@ -41,6 +41,10 @@
     """Members in a form that a newer version wrote. None of it may be skipped: it may change who counts."""
 
 
+class UnknownEntryKind(BadFrame):
+    """An entry is of a kind that only a newer program knows."""
+
+
 def decode_struct(kind: Any, data: bytes) -> Any:
     """A thrift struct of the IDL; raises BadFrame."""
     return decode(kind, data, check_flat)
@@ -216,7 +220,7 @@
     if start + length > len(data):
         raise BadFrame("an entry ends after the message")
     if kind not in _KINDS:
-        raise BadFrame(f"an entry of kind {kind}")
+        raise UnknownEntryKind(f"an entry of kind {kind}")
     entry = Entry(index, term, _KINDS[kind], data[start : start + length])
     _check_change(entry)
     return entry, start + length
--- a/granitewell/coordination/consensus/recovery.py
+++ b/granitewell/coordination/consensus/recovery.py
@@ -15,7 +15,12 @@
     fresh_replica_id,
     joining_state,
 )
-from granitewell.coordination.consensus.storage import UnreadableRecords, decode_records, replay
+from granitewell.coordination.consensus.storage import (
+    UnknownRecord,
+    UnreadableRecords,
+    decode_records,
+    replay,
+)
 from granitewell.coordination.consensus.terms import StoredState
 from granitewell.coordination.disk_thread import Executor
 from granitewell.coordination.durable_log import RETRY_S
@@ -67,6 +72,8 @@
             if batches is None:
                 return None
             return replay(record for batch in batches for record in decode_records(batch))
+        except UnknownRecord:
+            raise
         except (CorruptLog, UnreadableRecords) as error:
             log.error("group {}: {}; this replica starts anew under another id", self._group, error)
             self._file.keep_corrupt()  # refused: tried again, since the damaged log is about to be replaced
--- a/granitewell/coordination/consensus/storage.py
+++ b/granitewell/coordination/consensus/storage.py
@@ -11,6 +11,8 @@
 
 from granitewell.coordination.consensus.log import ReplicatedLog
 from granitewell.coordination.consensus.packing import (
+    NewerMembershipFormat,
+    UnknownEntryKind,
     pack_entry,
     pack_list,
     pack_membership,
@@ -42,6 +44,10 @@
     """A log's frames check, but what they hold does not add up to a replica's state."""
 
 
+class UnknownRecord(UnreadableRecords):
+    """A log holds a kind or form of record that only a newer program knows: it is not damaged."""
+
+
 def encode_records(records: Iterable[Record]) -> bytes:
     """Records one after the other."""
     pieces: list[bytes] = []
@@ -64,7 +70,7 @@
 
 
 def decode_records(payload: bytes) -> list[Record]:
-    """The records of a batch; raises UnreadableRecords."""
+    """The records of a batch; raises UnreadableRecords and UnknownRecord."""
     records: list[Record] = []
     at = 0
     try:
@@ -75,6 +81,8 @@
                 raise UnreadableRecords("a record ends after its batch")
             records.append(_decode(kind, payload[at : at + length]))
             at += length
+    except (UnknownEntryKind, NewerMembershipFormat) as error:
+        raise UnknownRecord(str(error)) from error
     except (struct.error, UnicodeDecodeError, BadFrame, ValueError) as error:
         raise UnreadableRecords(str(error)) from error
     return records
@@ -93,7 +101,7 @@
         where, membership, data = unpack_list(payload)
         index, term = _SNAPSHOT.unpack(where)
         return Snapshot(index, term, unpack_membership(membership), data)
-    raise UnreadableRecords(f"a record of kind {kind}")
+    raise UnknownRecord(f"a record of kind {kind}")
 
 
 def state_records(state: StoredState) -> list[Record]:
--- /dev/null
+++ b/tests/coordination/test_full_disk.py
@@ -0,0 +1,235 @@
+"""Disks that are full and refuse every write, on one member, a majority or all, and have room again: what is
+confirmed, who leads, when all is well again, and how much waits in memory meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable
+from itertools import combinations
+
+import pytest
+
+from granitewell.coordination.consensus.held_messages import MOST_HELD
+from granitewell.coordination.consensus.progress import Progress
+from granitewell.coordination.consensus.settings import KIBIBYTE, ReplicaSettings
+from granitewell.coordination.consensus.terms import Role
+from granitewell.coordination.durable_log import DurableLog
+from granitewell.model.errors import NotLeader, ProposalLost
+from tests.coordination.cluster import Cluster, Node, group_of, until
+from tests.coordination.virtual_loop import run
+
+FULL_S = 8.0
+HEAL_S = 3.0
+"""From room on every disk until changes are confirmed and all members are level."""
+CALLS = frozenset({"open", "write", "truncate", "rename"})
+"""What a full disk refuses where it still syncs."""
+
+
+class Day:
+    """A group, some of whose disks are full; a client that tells what was confirmed to it."""
+
+    def __init__(self, seed: int, settings: ReplicaSettings | None = None) -> None:
+        self.cluster = Cluster(seed, settings)
+        self.confirmed: list[bytes] = []
+        self._number = 0
+
+    def fill(self, nodes: list[Node], *, syncs: bool) -> None:
+        """Their disks take no write any more. syncs: but they sync what there is."""
+        for node in nodes:
+            node.files.refusing = errno.ENOSPC
+            node.files.refused_calls = CALLS if syncs else frozenset()
+
+    def free(self) -> None:
+        """There is room again."""
+        for node in self.cluster.nodes.values():
+            node.files.refusing = None
+
+    async def change(self, timeout_s: float = 1.0) -> bool:
+        """One change, sent to who says it leads; whether it was confirmed."""
+        self._number += 1
+        data = b"%d" % self._number
+        for node in self.cluster.nodes.values():
+            if node.group is not None and node.group.is_leader:
+                try:
+                    await node.group.propose(data, timeout_s)
+                except (NotLeader, ProposalLost):
+                    continue
+                self.confirmed.append(data)
+                return True
+        return False
+
+    async def changes(self, seconds: float) -> int:
+        """Changes one after the other; how many were confirmed."""
+        loop = self.cluster.loop
+        end = loop.time() + seconds
+        count = 0
+        while loop.time() < end:
+            count += await self.change()
+            await asyncio.sleep(0.1)
+            self.check()
+        return count
+
+    def check(self) -> None:
+        """Who holds the lease has all that was confirmed."""
+        for node in self.cluster.nodes.values():
+            if node.group is not None and node.group.holds_lease():
+                assert set(self.confirmed) <= set(node.machine.words)
+
+    async def well(self) -> None:
+        """Changes are confirmed again, and all members are level."""
+        began_at = self.cluster.loop.time()
+        while not await self.change():
+            await asyncio.sleep(0.05)
+        nodes = list(self.cluster.nodes.values())
+        await until(lambda: all(node.machine.words == nodes[0].machine.words for node in nodes), HEAL_S)
+        await until(lambda: all(is_settled(node) for node in nodes), HEAL_S)
+        assert self.cluster.loop.time() - began_at < HEAL_S
+        self.check()
+
+    async def power_off_all(self) -> None:
+        """All machines lose power, and come back."""
+        for node in self.cluster.nodes.values():
+            await node.die(power=True)
+        await self.cluster.start()
+        self.check()
+
+
+def is_settled(node: Node) -> bool:
+    """Whether its disk has all."""
+    log = group_of(node)._log
+    return log is not None and log.idle
+
+
+SETS = [full for count in range(4) for full in combinations(range(3), count)]
+
+
+@pytest.mark.parametrize("syncs", [False, True])
+@pytest.mark.parametrize("full", SETS, ids=lambda full: "".join(map(str, full)) or "none")
+def test_full_disks_confirm_what_a_majority_keeps(full: tuple[int, ...], syncs: bool) -> None:
+    async def play() -> None:
+        day = Day(20 + len(full))
+        leader = await day.cluster.start()
+        nodes = [leader, *day.cluster.others(leader)]
+        assert await day.change()
+        day.fill([nodes[number] for number in full], syncs=syncs)
+        confirmed = await day.changes(FULL_S)
+        if len(full) <= 1:
+            assert confirmed > 0.8 * FULL_S / 0.15
+        else:
+            assert confirmed == 0
+        if len(full) == 1 and 0 in full:
+            assert not group_of(leader).is_leader
+        day.free()
+        await day.well()
+        await day.power_off_all()
+        await day.well()
+
+    run(play())
+
+
+@pytest.mark.parametrize("full", SETS[1:], ids=lambda full: "".join(map(str, full)))
+def test_processes_that_restart_on_full_disks_wait_for_room(full: tuple[int, ...]) -> None:
+    async def play() -> None:
+        day = Day(30 + len(full))
+        leader = await day.cluster.start()
+        nodes = [leader, *day.cluster.others(leader)]
+        await day.changes(0.5)
+        day.fill([nodes[number] for number in full], syncs=False)
+        await day.changes(1.0)
+        starts = []
+        for number in full:
+            await nodes[number].die(power=False)
+            starts.append(asyncio.ensure_future(nodes[number].start()))
+        confirmed = await day.changes(3.0)
+        assert (confirmed > 0) == (len(full) == 1)
+        assert not any(start.done() for start in starts)
+        day.free()
+        await asyncio.gather(*starts)
+        await day.cluster.leader()
+        await day.well()
+
+    run(play())
+
+
+def test_what_waits_for_a_full_disk_does_not_grow_with_the_changes() -> None:
+    """Of 4 MB of changes, the disk of a follower refuses all."""
+    settings = ReplicaSettings(compact_bytes=64 * KIBIBYTE, in_flight_bytes=256 * KIBIBYTE)
+    most = 0
+
+    async def play() -> None:
+        nonlocal most
+        day = Day(40, settings)
+        leader = await day.cluster.start()
+        follower = day.cluster.others(leader)[0]
+        day.fill([follower], syncs=True)
+        for number in range(1000):
+            leader = await day.cluster.leader()
+            await group_of(leader).propose(b"%d" % (number % 9) * 4000)
+            leader.machine.words[:-1] = []
+            log = group_of(follower)._log
+            assert log is not None
+            most = max(most, log.waiting_bytes)
+            assert held(follower) <= MOST_HELD * 20
+        day.free()
+        await until(lambda: is_settled(follower), HEAL_S)
+
+    run(play())
+    print(f"at most {most} bytes waited")
+    assert most < 500_000
+
+
+def held(node: Node) -> int:
+    """Messages that wait for a node's disk."""
+    return sum(len(entry.messages) for entry in group_of(node)._held._held)
+
+
+def test_terms_do_not_rise_while_a_majority_can_keep_no_vote() -> None:
+    async def play() -> None:
+        day = Day(50)
+        leader = await day.cluster.start()
+        others = day.cluster.others(leader)
+        await day.change()
+        day.fill(others, syncs=False)
+        await day.changes(1.0)
+        await leader.die(power=False)
+        await asyncio.sleep(1.0)
+        await leader.start()
+        await asyncio.sleep(2.0)
+        term = group_of(leader).term
+        await asyncio.sleep(20.0)
+        assert group_of(leader).term <= term + 1
+        assert all(group_of(node)._replica.role is not Role.LEADER for node in others)  # type: ignore[union-attr]
+        day.free()
+        await day.cluster.leader()
+        await day.well()
+
+    run(play())
+
+
+# Guards taken out
+
+
+def refused_counts_as_written(patch: pytest.MonkeyPatch) -> None:
+    """What a disk has refused is reported as synced."""
+    patch.setattr(DurableLog, "_failed", lambda self, job, failure: self._done(job))
+
+
+def unsynced_is_acknowledged(patch: pytest.MonkeyPatch) -> None:
+    """A leader counts entries that a peer was sent, not those that it has on its disk."""
+    real = Progress.sent
+
+    def sent(self: Progress, last_index: int, size: int, now: float) -> None:
+        real(self, last_index, size, now)
+        self.match_index = max(self.match_index, last_index)
+
+    patch.setattr(Progress, "sent", sent)
+
+
+@pytest.mark.parametrize("plant", [refused_counts_as_written, unsynced_is_acknowledged])
+def test_a_guard_that_is_taken_out_is_noticed(
+    plant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises((AssertionError, TimeoutError)):
+        test_full_disks_confirm_what_a_majority_keeps((0, 1), False)
--- a/tests/coordination/test_group.py
+++ b/tests/coordination/test_group.py
@@ -10,10 +10,15 @@
 import pytest
 
 from granitewell.coordination.consensus.group import ReplicatedGroup
-from granitewell.coordination.consensus.ready import Ready
+from granitewell.coordination.consensus.held_messages import MOST_HELD, HeldMessages
+from granitewell.coordination.consensus.messages import HeartbeatReply
+from granitewell.coordination.consensus.ready import Outgoing, Ready
 from granitewell.coordination.consensus.settings import ReplicaSettings
+from granitewell.coordination.consensus.storage import UnknownRecord
+from granitewell.coordination.log_file import LogFile
+from granitewell.coordination.log_format import ForeignLog
 from granitewell.model.errors import NotLeader, ProposalLost
-from tests.coordination.cluster import ADDRESSES, LOG, Cluster, Node, group_of, until
+from tests.coordination.cluster import ADDRESSES, LOG, Cluster, Node, Words, group_of, until
 from tests.coordination.virtual_loop import run
 
 Day = Callable[[], Coroutine[Any, Any, None]]
@@ -314,3 +319,86 @@
         await starting
 
     run(day())
+
+
+class Newer(Words):
+    """Its snapshots have a form that others don't know."""
+
+    def snapshot(self) -> bytes:
+        return b"2:" + super().snapshot()
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data.removeprefix(b"2:"))
+
+
+class Strict(Words):
+    """Takes only the form that it knows."""
+
+    def restore(self, data: bytes) -> None:
+        if data.startswith(b"2:"):
+            raise ValueError("format 2 is not known")
+        super().restore(data)
+
+
+def test_a_snapshot_of_a_newer_form_halts_the_replica_and_changes_nothing() -> None:
+    async def day() -> None:
+        cluster = Cluster(16, ReplicaSettings(compact_entries=10), machine=Newer)
+        leader = await cluster.start()
+        older = cluster.others(leader)[0]
+        await group_of(leader).propose(b"before")
+        await older.die(power=False)
+        for number in range(30):
+            await group_of(leader).propose(b"%d" % number)
+        cluster.machine = Strict
+        before = older.files.read(LOG)
+        group = await older.start()
+        await until(lambda: group.halted_by is not None, 5)
+        assert str(group.halted_by) == "format 2 is not known"
+        assert not group.holds_lease() and not group.is_leader and group.term == 0
+        with pytest.raises(NotLeader):
+            await group.propose(b"one")
+        assert older.machine.words == [b"before"]
+        await asyncio.sleep(1)
+        after = older.files.read(LOG)
+        assert before is not None and after is not None and after.startswith(before)
+        await group_of(leader).propose(b"the others go on")
+        await older.die(power=True)
+        cluster.machine = Newer
+        await older.start()
+        await until(lambda: older.machine.words == leader.machine.words, 5)
+
+    run(day())
+
+
+def test_a_log_of_a_newer_program_or_another_group_is_refused_and_left_as_it_is() -> None:
+    async def day() -> None:
+        cluster = Cluster(17)
+        leader = await cluster.start()
+        await group_of(leader).propose(b"one")
+        other = cluster.others(leader)[0]
+        await other.die(power=False)
+        log = LogFile(other.files, "/data/group", "group", lambda: 5)
+        assert log.load() is not None
+        log.append(b"\x63\x00\x00\x00\x00")
+        content = other.files.read(LOG)
+        with pytest.raises(UnknownRecord, match="kind 99"):
+            await other.start()
+        assert other.files.read(LOG) == content
+        LogFile(other.files, "/data/group", "shard-0", lambda: 5).rewrite(b"")
+        content = other.files.read(LOG)
+        with pytest.raises(ForeignLog):
+            await other.start()
+        assert other.files.read(LOG) == content
+
+    run(day())
+
+
+def test_replies_that_wait_for_a_full_disk_stay_bounded() -> None:
+    held = HeldMessages()
+    for number in range(10 * MOST_HELD):
+        held.hold(1, number, (Outgoing("peer", HeartbeatReply("me", "peer", 2, number)),))
+    held.hold(2, 10 * MOST_HELD, ())
+    released = held.release(1)
+    rounds = [outgoing.message.round for outgoing in released.messages]  # type: ignore[attr-defined]
+    assert rounds == list(range(9 * MOST_HELD, 10 * MOST_HELD)) and released.batch == 10 * MOST_HELD - 1
+    assert held.release(2).batch == 10 * MOST_HELD
