--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -117,7 +117,8 @@
 
 
 class Cluster:
-    """Three nodes and their network. slow: links by the address that they lead to."""
+    """Three nodes and their network. slow: links by the address that they lead to. cut: addresses from which
+    (True) or to which (False) nothing comes."""
 
     def __init__(
         self, seed: int, settings: ReplicaSettings | None = None, machine: Callable[[], Words] = Words
@@ -127,10 +128,13 @@
         self.loop = asyncio.get_running_loop()
         self.settings = settings or ReplicaSettings()
         self.slow: dict[str, SlowLink] = {}
+        self.cut: set[tuple[str, bool]] = set()
         self.nodes = {address: Node(self, address, first=True) for address in ADDRESSES}
 
     def send(self, sender: str, to: str, payload: bytes) -> None:
         """Bring a message, a moment later."""
+        if (sender, True) in self.cut or (to, False) in self.cut:
+            return
         link = self.slow.get(to)
         delay_s = link.delay(self.loop.time(), len(payload)) if link is not None else 0.0
         if delay_s is not None:
--- /dev/null
+++ b/tests/coordination/test_hundreds_of_changes.py
@@ -0,0 +1,165 @@
+"""Days of many changes, each from its seed; hundreds_of_changes.py says what goes wrong and what must hold.
+`python -m tests.coordination.test_hundreds_of_changes FIRST LAST` plays more of them, and one again;
+`... CHANGES` alone plays one day of so many changes."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections.abc import Callable, Sequence
+
+import pytest
+
+from granitewell.coordination.consensus.core import Core
+from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.coordination.consensus.ready import Ready
+from granitewell.coordination.consensus.terms import Snapshot
+from granitewell.coordination.durable_log import DurableLog
+from granitewell.coordination.log_file import LogFile
+from tests.coordination.cluster import Cluster, group_of, until
+from tests.coordination.hundreds_of_changes import Day, Trouble, Violation, play
+from tests.coordination.virtual_loop import run
+
+DAYS = 24
+DAYS_A_TEST = 6
+LONG_DAY = 600
+MOST_SEEDS = 150
+
+
+@pytest.mark.parametrize("first", range(0, DAYS, DAYS_A_TEST))
+def test_days(first: int) -> None:
+    confirmed = sum(len(play(seed).confirmed) for seed in range(first, first + DAYS_A_TEST))
+    assert confirmed > 50 * DAYS_A_TEST
+
+
+def test_a_long_day() -> None:
+    assert len(play(1, LONG_DAY).confirmed) > LONG_DAY / 2
+
+
+def longer_log_of_an_older_term() -> None:
+    """A leader that was cut off has more entries than the one after it, all of the older term. The newer one
+    dies at the moment that the older one is back."""
+
+    async def day() -> None:
+        cluster = Cluster(1)
+        old = await cluster.start()
+        await group_of(old).propose(b"first")
+        cluster.cut = {(old.address, True), (old.address, False)}
+        vain = [asyncio.ensure_future(group_of(old).propose(b"vain", 30)) for _ in range(20)]
+        await asyncio.sleep(0.4)
+        others = cluster.others(old)
+        await until(lambda: any(group_of(node).holds_lease() for node in others))
+        newer = next(node for node in others if group_of(node).holds_lease())
+        await group_of(newer).propose(b"second")
+        await newer.die(power=True)
+        cluster.cut = set()
+        term = max(group_of(node).term for node in (old, *others) if node.group is not None)
+        alive = [node for node in (old, *others) if node.group is not None]
+        await until(lambda: any(group_of(node).is_leader and group_of(node).term > term for node in alive))
+        assert not group_of(old).is_leader
+        await newer.start()
+        await asyncio.gather(*vain, return_exceptions=True)
+        leader = await cluster.leader()
+        await until(lambda: all(node.machine.words == leader.machine.words for node in others))
+        assert old.machine.words == leader.machine.words == [b"first", b"second"]
+
+    run(day())
+
+
+def test_a_longer_log_of_an_older_term_does_not_lead() -> None:
+    longer_log_of_an_older_term()
+
+
+def test_a_vote_that_ignores_the_last_term_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    def up_to_date(self: Core, last_term: int, last_index: int) -> bool:
+        return last_index >= self.log.last_index
+
+    monkeypatch.setattr(Core, "up_to_date", up_to_date)
+    with pytest.raises(AssertionError):
+        longer_log_of_an_older_term()
+
+
+# Guards taken out
+
+
+def folder_is_not_synced(patch: pytest.MonkeyPatch) -> None:
+    """A rewrite does not wait for the sync of its folder."""
+    patch.setattr(LogFile, "_sync_folder", lambda self: None)
+
+
+def refused_counts_as_written(patch: pytest.MonkeyPatch) -> None:
+    """What a disk has refused is reported as synced."""
+    patch.setattr(DurableLog, "_failed", lambda self, job, failure: self._done(job))
+
+
+def synced_is_not_awaited(patch: pytest.MonkeyPatch) -> None:
+    """Votes and acknowledgements leave, and a candidate's own vote counts, before they are on the disk."""
+    real = ReplicatedGroup._persist
+
+    def persist(self: ReplicatedGroup, ready: Ready) -> None:
+        self._send_all(ready.synced_messages)
+        bare = Ready(ready.batch, ready.records, ready.messages, (), ready.restore, ready.committed)
+        real(self, bare)
+        assert self._replica is not None
+        self._replica._core.persistence.stable_term = self._replica.term
+
+    patch.setattr(ReplicatedGroup, "_persist", persist)
+
+
+def log_is_ignored(patch: pytest.MonkeyPatch) -> None:
+    """A vote goes to whoever asks."""
+    patch.setattr(Core, "up_to_date", lambda self, last_term, last_index: True)
+
+
+def snapshot_counts_before_it_is_restored(patch: pytest.MonkeyPatch) -> None:
+    """A replica goes on from a snapshot that its state machine has not taken."""
+
+    def restore(self: ReplicatedGroup, snapshot: Snapshot) -> bool:
+        self._applied_index = snapshot.index
+        return True
+
+    patch.setattr(ReplicatedGroup, "_restore", restore)
+
+
+@pytest.mark.parametrize(
+    ("plant", "troubles", "first"),
+    [
+        (folder_is_not_synced, (Day.one, Day.all), 0),
+        (refused_counts_as_written, (Day.one, Day.all, Day.slow_disk, Day.full_disk), 0),
+        (synced_is_not_awaited, (Day.one, Day.all, Day.slow_disk), 40),
+        (log_is_ignored, (Day.one, Day.cut, Day.cut), 30),
+        (snapshot_counts_before_it_is_restored, (Day.one, Day.all), 0),
+    ],
+)
+def test_a_guard_that_is_taken_out_is_noticed(
+    plant: Callable[[pytest.MonkeyPatch], None],
+    troubles: Sequence[Trouble],
+    first: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    plant(monkeypatch)
+    for seed in range(first, first + MOST_SEEDS):
+        try:
+            play(seed, troubles=troubles)
+        except (Violation, AssertionError) as violation:
+            print(f"seed {seed}: {violation}")
+            return
+    pytest.fail(f"{MOST_SEEDS} days without a violation")
+
+
+def main(numbers: Sequence[int]) -> None:
+    """Play the days of a range of seeds, or one long day; print what was found."""
+    began_at = time.monotonic()
+    if len(numbers) == 1:
+        days = [play(1, numbers[0])]
+    else:
+        days = [play(seed) for seed in range(numbers[0], numbers[1])]
+    confirmed = sum(len(day.confirmed) for day in days)
+    level_s = max(day.level_s for day in days)
+    took_s = time.monotonic() - began_at
+    print(f"{len(days)} days, {confirmed} changes confirmed, level after {level_s:.2f} s; {took_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main([int(number) for number in sys.argv[1:]])
