A learner that is late by a few entries for a second becomes a voter while changes go on

It had to have all that was committed at the moment its reply came. On a disk at a thirtieth of its speed, at four changes a second, it never had, and a wiped member stayed a learner for as long as changes went on (36 s tried). Its vote is an entry after all that it lacks, so nothing that is confirmed rests on it before. Taking it in at once when nearly level was tried and dropped: it weakened a search of replacements that relies on the usual order.

--- a/granitewell/coordination/consensus/progress.py
+++ b/granitewell/coordination/consensus/progress.py
@@ -25,7 +25,8 @@
 class Progress:
     """One peer. match_index: the last entry known to be on its disk; next_index: the next to send; probing:
     one message at a time until its log and ours are known to agree; acknowledged_at: send time of the newest
-    heartbeat that it replied to; stamp: of its last such reply; answered: anything, in this term."""
+    heartbeat that it replied to; stamp: of its last such reply; answered: anything, in this term;
+    nearly_level_at: since when a learner has been no more than a few entries late."""
 
     member: Member
     next_index: int
@@ -39,6 +40,7 @@
     stamp: int = 0
     transfer: SnapshotTransfer | None = None
     learner: bool = False
+    nearly_level_at: float | None = None
     answered: bool = False
 
     def sent(self, last_index: int, size: int, now: float) -> None:
--- a/granitewell/coordination/consensus/tracker.py
+++ b/granitewell/coordination/consensus/tracker.py
@@ -11,6 +11,10 @@
 from granitewell.coordination.consensus.quorum import NEVER, quorum_of
 from granitewell.coordination.consensus.terms import Member
 
+LEARNER_LATE_ENTRIES = 16
+LEARNER_LATE_S = 1.0
+"""A learner that has lacked no more than these entries for so long may become a voter."""
+
 
 class ProgressTracker:
     """Progress of each peer, for one term. peers: by replica id."""
@@ -101,9 +105,18 @@
         return [self._voter_view(voter, now) for voter in self._core.log.membership.all_voters()]
 
     def learner_views(self, now: float) -> list[MemberView]:
-        """All learners."""
+        """All learners. One that has been a few entries late for a while counts as caught up: while changes
+        go on faster than its replies come it is never level, and its vote's entry comes after all of them."""
+        return [self._learner_view(peer, now) for peer in self.peers.values() if peer.learner]
+
+    def _learner_view(self, peer: Progress, now: float) -> MemberView:
         commit_index = self._core.commit_index
-        return [self._view(peer, commit_index, now) for peer in self.peers.values() if peer.learner]
+        if peer.transfer is not None or peer.match_index < commit_index - LEARNER_LATE_ENTRIES:
+            peer.nearly_level_at = None
+        elif peer.nearly_level_at is None:
+            peer.nearly_level_at = now
+        long_enough = peer.nearly_level_at is not None and now - peer.nearly_level_at >= LEARNER_LATE_S
+        return self._view(peer, peer.match_index if long_enough else commit_index, now)
 
     def _voter_view(self, voter: Member, now: float) -> MemberView:
         core = self._core
