--- a/granitewell/coordination/consensus/recovery.py
+++ b/granitewell/coordination/consensus/recovery.py
@@ -29,6 +29,9 @@
 
 log = logbook.Logger("granitewell.consensus")
 
+MOST_PAUSE_S = 1.0
+"""Between two attempts to load a log; each reads all of it."""
+
 
 class Recovery:
     """One start of a group's replica."""
@@ -42,14 +45,17 @@
     async def load(self) -> StoredState | None:
         """What is on the disk; None where a new log is to be made. Waits for a disk that can't be read. A log
         of a newer program or of another group raises DurableLogError and is left as it is."""
+        pause_s = RETRY_S
         while True:
             loaded: asyncio.Future[StoredState | None] = asyncio.get_running_loop().create_future()
             self._executor.submit(lambda future=loaded: self._load_on_disk_thread(future))  # type: ignore[misc]
             try:
                 return await loaded
             except OSError as error:
-                log.warning("group {}: the disk can't be read: {}", self._group, error)
-                await asyncio.sleep(RETRY_S)
+                if pause_s == RETRY_S:
+                    log.warning("group {}: the disk can't be read: {}", self._group, error)
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, MOST_PAUSE_S)
 
     def new_state(self) -> StoredState:
         """The state of a log that is to be made."""
--- a/granitewell/coordination/durable_log.py
+++ b/granitewell/coordination/durable_log.py
@@ -15,6 +15,8 @@
 
 RETRY_S = 0.1
 """Between two attempts to write what the disk has refused."""
+REWRITE_RETRY_S = 0.5
+"""The same for a whole file."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +137,7 @@
         if self._closed:
             return
         self._on_failed(failure)
-        self._later(RETRY_S, lambda: self._retry(job))
+        self._later(REWRITE_RETRY_S if job.whole else RETRY_S, lambda: self._retry(job))
 
     def _retry(self, job: _Job) -> None:
         if not self._closed:
--- a/tests/coordination/test_full_disk.py
+++ b/tests/coordination/test_full_disk.py
@@ -152,6 +152,32 @@
     run(play())
 
 
+def test_a_start_on_a_full_disk_does_not_read_the_log_over_and_over() -> None:
+    async def play() -> None:
+        day = Day(60)
+        leader = await day.cluster.start()
+        node = day.cluster.others(leader)[0]
+        day.fill([node], syncs=False)
+        await node.die(power=False)
+        reads = 0
+        read = node.files.read
+
+        def counted(path: str) -> bytes | None:
+            nonlocal reads
+            reads += 1
+            return read(path)
+
+        node.files.read = counted  # type: ignore[method-assign]
+        start = asyncio.ensure_future(node.start())
+        await asyncio.sleep(10)
+        assert 5 < reads < 20
+        day.free()
+        await start
+        await day.well()
+
+    run(play())
+
+
 def test_what_waits_for_a_full_disk_does_not_grow_with_the_changes() -> None:
     """Of 4 MB of changes, the disk of a follower refuses all."""
     settings = ReplicaSettings(compact_bytes=64 * KIBIBYTE, in_flight_bytes=256 * KIBIBYTE)
