A shard's table goes on counting where its owner's lease lapses within one term

Cause, by review of what an owner does when it gains its lease: it began the table anew under its term, at sequence 1. Where the lease had merely lapsed (half a second of silence, no election) that went back from, say, (5, 40) to (5, 1): copies refused what followed until it had passed 40 again, and then took only what was newer than 40. They kept servers that had left the list and missed the models of others.

Change: to begin an epoch that is in force already changes nothing.

--- a/granitewell/controlplane/publication/table.py
+++ b/granitewell/controlplane/publication/table.py
@@ -49,7 +49,10 @@
         return self._servers
 
     def begin(self, epoch: int) -> None:
-        """The owner starts a new epoch with what it knows."""
+        """The owner starts a new epoch with what it knows. Where its lease has lapsed and come back within
+        one term it goes on counting: a copy would not take a version below its own."""
+        if epoch == self.version.epoch:
+            return
         self.version = Version(epoch, 1)
         self._changed_at = dict.fromkeys(self._servers, 1)
         self._removed_at = {}
--- a/tests/controlplane/test_publication.py
+++ b/tests/controlplane/test_publication.py
@@ -56,7 +56,7 @@
     owner.begin(epoch)
     for step in range(120):
         if rng.random() < 0.05:
-            epoch += 1
+            epoch += rng.random() < 0.5  # or its lease lapses and comes back within its term
             owner.begin(epoch)
         if rng.random() < 0.5:
             owner.replace(random_servers(rng), float(step))
@@ -97,6 +97,18 @@
             play(seed)
 
 
+def test_an_owner_whose_lease_lapses_and_comes_back_goes_on_counting() -> None:
+    owner, copy = ServerTable(), ServerTable()
+    owner.begin(3)
+    for number in range(5):
+        owner.replace([server(f"s{number}")], 1.0)
+    copy.update(owner.since(copy.version), 1.0)
+    owner.begin(3)
+    owner.replace([server("new")], 2.0)
+    copy.update(owner.since(copy.version), 2.0)
+    assert set(copy.servers) == {"new"} and copy.version == owner.version
+
+
 def test_an_unchanged_list_is_no_change() -> None:
     table = ServerTable()
     table.begin(3)
