A change of members that does not come through is taken back after five seconds at most

Cause: a newcomer that stood for a lost voter, answered heartbeats and wrote nothing (a disk that hangs) held all further changes up, also where another learner was ready. Shown by a test that failed before.

--- a/granitewell/coordination/consensus/membership.py
+++ b/granitewell/coordination/consensus/membership.py
@@ -214,8 +214,12 @@
 def _is_stuck(
     membership: Membership, voters: Sequence[MemberView], under_way_s: float, settings: ReplicaSettings
 ) -> bool:
-    """Whether to go back: one that came in is silent, or slow while all that would go still answer."""
+    """Whether to go back: one that came in is silent, or slow while all that would go still answer, or so
+    slow that another should have its turn."""
     if under_way_s < settings.unreachable_s:
         return False
-    silent = any(view.silent_s >= settings.unreachable_s for view in _incoming(membership, voters))
-    return silent or all(view.answering for view in _outgoing(membership, voters))
+    if any(view.silent_s >= settings.unreachable_s for view in _incoming(membership, voters)):
+        return True
+    if under_way_s >= settings.change_most_s:
+        return True
+    return all(view.answering for view in _outgoing(membership, voters))
--- a/granitewell/coordination/consensus/settings.py
+++ b/granitewell/coordination/consensus/settings.py
@@ -46,6 +46,10 @@
     """A voter that was silent for this long may be replaced by a learner of another machine. A change of
     members that has not come through for this long may be taken back."""
 
+    change_most_s: float = 5.0
+    """A change of members that has not come through for this long is taken back, also where the voter that it
+    replaces is lost: another learner may be ready."""
+
     leave_s: float = 1.0
     """How long a replica that is about to stop waits until its place is filled."""
 
--- a/tests/coordination/test_joint_consensus.py
+++ b/tests/coordination/test_joint_consensus.py
@@ -243,6 +243,25 @@
     assert not newcomer_is_behind(Group(1))
 
 
+def test_a_newcomer_whose_disk_hangs_makes_room_for_another() -> None:
+    group = Group(3)
+    spare = group.add_spare()
+    group.run(1)
+    dead = group.others[0]
+    dead.wipe()
+    dead.gone = True
+    leader = process_of(group.leader).replica
+    while not leader._core.log.membership.is_joint:
+        group.run(0.0005)
+    spare.disk.hanging = True
+    other = Machine(group.world, "other", "10.0.2.2:7", group.world.seeds, first=False)
+    group.world.machines.append(other)
+    other.start()
+    group.run(8)
+    assert other.address in voters(group) and spare.address not in voters(group)
+    assert len(voters(group)) == 3 and group.commits()
+
+
 # A voter that leaves
 
 
