--- a/tests/test_opened_files.py
+++ b/tests/test_opened_files.py
@@ -13,6 +13,7 @@
     MACHINES_OWN,
     Trace,
     brought_in,
+    file_list,
     installed_packages,
     outside,
     reason_of,
@@ -109,6 +110,12 @@
     ]
 
 
+def test_the_list_has_each_file_of_a_package_and_who_opens_it() -> None:
+    packages = {"/b": "one", "/a": "one", "/c": "two", "/d": MACHINES_OWN}
+    lines = list(file_list(packages, {"/a", "/b", "/d"}, {"/b", "/c"}))
+    assert lines == ["one\tbuild\t/a", "one\tbuild+programs\t/b", "two\tprograms\t/c"]
+
+
 # --- the deploy file and its page -------------------------------------------------------------------------
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 
--- a/tools/opened_files.py
+++ b/tools/opened_files.py
@@ -1,6 +1,6 @@
 """Lists the files outside the repository that a clean build and the two programs open, by Debian package.
 
-    python -m tools.opened_files [--table FILE]
+    python -m tools.opened_files [--table FILE] [--files FILE]
 
 Builds the committed tree in an empty folder with the system's own python3, plays the lab's scene on
 loopback (three control processes, two edges), both under strace, and asks dpkg for the package of each file
@@ -208,6 +208,14 @@
         yield f"| {package} | {because} | {counts[0]} | {counts[1]} | `{group[0]}` |"
 
 
+def file_list(packages: Mapping[str, str], build: Collection[str], run: Collection[str]) -> Iterator[str]:
+    """Each file of a package: the package, who opens it, its name. The machine's own files are left out."""
+    for package, file in sorted((package, file) for file, package in packages.items()):
+        if package != MACHINES_OWN:
+            opened_by = [name for name, files in (("build", build), ("programs", run)) if file in files]
+            yield f"{package}\t{'+'.join(opened_by)}\t{file}"
+
+
 # --- this machine ---
 def packages_of(files: Iterable[str]) -> dict[str, str]:
     """Each file's package, by dpkg."""
@@ -296,7 +304,7 @@
     """Exit code 1 where something is missing from the list."""
     parser = argparse.ArgumentParser("tools.opened_files", description=(__doc__ or "").partition("\n")[0])
     parser.add_argument("--table", type=Path)
-    parser.add_argument("--files", type=Path, help="takes every file with its package")
+    parser.add_argument("--files", type=Path, help="takes each package's files and who opens them")
     asked = parser.parse_args(words)
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     with tempfile.TemporaryDirectory(prefix="granitewell-") as place:
@@ -309,7 +317,7 @@
     if asked.table:
         asked.table.write_text(text)
     if asked.files:
-        asked.files.write_text("".join(f"{file}\t{owner}\n" for file, owner in sorted(packages.items())))
+        asked.files.write_text("".join(f"{line}\n" for line in file_list(packages, build, run)))
     dispensable = frozenset(
         name for file, owner in packages.items() if reasons[owner] is None for name in spellings(file)
     )
