A learner that takes no entries any more is not nearly level

Change: late and without a new entry on its disk for unreachable_s (2 s), it does not count as nearly level. One second was tried and was too short for a disk that takes 1.3 s a write (test_a_disk_at_a_thirtieth_of_its_speed_catches_up). tests/coordination passes as a whole.

--- a/granitewell/coordination/consensus/progress.py
+++ b/granitewell/coordination/consensus/progress.py
@@ -26,7 +26,8 @@
     """One peer. match_index: the last entry known to be on its disk; next_index: the next to send; probing:
     one message at a time until its log and ours are known to agree; acknowledged_at: send time of the newest
     heartbeat that it replied to; stamp: of its last such reply; answered: anything, in this term;
-    nearly_level_at: since when a learner has been no more than a few entries late."""
+    advanced_at: when match_index last rose; nearly_level_at: since when a learner has been no more than a few
+    entries late."""
 
     member: Member
     next_index: int
@@ -40,6 +41,7 @@
     stamp: int = 0
     transfer: SnapshotTransfer | None = None
     learner: bool = False
+    advanced_at: float = NEVER
     nearly_level_at: float | None = None
     answered: bool = False
 
@@ -58,7 +60,7 @@
         """All entries up to an index are on the peer's disk."""
         if index > self.match_index:
             self.match_index = index
-            self.moved_at = now
+            self.moved_at = self.advanced_at = now
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
         self.waiting = False
--- a/granitewell/coordination/consensus/tracker.py
+++ b/granitewell/coordination/consensus/tracker.py
@@ -105,13 +105,17 @@
         return [self._voter_view(voter, now) for voter in self._core.log.membership.all_voters()]
 
     def learner_views(self, now: float) -> list[MemberView]:
-        """All learners. One that has been a few entries late for a while counts as caught up: while changes
-        go on faster than its replies come it is never level, and its vote's entry comes after all of them."""
+        """All learners. One that has been a few entries late for a while, and goes on taking them, counts as
+        caught up: while changes go on faster than its replies come it is never level, and its vote's entry
+        comes after all of them."""
         return [self._learner_view(peer, now) for peer in self.peers.values() if peer.learner]
 
     def _learner_view(self, peer: Progress, now: float) -> MemberView:
         commit_index = self._core.commit_index
-        if peer.transfer is not None or peer.match_index < commit_index - LEARNER_LATE_ENTRIES:
+        unreachable_s = self._core.settings.unreachable_s
+        stopped = peer.match_index < commit_index and now - peer.advanced_at >= unreachable_s
+        far = peer.match_index < commit_index - LEARNER_LATE_ENTRIES
+        if peer.transfer is not None or far or stopped:
             peer.nearly_level_at = None
         elif peer.nearly_level_at is None:
             peer.nearly_level_at = now
