An entry of a newer format halts the replica in place of being passed over

Cause: a failure to apply an entry counted as the same on all replicas. It isn't where the entry is of a format or operation that only newer programs know: they take it, an older member passes over it, applies what follows to an older state, and may lead with it and confirm changes on it.

Ruled out: a mark in the configuration store alone (a member that is behind must not hold the lease or vote).

Started with the newer program it goes on from its disk. Test: the replica halts, applies nothing further, is neither leader nor holder of the lease, the others go on, and it catches up with the newer program. "Unknown forms of changes are refused" also says now which of them are of a newer program.

--- a/granitewell/controlplane/configuration/change.py
+++ b/granitewell/controlplane/configuration/change.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from granitewell.controlplane.configuration.errors import UnreadableChange
+from granitewell.controlplane.configuration.errors import UnknownChange, UnreadableChange
 
 FORMAT = 1
 HEAD = struct.Struct("!BBq")  # format, operation, base version
@@ -45,10 +45,10 @@
             raise UnreadableChange(f"{len(data)} bytes are too few")
         version, code, base_version = HEAD.unpack_from(data)
         if version != FORMAT:
-            raise UnreadableChange(f"format {version} is not known")
+            raise UnknownChange(f"format {version} is not known")
         operation = _OPERATIONS.get(code)
         if operation is None:
-            raise UnreadableChange(f"operation {code} is not known")
+            raise UnknownChange(f"operation {code} is not known")
         if base_version < 0:
             raise UnreadableChange(f"base version {base_version} is below 0")
         return cls(operation, base_version, bytes(data[HEAD.size :]))
--- a/granitewell/controlplane/configuration/errors.py
+++ b/granitewell/controlplane/configuration/errors.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from granitewell.model.errors import GranitewellError
+from granitewell.model.errors import GranitewellError, UnknownFormat
 
 
 class UnreadableChange(GranitewellError):
     """Bytes that are no change of a format that is known here."""
 
 
+class UnknownChange(UnreadableChange, UnknownFormat):
+    """A change of a newer program, of a format or operation that is not known here."""
+
+
 class UnreadableSnapshot(GranitewellError):
     """Bytes that are no snapshot of a format that is known here."""
 
--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -41,7 +41,7 @@
 from granitewell.coordination.disk_thread import DiskThread, Executor
 from granitewell.coordination.durable_log import DurableLog, WriteFailed
 from granitewell.coordination.log_file import LogFile
-from granitewell.model.errors import BadFrame, NotLeader, ProposalLost
+from granitewell.model.errors import BadFrame, NotLeader, ProposalLost, UnknownFormat
 
 log = logbook.Logger("granitewell.consensus")
 
@@ -393,7 +393,8 @@
 
     def _apply(self, ready: Ready) -> None:
         for entry in ready.committed:
-            self._apply_entry(entry)
+            if not self._apply_entry(entry):
+                return
             self._applied_index = entry.index
 
     def _restore(self, snapshot: Snapshot) -> bool:
@@ -402,24 +403,34 @@
         try:
             self._machine.restore(snapshot.data or self._empty_machine)
         except Exception as error:  # whatever it is, entries must not be applied to an older state
-            log.error("group {}: halted, its snapshot {} is refused: {}", self.name, snapshot.index, error)
-            self.halted_by = error
-            self._replica = None
-            self._proposals.lose(math.inf)
+            self._halt(f"its snapshot {snapshot.index} is refused", error)
             return False
         self._applied_index = snapshot.index
         self._proposals.lose(self._applied_index)
         return True
 
-    def _apply_entry(self, entry: Entry) -> None:
+    def _halt(self, reason: str, error: Exception) -> None:
+        """Take no part any more, until the process is started anew."""
+        log.error("group {}: halted, {}: {}", self.name, reason, error)
+        self.halted_by = error
+        self._replica = None
+        self._proposals.lose(math.inf)
+
+    def _apply_entry(self, entry: Entry) -> bool:
+        """Have the state machine take an entry. Where it needs a newer program, the other replicas may have
+        taken it, and this one takes no part any more; says whether it does."""
         result: object = None
         failure: Exception | None = None
         if entry.kind is EntryKind.DATA:
             try:
                 result = self._machine.apply(entry.index, entry.data)
+            except UnknownFormat as error:
+                self._halt(f"its entry {entry.index} is not known", error)
+                return False
             except Exception as error:  # the same on all replicas: it goes to who proposed the entry
                 failure = error
         self._proposals.applied(entry, result, failure)
+        return True
 
     def _start_anew(self) -> None:
         """This replica is out of the group: forget all and join under a fresh id."""
--- a/granitewell/model/errors.py
+++ b/granitewell/model/errors.py
@@ -36,6 +36,10 @@
     """A proposal got no outcome: it may be committed or not."""
 
 
+class UnknownFormat(GranitewellError):
+    """Bytes of a format that this program does not know, and a newer one may."""
+
+
 class RpcError(GranitewellError):
     """A call to another node has failed."""
 
--- a/tests/controlplane/test_configuration_store.py
+++ b/tests/controlplane/test_configuration_store.py
@@ -23,6 +23,7 @@
     Outcome,
 )
 from granitewell.controlplane.configuration.view import ConfigurationView
+from granitewell.model.errors import UnknownFormat
 from tests.controlplane.test_configuration_examples import (
     applied,
     outcomes,
@@ -57,8 +58,9 @@
     "data", [b"", FIRST.encode()[:9], b"\x02" + FIRST.encode()[1:], b"\x01\x09" + bytes(8)]
 )
 def test_unknown_forms_of_changes_are_refused(data: bytes) -> None:
-    with pytest.raises(UnreadableChange):
+    with pytest.raises(UnreadableChange) as refused:
         Change.decode(data)
+    assert isinstance(refused.value, UnknownFormat) is (len(data) >= 10)
     store = ConfigurationStore()
     with pytest.raises(UnreadableChange):
         store.apply(1, data)
--- a/tests/coordination/test_group.py
+++ b/tests/coordination/test_group.py
@@ -17,7 +17,7 @@
 from granitewell.coordination.consensus.storage import UnknownRecord
 from granitewell.coordination.log_file import LogFile
 from granitewell.coordination.log_format import ForeignLog
-from granitewell.model.errors import NotLeader, ProposalLost
+from granitewell.model.errors import NotLeader, ProposalLost, UnknownFormat
 from tests.coordination.cluster import ADDRESSES, LOG, Cluster, Node, Words, group_of, until
 from tests.coordination.virtual_loop import run
 
@@ -370,6 +370,44 @@
     run(day())
 
 
+class OlderWords(Words):
+    """Does not know one word that newer programs do."""
+
+    def apply(self, index: int, data: bytes) -> object:
+        if data == b"newer":
+            raise UnknownFormat("a newer word")
+        return super().apply(index, data)
+
+
+def test_an_entry_of_a_newer_form_halts_the_replica_before_it_applies_another() -> None:
+    """The others have taken it: what it would apply next, and lead with, would be another state."""
+
+    async def day() -> None:
+        cluster = Cluster(16, ReplicaSettings())
+        leader = await cluster.start()
+        older = cluster.others(leader)[0]
+        await group_of(leader).propose(b"before")
+        await older.die(power=False)
+        cluster.machine = OlderWords
+        group = await older.start()
+        for word in (b"newer", b"after"):
+            await group_of(leader).propose(word)
+        await until(lambda: group.halted_by is not None, 5)
+        assert isinstance(group.halted_by, UnknownFormat)
+        await asyncio.sleep(1)
+        assert older.machine.words == [b"before"]
+        assert not group.holds_lease() and not group.is_leader
+        with pytest.raises(NotLeader):
+            await group.propose(b"one")
+        await group_of(leader).propose(b"the others go on")
+        await older.die(power=True)
+        cluster.machine = Words
+        await older.start()
+        await until(lambda: older.machine.words == leader.machine.words, 5)
+
+    run(day())
+
+
 def test_a_log_of_a_newer_program_or_another_group_is_refused_and_left_as_it_is() -> None:
     async def day() -> None:
         cluster = Cluster(17)
