--- /dev/null
+++ b/tests/nodes/cut_off_invariants.py
@@ -0,0 +1,163 @@
+"""What must hold of all that leaves a control node, whatever is cut, frozen or killed.
+
+With lease = ReplicaSettings.lease_s, age = MOST_CONTACT_AGE_S, hold and slack those of the edge's watch, and
+clocks that drift by up to `drift`:
+
+- an answer to an operator is true at a moment between its request's sending and its leaving;
+- a node that is cut off from every majority answers neither 200 to a GET nor 4xx later than
+  lease x (1 + drift) after the cut, counted at the last look at the state;
+- a reply to an edge lacks nothing that was committed age x (1 + drift) before it was made;
+- what an edge takes lacks nothing that was committed (hold + slack + age) x (1 + drift) before;
+- an edge in touch has what was confirmed config-apply-ms before;
+- no confirmation is lost, no two changes of one base are confirmed, what was taken is never refused;
+- the version in force at an edge never falls in one run of its process.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import Any
+
+import orjson
+
+from granitewell.controlplane.publication.publisher import MOST_CONTACT_AGE_S
+from granitewell.coordination.consensus.settings import ReplicaSettings
+
+SLACK_S = 1e-6
+MOST_DRIFT = 0.05
+"""Of the rate of a steady clock; a lease of 0.5 s under an election of 0.65 s bears 0.13."""
+
+
+class Violation(AssertionError):
+    """Something left a process that must not."""
+
+
+class Invariants:
+    """Knows what was committed, confirmed and refused, and when. world: has `now`."""
+
+    def __init__(self, world: Any) -> None:
+        self._world = world
+        self._times: list[float] = []
+        self._versions: list[int] = []
+        self._indexes: dict[int, tuple[int, bytes]] = {}
+        self._bodies: dict[int, bytes] = {}  # what was taken, by version
+        self._confirmed: dict[int, bytes] = {}
+        self._confirmed_at: list[tuple[float, int]] = []
+        self._refused: list[tuple[bytes, int]] = []
+        self.answers: dict[str, int] = {}
+
+    # History
+
+    def taken(self, index: int, version: int, document: bytes) -> None:
+        """A node has applied a change."""
+        known = self._indexes.setdefault(index, (version, document))
+        if known != (version, document):
+            raise Violation(f"entry {index} is version {version} here and {known[0]} there")
+        if version in self._bodies:
+            return
+        if self._versions and version <= self._versions[-1]:
+            raise Violation(f"version {version} after {self._versions[-1]}")
+        self._times.append(self._world.now)
+        self._versions.append(version)
+        self._bodies[version] = document
+
+    @property
+    def newest(self) -> int:
+        """The newest version that was taken."""
+        return self._versions[-1] if self._versions else 0
+
+    def committed_before(self, time: float) -> int:
+        """The newest version that was known to be committed before a time."""
+        count = bisect_left(self._times, time)
+        return self._versions[count - 1] if count else 0
+
+    # Operators
+
+    def confirmed(self, version: int, body: bytes) -> None:
+        """A 200 to a change leaves."""
+        if version not in self._bodies or not _same(self._bodies[version], body):
+            raise Violation(f"version {version} is confirmed, and not what was taken")
+        self._confirmed[version] = body
+        self._confirmed_at.append((self._world.now, version))
+
+    def answered(self, node: Any, request: Any, response: Any, sent_at: float) -> None:
+        """An answer to an operator was made; its bytes leave now or after a freeze."""
+        status = response.status
+        kind = f"{request.method} {status}"
+        self.answers[kind] = self.answers.get(kind, 0) + 1
+        if status in (307, 503):
+            return
+        self._check_cut_off(node, kind, status)
+        if request.method == "GET":
+            self._check_read(node, response)
+        elif status == 412:
+            self._check_stale(node, orjson.loads(response.body)["version"], sent_at)
+            self._refused.append((request.body, status))
+        elif status != 200:
+            self._refused.append((request.body, status))
+
+    def _check_cut_off(self, node: Any, kind: str, status: int) -> None:
+        lease_s = ReplicaSettings().lease_s / node.rate
+        if kind != "PUT 200" and self._world.now > node.cut_off_since + lease_s + SLACK_S:
+            cut_s = self._world.now - node.cut_off_since
+            raise Violation(f"{node.host} answers {kind}, cut off for {cut_s:.3f} s")
+
+    def _check_read(self, node: Any, response: Any) -> None:
+        version = orjson.loads(response.body)["version"] if response.status == 200 else 0
+        if version < self.newest:
+            raise Violation(f"{node.host} reads {version}, {self.newest} is committed")
+
+    def _check_stale(self, node: Any, version: int, sent_at: float) -> None:
+        least = self.committed_before(sent_at)
+        if version < least:
+            raise Violation(f"{node.host} refuses by version {version}, {least} was committed")
+
+    # Edges
+
+    def published(self, host: str, version: int, rate: float) -> None:
+        """A reply to an edge was made. version: the newer of what it brings and what the edge has."""
+        least = self.committed_before(self._world.now - MOST_CONTACT_AGE_S / rate - SLACK_S)
+        if version < least:
+            raise Violation(f"{host} publishes {version}, {least} is older than a contact may be")
+
+    def took(self, host: str, version: int, patience_s: float, rate: float) -> None:
+        """An edge has taken a reply; version: what it has now."""
+        bound_s = patience_s / rate + MOST_CONTACT_AGE_S / (1 - MOST_DRIFT)
+        least = self.committed_before(self._world.now - bound_s - SLACK_S)
+        if version < least:
+            raise Violation(f"{host} takes {version}, {least} was committed {bound_s:.3f} s before")
+
+    def in_force(self, host: str, before: int, version: int) -> None:
+        """An edge puts a configuration in force."""
+        if version <= before:
+            raise Violation(f"{host} goes back from {before} to {version}")
+        if version not in self._bodies:
+            raise Violation(f"{host} has {version}, which was not taken")
+
+    def in_touch(self, host: str, version: int, confirmed: int) -> None:
+        """An edge that is in touch, config-apply-ms after a confirmation."""
+        if version < confirmed:
+            raise Violation(f"{host} in touch has {version}, {confirmed} was confirmed")
+
+    # The end
+
+    def end(self) -> None:
+        """What all answers together must be."""
+        for body, status in self._refused:
+            version = orjson.loads(body)["version"]
+            if version in self._bodies and _same(self._bodies[version], body):
+                raise Violation(f"version {version} was taken, and refused with {status}")
+        last = max(self._confirmed, default=0)
+        if last > self.newest:
+            raise Violation(f"version {last} was confirmed, the newest is {self.newest}")
+
+    @property
+    def confirmations(self) -> int:
+        """Changes that were confirmed."""
+        return len(self._confirmed)
+
+
+def _same(document: bytes, body: bytes) -> bool:
+    """Whether a document in force is what a change brought."""
+    held, sent = orjson.loads(document), orjson.loads(body)
+    return all(held[name] == sent[name] for name in ("version", "limits"))
--- /dev/null
+++ b/tests/nodes/test_serving_while_cut_off.py
@@ -0,0 +1,113 @@
+"""A control node that is cut off for up to twenty seconds hands out nothing old and refuses nothing.
+
+`GRANITEWELL_SEEDS=10000 python -m pytest tests/nodes/test_serving_while_cut_off.py -k days` is the long form;
+`GRANITEWELL_FIRST_SEED` says where it begins.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from granitewell.controlplane.configuration import answers, api
+from granitewell.controlplane.configuration.change import Change
+from granitewell.controlplane.publication.publisher import Publisher
+from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.nodes.control_nodes import ControlNodes
+from granitewell.rpc.messages import WatchReply, decode, encode
+from granitewell.rpc.transport import Method
+from tests.coordination import test_contact
+from tests.nodes.cut_off_days import play
+from tests.nodes.cut_off_invariants import Violation
+from tests.nodes.cut_off_world import CheckedWatch
+
+SEEDS = int(os.environ.get("GRANITEWELL_SEEDS", "8"))
+FIRST_SEED = int(os.environ.get("GRANITEWELL_FIRST_SEED", "0"))
+MOST_SEEDS = 60
+
+
+def test_days() -> None:
+    given: Counter[str] = Counter()
+    for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+        given.update(play(seed).invariants.answers)
+    print(f"{SEEDS} days: {dict(given)}")
+    assert {"GET 200", "GET 307", "GET 503", "PUT 200", "PUT 307", "PUT 412", "PUT 503"} <= set(given)
+
+
+# --- Guards taken out -------------------------------------------------------------------------------------
+
+
+def lease_not_asked_before_answers(patch: pytest.MonkeyPatch) -> None:
+    """The API answers while this node takes itself for the leader."""
+    patch.setattr(ReplicatedGroup, "holds_lease", lambda self: self.is_leader)
+
+
+def follower_reads(patch: pytest.MonkeyPatch) -> None:
+    """The API answers GET from what this node has."""
+
+    async def get(self: api.OperatorApi, request: Any) -> Any:
+        return self._newest()
+
+    patch.setattr(api.OperatorApi, "get", get)
+
+
+def lease_not_asked_before_refusals(patch: pytest.MonkeyPatch) -> None:
+    """A change is judged against the state here, whoever leads."""
+
+    async def answer(self: api.OperatorApi, change: Change, path: str) -> Any:
+        result = self._store.check(change)
+        return await self._proposed(change, path) if result is None else answers.changed(result)
+
+    patch.setattr(api.OperatorApi, "answer", answer)
+
+
+def contact_age_not_asked(patch: pytest.MonkeyPatch) -> None:
+    """A control node answers edges however long it has heard nothing."""
+    real = Publisher.__init__
+
+    def init(self: Publisher, *given: Any) -> None:
+        real(self, *given)
+        self._contact_age_s = lambda: 0.0
+
+    patch.setattr(Publisher, "__init__", init)
+
+
+def reply_of_any_age(patch: pytest.MonkeyPatch) -> None:
+    """An edge takes replies however late they come."""
+
+    async def ask(self: CheckedWatch, node: str) -> Any:
+        reply = await self.peers[node].call(Method.WATCH, encode(self._request()), 30.0)
+        return decode(WatchReply, reply)
+
+    patch.setattr(CheckedWatch, "_ask", ask)
+
+
+def edge_stays(patch: pytest.MonkeyPatch) -> None:
+    """An edge goes on asking the control node that failed."""
+    patch.setattr(ControlNodes, "failed", lambda self: None)
+
+
+PLANTS = (
+    (lease_not_asked_before_answers, "reads|answers|refuses"),
+    (follower_reads, "reads|answers"),
+    (lease_not_asked_before_refusals, "answers|refuses"),
+    (contact_age_not_asked, "publishes"),
+    (test_contact.counted_from_arrival, "publishes"),
+    (reply_of_any_age, "takes|in touch|in the end"),
+    (edge_stays, "in touch"),
+)
+
+
+@pytest.mark.parametrize(("plant", "shows"), PLANTS, ids=lambda given: getattr(given, "__name__", ""))
+def test_a_guard_taken_out_shows(
+    plant: Callable[[pytest.MonkeyPatch], None], shows: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises(Violation, match=shows) as violation:
+        for seed in range(MOST_SEEDS):
+            play(seed)
+    print(violation.value)
