--- a/tests/coordination/test_simulation.py
+++ b/tests/coordination/test_simulation.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.coordination.faults import Day, play
+from tests.coordination.invariants import Violation
 
 DAYS = 500
 DAYS_A_TEST = 50
@@ -50,7 +51,17 @@
 
 
 if __name__ == "__main__":
+    violations = 0
     for number in range(int(sys.argv[1]), int(sys.argv[2])):
-        play(number)
-        play(number, REPLACEMENTS, pace_s=0.7)
-        play(number, voters=5)
+        for day in (
+            lambda seed: play(seed),
+            lambda seed: play(seed, REPLACEMENTS, pace_s=0.7),
+            lambda seed: play(seed, voters=5),
+        ):
+            try:
+                day(number)
+            except Violation as violation:
+                violations += 1
+                print(violation, flush=True)
+    print(f"{violations} violations")
+    sys.exit(violations > 0)
