--- a/tests/coordination/test_simulation.py
+++ b/tests/coordination/test_simulation.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import sys
+from functools import partial
 
 import pytest
 
@@ -54,12 +55,12 @@
     violations = 0
     for number in range(int(sys.argv[1]), int(sys.argv[2])):
         for day in (
-            lambda seed: play(seed),
-            lambda seed: play(seed, REPLACEMENTS, pace_s=0.7),
-            lambda seed: play(seed, voters=5),
+            partial(play, number),
+            partial(play, number, REPLACEMENTS, pace_s=0.7),
+            partial(play, number, voters=5),
         ):
             try:
-                day(number)
+                day()
             except Violation as violation:
                 violations += 1
                 print(violation, flush=True)
