--- a/tests/coordination/virtual_loop.py
+++ b/tests/coordination/virtual_loop.py
@@ -59,9 +59,19 @@
     try:
         loop.run_until_complete(main)
     finally:
+        loop.run_until_complete(_end_tasks())
         loop.close()
 
 
+async def _end_tasks() -> None:
+    """Cancel what still runs. A task that is dropped is complained of when its memory is collected, which may
+    be in the middle of anything: within `ast.parse` it ends the interpreter's run (CPython gh-106905)."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class LoopExecutor:
     """Stands for the disk thread: runs its work on the loop, one after the other, each after the disk's
     delay."""
