--- a/tests/controlplane/owner_world.py
+++ b/tests/controlplane/owner_world.py
@@ -240,6 +240,11 @@
         """All processes, frozen or not."""
         return [cast(OwnerProcess, machine.process) for machine in self.machines if machine.process]
 
+    def abandon(self) -> None:
+        """The day is over."""
+        for process in self.ever:
+            process.loop.abandon()
+
     # The platform
 
     def _read_list(self) -> None:
--- a/tests/controlplane/process_loop.py
+++ b/tests/controlplane/process_loop.py
@@ -63,6 +63,11 @@
         task.add_done_callback(self._ended)
         return task
 
+    def abandon(self) -> None:
+        """The world has ended: nothing of this goes on."""
+        for task in list(self._tasks):
+            task.get_coro().close()
+
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
--- a/tests/controlplane/test_order_wire.py
+++ b/tests/controlplane/test_order_wire.py
@@ -59,11 +59,11 @@
     connections: int = 0
     resets: int = 0
     ends: int = 0
-    writer: asyncio.StreamWriter | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        self.writer = writer
+        self.writers.append(writer)
         try:
             while await self._one(reader, writer):
                 pass
@@ -114,6 +114,10 @@
             async with asyncio.timeout(5):
                 await scenario(standin, f"127.0.0.1:{port}", client)
         server.close()
+        for writer in standin.writers:
+            writer.transport.abort()
+        await server.wait_closed()
+        await asyncio.sleep(0)
 
     for make_loop in loops:
         with asyncio.Runner(loop_factory=make_loop) as runner:
@@ -190,8 +194,7 @@
 def test_bytes_that_come_while_nothing_is_asked_answer_nothing(stray: bytes) -> None:
     async def scenario(standin: Standin, address: str, client: HttpServerClient) -> None:
         assert isinstance(await client.report("i-1", address), Report)
-        assert standin.writer is not None
-        standin.writer.write(stray)
+        standin.writers[0].write(stray)
         await until(lambda: standin.ends + standin.resets == 1)  # dropped at once, not when next wanted
         assert await client.send(address, ORDER, TICKET, yes) is OrderResult.CONFLICT
         assert standin.connections == 2 and len(standin.orders) == 1
--- a/tests/controlplane/test_owner_search.py
+++ b/tests/controlplane/test_owner_search.py
@@ -231,6 +231,8 @@
     except Violation as error:
         name = "fencing" if fencing else "no fencing"
         raise Violation(f"seed {seed}, {name}, at {world.now:.3f} s: {error}") from error
+    finally:
+        world.abandon()
     return world
 
 
