--- a/tests/controlplane/test_owner_search.py
+++ b/tests/controlplane/test_owner_search.py
@@ -271,18 +271,25 @@
     assert sum(judge.turns for judge in judges) > 0  # else the rule was not put to the test
 
 
-def play_many(first: int, last: int) -> str:
-    """Days by the hundred; what was met."""
+def play_many(first: int, last: int) -> bool:
+    """Days by the thousand; prints what was met, and whether no rule broke."""
     started = time.monotonic()
     met = [0, 0, 0, 0]
+    broken = 0
     for number in range(first, last):
         for fenced in (True, False):
-            judge = play(number, fenced, *DAYS[number % len(DAYS)]).judge
+            try:
+                judge = play(number, fenced, *DAYS[number % len(DAYS)]).judge
+            except Violation as violation:
+                print(violation)
+                broken += 1
+                continue
             for place, count in enumerate((judge.orders, judge.taken, judge.unloads, judge.turns)):
                 met[place] += count
     figures = "{} orders, {} taken, {} unloads, {} turns that counted".format(*met)
-    return f"{2 * (last - first)} days: {figures}, {time.monotonic() - started:.0f} s"
+    print(f"{2 * (last - first)} days, {broken} broken: {figures}, {time.monotonic() - started:.0f} s")
+    return broken == 0
 
 
 if __name__ == "__main__":
-    print(play_many(int(sys.argv[1]), int(sys.argv[2])))
+    sys.exit(0 if play_many(int(sys.argv[1]), int(sys.argv[2])) else 1)
