A new owner begins with as many loads at once as the store's rate keeps under way

Cause: how many loads run at full speed at once is learned, from 4 on, one more with each load that was not slowed; and a new owner of a shard starts from nothing.

Change: before any load was measured, the permitted rate times the mean load time of the models (Little's law), between 2 and 32. What was measured goes before it, as now. The token bucket and the limits of each server are as they were.

The planted defect without a bucket takes the new estimate out too: it had set the first number to 30 for that.

--- a/granitewell/controlplane/placement/issuing.py
+++ b/granitewell/controlplane/placement/issuing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from statistics import fmean
 
 from granitewell.controlplane.placement.limits import Capacity, LoadBucket, LoadPace, SizeBook, Usage, usage
 from granitewell.controlplane.placement.observation import OrderStage, PendingOrder, ServerRecord, shows
@@ -57,8 +58,13 @@
         self._set_rate(now)
 
     def _set_rate(self, now: float) -> None:
-        if self._engine is not None:
-            self.bucket.set_rate(now, self._engine.loads_per_s * self._load_share)
+        engine = self._engine
+        if engine is None:
+            return
+        loads_per_s = engine.loads_per_s * self._load_share
+        self.bucket.set_rate(now, loads_per_s)
+        if engine.models:
+            self.pace.expect(loads_per_s, fmean(model.load_time_s for model in engine.models))
 
     def issue(self, now: float, order: Order, holder: str, fence: int) -> Send | None:
         """Put an order on the record and give it out, unless it would break a limit."""
--- a/granitewell/controlplane/placement/limits.py
+++ b/granitewell/controlplane/placement/limits.py
@@ -12,7 +12,7 @@
 STORE_RATE_SHARE = 0.95  # of the permitted rate: the bound counts 1.1 times it, plus 3
 STORE_BURST = 2.0  # loads at once after a pause; the bound allows 3
 MEMORY_SLACK_MB = 1.0  # for sums of rounded sizes
-AT_ONCE_FIRST = 4  # simultaneous loads that are tried before any were measured
+AT_ONCE_FIRST = 4  # simultaneous loads that are tried before anything is known of the store
 AT_ONCE_LEAST = 2
 AT_ONCE_MOST = 32
 SLOWED = 1.3  # a load that took this many times its usual time met too many others
@@ -136,12 +136,20 @@
 
 
 class LoadPace:
-    """How many loads at once run at full speed, which no page tells: learned from how long loads take."""
+    """How many loads at once run at full speed, which no page tells: learned from how long loads take. Before
+    any was measured, it is taken for as many as the permitted rate keeps under way."""
 
     def __init__(self) -> None:
         self.at_once = AT_ONCE_FIRST
         self._least_overhead_s = math.inf
 
+    def expect(self, loads_per_s: float, load_time_s: float) -> None:
+        """The store permits this rate of loads, of this many seconds each in the mean. Without effect once
+        loads were measured."""
+        if math.isinf(self._least_overhead_s):
+            under_way = round(loads_per_s * load_time_s)  # Little's law
+            self.at_once = max(AT_ONCE_LEAST, min(AT_ONCE_MOST, under_way))
+
     def learn(self, at_once: int, took_s: float, nominal_s: float) -> None:
         """A load from the store took this long, beside at_once loads in all (itself included)."""
         overhead = took_s - nominal_s
--- a/tests/controlplane/test_placement_faults.py
+++ b/tests/controlplane/test_placement_faults.py
@@ -285,6 +285,7 @@
     monkeypatch.setattr(LoadBucket, "take", lambda self, now: True)
     monkeypatch.setattr(LoadBucket, "available", lambda self, now: 99)
     monkeypatch.setattr(limits.LoadPace, "learn", lambda self, *figures: None)
+    monkeypatch.setattr(limits.LoadPace, "expect", lambda self, *figures: None)
     monkeypatch.setattr(limits, "AT_ONCE_FIRST", 30)
 
 
--- a/tests/controlplane/test_placement_parts.py
+++ b/tests/controlplane/test_placement_parts.py
@@ -13,6 +13,8 @@
 from granitewell.controlplane.placement.demand import GAUGE_LASTS_S, DemandTable
 from granitewell.controlplane.placement.limits import (
     AT_ONCE_FIRST,
+    AT_ONCE_LEAST,
+    AT_ONCE_MOST,
     Capacity,
     LoadBucket,
     LoadPace,
@@ -130,6 +132,28 @@
     assert pace.at_once == 3  # alone and slow says nothing of the store
 
 
+@pytest.mark.parametrize(
+    ("loads_per_s", "load_time_s", "at_once"),
+    [(5.2, 0.6, 3), (4.2, 1.5, 6), (0.1, 1.0, AT_ONCE_LEAST), (20.0, 2.4, AT_ONCE_MOST)],
+)
+def test_the_first_loads_at_once_are_those_that_the_permitted_rate_keeps_under_way(
+    loads_per_s: float, load_time_s: float, at_once: int
+) -> None:
+    pace = LoadPace()
+    pace.expect(loads_per_s, load_time_s)
+    assert pace.at_once == at_once
+
+
+def test_what_was_measured_goes_before_what_the_permitted_rate_tells() -> None:
+    pace = LoadPace()
+    pace.expect(10.0, 0.6)
+    assert pace.at_once == 6
+    pace.learn(6, 0.6, 0.6)
+    pace.learn(6, 1.2, 0.6)
+    pace.expect(20.0, 0.6)
+    assert pace.at_once == 3
+
+
 # Demand
 
 
