--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 VENV ?= $(if $(wildcard .ci-venv/bin/python),.ci-venv,.dev-venv)
 PYTHON := $(VENV)/bin/python
 # The formatter owns the whole system's packages; older ones are formatted as they are touched.
-FORMATTED := $(addprefix granitewell/,cli/system controlplane coordination dataplane discovery lab/system model nodes rpc)
+FORMATTED := $(addprefix granitewell/,cli/system controlplane coordination dataplane discovery lab/system model nodes rpc) tools
 WANT := requirements.txt requirements-system.txt requirements-dev.txt
 PIP := $(VENV)/bin/pip -q --disable-pip-version-check
 
