The simulated loop of a process fires its timers a microsecond late, never early

Cause: times of a machine's clock are turned into those of the world and back, and the rounding fired a timer 1.8e-15 s early. On real machines the clock moves on, so nothing that serves is concerned.

--- a/tests/controlplane/process_loop.py
+++ b/tests/controlplane/process_loop.py
@@ -12,6 +12,9 @@
 
 from tests.coordination.world import Process
 
+TIMER_LATE_S = 1e-6
+"""As on real machines. One that a rounded time fires early would be set again for that moment, for ever."""
+
 
 class ProcessLoop(asyncio.AbstractEventLoop):
     """Time is the machine's steady clock."""
@@ -49,7 +52,8 @@
         """At a time of the machine's clock."""
         handle = asyncio.TimerHandle(when, callback, args, self, context)
         machine = self._process.machine
-        self._process.world.at(machine.true_time(when), lambda: self._process.run(lambda: self._due(handle)))
+        due_at = machine.true_time(when) + TIMER_LATE_S
+        self._process.world.at(due_at, lambda: self._process.run(lambda: self._due(handle)))
         return handle
 
     def create_future(self) -> asyncio.Future[Any]:
