A busy model keeps two lasting copies on each of twelve seeds again; no test skipped

The test of a peer's end lost its skip where POLLRDHUP is missing: the program asks for it without a condition.

Both files' tests pass; no code that serves changed.

--- a/tests/controlplane/test_placement_faults.py
+++ b/tests/controlplane/test_placement_faults.py
@@ -131,7 +131,6 @@
 
 
 def test_a_server_about_to_leave_gets_nothing_new_and_its_busy_models_are_replaced() -> None:
-    twice = 0
     for seed in range(12):
         fleet = usual_fleet(seed)
         fleet.start()
@@ -146,10 +145,8 @@
         assert leaving.sequence == taken
         assert fleet.reconciler.ready_models(leaving.id) != {}
         lasting = [s for s in fleet.servers.values() if s is not leaving and "m2" in s.held]
-        assert lasting
-        twice += len(lasting) >= 2
+        assert len(lasting) >= 2
         fleet.assert_rules()
-    assert twice >= 9  # where chance asks little for m2 just then, it is left with one copy
 
 
 def test_no_order_leaves_without_the_lease() -> None:
--- a/tests/dataplane/test_leaving_clients.py
+++ b/tests/dataplane/test_leaving_clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
@@ -187,7 +186,6 @@
         return self._socket if name == "socket" else None
 
 
-@pytest.mark.skipif(not hasattr(select, "POLLRDHUP"), reason="Linux tells the end of a peer so")
 def test_the_end_of_a_peer_is_seen_before_it_is_read() -> None:
     with socket_pair() as (ours, theirs):
         assert not peer_has_closed(WithSocket(ours))  # type: ignore[arg-type]
