--- a/tools/bench_days.py
+++ b/tools/bench_days.py
@@ -24,6 +24,7 @@
 )  # fmt: skip
 KIND_LINE = re.compile(r"^(?P<kind>[a-z][a-z_]+): (?P<meaning>.*)$")
 WORD = re.compile(r"[a-z_]+")
+FIRST = 3  # as many of the bench's accounts of a broken rule are kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,9 +120,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """What came of a day. broken: the bench's own words on each broken rule; short: parts under their floor.
+    """What came of a day. broken: what the bench counts for each broken rule; first: its words on it.
 
-    score: None where the day has none, because a rule was broken or the play failed.
+    score: None where the day has none, because a rule was broken or the play failed; short: of the gate.
     """
 
     worth: float
@@ -132,6 +133,7 @@
     own_exits: int
     wall_s: float
     weakest: str
+    first: tuple[str, ...] = ()
 
     @property
     def sound(self) -> bool:
@@ -150,6 +152,7 @@
         own_exits=report["exits_n"],
         wall_s=report["wall_s"],
         weakest=_weakest(report),
+        first=tuple(str(said) for said in report.get("first", ())[:FIRST]),
     )
 
 
--- a/tools/worst_days.py
+++ b/tools/worst_days.py
@@ -105,7 +105,7 @@
 def summary_table(outcomes: Outcomes) -> Iterator[str]:
     """A row for each point and deployment, and one for all."""
     yield row(
-        ["point", "deployment", "scenarios", "seeds", "plays", "broken rules", "faults", "under floor",
+        ["point", "deployment", "scenarios", "seeds", "plays", "broken rules", "faults", "short of the gate",
          "lowest, mean score", "lowest, mean worth"]
     )  # fmt: skip
     yield row(["---"] * 10)
@@ -150,18 +150,22 @@
 
 
 def findings(outcomes: Outcomes) -> Iterator[str]:
-    """Each play with a broken rule or a fault, in the bench's words."""
+    """Each play with a broken rule, a fault or a gate that it missed, in the bench's words."""
     for play, result in outcomes:
         for rule, said in result.broken.items():
             yield f"- `{play.stem}`: {rule}: {said}"
+        for account in result.first:
+            yield f"- `{play.stem}`: {account}"
         if result.fault:
             yield f"- `{play.stem}`: fault: {result.fault}"
+        for part in result.short:
+            yield f"- `{play.stem}`: short of the gate: {part}"
 
 
 def lowest(outcomes: Outcomes, count: int = 10) -> Iterator[str]:
     """The plays with the lowest scores, and what took most."""
     scored = [(play, result) for play, result in outcomes if result.score is not None]
-    yield row(["day", "score", "worth", "weakest part; largest price", "under floor"])
+    yield row(["day", "score", "worth", "weakest part; largest price", "short of the gate"])
     yield row(["---"] * 5)
     for play, result in sorted(scored, key=lambda item: (item[1].score, item[1].worth))[:count]:
         cells = [f"`{play.stem}`", f"{result.score:.2f}", f"{result.worth:.2f}", result.weakest]
@@ -175,7 +179,7 @@
         summary_table(ordered),
         kinds_table([play for play, _ in ordered]),
         lowest(ordered),
-        list(findings(ordered)) or ["No rule was broken, and there was no fault."],
+        list(findings(ordered)) or ["No rule was broken, there was no fault, and each day passed the gate."],
     ]
     return "\n\n".join("\n".join(part) for part in parts) + "\n"
 
