Control role on edge machines: replicas where there is a disk, a gateway elsewhere

A machine holds replicas only with a data-dir and counts-for-quorum not false. Elsewhere the process is a gateway: it redirects operators (307, or 503 with Retry-After), names the control nodes to edges that ask it, and passes joining replicas' messages and demand on. Edges leave a seed that the control plane does not name. Voters announce themselves to seeds, so that gateways that know only each other after a loss of all power learn of them.

--- a/granitewell/cli/system/control.py
+++ b/granitewell/cli/system/control.py
@@ -1,5 +1,5 @@
 """`control`: thin main of the control role."""
 
-from granitewell.nodes.control import main
+from granitewell.nodes.control_role import main
 
 __all__ = ["main"]
--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -134,8 +134,9 @@
         """Return what the watcher lacks; None if that is nothing and `empty` is false."""
         configuration = self._configuration_update(request)
         updates = list(self._table_updates(request))
-        nodes = list(self._control_nodes()) if request.edge else []
-        digest = members_digest(nodes) if request.edge else request.members_digest
+        members_wanted = request.edge or request.members_only
+        nodes = list(self._control_nodes()) if members_wanted else []
+        digest = members_digest(nodes) if members_wanted else request.members_digest
         update = configuration is not None or any(lacks for _, lacks in updates)
         if not update and digest == request.members_digest and not empty:
             return None
--- a/granitewell/domain/settings.py
+++ b/granitewell/domain/settings.py
@@ -111,7 +111,7 @@
     role: str = ""
     zones: Mapping[str, str] = field(default_factory=dict)
     bootstrap: bool = False
-    counts_for_quorum: bool = field(default=False, metadata=field_options(alias="counts-for-quorum"))
+    counts_for_quorum: bool | None = field(default=None, metadata=field_options(alias="counts-for-quorum"))
     limits: ProcessLimits = field(default_factory=ProcessLimits)
     data_dir: str | None = field(default=None, metadata=field_options(alias="data-dir"))
     heartbeat_ms: float = field(default=1_000, metadata=field_options(alias="heartbeat-ms"))
@@ -126,6 +126,16 @@
         """Internal port of the control role, the same on every machine."""
         return self.internal_ports[0]
 
+    @property
+    def may_vote(self) -> bool:
+        """Whether a control process here may hold replicas.
+
+        That takes a disk, on a machine whose loss `fault-tolerance` limits; one that does not count for the
+        quorum may be lost at any time, together with any number of others. A file without the field is one
+        of before the field was used.
+        """
+        return self.data_dir is not None and self.counts_for_quorum is not False
+
 
 def settings_path() -> Path:
     """Return the path of this process's settings file."""
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -25,7 +25,7 @@
 from granitewell.nodes.control_messages import ControlMessages
 from granitewell.nodes.layout import CONFIGURATION_GROUP, SHARDS, shard_group
 from granitewell.nodes.operator_server import OperatorServer
-from granitewell.nodes.process import SettingsFile, Signals, follow_settings, run_process
+from granitewell.nodes.process import SettingsFile, Signals, follow_settings
 from granitewell.nodes.shard_supervisor import ShardSupervisor
 from granitewell.nodes.shards import LIST_FRESH_PART, OwnedShard, ShardServices, list_every_s
 from granitewell.rpc.messages import GroupMessage, encode
@@ -39,7 +39,7 @@
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         if settings.data_dir is None:
-            raise InvalidSettingsError("data-dir", "missing: the control role keeps its state there")
+            raise InvalidSettingsError("data-dir", "missing: replicas keep their state there")
         if settings.listen.control is None:
             raise InvalidSettingsError("listen.control", "missing: operators call there")
         self.settings = settings
@@ -102,6 +102,10 @@
         """Return the internal addresses of all members of the configuration's group."""
         return sorted({member.address for member in self.configuration_group.members})
 
+    def _announced_to(self) -> list[str]:
+        """Return the internal addresses of all members and all seeds."""
+        return sorted({*self.control_nodes(), *self._internal(self.settings.seeds)})
+
     def _send_to_group(self, address: str, group: str, payload: bytes) -> None:
         message = GroupMessage(group=group, sender_address=self.address, payload=payload)
         self.peers[address].send(Method.GROUP, encode(message))
@@ -128,7 +132,7 @@
         self._session = open_server_session()
         groups = {shard: self.groups[shard_group(shard)] for shard in range(SHARDS)}
         supervisor = ShardSupervisor(groups, self.tables, self.peers, self._shard_services(), self.owned)
-        self._tasks = [asyncio.create_task(self._messages.tell_edge_count(self.control_nodes))]
+        self._tasks = [asyncio.create_task(self._messages.tell_edge_count(self._announced_to))]
         self._tasks += [asyncio.create_task(supervisor.keep(shard)) for shard in range(SHARDS)]
 
     def _shard_services(self) -> ShardServices:
@@ -162,15 +166,11 @@
         await self._session.close()
 
 
-async def _serve(file: SettingsFile, signals: Signals) -> None:
+async def serve(file: SettingsFile, signals: Signals) -> None:
+    """Run a control node with replicas until it is stopped."""
     node = ControlNode(file.settings, Random())
     await node.start()
     follow = asyncio.create_task(follow_settings(file, signals, node.take_settings))
     await signals.stop.wait()
     follow.cancel()
     await node.stop()
-
-
-def main() -> int:
-    """Run the process of the control role; return its exit code."""
-    return run_process(_serve)
--- /dev/null
+++ b/granitewell/nodes/control_gateway.py
@@ -0,0 +1,207 @@
+"""The control role on a machine without replicas: no disk, or one whose loss nothing limits.
+
+It stores nothing and decides nothing, so it can neither acknowledge a change nor answer an old configuration.
+It knows the control nodes with replicas from the control plane, from its seeds and from their announcements,
+and refers its callers to them: operators by a redirect, edges by the list of nodes in an answer to their
+long-poll, replicas that join and reports of demand by passing the message on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import logbook
+from aiohttp import web
+
+from granitewell.controlplane.configuration import answers
+from granitewell.controlplane.configuration.api import PATH
+from granitewell.controlplane.publication.publisher import members_digest
+from granitewell.domain.errors import GranitewellError, InvalidSettingsError, RpcError
+from granitewell.domain.settings import Settings
+from granitewell.nodes.control_nodes import ControlNodes
+from granitewell.nodes.operator_server import OperatorServer
+from granitewell.nodes.process import SettingsFile, Signals, follow_settings
+from granitewell.rpc.messages import (
+    DemandReport,
+    EdgeCount,
+    GroupMessage,
+    WatchReply,
+    WatchRequest,
+    decode,
+    encode,
+)
+from granitewell.rpc.transport import Handler, Method, RpcPeers, RpcServer
+
+HOLD_S = 1.0  # of a long-poll; a voter that has gone is noticed after it
+REPLY_SLACK_S = 0.4
+RETRY_S = 0.2
+RECENT_S = 2.5  # a control node that replied within this time is taken to be there
+NODE_WAIT_S = 0.8  # operators give up after a second without an answer
+NODE_POLL_S = 0.02
+BODY_CHUNK_BYTES = 65_536
+
+log = logbook.Logger("granitewell.control")
+
+
+class NoControlNodeError(GranitewellError):
+    """No control node with replicas is known; the caller should ask another node."""
+
+
+class ControlGateway:
+    """One process of the control role without replicas.
+
+    Attributes:
+        nodes: The control nodes with replicas, and which of them is asked.
+    """
+
+    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic) -> None:
+        if settings.listen.control is None:
+            raise InvalidSettingsError("listen.control", "missing: operators call there")
+        self._settings = settings
+        self._clock = clock
+        self._control_port = settings.listen.control.rpartition(":")[2]
+        self._address = f"{settings.ip}:{settings.control_rpc_port}"
+        self._replied_at = -float("inf")
+        self.nodes = ControlNodes(settings.node_name)
+        self.peers = RpcPeers()
+        self.handlers: dict[int, Handler] = {
+            Method.WATCH: self._watch,
+            Method.DEMAND: self._demand,
+            Method.GROUP: self._group_message,
+            Method.EDGES: self._announcement,
+        }
+        self.take_settings(settings)
+
+    def take_settings(self, settings: Settings) -> None:
+        """Apply changed settings: other seeds may be named."""
+        self._settings = settings
+        port = settings.control_rpc_port
+        seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds]
+        self.nodes.set_seeds([seed for seed in seeds if seed != self._address])
+
+    # --- Who has replicas
+
+    async def run(self) -> None:
+        """Keep the list of control nodes up to date, until cancelled."""
+        while True:
+            node = self.nodes.current
+            if node is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            try:
+                await self._ask(node)
+            except RpcError as error:
+                log.debug("control node does not answer", node=node, error=str(error))
+                self.nodes.failed()
+                await asyncio.sleep(RETRY_S)
+
+    async def _ask(self, node: str) -> None:
+        """Long-poll one control node; raises RpcError."""
+        request = WatchRequest(
+            node=self._settings.node_name,
+            zone=self._settings.zone,
+            edge=False,
+            configuration_version=0,
+            tables=[],
+            hold_ms=int(HOLD_S * 1000),
+            members_digest=self.nodes.digest,
+            members_only=True,
+        )
+        reply = decode(
+            WatchReply, await self.peers[node].call(Method.WATCH, encode(request), HOLD_S + REPLY_SLACK_S)
+        )
+        self._replied_at = self._clock()
+        if reply.control_nodes:
+            self.nodes.set_known([address for address in reply.control_nodes if address != self._address])
+
+    def current(self) -> str | None:
+        """Return the internal address of a control node with replicas that has replied lately, or None."""
+        if self._clock() - self._replied_at > RECENT_S:
+            return None
+        node = self.nodes.current
+        return node if node in self.nodes.known else None
+
+    # --- Messages of other nodes
+
+    async def _watch(self, payload: bytes, _peer: str) -> bytes:
+        """Name the control nodes; the watcher goes on to one of them."""
+        request = decode(WatchRequest, payload)
+        known = self.nodes.known
+        if not known:
+            raise NoControlNodeError(self._settings.node_name)
+        if not request.edge and request.members_digest == self.nodes.digest:
+            await asyncio.sleep(min(max(request.hold_ms, 0) / 1000.0, HOLD_S))
+        return encode(
+            WatchReply(
+                tables=[], control_nodes=known, members_digest=members_digest(known), edges=1, max_edges=1
+            )
+        )
+
+    async def _demand(self, payload: bytes, _peer: str) -> bytes:
+        report = decode(DemandReport, payload)
+        node = self.current()
+        if node is not None and not report.forwarded:
+            self.peers[node].send(Method.DEMAND, payload)
+        return b""
+
+    async def _group_message(self, payload: bytes, _peer: str) -> bytes:
+        """Pass a message on; its answer goes straight to the sender that it names."""
+        decode(GroupMessage, payload)
+        node = self.current()
+        if node is not None:
+            self.peers[node].send(Method.GROUP, payload)
+        return b""
+
+    async def _announcement(self, payload: bytes, _peer: str) -> bytes:
+        count = decode(EdgeCount, payload)
+        if count.address:
+            self.nodes.add_seed(count.address)
+        return b""
+
+    # --- Operators
+
+    def routes(self, app: web.Application) -> None:
+        """Add the handlers, and typed responses for unknown paths and methods."""
+        app.router.add_get(PATH, self.refer)
+        app.router.add_put(PATH, self.refer)
+        app.router.add_patch(PATH, self.refer)
+        app.middlewares.append(answers.typed_failures)
+
+    async def refer(self, request: web.Request) -> web.Response:
+        """Redirect to a control node with replicas; 503 where none is known in time."""
+        async for _ in request.content.iter_chunked(BODY_CHUNK_BYTES):
+            pass  # read to its end, so that the connection stays in use; nothing is kept
+        deadline = self._clock() + NODE_WAIT_S
+        while (node := self.current()) is None:
+            if self._clock() >= deadline:
+                return answers.unavailable("no control node with replicas is known")
+            await asyncio.sleep(NODE_POLL_S)
+        host = node.rpartition(":")[0]
+        return answers.redirect(f"http://{host}:{self._control_port}{request.path_qs}")
+
+
+async def serve(file: SettingsFile, signals: Signals) -> None:
+    """Run a control process without replicas until it is stopped."""
+    settings = file.settings
+    gateway = ControlGateway(settings)
+    log.info(
+        "control without replicas",
+        data_dir=settings.data_dir,
+        counts_for_quorum=settings.counts_for_quorum,
+    )
+    rpc_server = RpcServer(gateway.handlers)
+    await rpc_server.start(settings.ip, settings.control_rpc_port)
+    operator_server = OperatorServer(gateway, settings.listen.control or "")
+    await operator_server.start()
+    tasks = [
+        asyncio.create_task(gateway.run()),
+        asyncio.create_task(follow_settings(file, signals, gateway.take_settings)),
+    ]
+    await signals.stop.wait()
+    for task in tasks:
+        task.cancel()
+    await operator_server.stop()
+    await rpc_server.stop()
+    gateway.peers.close()
--- a/granitewell/nodes/control_messages.py
+++ b/granitewell/nodes/control_messages.py
@@ -95,8 +95,13 @@
             onward = DemandReport(node=report.node, zone=report.zone, demands=demands, forwarded=True)
             self._peers[leader].send(Method.DEMAND, encode(onward))
 
-    async def tell_edge_count(self, control_nodes: Callable[[], Sequence[str]]) -> None:
-        """Report to the other control nodes how many edges ask this one, until cancelled."""
+    async def tell_edge_count(self, listeners: Callable[[], Sequence[str]]) -> None:
+        """Report to the other control nodes how many edges ask this one, until cancelled.
+
+        Args:
+            listeners: Returns the internal addresses of the other control nodes, and of the seeds: one
+                without replicas learns from this who has some.
+        """
         pause = EDGE_COUNT_FIRST_S
         while True:
             await asyncio.sleep(pause)
@@ -111,6 +116,6 @@
                     address=claimant.address,
                 )
             )
-            for address in control_nodes():
+            for address in listeners():
                 if address != claimant.address:
                     self._peers[address].send(Method.EDGES, message)
--- a/granitewell/nodes/control_nodes.py
+++ b/granitewell/nodes/control_nodes.py
@@ -1,4 +1,4 @@
-"""Selection of the control node that an edge asks."""
+"""Selection of the control node that an edge, or a control process without replicas, asks."""
 
 from __future__ import annotations
 
@@ -7,11 +7,15 @@
 from granitewell.controlplane.publication.publisher import members_digest
 from granitewell.coordination.rendezvous import rank
 
+MAX_SEEDS = 32
+"""How many addresses are remembered beside those that the control plane names."""
+
 
 class ControlNodes:
-    """The control node that this edge asks.
+    """The control node that this process asks.
 
-    The edge does not know which control nodes are in its own zone, so it selects by rendezvous hashing, and
+    A node that the control plane does not name (a seed without replicas) is left for one that it names. The
+    process does not know which control nodes are in its own zone, so it selects by rendezvous hashing, and
     takes the next one after a failure.
     """
 
@@ -32,12 +36,25 @@
         self._known = list(addresses)
         self._arrange()
 
+    def add_seed(self, address: str) -> None:
+        """Add a control node that has announced itself."""
+        if address not in self._seeds:
+            self._seeds.append(address)
+            del self._seeds[:-MAX_SEEDS]
+            self._arrange()
+
+    @property
+    def known(self) -> list[str]:
+        """Return the control nodes named by the control plane."""
+        return self._known
+
     def _arrange(self) -> None:
         current = self._order[self._at % len(self._order)] if self._order else None
         known = rank(self._name, self._known)
         rest = rank(self._name, [seed for seed in self._seeds if seed not in self._known])
         self._order = known + rest
-        self._at = self._order.index(current) if current in self._order else 0
+        stays = current in (self._known or self._order)
+        self._at = self._order.index(current) if stays and current is not None else 0
 
     @property
     def digest(self) -> int:
--- a/granitewell/nodes/operator_server.py
+++ b/granitewell/nodes/operator_server.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
-from aiohttp import web
+from typing import Protocol
 
-from granitewell.controlplane.configuration.api import OperatorApi
+from aiohttp import web
 
 MAX_REQUEST_BYTES = 32 * 1024 * 1024  # the library's bound; the API's own is lower
 
 
+class OperatorRoutes(Protocol):
+    """Handlers of the operator API."""
+
+    def routes(self, app: web.Application) -> None:
+        """Add the handlers to an application."""
+
+
 class OperatorServer:
     """Listens at a control address (`ip:port`)."""
 
-    def __init__(self, api: OperatorApi, address: str) -> None:
+    def __init__(self, api: OperatorRoutes, address: str) -> None:
         self._api = api
         self._address = address
         self._runner: web.AppRunner | None = None
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -17,7 +17,8 @@
 
 struct WatchRequest {
   1: string node, 2: string zone, 3: bool edge, 4: i64 configuration_version,
-  5: list<TableVersion> tables, 6: i32 hold_ms, 7: i64 members_digest
+  5: list<TableVersion> tables, 6: i32 hold_ms, 7: i64 members_digest,
+  8: optional bool members_only   // only control_nodes are wanted; the watcher is not counted as an edge
 }
 struct WatchReply {
   1: optional ConfigurationUpdate configuration, 2: list<TableUpdate> tables,
--- a/tests/controlplane/test_publication.py
+++ b/tests/controlplane/test_publication.py
@@ -153,6 +153,7 @@
     return WatchRequest(
         node="e1", zone="z", edge=edge, configuration_version=version, hold_ms=hold_ms,
         tables=more.get("tables", []), members_digest=more.get("digest", 0),
+        members_only=more.get("members_only", False),
     )  # fmt: skip
 
 
@@ -194,6 +195,17 @@
     assert not reply.tables[0].is_complete
 
 
+def test_one_that_wants_members_only_gets_those_and_is_no_edge() -> None:
+    made, store, table, edges, clock = publisher()
+    store.version = 7
+    table.begin(2)
+    table.replace([server("a")], clock.now)
+    reply = over_the_wire(asyncio.run(made.watch(request(edge=False, hold_ms=1000, members_only=True))))
+    assert reply.control_nodes == ["10.0.0.1:7660"]
+    assert reply.configuration is None and not reply.tables
+    assert edges.here(clock.now) == 0
+
+
 def test_without_news_the_reply_after_the_hold_tells_the_age_of_the_list() -> None:
     made, _, table, _, clock = publisher()
     table.begin(2)
