Warm loads: their time is learned, and decides where a model is loaded

Hypothesis: a load from a server's own disk takes a tenth to a half of a load from the store, but was taken for 0.85 of it: looked at too late, and hardly preferred over a server that never had the model. Most servers were loading most of the time, so that adapters (some ms) found no server that takes an order.

Change: the time of warm loads is learned from them; the planner's cost of a candidate uses it.

--- a/granitewell/controlplane/placement/issuing.py
+++ b/granitewell/controlplane/placement/issuing.py
@@ -10,7 +10,15 @@
 from collections.abc import Mapping
 from statistics import fmean
 
-from granitewell.controlplane.placement.limits import Capacity, LoadBucket, LoadPace, ModelSizes, Usage, usage
+from granitewell.controlplane.placement.limits import (
+    Capacity,
+    LoadBucket,
+    LoadPace,
+    ModelSizes,
+    Usage,
+    WarmLoadTime,
+    usage,
+)
 from granitewell.controlplane.placement.observation import OrderStage, PendingOrder, ServerRecord, shows
 from granitewell.controlplane.placement.orders import Operation, Order, OrderResult, OrderTicket, Report
 from granitewell.controlplane.placement.steps import PlacementCounters, Send
@@ -20,7 +28,6 @@
 REPORT_SHOWS_S = 0.1  # how old a report usually is; learned from nothing, only a first look depends on it
 UNLOAD_TAKES_S = 0.02
 ADAPTER_TAKES_S = 0.02
-WARM_UP_FRACTION = 0.85  # of its load time, for a model from the server's own disk
 
 _NEVER_BEGAN = frozenset(
     {
@@ -40,6 +47,7 @@
         self.sizes = ModelSizes()
         self.bucket = LoadBucket(0.0)
         self.pace = LoadPace()
+        self.warm = WarmLoadTime()
         self._records = records
         self._counters = counters
         self._engine: Engine | None = None
@@ -102,7 +110,11 @@
 
     def done(self, done: PendingOrder, asked_at: float, report: Report) -> None:
         """Record that a report requested at `asked_at` shows how an order ended."""
-        if not done.order.loads_model or not done.order.from_store or not shows(report, done.order):
+        if not done.order.loads_model or not shows(report, done.order):
+            return
+        if not done.order.from_store:
+            if done.stage is OrderStage.TAKEN:
+                self.warm.learn(asked_at - done.sent_at)
             return
         nominal = _load_time(self._engine, done.order.ref.model) if self._engine is not None else 0.0
         if nominal > 0 and done.stage is OrderStage.TAKEN:
@@ -122,8 +134,10 @@
             return UNLOAD_TAKES_S + REPORT_SHOWS_S
         if order.ref.adapter:
             return ADAPTER_TAKES_S + REPORT_SHOWS_S
-        seconds = _load_time(engine, order.ref.model) * max(1.0, at_once / self.pace.at_once)
-        return seconds * (1.0 if order.from_store else WARM_UP_FRACTION) + REPORT_SHOWS_S
+        nominal_s = _load_time(engine, order.ref.model)
+        if not order.from_store:
+            return self.warm.estimate(nominal_s)
+        return nominal_s * max(1.0, at_once / self.pace.at_once) + REPORT_SHOWS_S
 
     def _count(self, order: Order) -> None:
         counters = self._counters
--- a/granitewell/controlplane/placement/limits.py
+++ b/granitewell/controlplane/placement/limits.py
@@ -16,6 +16,8 @@
 AT_ONCE_LEAST = 2
 AT_ONCE_MOST = 32
 SLOWED = 1.3  # a load that took this many times its usual time met too many others
+WARM_FIRST_FRACTION = 0.4  # of its load time, for a model from the server's own disk, before any was measured
+WARM_GAIN = 0.2  # weight of the newest load from a server's own disk
 UNSLOWED = 1.15  # up to here loads at once were as fast as alone
 
 
@@ -165,3 +167,30 @@
             self.at_once = max(AT_ONCE_LEAST, min(self.at_once, round(at_once / slowness)))
         elif slowness <= UNSLOWED and at_once >= self.at_once:
             self.at_once = min(AT_ONCE_MOST, at_once + 1)
+
+
+class WarmLoadTime:
+    """How long a load from a server's own disk takes, learned from such loads.
+
+    It hardly depends on the model: the disk is read at one pace, and most of the time is fixed.
+    """
+
+    def __init__(self) -> None:
+        self._mean_s = math.inf
+
+    def estimate(self, nominal_s: float) -> float:
+        """Return the expected time until a report shows such a load, in seconds.
+
+        Args:
+            nominal_s: Time of a load from the weight store.
+        """
+        if math.isinf(self._mean_s):
+            return WARM_FIRST_FRACTION * nominal_s
+        return min(self._mean_s, nominal_s)
+
+    def learn(self, took_s: float) -> None:
+        """Record after how many seconds a report showed such a load."""
+        if math.isinf(self._mean_s):
+            self._mean_s = took_s
+        else:
+            self._mean_s += WARM_GAIN * (took_s - self._mean_s)
--- a/granitewell/controlplane/placement/placement_pass.py
+++ b/granitewell/controlplane/placement/placement_pass.py
@@ -52,6 +52,7 @@
         servers = fleet.servers
         self.free = {server.id: server for server in servers if server.orderable}
         self._tokens = store.tokens
+        self._warm = store.warm
         self._loading = sum(1 for s in servers if s.coming is not None and not s.coming.adapter)
         self.purposes = Counter(s.purpose for s in servers if s.purpose is not None)
         self.taken: set[str] = (
@@ -146,7 +147,7 @@
             if chosen is None:
                 return None
             victims, given_up = chosen
-        cost = model.load_time_s + VALUE_S * given_up
+        cost = self._load_s(server, model) + VALUE_S * given_up
         for victim in victims:
             cost += RUNS_S if self._fleet.in_flight(victim.model) else UNLOAD_S
         return _Candidate(server, victims, cost + self._standing_cost(server, model))
@@ -156,7 +157,13 @@
         unknown = [loaded for loaded in server.loaded if math.isinf(self._sizes.weights_mb(loaded))]
         if not unknown:
             return None
-        return _Candidate(server, (ModelRef(min(unknown)),), model.load_time_s + RUNS_S)
+        return _Candidate(server, (ModelRef(min(unknown)),), self._load_s(server, model) + RUNS_S)
+
+    def _load_s(self, server: ServerView, model: Model) -> float:
+        """Return how long the load takes there, in seconds."""
+        if model.name in server.loaded_before:
+            return self._warm.estimate(model.load_time_s)
+        return model.load_time_s
 
     def _standing_cost(self, server: ServerView, model: Model) -> float:
         cost = BUSY_LOAD_S * self._fleet.load[server.id]
--- a/granitewell/controlplane/placement/reconciler.py
+++ b/granitewell/controlplane/placement/reconciler.py
@@ -264,7 +264,7 @@
         self.counters.plans += 1
         demand = self._demand.view(now)
         bucket = self._issuer.bucket
-        store = StoreView(bucket.available(now), self._issuer.pace.at_once)
+        store = StoreView(bucket.available(now), self._issuer.pace.at_once, self._issuer.warm)
         views = self._views(now, fencing_token, engine)
         steps: list[Step] = []
         for order in plan(views, demand, engine, self._issuer.sizes, store):
--- a/granitewell/controlplane/placement/views.py
+++ b/granitewell/controlplane/placement/views.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from granitewell.controlplane.placement.limits import WarmLoadTime
 from granitewell.domain.servers import LoadedModel, ModelRef
 
 
@@ -50,7 +51,9 @@
     Attributes:
         tokens: Loads that may begin.
         at_once: Concurrent loads at full speed.
+        warm: How long a load from a server's own disk takes.
     """
 
     tokens: int
     at_once: int
+    warm: WarmLoadTime = field(default_factory=WarmLoadTime)
