--- a/granitewell/controlplane/placement/fleet.py
+++ b/granitewell/controlplane/placement/fleet.py
@@ -19,6 +19,7 @@
 EVEN_FRACTION = (
     1.25  # of all requests over all servers: a model asked for more often a copy wants another copy
 )
+COMFORTABLE_FRACTION = 1 / 3  # of a server's slots; with more requests at once its tokens come too slowly
 MIN_RATE_A_COPY = 1.0  # requests a second that one copy serves well anywhere: prompts are read one by one
 MAX_REPLICAS_FRACTION = 0.7  # of the servers, for one model
 
@@ -150,6 +151,13 @@
         most = max(2, int(len(self.lasting) * MAX_REPLICAS_FRACTION))
         return min(wanted, most, len(self.lasting))
 
+    def excess(self, name: str, copies: int) -> float:
+        """Return how many requests of a model are in flight beyond those that its copies run in time."""
+        seen = self.demand.models.get(name)
+        if seen is None:
+            return 0.0
+        return max(0.0, seen.in_flight - copies * COMFORTABLE_FRACTION * self._engine.slots)
+
     def _load_of(self, server: ServerView) -> float:
         load = 0.0
         for name in server.loaded:
--- a/granitewell/controlplane/placement/planner.py
+++ b/granitewell/controlplane/placement/planner.py
@@ -41,6 +41,7 @@
 PRIORITY_WEIGHTS = (3.0, 2.0, 1.0, 0.7, 0.5)  # of one request, by its priority
 WAITED_S = 0.5  # added to the time waited: what has waited long passes what is merely urgent
 RELIEF_WEIGHT = 2.0  # of one request a second that another copy takes off each of those there are
+EXCESS_WEIGHT = 3.0  # of a request in flight beyond what the copies run in time: like one that waited 2.5 s
 
 # Limits
 MAX_SPARE_LOADS = 2  # loads that nobody waits for, at once
@@ -133,9 +134,12 @@
         if self._fleet.is_missed(name):
             return 0.0 if ModelRef(name) in self._placing.purposes else _urgency(seen, self._demand.at)
         copies = self._copies_to_be(name)
-        if copies >= self._fleet.wanted[name] or seen.rate <= self._fleet.rate_a_copy * copies:
+        if copies >= self._fleet.wanted[name]:
             return 0.0
-        return RELIEF_WEIGHT * self._relief(name)
+        excess = self._fleet.excess(name, copies)
+        if not excess and seen.rate <= self._fleet.rate_a_copy * copies:
+            return 0.0
+        return RELIEF_WEIGHT * self._relief(name) + EXCESS_WEIGHT * excess
 
     def _relief(self, name: str) -> float:
         """Return the rate that one more replica would take off each existing one, in requests per second."""
