Placement: loads leave half of a model's servers free for orders of its adapters

Hypothesis: a server takes one order at a time; a load takes seconds, an adapter some ms. With 20 to 27 of 30 servers loading, requests for adapters waited for seconds (half of them in vain) for a server that would take the order.

Change: adapters that requests begin to wait for are counted by model; where a load would see one or more, half of the model's servers stay free of loads.

--- a/granitewell/controlplane/placement/demand.py
+++ b/granitewell/controlplane/placement/demand.py
@@ -52,12 +52,14 @@
 
     Attributes:
         misses_per_s: How often requests began to wait for a model, per second.
+        adapter_misses: How often requests began to wait for an adapter, per second, by model.
     """
 
     models: Mapping[str, RefDemand] = field(default_factory=dict)
     adapters: Mapping[ModelRef, RefDemand] = field(default_factory=dict)
     misses_per_s: float = 0.0
     at: float = 0.0
+    adapter_misses: Mapping[str, float] = field(default_factory=dict)
 
     def of(self, ref: ModelRef) -> RefDemand:
         """Return the demand for a model with its adapters, or for one adapter."""
@@ -87,6 +89,28 @@
         return sum(value for value, _ in self._parts.values())
 
 
+class _Misses:
+    """Decayed count of misses."""
+
+    __slots__ = ("_at", "_count")
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._at = NEVER
+
+    def add(self, now: float) -> None:
+        self._count = self._read(now) + 1.0
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        return self._read(now) / MISS_S
+
+    def _read(self, now: float) -> float:
+        if self._at == NEVER:
+            return 0.0
+        return self._count * math.exp(-max(0.0, now - self._at) / MISS_S)
+
+
 class _Arrivals:
     """Two decayed counts of requests, and the time of the last."""
 
@@ -145,8 +169,8 @@
     def __init__(self) -> None:
         self._entries: dict[ModelRef, _Entry] = {}
         self._models: dict[str, _Arrivals] = {}
-        self._misses = 0.0
-        self._misses_at = NEVER
+        self._misses = _Misses()
+        self._adapter_misses: dict[str, _Misses] = {}
 
     def add(self, now: float, demands: Iterable[ModelDemand], source: str = "") -> bool:
         """Record the report of an edge, `source`.
@@ -182,15 +206,11 @@
         entry.priority = demand.priority
         entry.waiting_since = now
         if demand.ref.adapter == "":
-            self._misses = self._misses_now(now) + 1.0
-            self._misses_at = now
+            self._misses.add(now)
+        else:
+            self._adapter_misses.setdefault(demand.ref.model, _Misses()).add(now)
         return True
 
-    def _misses_now(self, now: float) -> float:
-        if self._misses_at == NEVER:
-            return 0.0
-        return self._misses * math.exp(-max(0.0, now - self._misses_at) / MISS_S)
-
     def view(self, now: float) -> DemandView:
         """Return the demand at this moment."""
         adapters: dict[ModelRef, RefDemand] = {}
@@ -211,7 +231,10 @@
         }
         for name in [known for known in self._models if known not in by_model]:
             del self._models[name]
-        return DemandView(models, adapters, self._misses_now(now) / MISS_S, now)
+        for name in [known for known in self._adapter_misses if known not in by_model]:
+            del self._adapter_misses[name]
+        adapter_misses = {name: misses.per_s(now) for name, misses in self._adapter_misses.items()}
+        return DemandView(models, adapters, self._misses.per_s(now), now, adapter_misses)
 
     def _model(self, now: float, name: str, parts: Sequence[RefDemand]) -> RefDemand:
         arrivals = self._models.get(name)
--- a/granitewell/controlplane/placement/placement_pass.py
+++ b/granitewell/controlplane/placement/placement_pass.py
@@ -23,6 +23,10 @@
 SAME_ZONE_S = 0.3
 ADAPTER_HOST_S = 0.15  # a load holds up orders for adapters on this server
 
+# A server takes no order for an adapter, which takes some ms, while it loads a model, which takes seconds.
+MISSES_A_LOAD = 1.0  # adapters that requests begin to wait for during a load, from which that matters
+FREE_HOSTS_FRACTION = 0.5  # of a model's servers that then stay free for orders
+
 MAX_EVICTIONS = 4  # unloads for a waiting load, at once, beyond the loads that may begin
 
 
@@ -135,6 +139,8 @@
 
     def _candidate_on(self, server: ServerView, name: str, max_value: float) -> _Candidate | None:
         model = self._fleet.models[name]
+        if self._holds_up_adapters(server, model):
+            return None
         if server.free_mb == -math.inf:
             return self._candidate_beside_unknown(server, model)
         if model.weights_mb > self._values.reach_mb(server, max_value):
@@ -152,6 +158,19 @@
             cost += RUNS_S if self._fleet.in_flight(victim.model) else UNLOAD_S
         return _Candidate(server, victims, cost + self._standing_cost(server, model))
 
+    def _holds_up_adapters(self, server: ServerView, model: Model) -> bool:
+        """Return whether a load would leave too few servers that take orders for adapters in demand."""
+        load_s = self._load_s(server, model)
+        for name in server.loaded:
+            misses = self._fleet.demand.adapter_misses.get(name, 0.0)
+            if name == model.name or misses * load_s < MISSES_A_LOAD:
+                continue
+            hosts = [host for host in self._fleet.copies_of(name).servers if host.has(ModelRef(name))]
+            free = sum(1 for host in hosts if host.id in self.free)
+            if free - 1 < FREE_HOSTS_FRACTION * len(hosts):
+                return True
+        return False
+
     def _candidate_beside_unknown(self, server: ServerView, model: Model) -> _Candidate | None:
         """Return a candidate whose model of unknown size is evicted first, as it counts as all memory."""
         unknown = [loaded for loaded in server.loaded if math.isinf(self._sizes.weights_mb(loaded))]
