Placement: orders of some ms are confirmed by sending them again

Change: a load or unload of an adapter and an unload of a model are sent again, conditional on the sequence that the accepted order left behind: 200 says that it is done, 409 that it is not yet. Reports that may be older are ignored.

--- /dev/null
+++ b/granitewell/controlplane/placement/confirmation.py
@@ -0,0 +1,46 @@
+"""Confirmation of an order by sending it again. No I/O.
+
+A report is some hundred ms old, and a load or unload of an adapter takes some ms. The same order sent again,
+conditional on the sequence that the accepted one left behind, is answered at once: 200 if its result holds,
+409 while it is in progress. It can't be accepted a second time before something else has changed the server,
+and then the sequence differs.
+"""
+
+from __future__ import annotations
+
+from granitewell.controlplane.placement.orders import Operation, Order, Report
+from granitewell.domain.servers import LoadedModel
+
+FIRST_AFTER_S = 0.02  # from the acceptance to the first confirmation; each further one waits twice as long
+MAX_CONFIRMATIONS = 3  # after which reports are polled instead
+
+
+def is_quick(order: Order) -> bool:
+    """Return whether an order takes so short a time that reports would show it late."""
+    return bool(order.ref.adapter) or order.operation is Operation.UNLOAD
+
+
+def next_after(confirmations: int) -> float:
+    """Return how long to wait before the next confirmation, in seconds, after some were sent."""
+    return FIRST_AFTER_S * 2.0**confirmations
+
+
+def report_after(report: Report, order: Order, sequence: int) -> Report:
+    """Return the report that a server would give once an order is done.
+
+    Args:
+        report: Its last report, of before the order.
+        order: The order.
+        sequence: Number of orders accepted, with this one.
+    """
+    models = dict(report.models)
+    name, adapter = order.ref.model, order.ref.adapter
+    loaded = models.get(name)
+    if order.operation is Operation.LOAD:
+        adapters = loaded.adapters if loaded is not None else frozenset()
+        models[name] = LoadedModel(name, adapters | {adapter} if adapter else adapters)
+    elif loaded is not None and adapter:
+        models[name] = LoadedModel(name, loaded.adapters - {adapter})
+    else:
+        models.pop(name, None)
+    return Report(sequence, False, models, report.running, report.queued)
--- a/granitewell/controlplane/placement/observation.py
+++ b/granitewell/controlplane/placement/observation.py
@@ -3,6 +3,9 @@
 A report is some hundred ms old when it arrives. An order therefore stays recorded until a report shows it:
 the sequence has advanced, nothing is in progress, and the result is visible. An order of unknown outcome
 stays recorded until a report requested well after it shows that it was executed or that it was not.
+
+An order that takes some ms is confirmed sooner by sending it again, conditional on the sequence that it left
+behind: 200 means that its result holds, 409 that it is still in progress (confirmation.py).
 """
 
 from __future__ import annotations
@@ -12,6 +15,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from granitewell.controlplane.placement import confirmation
 from granitewell.controlplane.placement.limits import ModelSizes, Usage, usage
 from granitewell.controlplane.placement.orders import Operation, Order, Report, ReportFailure
 from granitewell.domain.servers import LoadedModel, ModelRef, ServerState
@@ -69,6 +73,8 @@
     at_once: int = 1
     stage: OrderStage = OrderStage.SENDING
     answered_at: float = math.inf
+    confirmations: int = 0
+    """How often it was sent again to learn whether it is done."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +100,7 @@
         self.listed = listed
         self.report: Report | None = None
         self.report_asked_at = -math.inf
+        self.confirmed_at = -math.inf  # when the report was last derived from a confirmed order
         self.calling = False
         self.next_poll_at = now
         self.pending: PendingOrder | None = None
@@ -117,6 +124,7 @@
         """Drop the report and the order; the models that the server had loaded stay known."""
         self.report = None
         self.report_asked_at = -math.inf
+        self.confirmed_at = -math.inf
         self.calling = False
         self.next_poll_at = now
         self.pending = None
@@ -133,6 +141,8 @@
         Returns the order that it shows as done or never begun, which is no longer recorded.
         """
         self._answered()
+        if self._is_outdated(asked_at, report):
+            return None
         self.report = report
         self.report_asked_at = asked_at
         self.loaded_before.update(report.models)
@@ -144,6 +154,27 @@
             self.reservation = Reservation(pending.order.purpose, asked_at + RESERVED_S)
         return pending
 
+    def _is_outdated(self, asked_at: float, report: Report) -> bool:
+        """Return whether a report may be older than the confirmed order that `self.report` shows."""
+        known = self.report
+        if known is None or asked_at > self.confirmed_at + REPORT_LAG_S:
+            return False
+        return report.sequence < known.sequence or (report.sequence == known.sequence and report.busy)
+
+    def confirm(self, now: float) -> None:
+        """Record that the pending order is done: the server says so, and no report shows it yet."""
+        pending, report = self.pending, self.report
+        if pending is None or report is None:
+            return
+        self._answered()
+        self.report = confirmation.report_after(report, pending.order, pending.revision + 1)
+        self.report_asked_at = now
+        self.confirmed_at = now
+        self.loaded_before.update(self.report.models)
+        self.pending = None
+        if pending.order.purpose is not None:
+            self.reservation = Reservation(pending.order.purpose, now + RESERVED_S)
+
     def reserved_for(self, now: float) -> ModelRef | None:
         """Return what the free capacity is reserved for."""
         reservation = self.reservation
--- a/granitewell/controlplane/placement/polling.py
+++ b/granitewell/controlplane/placement/polling.py
@@ -43,6 +43,11 @@
     return now + max(MIN_FIRST_LOOK_S, FIRST_POLL_FRACTION * expected_s)
 
 
+def after_confirmation(now: float, rng: Random) -> float:
+    """Return when to poll after an order was confirmed: later than reports may be old."""
+    return now + POLL_S * _jitter(rng)
+
+
 def first_poll(now: float, rng: Random) -> float:
     """Return when to poll a server of which nothing is known."""
     return now + rng.random() * FIRST_POLLS_S
--- a/granitewell/controlplane/placement/reconciler.py
+++ b/granitewell/controlplane/placement/reconciler.py
@@ -16,12 +16,13 @@
 from collections.abc import Iterable, Mapping, Sequence
 from random import Random
 
-from granitewell.controlplane.placement import polling
+from granitewell.controlplane.placement import confirmation, polling
 from granitewell.controlplane.placement.demand import DemandTable, DemandView
 from granitewell.controlplane.placement.issuing import REPORT_SHOWS_S, OrderIssuer
 from granitewell.controlplane.placement.observation import (
     ListedServer,
     OrderStage,
+    PendingOrder,
     ServerRecord,
     Withdrawal,
     by_id,
@@ -31,6 +32,7 @@
     Operation,
     Order,
     OrderResult,
+    OrderTicket,
     Report,
     ReportFailure,
 )
@@ -159,16 +161,23 @@
 
     def on_order(self, now: float, order: Order, result: OrderResult) -> None:
         """Handle the answer to an order, or its timeout."""
-        self._issuer.answered(order, result)
         record = self._records.get(order.server_id)
-        if record is None or record.pending is None or record.pending.order is not order:
+        pending = record.pending if record is not None else None
+        if record is not None and pending is not None and pending.order is order:
+            record.calling = False
+            if pending.stage is OrderStage.TAKEN:
+                self._on_confirmation(now, record, pending, result)
+                return
+        self._issuer.answered(order, result)
+        if record is None or pending is None or pending.order is not order:
             return
-        record.calling = False
-        pending = record.pending
         pending.answered_at = now
         if result is OrderResult.TAKEN:
             pending.stage = OrderStage.TAKEN
-            record.next_poll_at = polling.after_acceptance(now, pending.expected_s)
+            if confirmation.is_quick(order):
+                record.next_poll_at = now + confirmation.next_after(0)
+            else:
+                record.next_poll_at = polling.after_acceptance(now, pending.expected_s)
         elif result is OrderResult.UNKNOWN:
             pending.stage = OrderStage.UNKNOWN
             record.next_poll_at = now
@@ -180,6 +189,25 @@
             self._refused(now, record, result)
         self._readiness.publish(now, record)
 
+    def _on_confirmation(
+        self, now: float, record: ServerRecord, pending: PendingOrder, result: OrderResult
+    ) -> None:
+        """Handle the answer to an accepted order that was sent again."""
+        if result is OrderResult.ALREADY_HOLDS:
+            record.confirm(now)
+            record.next_poll_at = polling.after_confirmation(now, self._rng)
+            self._readiness.publish(now, record)
+            self._soon(now)
+        elif result is OrderResult.CONFLICT:
+            record.next_poll_at = now + confirmation.next_after(pending.confirmations)
+        elif result is OrderResult.TAKEN:  # something else has undone it
+            pending.stage = OrderStage.UNKNOWN
+            pending.answered_at = now
+            record.next_poll_at = now
+        else:
+            pending.confirmations = confirmation.MAX_CONFIRMATIONS
+            record.next_poll_at = now
+
     def _refused(self, now: float, record: ServerRecord, result: OrderResult) -> None:
         """Handle an order that did not and will not begin."""
         if result is OrderResult.FENCED:
@@ -221,6 +249,7 @@
         self._notice_dark(now)
         if may_order:
             steps.extend(self._due_withdrawals(now, holder, fencing_token))
+            steps.extend(self._due_confirmations(now, holder, fencing_token))
             if now >= self._plan_at:
                 steps.extend(self._replan(now, holder, fencing_token))
         else:
@@ -238,6 +267,19 @@
             self._readiness.publish_all(now)
             self._soon(now)
 
+    def _due_confirmations(self, now: float, holder: str, fencing_token: int) -> list[Step]:
+        steps: list[Step] = []
+        for record in self._records.values():
+            pending = record.pending
+            if pending is None or not polling.poll_due(now, record) or not _may_confirm(pending):
+                continue
+            pending.confirmations += 1
+            record.calling = True
+            self.counters.confirmations += 1
+            ticket = OrderTicket(holder, fencing_token, pending.revision + 1)
+            steps.append(Send(record.listed.address, pending.order, ticket))
+        return steps
+
     def _due_polls(self, now: float) -> list[Step]:
         polls: list[Step] = []
         for record in self._records.values():
@@ -367,3 +409,12 @@
 def _ready_for(record: ServerRecord, ref: ModelRef) -> bool:
     loaded = record.ready().get(ref.model)
     return loaded is not None and (not ref.adapter or ref.adapter in loaded.adapters)
+
+
+def _may_confirm(pending: PendingOrder) -> bool:
+    """Return whether an order's end may be learned by sending it again."""
+    return (
+        pending.stage is OrderStage.TAKEN
+        and pending.confirmations < confirmation.MAX_CONFIRMATIONS
+        and confirmation.is_quick(pending.order)
+    )
--- a/granitewell/controlplane/placement/steps.py
+++ b/granitewell/controlplane/placement/steps.py
@@ -35,6 +35,7 @@
     loads_warm: int = 0
     adapter_loads: int = 0
     unloads: int = 0
+    confirmations: int = 0
     polls: int = 0
     plans: int = 0
     results: dict[OrderResult, int] = field(default_factory=dict)
