Edge: a request that waits for a model is refused before its client gives it up

Hypothesis: clients give a stream up after 2 s of silence here and do not come again, while a load takes 4.3 s; a request waited up to 0.45 of 10 s, so that it was lost. Refused in time, with the time at which its model is about to be there, it comes again and is served late instead of never.

Change: waits for a model end 0.2 s before the client's silence; Retry-After follows the rest of the load.

--- a/granitewell/dataplane/request_forwarder.py
+++ b/granitewell/dataplane/request_forwarder.py
@@ -15,6 +15,11 @@
 from aiohttp.streams import StreamReader
 
 from granitewell.balancing.prefix_sizing import DELTA
+from granitewell.dataplane.client_patience import (
+    MAX_RETRY_AFTER_S,
+    max_wait_for_model_s,
+    retry_after_missing_s,
+)
 from granitewell.dataplane.dispatch import Dispatcher, DispatchRequest
 from granitewell.dataplane.events import Event, EventCutter, EventTooLongError, number_of
 from granitewell.dataplane.headers import (
@@ -47,8 +52,6 @@
 RETRY_AFTER_TARGETS = (
     0.25  # of the aim after which a client that was refused for want of slots may come again
 )
-RETRY_AFTER_MISSING_S = 0.3  # the same for want of a model: a load is about to be done
-MAX_RETRY_AFTER_S = 2.0
 REFUSAL_BODY_S = 0.05  # in which the body of a refusal comes, or its connection is not worth keeping
 STREAM_TYPE = "text/event-stream"
 
@@ -222,9 +225,17 @@
 
     @property
     def _retry_after_s(self) -> float:
-        missing = self.dispatch_request.ref is not None and self._waited_for_model
-        wait = RETRY_AFTER_MISSING_S if missing else self.target_s * RETRY_AFTER_TARGETS
-        return min(wait, MAX_RETRY_AFTER_S)
+        if self._waited_for_model:
+            waited_s = self.clock() - self.request.arrived_at
+            return retry_after_missing_s(self._missing_load_s(), waited_s, self.left_s)
+        return min(self.target_s * RETRY_AFTER_TARGETS, MAX_RETRY_AFTER_S)
+
+    def _missing_load_s(self) -> float:
+        """Return how long the load of the model takes, in seconds; 0 if some server has it."""
+        service, ref, now = self.dispatch_request.service, self.dispatch_request.ref, self.clock()
+        if ref is None or not self.dispatcher.pool(service, ModelRef(ref.model), now).empty(now):
+            return 0.0
+        return self.dispatcher.load_time_s(service, ref)
 
     # --- A server ---------------------------------------------------------------------------------------
     def _granted(self, record: ServerRecord) -> None:
@@ -270,7 +281,8 @@
         """Return how long waiting may be worthwhile, in seconds."""
         left = self.left_s
         if self.dispatch_request.missing or self.attempts.arrivals:
-            return max(left * MISSING_PART, MIN_WAIT_S)
+            waited_s = self.clock() - self.request.arrived_at
+            return max(max_wait_for_model_s(self.route, waited_s, left * MISSING_PART), MIN_WAIT_S)
         spent = self.clock() - self.request.arrived_at
         return min(max(self.target_s * FULL_PART - spent, MIN_WAIT_S), max(left * MISSING_PART, MIN_WAIT_S))
 
--- /dev/null
+++ b/tests/dataplane/test_client_patience.py
@@ -0,0 +1,58 @@
+"""How long a client waits for a stream, and when it should come again."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from granitewell.dataplane import client_patience
+from granitewell.dataplane.client_patience import max_wait_for_model_s, retry_after_missing_s, silence_s
+from granitewell.domain.configuration import Route
+
+
+def route(kind: str = "streaming", target_ms: float = 250, gap_ms: float = 0) -> Route:
+    return Route.from_dict(
+        {
+            "name": "r",
+            "host": "h.example",
+            "prefix": "/p/",
+            "kind": kind,
+            "timeout-ms": 10_000,
+            "target-ms": target_ms,
+            "service": "s",
+            "gap_aim_ms": gap_ms,
+        }
+    )
+
+
+@pytest.mark.parametrize(
+    ("made", "longest"),
+    [
+        (route(), 2.0),
+        (route(target_ms=1_200), 4.8),
+        (route(gap_ms=400), 3.2),
+        (route(target_ms=0), 40.0),
+        (route(kind="non_idempotent"), math.inf),
+    ],
+)
+def test_the_longest_silence_of_a_client(made: Route, longest: float) -> None:
+    assert silence_s(made) == pytest.approx(longest)
+
+
+def test_a_request_waits_no_longer_than_its_client() -> None:
+    assert max_wait_for_model_s(route(), 0.0, 4.5) == pytest.approx(1.8)
+    assert max_wait_for_model_s(route(), 0.5, 4.5) == pytest.approx(1.3)
+    assert max_wait_for_model_s(route(), 0.0, 1.0) == 1.0
+    assert max_wait_for_model_s(route(kind="idempotent"), 0.0, 4.5) == 4.5
+
+
+def test_a_client_comes_again_when_its_model_is_about_to_be_there() -> None:
+    assert retry_after_missing_s(4.3, 1.8, 8.2) == pytest.approx(1.5)
+    assert retry_after_missing_s(0.0, 1.8, 8.2) == client_patience.RETRY_MISSING_S
+    assert retry_after_missing_s(30.0, 1.8, 30.0) == client_patience.MAX_RETRY_AFTER_S
+
+
+def test_a_client_with_little_time_comes_again_within_a_third_of_it() -> None:
+    assert retry_after_missing_s(4.3, 1.8, 2.2) == pytest.approx(2.2 / 3)
+    assert retry_after_missing_s(4.3, 1.8, 0.3) == client_patience.RETRY_MISSING_S
