--- a/tests/controlplane/test_placement_parts.py
+++ b/tests/controlplane/test_placement_parts.py
@@ -20,6 +20,7 @@
     LoadPace,
     ModelSizes,
     Usage,
+    WarmLoadTime,
     usage,
 )
 from granitewell.controlplane.placement.observation import (
@@ -351,3 +352,28 @@
     record.pending = PendingOrder(Order("i-1", Operation.UNLOAD, ModelRef("m", "a1")), 4, 0.0, 0.1)
     record.report = Report(4, False, {"m": LoadedModel("m", frozenset({"a1", "a2"}))})
     assert record.ready() == {"m": LoadedModel("m", frozenset({"a2"}))}
+
+
+# Warm loads and misses of adapters
+
+
+def test_the_time_of_warm_loads_is_learned_and_never_beyond_a_load_from_the_store() -> None:
+    warm = WarmLoadTime()
+    assert 0.0 < warm.estimate(4.0) < 4.0
+    for _ in range(20):
+        warm.learn(0.6)
+    assert warm.estimate(4.0) == pytest.approx(0.6)
+    assert warm.estimate(0.5) == 0.5
+    warm.learn(1.6)
+    assert warm.estimate(4.0) == pytest.approx(0.8)
+
+
+def test_misses_of_adapters_are_counted_by_model_and_fade() -> None:
+    table = DemandTable()
+    for number in range(10):
+        table.add(1.0, [ModelDemand("llm", ModelRef("m", f"a{number}"), 1, 1, 0, 1)], "edge-1")
+    view = table.view(1.0)
+    assert view.adapter_misses == {"m": pytest.approx(2.0)}
+    assert view.misses_per_s == 0.0
+    assert table.view(11.0).adapter_misses["m"] < 0.3
+    assert table.view(200.0).adapter_misses == {}
--- a/tests/controlplane/test_placement_planner.py
+++ b/tests/controlplane/test_placement_planner.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from granitewell.controlplane.placement.demand import DemandView, RefDemand
-from granitewell.controlplane.placement.limits import Capacity, ModelSizes, usage
+from granitewell.controlplane.placement.limits import Capacity, ModelSizes, WarmLoadTime, usage
 from granitewell.controlplane.placement.orders import Operation, Order
 from granitewell.controlplane.placement.planner import ServerView, StoreView, plan
 from granitewell.domain.configuration import Engine, Model
@@ -290,3 +290,52 @@
     for _ in range(20):
         plan(views, view, engine, sizes, StoreView(2, 4))
     assert (time.process_time() - started) / 20 < 0.02  # about 2 ms; the bound is for a slow machine
+
+
+# --- Free servers for adapters, overload, warm loads
+
+
+def with_adapter_misses(misses_per_s: float, servers: list[ServerView]) -> list[Order]:
+    view = DemandView({"m9": WAITING}, {}, 0.0, 100.0, {"m0": misses_per_s})
+    return plan(servers, view, ENGINE, SIZES, STORE)
+
+
+def test_a_load_does_not_hold_up_the_only_server_that_takes_orders_for_adapters_in_demand() -> None:
+    only = [server(1, "m0")]
+    assert with_adapter_misses(5.0, only) == []
+    (order,) = with_adapter_misses(0.5, only)  # less than one miss during a load of 0.6 s
+    assert order.ref == ModelRef("m9")
+
+
+def test_a_load_leaves_half_of_the_servers_of_a_model_free() -> None:
+    one_free = [server(1, "m0"), server(2, "m0", coming=ModelRef("m8"))]
+    assert with_adapter_misses(5.0, one_free) == []
+    (order,) = with_adapter_misses(5.0, [server(1, "m0"), server(2, "m0")])
+    assert order.ref == ModelRef("m9")
+
+
+def test_a_load_goes_to_a_server_without_adapters_in_demand() -> None:
+    servers = [server(1, "m0"), server(2, "m5"), server(3, "m0", coming=ModelRef("m8"))]
+    (order,) = with_adapter_misses(5.0, servers)
+    assert order.server_id == "i-2"
+
+
+def test_requests_beyond_what_the_copies_run_in_time_come_before_a_miss_that_has_waited() -> None:
+    servers = [server(number, "m0") for number in range(1, 4)] + [server(4)]
+    servers.extend(server(number, orderable=False) for number in range(5, 10))
+    long_miss = RefDemand(0.1, 0.1, 0, 3, 95.0, 0)
+    late = {"m0": RefDemand(80.0, 0.1, 100), "m9": long_miss}  # 64 of them in time
+    assert planned(servers, late, StoreView(1, 4))[0].ref == ModelRef("m0")
+    in_time = {"m0": RefDemand(12.0, 0.1, 30), "m9": long_miss}
+    assert planned(servers, in_time, StoreView(1, 4))[0].ref == ModelRef("m9")
+
+
+def test_a_warm_load_is_preferred_by_what_it_saves() -> None:
+    busy = {"m9": WAITING, "m0": RefDemand(5.0, 0.1, 1)}
+    servers = [server(1, "m0", before=frozenset({"m9"})), server(2), server(3, "m0")]
+    warm = WarmLoadTime()
+    warm.learn(0.6)  # as long as from the store, and i-1 has requests of its own and hosts adapters
+    assert [order.server_id for order in planned(servers, busy, StoreView(2, 4, warm))] == ["i-2"]
+    quick = WarmLoadTime()
+    quick.learn(0.1)
+    assert [order.server_id for order in planned(servers, busy, StoreView(2, 4, quick))] == ["i-1"]
