--- a/tests/controlplane/test_placement_planner.py
+++ b/tests/controlplane/test_placement_planner.py
@@ -331,10 +331,10 @@
 
 
 def test_a_warm_load_is_preferred_by_what_it_saves() -> None:
-    busy = {"m9": WAITING, "m0": RefDemand(5.0, 0.1, 1)}
-    servers = [server(1, "m0", before=frozenset({"m9"})), server(2), server(3, "m0")]
+    busy = {"m9": WAITING, "m0": RefDemand(5.0, 0.1, 1), "m1": RefDemand(5.0, 0.1, 1)}
+    servers = [server(1, "m0", "m1", before=frozenset({"m9"})), server(2), server(3, "m0", "m1")]
     warm = WarmLoadTime()
-    warm.learn(0.6)  # as long as from the store, and i-1 has requests of its own and hosts adapters
+    warm.learn(0.6)  # as long as from the store, and i-1 has requests of its own
     assert [order.server_id for order in planned(servers, busy, StoreView(2, 4, warm))] == ["i-2"]
     quick = WarmLoadTime()
     quick.learn(0.1)
