Placement: before anything is asked for, models that no disk has are loaded once

The 16 s before traffic are idle.

Change: while no demand is known, models that no server has had are loaded, in place of models that stand on one server alone; six tenths of the servers at once at the most, within the store's rate. A later load there is a warm one.

--- a/tests/controlplane/test_placement_planner.py
+++ b/tests/controlplane/test_placement_planner.py
@@ -339,3 +339,49 @@
     quick = WarmLoadTime()
     quick.learn(0.1)
     assert [order.server_id for order in planned(servers, busy, StoreView(2, 4, quick))] == ["i-1"]
+
+
+# --- Models for the disks
+
+
+def seeded(
+    servers: list[ServerView], quiet_s: float = 60.0, models: dict[str, RefDemand] | None = None
+) -> list[Order]:
+    view = DemandView(models or {}, {}, 0.0, 100.0, quiet_s=quiet_s)
+    return plan(servers, view, ENGINE, SIZES, StoreView(9, 9))
+
+
+def all_but(*missing: str) -> frozenset[str]:
+    return frozenset(model.name for model in MODELS) - set(missing)
+
+
+def test_a_model_on_no_disk_is_loaded_before_it_is_asked_for() -> None:
+    servers = [server(1, "m0", before=all_but("m9")), server(2, "m1")]
+    (order,) = seeded(servers)
+    assert (order.operation, order.ref, order.from_store) == (Operation.LOAD, ModelRef("m9"), True)
+
+
+def test_nothing_is_seeded_where_all_models_are_on_disks_or_something_was_asked_for() -> None:
+    known = [server(1, "m0", before=all_but()), server(2, "m1")]
+    assert seeded(known) == []
+    missing = [server(1, "m0", before=all_but("m9")), server(2, "m1")]
+    assert seeded(missing, quiet_s=1.0) == []
+    assert seeded(missing, models={"m0": RefDemand(0.01, 40.0)}) == []
+
+
+def test_a_seeded_model_takes_the_place_of_one_that_no_other_server_has() -> None:
+    full = server(1, "m0", "m3", "m6", before=all_but("m9"))  # 192 of 200 GB
+    (order,) = seeded([full, server(2, "m0", "m3", "m2")])
+    assert (order.server_id, order.operation, order.purpose) == ("i-1", Operation.UNLOAD, ModelRef("m9"))
+    assert order.ref == ModelRef("m6")
+
+
+def test_models_with_several_replicas_are_not_unloaded_for_a_seed() -> None:
+    twice = ("m0", "m3", "m6")
+    assert seeded([server(1, *twice, before=all_but("m9")), server(2, *twice)]) == []
+
+
+def test_some_servers_stay_free_for_orders_while_disks_are_seeded() -> None:
+    servers = [server(number) for number in range(1, 6)]
+    orders = seeded(servers)
+    assert len(orders) == 3 and len({order.ref for order in orders}) == 3
