Placement: operations that servers never confirm are no longer sent again

Change: confirmations are counted by operation; below a fifth after six tries, reports decide at once.

--- a/granitewell/controlplane/placement/confirmation.py
+++ b/granitewell/controlplane/placement/confirmation.py
@@ -8,11 +8,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from granitewell.controlplane.placement.orders import Operation, Order, Report
 from granitewell.domain.servers import LoadedModel
 
 FIRST_AFTER_S = 0.02  # from the acceptance to the first confirmation; each further one waits twice as long
 MAX_CONFIRMATIONS = 3  # after which reports are polled instead
+MIN_TRIED = 6  # orders of an operation that are tried before it may be given up
+MIN_CONFIRMED_FRACTION = 0.2  # of an operation's orders; below it sending them again tells nothing
 
 
 def is_quick(order: Order) -> bool:
@@ -20,6 +24,24 @@
     return bool(order.ref.adapter) or order.operation is Operation.UNLOAD
 
 
+class ConfirmationRecord:
+    """Which operations the servers confirm; some servers have no clear answer to one that is done."""
+
+    def __init__(self) -> None:
+        self._tried: Counter[Operation] = Counter()
+        self._confirmed: Counter[Operation] = Counter()
+
+    def ended(self, order: Order, *, confirmed: bool) -> None:
+        """Record that an order was confirmed, or that a report had to show its end."""
+        self._tried[order.operation] += 1
+        self._confirmed[order.operation] += confirmed
+
+    def is_useful(self, order: Order) -> bool:
+        """Return whether to send such an order again."""
+        tried = self._tried[order.operation]
+        return tried < MIN_TRIED or self._confirmed[order.operation] >= MIN_CONFIRMED_FRACTION * tried
+
+
 def next_after(confirmations: int) -> float:
     """Return how long to wait before the next confirmation, in seconds, after some were sent."""
     return FIRST_AFTER_S * 2.0**confirmations
--- a/granitewell/controlplane/placement/reconciler.py
+++ b/granitewell/controlplane/placement/reconciler.py
@@ -69,6 +69,7 @@
         self.counters = PlacementCounters()
         self._issuer = OrderIssuer(self._records, self.counters)
         self._readiness = Readiness(self._records)
+        self._confirmations = confirmation.ConfirmationRecord()
 
     # Events
 
@@ -147,6 +148,8 @@
         done = record.take_report(asked_at, report)
         record.next_poll_at = polling.after_report(now, record, self._rng)
         if done is not None:
+            if done.confirmations:
+                self._confirmations.ended(done.order, confirmed=False)
             self._issuer.done(done, asked_at, report)
         if done is not None or first:
             self._soon(now)
@@ -174,7 +177,7 @@
         pending.answered_at = now
         if result is OrderResult.TAKEN:
             pending.stage = OrderStage.TAKEN
-            if confirmation.is_quick(order):
+            if self._may_confirm(pending):
                 record.next_poll_at = now + confirmation.next_after(0)
             else:
                 record.next_poll_at = polling.after_acceptance(now, pending.expected_s)
@@ -194,6 +197,7 @@
     ) -> None:
         """Handle the answer to an accepted order that was sent again."""
         if result is OrderResult.ALREADY_HOLDS:
+            self._confirmations.ended(pending.order, confirmed=True)
             record.confirm(now)
             record.next_poll_at = polling.after_confirmation(now, self._rng)
             self._readiness.publish(now, record)
@@ -271,7 +275,7 @@
         steps: list[Step] = []
         for record in self._records.values():
             pending = record.pending
-            if pending is None or not polling.poll_due(now, record) or not _may_confirm(pending):
+            if pending is None or not polling.poll_due(now, record) or not self._may_confirm(pending):
                 continue
             pending.confirmations += 1
             record.calling = True
@@ -280,6 +284,15 @@
             steps.append(Send(record.listed.address, pending.order, ticket))
         return steps
 
+    def _may_confirm(self, pending: PendingOrder) -> bool:
+        """Return whether an order's end may be learned by sending it again."""
+        return (
+            pending.stage is OrderStage.TAKEN
+            and pending.confirmations < confirmation.MAX_CONFIRMATIONS
+            and confirmation.is_quick(pending.order)
+            and self._confirmations.is_useful(pending.order)
+        )
+
     def _due_polls(self, now: float) -> list[Step]:
         polls: list[Step] = []
         for record in self._records.values():
@@ -409,12 +422,3 @@
 def _ready_for(record: ServerRecord, ref: ModelRef) -> bool:
     loaded = record.ready().get(ref.model)
     return loaded is not None and (not ref.adapter or ref.adapter in loaded.adapters)
-
-
-def _may_confirm(pending: PendingOrder) -> bool:
-    """Return whether an order's end may be learned by sending it again."""
-    return (
-        pending.stage is OrderStage.TAKEN
-        and pending.confirmations < confirmation.MAX_CONFIRMATIONS
-        and confirmation.is_quick(pending.order)
-    )
--- a/tests/controlplane/test_confirmation.py
+++ b/tests/controlplane/test_confirmation.py
@@ -131,3 +131,14 @@
     later = confirmation.report_after(report(4, "a2"), Order("i", operation, ref), 5)
     assert {name: set(model.adapters) for name, model in later.models.items()} == after
     assert later.sequence == 5 and not later.busy
+
+
+def test_an_operation_that_servers_never_confirm_is_no_longer_sent_again() -> None:
+    record = confirmation.ConfirmationRecord()
+    load, unload = Order("i", Operation.LOAD, ADAPTER), Order("i", Operation.UNLOAD, ADAPTER)
+    for _ in range(confirmation.MIN_TRIED):
+        assert record.is_useful(unload)
+        record.ended(unload, confirmed=False)
+        record.ended(load, confirmed=True)
+    assert not record.is_useful(unload)
+    assert record.is_useful(load)
