--- a/granitewell/controlplane/placement/demand.py
+++ b/granitewell/controlplane/placement/demand.py
@@ -53,7 +53,6 @@
     Attributes:
         misses_per_s: How often requests began to wait for a model, per second.
         adapter_misses: How often requests began to wait for an adapter, per second, by model.
-        quiet_s: Seconds without any request, since the observation began at the most.
     """
 
     models: Mapping[str, RefDemand] = field(default_factory=dict)
@@ -61,7 +60,6 @@
     misses_per_s: float = 0.0
     at: float = 0.0
     adapter_misses: Mapping[str, float] = field(default_factory=dict)
-    quiet_s: float = 0.0
 
     def of(self, ref: ModelRef) -> RefDemand:
         """Return the demand for a model with its adapters, or for one adapter."""
@@ -173,7 +171,6 @@
         self._models: dict[str, _Arrivals] = {}
         self._misses = _Misses()
         self._adapter_misses: dict[str, _Misses] = {}
-        self._quiet_from = math.inf  # the last request, or the first view if there was none
 
     def add(self, now: float, demands: Iterable[ModelDemand], source: str = "") -> bool:
         """Record the report of an edge, `source`.
@@ -192,7 +189,6 @@
                 return False
         else:
             entry = self._entries.setdefault(demand.ref, _Entry())
-            self._quiet_from = now
         entry.arrivals.add(now, demand.requests)
         if demand.requests > 0:
             self._models.setdefault(demand.ref.model, _Arrivals()).add(now, demand.requests)
@@ -217,7 +213,6 @@
 
     def view(self, now: float) -> DemandView:
         """Return the demand at this moment."""
-        self._quiet_from = min(self._quiet_from, now)
         adapters: dict[ModelRef, RefDemand] = {}
         by_model: dict[str, list[RefDemand]] = {}
         with_adapters: set[str] = set()
@@ -239,8 +234,7 @@
         for name in [known for known in self._adapter_misses if known not in by_model]:
             del self._adapter_misses[name]
         adapter_misses = {name: misses.per_s(now) for name, misses in self._adapter_misses.items()}
-        quiet_s = now - self._quiet_from
-        return DemandView(models, adapters, self._misses.per_s(now), now, adapter_misses, quiet_s)
+        return DemandView(models, adapters, self._misses.per_s(now), now, adapter_misses)
 
     def _model(self, now: float, name: str, parts: Sequence[RefDemand]) -> RefDemand:
         arrivals = self._models.get(name)
--- a/granitewell/controlplane/placement/fleet.py
+++ b/granitewell/controlplane/placement/fleet.py
@@ -118,15 +118,6 @@
         """Return the sizes of the models that no lasting server has, in order."""
         return sorted(model.weights_mb for name, model in self.models.items() if name not in self._copies)
 
-    def on_no_disk(self) -> list[str]:
-        """Return the models that no lasting server has, loads, or has had, in the configuration's order."""
-        on_disk: set[str] = set()
-        for server in self.lasting:
-            on_disk.update(server.loaded, server.loaded_before)
-            if server.coming is not None:
-                on_disk.add(server.coming.model)
-        return [name for name in self.models if name not in on_disk]
-
     # Desired replicas
 
     def _count_active_adapters(self) -> dict[str, int]:
--- a/granitewell/controlplane/placement/placement_pass.py
+++ b/granitewell/controlplane/placement/placement_pass.py
@@ -194,47 +194,6 @@
             cost += SAME_ZONE_S
         return cost
 
-    def seed_model(self, name: str) -> bool:
-        """Order the load of a model that no disk has, or the unload that it needs first.
-
-        It takes the place of a model that no other server has, on the server with the fewest models that
-        others have too. Returns False if that is not possible now.
-        """
-        ref = ModelRef(name)
-        if ref in self.purposes:
-            return True
-        need_mb = self._fleet.models[name].weights_mb + MEMORY_SLACK_MB
-        best: tuple[tuple[bool, int, str], ModelRef | None] | None = None
-        for server in self.free.values():
-            if not server.lasting or (server.reserved_for is not None and server.reserved_for != ref):
-                continue
-            single = [held for held in server.loaded if self._fleet.copies_of(held).count <= 1]
-            victim = self._seed_victim(server, single, need_mb)
-            if victim is None and server.free_mb < need_mb:
-                continue
-            rank = (victim is not None, len(server.loaded) - len(single), server.id)
-            if best is None or rank < best[0]:
-                best = (rank, victim)
-        if best is None:
-            return False
-        server = self.free[best[0][2]]
-        if best[1] is not None:
-            self.order(server, Operation.UNLOAD, best[1], purpose=ref)
-            self.purposes[ref] += 1
-        elif self._tokens >= 1:
-            self._order_load(server, name)
-        else:
-            return False
-        return True
-
-    def _seed_victim(self, server: ServerView, single: list[str], need_mb: float) -> ModelRef | None:
-        """Return the model to unload for a load of that size; None if there is capacity, or none suffices."""
-        if server.free_mb >= need_mb:
-            return None
-        freed = {held: server.free_mb + self._fleet.freed_mb(server, ModelRef(held)) for held in single}
-        enough = [held for held in single if freed[held] >= need_mb and held in server.loaded_before]
-        return ModelRef(min(enough, key=lambda held: (freed[held], held))) if enough else None
-
     # An adapter
 
     def place_adapter(self, ref: ModelRef, max_value: float) -> bool:
--- a/granitewell/controlplane/placement/planner.py
+++ b/granitewell/controlplane/placement/planner.py
@@ -5,8 +5,7 @@
 1. adapters that requests wait for, on a server that has their model: some ms, while a load takes seconds;
 2. models that requests wait for and no lasting server has, and those whose replicas are overloaded;
 3. models and adapters with fewer replicas than their demand needs;
-4. capacity freed ahead of the next miss;
-5. before anything is asked for, models that no server has on its disk yet.
+4. capacity freed ahead of the next miss.
 
 If a load needs capacity, the replicas of the lowest value are evicted first. The value of a replica is
 roughly the rate of requests that would miss it. Nothing is evicted without need.
@@ -48,8 +47,6 @@
 MAX_SPARE_LOADS = 2  # loads that nobody waits for, at once
 MAX_TRIED = 12  # models that could not be placed, after which the rest of the queue is left for later
 EVICTION_INTERVAL_S = 0.9  # horizon of misses that find free capacity: about an unload, its report and a load
-SEED_AFTER_QUIET_S = 3.0  # without any request; a new owner has heard of all edges by then
-SEEDING_FRACTION = 0.6  # of the servers that load for their disks at once; the others take orders at once
 SPARE_SERVERS_FRACTION = 0.34  # maximum fraction of servers on which capacity is freed ahead of need
 
 
@@ -69,7 +66,6 @@
     planning.load_spare_models()
     planning.load_spare_adapters()
     planning.evict_for_capacity()
-    planning.seed_disks()
     return planning.orders
 
 
@@ -213,22 +209,6 @@
             if not self._evict_once(size):
                 return
 
-    # 5. Models for the disks
-
-    def seed_disks(self) -> None:
-        """Load models that no server has had yet, so that each is on some disk before it is asked for.
-
-        A load from a server's own disk takes a fraction of one from the store. Only while nothing has been
-        asked for lately (demand is forgotten after a minute and a half); models with several replicas, which
-        are those that are asked for most, stay where they are.
-        """
-        if self._demand.models or self._demand.quiet_s < SEED_AFTER_QUIET_S:
-            return
-        most = min(int(len(self._fleet.lasting) * SEEDING_FRACTION), self._at_once)
-        for name in self._fleet.on_no_disk():
-            if self._placing.under_way() >= most or not self._placing.seed_model(name):
-                return
-
     def _typical_mb(self) -> float:
         """Return a size that fits most models that are on no server, in MB."""
         away = self._fleet.sizes_away()
