--- a/granitewell/controlplane/placement/planner.py
+++ b/granitewell/controlplane/placement/planner.py
@@ -44,6 +44,7 @@
 EXCESS_WEIGHT = 3.0  # of a request in flight beyond what the copies run in time: like one that waited 2.5 s
 
 # Limits
+RELIEF_FRACTION = 1 / 6  # of the servers that load further replicas at once while other models are missed
 MAX_SPARE_LOADS = 2  # loads that nobody waits for, at once
 MAX_TRIED = 12  # models that could not be placed, after which the rest of the queue is left for later
 EVICTION_INTERVAL_S = 0.9  # horizon of misses that find free capacity: about an unload, its report and a load
@@ -86,6 +87,7 @@
         self._placing = PlacementPass(self._fleet, self._values, sizes, store)
         self._at_once = store.at_once
         self._blocked_waiting = False
+        self._max_relief = len(servers)
 
     @property
     def orders(self) -> list[Order]:
@@ -114,6 +116,8 @@
         One more replica of one model at a time, the most urgent first.
         """
         urgent = {name: urgency for name in self._fleet.wanted if (urgency := self._urgency_of(name)) > 0}
+        if any(self._fleet.is_missed(name) for name in urgent):
+            self._max_relief = max(1, int(len(self._fleet.lasting) * RELIEF_FRACTION))
         failures = 0
         while urgent and self._placing.free and failures < MAX_TRIED:
             name = min(urgent, key=lambda other: (-urgent[other], other))
@@ -154,9 +158,23 @@
         if self._fleet.is_missed(name):
             max_value = self._most_for_waiting(self._demand.models[name])
             return self._placing.place_model(name, max_value, self._at_once)
+        if self._relief_under_way() >= self._max_relief:
+            return False
         max_value = max(MAX_FOR_SPARE, min(MAX_FOR_WAITING, RELIEF_VALUE * self._relief(name)))
         return self._placing.place_model(name, max_value, self._at_once)
 
+    def _relief_under_way(self) -> int:
+        """Return how many loads, and unloads for them, are for one more replica of a model that has some."""
+        loading = sum(1 for server in self._fleet.lasting if self._brings_relief(server.coming))
+        freeing = sum(count for ref, count in self._placing.purposes.items() if self._brings_relief(ref))
+        ordered = sum(
+            1 for order in self.orders if order.operation is Operation.LOAD and self._brings_relief(order.ref)
+        )
+        return loading + freeing + ordered
+
+    def _brings_relief(self, ref: ModelRef | None) -> bool:
+        return ref is not None and not ref.adapter and self._fleet.copies_of(ref.model).ready > 0
+
     def _most_for_waiting(self, seen: RefDemand) -> float:
         """Return the value that may be evicted: little at first, because a better server may be free soon."""
         waited = max(0.0, self._demand.at - seen.waiting_since)
--- a/tests/controlplane/test_placement_planner.py
+++ b/tests/controlplane/test_placement_planner.py
@@ -339,3 +339,13 @@
     quick = WarmLoadTime()
     quick.learn(0.1)
     assert [order.server_id for order in planned(servers, busy, StoreView(2, 4, quick))] == ["i-1"]
+
+
+def test_further_replicas_leave_loads_to_models_that_are_missed() -> None:
+    servers = [server(number, "m0") for number in range(1, 4)] + [server(number) for number in range(4, 13)]
+    hot = {"m0": RefDemand(200.0, 0.1, 400)}
+    assert len(planned(servers, hot, StoreView(12, 12))) > 2
+    missed = {name: RefDemand(0.1, 0.1, 0, 1, 99.9, 0) for name in ("m9", "m10", "m11")}
+    orders = planned(servers, hot | missed, StoreView(12, 12))
+    assert sum(order.ref == ModelRef("m0") for order in orders) == 2  # a sixth of twelve servers
+    assert {"m9", "m10", "m11"} <= {order.ref.model for order in orders}
