--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -4,14 +4,17 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Any
 
 import pytest
 from aiohttp import ClientSession, web
 
+from granitewell.controlplane.configuration import answers
 from granitewell.controlplane.publication.publisher import members_digest
 from granitewell.domain.errors import InvalidSettingsError
 from granitewell.domain.settings import Settings
+from granitewell.nodes.control import ControlNode
 from granitewell.nodes.control_gateway import RECENT_S, ControlGateway, NoControlNodeError
 from granitewell.nodes.control_nodes import ControlNodes
 from granitewell.rpc.messages import (
@@ -188,7 +191,7 @@
         await runner.cleanup()
 
 
-def test_operators_are_redirected_and_nothing_is_acknowledged() -> None:
+def assert_operators_are_redirected() -> None:
     made, _, _ = gateway()
 
     async def play() -> None:
@@ -208,6 +211,28 @@
     asyncio.run(play())
 
 
+def test_operators_are_redirected_and_nothing_is_acknowledged() -> None:
+    assert_operators_are_redirected()
+
+
+def test_a_gateway_that_answers_a_configuration_itself_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def answer_itself(_gateway: ControlGateway, _request: web.Request) -> web.Response:
+        return answers.document(b'{"version": 1}')
+
+    monkeypatch.setattr(ControlGateway, "refer", answer_itself)
+    with pytest.raises(AssertionError):
+        assert_operators_are_redirected()
+
+
+def test_replicas_without_a_disk_are_refused_even_if_the_machine_was_taken_for_a_voter(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Settings, "may_vote", property(lambda _settings: True))
+    with pytest.raises(InvalidSettingsError) as raised:
+        ControlNode(Settings.from_dict(FIELDS), Random(1))
+    assert raised.value.field == "data-dir"
+
+
 def test_operators_get_503_with_retry_after_when_no_control_node_has_replied_lately() -> None:
     made, _, clock = gateway()
 
