--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -23,8 +23,6 @@
 import asyncio
 import gc
 import warnings
-from collections.abc import Callable
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import uvloop
@@ -100,46 +98,7 @@
     sys.unraisablehook, warnings.showwarning = raised, warned
 
 
-class _Signals:
-    """Handlers of the process's signals, from before the event loop runs until the process has ended.
-
-    A loop that is closed sets the handlers that it owns back to the default action. A worker thread of the
-    loop takes a signal that the main thread blocks, so that one which came then ended the process by itself.
-    These handlers are never given back, and wake the loop themselves.
-    """
-
-    def __init__(self) -> None:
-        self.early_reload = False  # a SIGHUP came before the loop could act on it
-        self._actions: dict[int, Callable[[], None]] = {}
-        self._loop: asyncio.AbstractEventLoop | None = None
-        self._ended = False
-        for sign in SIGNALS:
-            signal.signal(sign, self._came)
-
-    def serve(
-        self, loop: asyncio.AbstractEventLoop, stop: Callable[[], None], reload: Callable[[], None]
-    ) -> None:
-        """Run an action on the loop for each signal from now on."""
-        self._actions = {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload}
-        self._loop = loop
-        if self.early_reload:  # the files were replaced after they had been read
-            loop.call_soon(reload)
-
-    def end(self) -> None:
-        """Ignore signals from now on: nothing is left to be done for any of them."""
-        self._ended = True
-        self._loop = None
-
-    def _came(self, number: int, _frame: object) -> None:
-        if self._loop is not None:
-            self._loop.call_soon_threadsafe(self._actions[number])
-        elif number == signal.SIGHUP:
-            self.early_reload = True
-        elif not self._ended:
-            sys.exit(0)  # nothing has been taken yet
-
-
-async def _serve(config: Config, live: Live | None, signals: _Signals) -> None:
+async def _serve(config: Config, live: Live | None, early: list[int]) -> None:
     loop = asyncio.get_running_loop()
     core = Core(config.settings, Balancer(config.settings, config.seed), config.most_held)
     handover = Handover(os.environ.get("TMPDIR", ""), config.name)
@@ -150,7 +109,11 @@
     joined: list[Cluster] = []  # where an operator file has the nodes know each other
     if live is not None:
         _take(node, live, joined)
-    signals.serve(loop, partial(_stop, node, joined), partial(_reload, node, live, joined))
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sign, _stop, node, joined)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, live, joined)
+    if early:  # the files were replaced after they had been read
+        loop.call_soon(_reload, node, live, joined)
     # What start-up made lives as long as the process: the collector need not walk it again, and rarely runs.
     gc.collect()
     gc.freeze()
@@ -160,7 +123,9 @@
         for cluster in joined:
             await cluster.gone()
     finally:
-        signals.end()
+        # nothing is left to be done for any of them, and without the loop each would end the process by
+        # itself
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         handover.leave()
         if node.door is not None:
             node.door.close()
@@ -186,7 +151,10 @@
 def main() -> int:
     """Run one node; the exit code says how it ended."""
     startup_pacing.end()
-    signals = _Signals()
+    early: list[int] = []  # SIGHUPs before the loop can act on them
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(sign, lambda *_: sys.exit(0))  # nothing has been taken yet
     try:
         config = load(os.environ)
     except ConfigError as error:
@@ -197,16 +165,13 @@
         return live
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(config, live, signals))
+            runner.run(_serve(config, live, early))
     except ConfigError as error:
         print(f"granitewell: bad configuration: {error}", file=sys.stderr)
         return 2
     except OSError as error:
         print(f"granitewell: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
-    finally:
-        for sign in SIGNALS:  # the interpreter's end sets handlers back to the default, and leaves this
-            signal.signal(sign, signal.SIG_IGN)
     return 0
 
 
