--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from _pytest.terminal import TerminalReporter
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 """Tests that fail for a real fault which is not mended yet: `test | cause | issue`, one a line."""
@@ -33,7 +34,7 @@
             item.add_marker(pytest.mark.xfail(reason=causes[item.nodeid], strict=False))
 
 
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
     """Print the tests whose failure is passed over."""
     for test, cause in known_red().items():
         terminalreporter.write_line(f"KNOWN-RED: {test}: {cause}")
