Test of a malformed large body: no time passes but where the test says so

Cause: the test failed once beside load, as the node's loop stood still for want of a processor and wrote a `stall` line; and it could also have passed by the request's own time-out of 2 s, or failed where half a second did not do for writing 70 kB.

Change: the node's clock stands still and is moved by the test (StandingClock); what is written is written whole. A second test shows the cause each time: a timer that comes 20 ms late is a line.

--- a/tests/shell.py
+++ b/tests/shell.py
@@ -15,6 +15,7 @@
 from granitewell.balancing.interface import State, View
 from granitewell.config import load
 from granitewell.core import Core
+from granitewell.net.clock import Clock
 from granitewell.net.loop import Node
 from tests.test_config import write
 
@@ -22,6 +23,26 @@
 LIMIT_S = 20.0  # for any one thing to happen; only a failing test waits so long
 
 
+class StandingClock(Clock):
+    """A node's clock that moves only when the test moves it, however long the machine takes for anything."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._now_us = super().fresh()
+
+    def fresh(self) -> int:
+        """Return the test's time in microseconds."""
+        return self._now_us
+
+    def now(self) -> int:
+        """Return the test's time, which is that of each turn."""
+        return self._now_us
+
+    def advance(self, by_us: int) -> None:
+        """Let time pass."""
+        self._now_us += by_us
+
+
 def silent(node: Node) -> socket.socket:
     """An endpoint that takes requests and never answers; the node knows of it and is ready."""
     server = socket.create_server(("127.0.0.1", 0), backlog=64)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -18,11 +18,11 @@
 from granitewell.net.console import Console
 from granitewell.net.discovery import APART_S, MAX_SWIFT, PUSHED
 from granitewell.net.downstream import Inbound
-from granitewell.net.loop import RESERVE, Node
+from granitewell.net.loop import RESERVE, STALL_US, Node
 from granitewell.net.sockets import readable
 from granitewell.net.status import Door
 from granitewell.status.types import StatusSettings
-from tests.shell import client_of, played, silent, turns, until
+from tests.shell import StandingClock, client_of, played, silent, turns, until
 
 LONG = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 2000\r\n"
         b"Content-Length: 900000\r\n\r\n")  # fmt: skip
@@ -64,6 +64,7 @@
 
 SMALL = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: r%d\r\nRequest-Timeout-Ms: 100\r\n"
          b"Content-Length: %d\r\n\r\n%s")  # fmt: skip
+SMALL_TIMEOUT_US = 100_000
 
 
 def test_requests_written_ahead_are_neither_lost_nor_held_by_the_megabyte(tmp_path: Path) -> None:
@@ -356,25 +357,33 @@
            b"Transfer-Encoding: chunked\r\n\r\n")  # fmt: skip
 
 
-def test_a_large_body_that_turns_malformed_ends_its_call_at_once(tmp_path: Path) -> None:
+def test_a_large_body_that_turns_malformed_ends_its_call_at_once(
+    tmp_path: Path, monkeypatch: Patch
+) -> None:
     """It could never be complete, yet its endpoint held a connection for it, and its client waited.
 
-    Both lasted until the body counted as one that trickles.
+    Both lasted until the body counted as one that trickles. No time passes here but where the test says so:
+    the call ends by what the client has sent, and a machine that is slow makes no timer late.
     """
+    monkeypatch.setattr("granitewell.net.loop.Clock", StandingClock)
 
     async def scenario(node: Node) -> None:
+        loop, clock = asyncio.get_running_loop(), node.clock
+        assert isinstance(clock, StandingClock)
         endpoint, client = silent(node), client_of(node)
-        await pushed(client, CHUNKED + b"%x\r\n%s\r\n" % (70_000, bytes(70_000)))
+        await loop.sock_sendall(client, CHUNKED + b"%x\r\n%s\r\n" % (70_000, bytes(70_000)))
         await until(lambda: node._calls)
-        client.setblocking(False)
-        await pushed(client, b"no chunk\r\n")
+        await loop.sock_sendall(client, b"no chunk\r\n")
         await until(lambda: not node.clients.held and not node._tasks)  # nothing sweeps here
         assert not node._calls and not node._core.held and node._budget.flows == 0
         client.close()
         late, answers = client_of(node), b""  # the same written ahead, whose turn never comes
         ahead = CHUNKED + b"%x\r\n%s\r\nno chunk\r\n" % (65_540, bytes(65_540))
-        await pushed(late, SMALL % (2, 2, b"hi") + ahead)
-        while more := await asyncio.get_running_loop().sock_recv(late, 4096):
+        await loop.sock_sendall(late, SMALL % (2, 2, b"hi") + ahead)
+        await until(lambda: node._calls)
+        clock.advance(SMALL_TIMEOUT_US)
+        node.dispatch(c.Woken())
+        while more := await loop.sock_recv(late, 4096):
             answers += more
         assert answers.count(b"HTTP/1.1 502") == answers.count(b"HTTP/1.1 400") == 1
         assert not node._core.held and not node._core._calls
@@ -384,6 +393,26 @@
     assert {line.partition(":")[0] for line in played(tmp_path, scenario)} <= {"phase", "module", "bad"}
 
 
+def test_a_timer_that_comes_late_is_a_line_however_fast_the_machine(
+    tmp_path: Path, monkeypatch: Patch
+) -> None:
+    """What made the test above fail by chance: a machine without a free processor makes timers late."""
+    monkeypatch.setattr("granitewell.net.loop.Clock", StandingClock)
+
+    async def scenario(node: Node) -> None:
+        assert isinstance(node.clock, StandingClock)
+        endpoint, client = silent(node), client_of(node)
+        await asyncio.get_running_loop().sock_sendall(client, SMALL % (1, 2, b"hi"))
+        await until(lambda: node._calls and node._timer is not None)
+        node.clock.advance(node._timer_us + STALL_US - node.clock.now())
+        node._wake()
+        client.close()
+        await until(lambda: not node.clients.held)
+        endpoint.close()
+
+    assert [line for line in played(tmp_path, scenario) if line.startswith("stall: 20 ms late")]
+
+
 def broken(*_: object) -> Any:
     raise RuntimeError("no such thing")
 
