Node: signals are ignored from the end of serving on, in every thread

Cause: test_stops [asyncio:Runner.close-after] failed now and then beside load. A signal behind the loop's end met one of two things: the closed loop's own handler, which raises ("Event loop is closed"), or, where a worker thread took what only the main thread blocks, the default action that the interpreter's end sets again.

Change: instead of blocking them in the main thread, the signals are ignored before the loop is closed. The handlers of while it serves are what they were.

--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -98,6 +98,17 @@
     sys.unraisablehook, warnings.showwarning = raised, warned
 
 
+def _ignore_signals() -> None:
+    """Ignore all signals from now on, in every thread.
+
+    The loop's own handlers fail once it is closed, and the interpreter's end gives each handler back to the default
+    action, which ends the process. An ignored signal stays ignored. Blocking them in the main thread alone does not
+    do: a worker thread takes what the main thread blocks.
+    """
+    for sign in SIGNALS:
+        signal.signal(sign, signal.SIG_IGN)
+
+
 async def _serve(config: Config, live: Live | None, early: list[int]) -> None:
     loop = asyncio.get_running_loop()
     core = Core(config.settings, Balancer(config.settings, config.seed), config.most_held)
@@ -123,9 +134,7 @@
         for cluster in joined:
             await cluster.gone()
     finally:
-        # nothing is left to be done for any of them, and without the loop each would end the process by
-        # itself
-        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        _ignore_signals()  # nothing is left to be done for any of them
         handover.leave()
         if node.door is not None:
             node.door.close()
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -46,6 +46,17 @@
 setattr(owner, name, wrapped)
 sys.exit(program.main())
 """
+# A signal that comes at the very end: the interpreter has given all handlers back, and a worker thread that blocks
+# no signal is still there. libc calls kill(0, SIGNAL) then, as the process leaves with 0: to the process's own group.
+CHILD_AT_ITS_END = """
+import ctypes, os, sys, threading
+from granitewell import __main__ as program
+os.setpgid(0, 0)
+libc = ctypes.CDLL(None)
+libc.on_exit(libc.kill, ctypes.c_void_p(int(sys.argv[1])))
+threading.Thread(target=threading.Event().wait, daemon=True).start()
+sys.exit(program.main())
+"""
 BOOK = (b"POST /ride-assign/1 HTTP/1.1\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: 1500\r\n"
         b"Content-Length: 2\r\n\r\nhi")  # fmt: skip
 KILL = signal.SIGKILL
@@ -329,6 +340,14 @@
     assert says in error and b"Traceback" not in error
 
 
+@pytest.mark.parametrize("number", [TERM, INT, HUP], ids=lambda number: number.name)
+def test_a_signal_behind_the_interpreters_end_changes_no_exit_code(site: Site, number: signal.Signals) -> None:
+    """The default action of a signal ended the process, where a worker thread took what the main one blocks."""
+    site.ready(site.start(program=("-c", CHILD_AT_ITS_END, str(int(number)))))
+    site.started[0].send_signal(signal.SIGTERM)
+    assert ended(site) == 0
+
+
 # --- Shortages ---------------------------------------------------------------------------------------------
 def full_pipe() -> tuple[int, int]:
     """A pipe that takes no more, and blocks who writes."""
