Lab on sockets: a killed node is gone at once; no writes behind an end that is in

Two ways to that verdict that are not the node's doing were found by reading and are shown by a test each: the director dates a kill by when it comes to see the exit, so that half a second of standing still (it empties the killed node's folder in the same call) accuses the node; and a client writes on a kept connection whose end lies unread in its buffer, where a stopping node takes what comes and answers nothing, without a reset.

Change: a kill is witnessed before it is sent; a kept connection is used only if no end has come in.

--- a/granitewell/lab/loopback/node_hosts.py
+++ b/granitewell/lab/loopback/node_hosts.py
@@ -82,6 +82,7 @@
         self.exits: list[int] = []  # exit codes of those that ended by themselves, without being asked to
         self._starts = 0
         self._planned = False
+        self._killed = False  # by the run, and witnessed as gone
         self._holds: set[str] = set()  # why the process stands still
         self._limit: asyncio.Task[None] | None = None
         self._share = 1.0  # of one core
@@ -120,7 +121,7 @@
         if self.process is not None:
             return
         path = self._write_config()
-        self._planned = self.ready = False
+        self._planned = self._killed = self.ready = False
         self._witness.node_up(self._agenda.clock.now(), self.name, self.spec.zone)
         self.agent.forget()
         self.process = self._started(path)
@@ -173,14 +174,23 @@
         self.process = None
         if not self._planned:
             self.exits.append(code)
-        self._witness.node_down(self._agenda.clock.now(), self.name, self._planned, code)
+        if not self._killed:
+            self._witness.node_down(self._agenda.clock.now(), self.name, self._planned, code)
         self._tell(do="node_down", name=self.name)
 
     def kill(self) -> None:
-        """SIGKILL."""
-        if self.process is not None:
-            self._planned = True
-            self.process.signal(signal.SIGKILL)
+        """SIGKILL.
+
+        The process is gone from now on, whenever this one comes to see its exit: clients see the end of their
+        connections at once, and the judge waits half a second for the reason.
+        """
+        if self.process is None:
+            return
+        if self.beside is None and not self._killed:
+            self._witness.node_down(self._agenda.clock.now(), self.name, True, -signal.SIGKILL)
+            self._killed = True
+        self._planned = True
+        self.process.signal(signal.SIGKILL)
 
     def stop(self) -> None:
         """SIGTERM, and SIGKILL in its time."""
--- a/granitewell/lab/loopback/wire.py
+++ b/granitewell/lab/loopback/wire.py
@@ -69,6 +69,18 @@
         """Whether it stands still, one way or both."""
         return self._deaf or self._mute
 
+    @property
+    def end_is_in(self) -> bool:
+        """Whether the other side's end has come in and waits to be read; one that stands still can't tell."""
+        if self._deaf:
+            return False
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     @property
     def waiting(self) -> bool:
         """Whether something is still to be written."""
--- /dev/null
+++ b/tests/lab/test_loopback_timing.py
@@ -0,0 +1,159 @@
+"""What the lab sees late on a busy machine, and must not hold against a node: each was a verdict by chance."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from granitewell.lab.emulator import types as t
+from granitewell.lab.emulator.front import Front
+from granitewell.lab.loopback.agent import Agent
+from granitewell.lab.loopback.client_traffic import Street, Trip
+from granitewell.lab.loopback.clock import Agenda, DayClock
+from granitewell.lab.loopback.network_faults import Weather
+from granitewell.lab.loopback.node_hosts import PROGRAM, Seat
+from granitewell.lab.loopback.plan import NodePlace
+from granitewell.lab.loopback.platform_http import reply_bytes
+from granitewell.lab.recording import Recorder
+from tests.lab.test_simulation_digest import small_day
+
+LIMIT_S = 20.0  # for any one thing to happen; only a failing test waits so long
+REQUEST_END = b"\r\n\r\n"
+
+
+def seen(path: Path, what: str) -> list[Any]:
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    return [line for line in lines if line[0] == what]
+
+
+def ask(rid: str) -> t.Ask:
+    return t.Ask(rid, rid, 0, 0, 0, 0, 2_000_000, 1_000.0, False)
+
+
+async def received(node: socket.socket) -> bytes:
+    """One whole request, as a node reads it."""
+    data = b""
+    async with asyncio.timeout(LIMIT_S):
+        while REQUEST_END not in data:
+            data += await asyncio.get_running_loop().sock_recv(node, 65536)
+    return data
+
+
+async def answer(node: socket.socket, trip: Trip) -> None:
+    assert trip.ask.rid.encode() in await received(node)
+    node.sendall(reply_bytes("ok", trip.ask.rid, None))
+
+
+def test_a_client_does_not_write_on_a_connection_whose_end_has_come_in(tmp_path: Path) -> None:
+    """A stopping node half-closes its idle connections and takes what still comes without an answer.
+
+    A client whose loop had not come to see that end wrote a request behind it, saw an end without a reset, and the
+    node was accused of having ended the connection without an answer.
+    """
+    path = tmp_path / "seen-clients.jsonl"
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            day = small_day()
+            place = NodePlace("n0", 0, *listener.getsockname())
+            agenda, front, recorder = Agenda(DayClock(), loop), Front(day), Recorder(path)
+            front.node_up(0, "n0", 0)
+            front.node_ready(0, "n0")
+            street = Street(day, agenda, front, (place,), Weather(day, "clients"), recorder, Counter())
+            first, second = Trip(ask("first")), Trip(ask("second"))
+            street._trips = {trip.ask.rid: trip for trip in (first, second)}
+            street._send(first)
+            old, _ = await loop.sock_accept(listener)
+            old.setblocking(False)
+            await answer(old, first)
+            async with asyncio.timeout(LIMIT_S):
+                while not street._idle.get(("n0", 0)):
+                    await asyncio.sleep(0)
+            old.shutdown(socket.SHUT_WR)
+            street._send(second)  # in this turn of the loop: what has come in has not been looked at
+            async with asyncio.timeout(LIMIT_S):
+                new, _ = await loop.sock_accept(listener)
+                new.setblocking(False)
+                await answer(new, second)
+                while street.owed:
+                    await asyncio.sleep(0)
+            assert old.recv(1) == b""  # the client has written nothing there, and closed it
+            recorder.close()
+            agenda.close()
+            street.close()
+            old.close()
+            new.close()
+
+    asyncio.run(scenario())
+    assert seen(path, "lost") == [] and len(seen(path, "answered")) == 2
+
+
+class Process:
+    """A child whose exit is seen when the test says so."""
+
+    def __init__(self, ended: Callable[[int], None]) -> None:
+        self.ended, self.signals = ended, list[int]()
+
+    def signal(self, number: int) -> None:
+        self.signals.append(number)
+
+
+class Processes:
+    """Starts such children."""
+
+    def __init__(self) -> None:
+        self.started: list[Process] = []
+
+    def start(self, *args: Any) -> Process:
+        self.started.append(Process(args[4]))
+        return self.started[-1]
+
+
+def test_a_killed_node_is_gone_when_it_is_killed_not_when_its_exit_is_seen(tmp_path: Path) -> None:
+    """The director may stand still behind a kill, for the disk that it empties or for want of a processor.
+
+    Clients see the end of their connections meanwhile, and half a second later the node was accused of it.
+    """
+    path = tmp_path / "seen-director.jsonl"
+
+    async def scenario() -> None:
+        day, recorder, processes = small_day(), Recorder(path), Processes()
+        clock = DayClock()
+        clock.now = lambda: at_us  # type: ignore[method-assign]
+        agenda = Agenda(clock, asyncio.get_running_loop())
+        agent = Agent(agenda, "127.0.0.1", lambda *_: {}, lambda *_: None)
+        told: list[str] = []
+        seat = Seat(
+            day, NodePlace("n0", 0, "127.0.0.1", 1), agent, agenda, processes, tmp_path, recorder,  # type: ignore[arg-type]
+            lambda **words: told.append(words["do"]), PROGRAM,
+        )  # fmt: skip
+        at_us = 0
+        seat.start()
+        at_us = 14_000_000
+        seat.kill()
+        at_us = 14_900_000
+        (process,) = processes.started
+        process.ended(-signal.SIGKILL)
+        assert process.signals == [signal.SIGKILL] and told == ["node_up", "node_down"] and not seat.exits
+        at_us = 16_000_000
+        seat.start()
+        at_us = 17_000_000
+        processes.started[-1].ended(70)
+        assert seat.exits == [70]
+        agent.close()
+        recorder.close()
+        agenda.close()
+
+    asyncio.run(scenario())
+    assert seen(path, "node_down") == [
+        ["node_down", 14_000_000, "n0", True, -signal.SIGKILL],
+        ["node_down", 17_000_000, "n0", False, 70],
+    ]
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -357,9 +357,7 @@
            b"Transfer-Encoding: chunked\r\n\r\n")  # fmt: skip
 
 
-def test_a_large_body_that_turns_malformed_ends_its_call_at_once(
-    tmp_path: Path, monkeypatch: Patch
-) -> None:
+def test_a_large_body_that_turns_malformed_ends_its_call_at_once(tmp_path: Path, monkeypatch: Patch) -> None:
     """It could never be complete, yet its endpoint held a connection for it, and its client waited.
 
     Both lasted until the body counted as one that trickles. No time passes here but where the test says so:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -341,7 +341,9 @@
 
 
 @pytest.mark.parametrize("number", [TERM, INT, HUP], ids=lambda number: number.name)
-def test_a_signal_behind_the_interpreters_end_changes_no_exit_code(site: Site, number: signal.Signals) -> None:
+def test_a_signal_behind_the_interpreters_end_changes_no_exit_code(
+    site: Site, number: signal.Signals
+) -> None:
     """The default action of a signal ended the process, where a worker thread took what the main one blocks."""
     site.ready(site.start(program=("-c", CHILD_AT_ITS_END, str(int(number)))))
     site.started[0].send_signal(signal.SIGTERM)
