--- a/granitewell/__main__.py
+++ b/granitewell/__main__.py
@@ -101,9 +101,9 @@
 def _ignore_signals() -> None:
     """Ignore all signals from now on, in every thread.
 
-    The loop's own handlers fail once it is closed, and the interpreter's end gives each handler back to the default
-    action, which ends the process. An ignored signal stays ignored. Blocking them in the main thread alone does not
-    do: a worker thread takes what the main thread blocks.
+    The loop's own handlers fail once it is closed, and the interpreter's end gives each handler back to the
+    default action, which ends the process. An ignored signal stays ignored. Blocking them in the main thread
+    alone does not do: a worker thread takes what the main thread blocks.
     """
     for sign in SIGNALS:
         signal.signal(sign, signal.SIG_IGN)
--- a/granitewell/lab/loopback/client_traffic.py
+++ b/granitewell/lab/loopback/client_traffic.py
@@ -5,9 +5,9 @@
 model does. Nor does it believe a node: it sees what comes back.
 
 A node may close a connection between requests. Where that crosses a request that the node has not read, its
-machine answers with a reset, and the client sends the request once more on a new connection; an end without a
-reset means that the node had read it, and the try is lost. A connection whose end has come in is not written on,
-also where the client's loop has not seen that end yet.
+machine answers with a reset, and the client sends the request once more on a new connection; an end without
+a reset means that the node had read it, and the try is lost. A connection whose end has come in is not
+written on, also where the client's loop has not seen that end yet.
 """
 
 from __future__ import annotations
--- a/tests/lab/test_loopback_timing.py
+++ b/tests/lab/test_loopback_timing.py
@@ -1,4 +1,4 @@
-"""What the lab sees late on a busy machine, and must not hold against a node: each was a verdict by chance."""
+"""What the lab sees late on a busy machine and must not hold against a node: each was a verdict by chance."""
 
 from __future__ import annotations
 
@@ -53,8 +53,8 @@
 def test_a_client_does_not_write_on_a_connection_whose_end_has_come_in(tmp_path: Path) -> None:
     """A stopping node half-closes its idle connections and takes what still comes without an answer.
 
-    A client whose loop had not come to see that end wrote a request behind it, saw an end without a reset, and the
-    node was accused of having ended the connection without an answer.
+    A client whose loop had not come to see that end wrote a request behind it, saw an end without a reset,
+    and the node was accused of having ended the connection without an answer.
     """
     path = tmp_path / "seen-clients.jsonl"
 
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -46,8 +46,9 @@
 setattr(owner, name, wrapped)
 sys.exit(program.main())
 """
-# A signal that comes at the very end: the interpreter has given all handlers back, and a worker thread that blocks
-# no signal is still there. libc calls kill(0, SIGNAL) then, as the process leaves with 0: to the process's own group.
+# A signal that comes at the very end: the interpreter has given all handlers back, and a worker thread that
+# blocks no signal is still there. libc calls kill(0, SIGNAL) then, as the process leaves with 0: to the
+# process's own group.
 CHILD_AT_ITS_END = """
 import ctypes, os, sys, threading
 from granitewell import __main__ as program
@@ -344,7 +345,7 @@
 def test_a_signal_behind_the_interpreters_end_changes_no_exit_code(
     site: Site, number: signal.Signals
 ) -> None:
-    """The default action of a signal ended the process, where a worker thread took what the main one blocks."""
+    """The default action ended the process, where a worker thread took what the main one blocks."""
     site.ready(site.start(program=("-c", CHILD_AT_ITS_END, str(int(number)))))
     site.started[0].send_signal(signal.SIGTERM)
     assert ended(site) == 0
