--- a/granitewell/controlplane/placement/confirmation.py
+++ b/granitewell/controlplane/placement/confirmation.py
@@ -59,10 +59,10 @@
     name, adapter = order.ref.model, order.ref.adapter
     loaded = models.get(name)
     if order.operation is Operation.LOAD:
-        adapters = loaded.adapters if loaded is not None else frozenset()
-        models[name] = LoadedModel(name, adapters | {adapter} if adapter else adapters)
+        present = loaded if loaded is not None else LoadedModel(name)
+        models[name] = present.with_adapter(adapter) if adapter else present
     elif loaded is not None and adapter:
-        models[name] = LoadedModel(name, loaded.adapters - {adapter})
+        models[name] = loaded.without_adapter(adapter)
     else:
         models.pop(name, None)
     return Report(sequence, False, models, report.running, report.queued)
--- a/granitewell/controlplane/placement/controller.py
+++ b/granitewell/controlplane/placement/controller.py
@@ -173,7 +173,7 @@
             server=step.order.server_id,
             result=result.value,
         )
-        self._reconciler.on_order(self._clock(), step.order, result)
+        self._reconciler.on_order(self._clock(), step.order, fencing_token, result)
         self._after_event()
 
     def _after_event(self) -> None:
--- a/granitewell/controlplane/placement/issuing.py
+++ b/granitewell/controlplane/placement/issuing.py
@@ -85,7 +85,7 @@
         """Record and issue an order, unless it would exceed a limit."""
         record = self._records.get(order.server_id)
         engine = self._engine
-        if record is None or engine is None or not record.orderable(now, fencing_token):
+        if record is None or engine is None or not record.orderable(now):
             return None
         if order.operation is Operation.LOAD and not self._admits(record, engine, order):
             return None
@@ -95,7 +95,7 @@
         assert report is not None  # orderable
         at_once = 1 + sum(1 for other in self._records.values() if _is_model(other.coming()))
         expected_s = self._expected_s(engine, order, at_once)
-        record.pending = PendingOrder(order, report.sequence, now, expected_s, at_once)
+        record.pending = PendingOrder(order, report.sequence, fencing_token, now, expected_s, at_once)
         record.calling = True
         record.reservation = None
         self._count(order)
--- a/granitewell/controlplane/placement/observation.py
+++ b/granitewell/controlplane/placement/observation.py
@@ -64,12 +64,14 @@
 
     Attributes:
         revision: Sequence that it was conditional on.
+        fencing_token: Token that it was sent with.
         expected_s: Time that it should take, in seconds.
         at_once: Loads in progress when it began.
     """
 
     order: Order
     revision: int
+    fencing_token: int
     sent_at: float
     expected_s: float
     at_once: int = 1
@@ -108,8 +110,8 @@
         self.pending: PendingOrder | None = None
         self.withdrawal: Withdrawal | None = None
         self.reservation: Reservation | None = None
+        self.loaded_at: dict[str, float] = {}  # when the loads of its models began that are known
         self.loaded_before = {model.name for model in listed.models} | listed.loaded_before
-        self.fenced_at: int | None = None
         self.misdirected = False
         self.no_orders_until = -math.inf
         self.dark_noticed = False
@@ -133,7 +135,6 @@
         self.pending = None
         self.withdrawal = None
         self.reservation = None
-        self.fenced_at = None
         self._answered()
 
     # Reports
@@ -153,6 +154,8 @@
         if pending is None or not _is_resolved(pending, asked_at, report):
             return None
         self.pending = None
+        if pending.order.loads_model and shows(report, pending.order):
+            self.loaded_at[pending.order.ref.model] = pending.sent_at
         if pending.order.purpose is not None:
             self.reservation = Reservation(pending.order.purpose, asked_at + RESERVED_S)
         return pending
@@ -233,8 +236,7 @@
         if not going.adapter:
             del ready[going.model]
             return ready
-        model = ready[going.model]
-        ready[going.model] = LoadedModel(model.name, model.adapters - {going.adapter})
+        ready[going.model] = ready[going.model].without_adapter(going.adapter)
         return ready
 
     def going(self) -> ModelRef | None:
@@ -279,7 +281,7 @@
         listed = self.listed
         return listed.state is ServerState.READY and listed.remaining_ms < 0 and not self.misdirected
 
-    def orderable(self, now: float, fencing_token: int) -> bool:
+    def orderable(self, now: float) -> bool:
         """Return whether an order may be sent to it now."""
         report = self.report
         return (
@@ -289,7 +291,6 @@
             and self.pending is None
             and self.lasting
             and not self.failing
-            and (self.fenced_at is None or self.fenced_at < fencing_token)
             and now >= self.no_orders_until
             and self.report_asked_at >= self.no_orders_until
             and now - self.report_asked_at <= REPORT_LASTS_S
--- a/granitewell/controlplane/placement/orders.py
+++ b/granitewell/controlplane/placement/orders.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 import aiohttp
 
@@ -21,6 +21,9 @@
 MISDIRECTED = 421
 
 
+MAX_COUNT = 10**9  # of orders or requests; anything above it is no count
+
+
 class MalformedReportError(GranitewellError):
     """A server's report cannot be read."""
 
@@ -118,17 +121,31 @@
     try:
         document = json.loads(body)
         models = [LoadedModel.parse(entry) for entry in document["models"]]
+        sequence, busy = document["sequence"], document["busy"]
+        if not _is_count(sequence):
+            raise ValueError(f"sequence: {sequence!r} is not a number of orders")
+        if not isinstance(busy, bool):
+            raise ValueError(f"busy: {busy!r} is neither true nor false")
         return Report(
-            sequence=int(document["sequence"]),
-            busy=bool(document["busy"]),
+            sequence=sequence,
+            busy=busy,
             models={model.name: model for model in models},
-            running=int(document.get("running", 0)),
-            queued=int(document.get("queued", 0)),
+            running=_count(document.get("running", 0)),
+            queued=_count(document.get("queued", 0)),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise MalformedReportError(f"not a report: {error!r}") from error
 
 
+def _is_count(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= MAX_COUNT
+
+
+def _count(value: Any) -> int:
+    """Return a number of requests; 0 for anything that is none, since nothing depends on it alone."""
+    return int(value) if _is_count(value) else 0
+
+
 def encode_order(order: Order, ticket: OrderTicket) -> bytes:
     """Return the body of an order."""
     fields: dict[str, object] = {"operation": order.operation.value, "model": order.ref.model}
--- a/granitewell/controlplane/placement/planner.py
+++ b/granitewell/controlplane/placement/planner.py
@@ -5,7 +5,8 @@
 1. adapters that requests wait for, on a server that has their model: some ms, while a load takes seconds;
 2. models that requests wait for and no lasting server has, and those whose replicas are overloaded;
 3. models and adapters with fewer replicas than their demand needs;
-4. capacity freed ahead of the next miss.
+4. copies with an older version of the weights than another copy, one of each model at a time;
+5. capacity freed ahead of the next miss.
 
 If a load needs capacity, the replicas of the lowest value are evicted first. The value of a replica is
 roughly the rate of requests that would miss it. Nothing is evicted without need.
@@ -66,6 +67,7 @@
     planning.load_urgent_models()
     planning.load_spare_models()
     planning.load_spare_adapters()
+    planning.renew_models()
     planning.evict_for_capacity()
     return planning.orders
 
@@ -207,7 +209,42 @@
             if self._fleet.adapter_copies(ref) < wanted:
                 self._placing.place_adapter(ref, MAX_FOR_SPARE)
 
-    # 4. Capacity ahead of need
+    # 4. Newer versions
+
+    def renew_models(self) -> None:
+        """Replace copies with older weights of models in demand, as a load brings the newest.
+
+        Never while another copy of the model comes or goes. A further copy is loaded before an older one is
+        unloaded; only where no server can take one, an older copy is unloaded first and loaded again.
+        """
+        outdated = {name for server in self._fleet.lasting for name in server.outdated}
+        for name in sorted(outdated & self._fleet.wanted.keys()):
+            if self._fleet.wanted[name] and not self._changes(name):
+                self._renew(name)
+
+    def _changes(self, name: str) -> bool:
+        """Return whether a copy of a model comes or goes."""
+        ref = ModelRef(name)
+        if ref in self._placing.purposes or any(order.ref == ref for order in self.orders):
+            return True
+        return any(ref in (server.coming, server.going) for server in self._fleet.lasting)
+
+    def _renew(self, name: str) -> None:
+        ref = ModelRef(name)
+        copies = [server for server in self._fleet.copies_of(name).servers if server.has(ref)]
+        is_spare = len(copies) > self._fleet.wanted[name]
+        has_current = any(name not in server.outdated for server in copies)
+        if not (is_spare and has_current):
+            max_loads = min(MAX_SPARE_LOADS, self._at_once)
+            has_room = self._placing.under_way() < max_loads
+            if has_room and self._placing.place_model(name, MAX_FOR_SPARE, max_loads):
+                return
+        older = [server for server in copies if name in server.outdated and server.id in self._placing.free]
+        if older and has_current:
+            self._placing.order(older[0], Operation.UNLOAD, ref, purpose=None if is_spare else ref)
+            self._placing.purposes[ref] += not is_spare
+
+    # 5. Capacity ahead of need
 
     def evict_for_capacity(self) -> None:
         """Evict the models of the lowest value on a few servers.
--- a/granitewell/controlplane/placement/reconciler.py
+++ b/granitewell/controlplane/placement/reconciler.py
@@ -4,6 +4,7 @@
 
 - one call at a time per server;
 - no order while the caller says that this node may not send orders;
+- nothing is sent with a fencing token once a server has refused it, or a higher one, for a higher token;
 - nothing is unloaded before every edge had time to report its demand;
 - a model for which requests are sent is unloaded only after the edges had time to be notified.
 
@@ -39,6 +40,7 @@
 from granitewell.controlplane.placement.planner import ServerView, StoreView, plan
 from granitewell.controlplane.placement.readiness import Readiness
 from granitewell.controlplane.placement.steps import PlacementCounters, Poll, Send, Step
+from granitewell.controlplane.placement.versions import ModelVersions
 from granitewell.domain.configuration import Engine
 from granitewell.domain.servers import LoadedModel, ModelDemand, ModelRef
 
@@ -62,13 +64,14 @@
         self._records: dict[str, ServerRecord] = {}
         self._demand = DemandTable()
         self._running = False
-        self._last_fencing_token = 0
+        self._refused_token = -1  # highest fencing token that a server has refused: another node has a higher
         self._plan_at = math.inf
         self._planned_at = -math.inf
         self._unload_from = math.inf
         self.counters = PlacementCounters()
         self._issuer = OrderIssuer(self._records, self.counters)
         self._readiness = Readiness(self._records)
+        self._versions = ModelVersions()
         self._confirmations = confirmation.ConfirmationRecord()
 
     # Events
@@ -108,6 +111,7 @@
         """
         self._engine = engine
         self._issuer.set_engine(now, engine, load_rate_fraction)
+        self._versions.set_models(model.name for model in engine.models)
         self._soon(now)
 
     def set_servers(self, now: float, servers: Sequence[ListedServer]) -> None:
@@ -146,6 +150,7 @@
     def _take_report(self, now: float, record: ServerRecord, asked_at: float, report: Report) -> None:
         first = record.report is None or record.failing
         done = record.take_report(asked_at, report)
+        self._versions.seen(now, report.models.values())
         record.next_poll_at = polling.after_report(now, record, self._rng)
         if done is not None:
             if done.confirmations:
@@ -162,10 +167,12 @@
         if record.dark(now) and not dark:
             self._soon(now)
 
-    def on_order(self, now: float, order: Order, result: OrderResult) -> None:
-        """Handle the answer to an order, or its timeout."""
+    def on_order(self, now: float, order: Order, fencing_token: int, result: OrderResult) -> None:
+        """Handle the answer to an order that was sent with a fencing token, or its timeout."""
         record = self._records.get(order.server_id)
         pending = record.pending if record is not None else None
+        if result is OrderResult.FENCED:
+            self._refused_token = max(self._refused_token, fencing_token)
         if record is not None and pending is not None and pending.order is order:
             record.calling = False
             if pending.stage is OrderStage.TAKEN:
@@ -214,9 +221,7 @@
 
     def _refused(self, now: float, record: ServerRecord, result: OrderResult) -> None:
         """Handle an order that did not and will not begin."""
-        if result is OrderResult.FENCED:
-            record.fenced_at = self._last_fencing_token
-        elif result is OrderResult.OTHER_SERVER:
+        if result is OrderResult.OTHER_SERVER:
             record.misdirected = True
             self._readiness.publish_all(now)
         elif result is OrderResult.CONFLICT:
@@ -248,10 +253,9 @@
         """Return the calls to begin now. Each must be answered by on_report or on_order."""
         if not self._running:
             return []
-        self._last_fencing_token = fencing_token
         steps: list[Step] = []
         self._notice_dark(now)
-        if may_order:
+        if may_order and fencing_token > self._refused_token:
             steps.extend(self._due_withdrawals(now, holder, fencing_token))
             steps.extend(self._due_confirmations(now, holder, fencing_token))
             if now >= self._plan_at:
@@ -320,7 +324,7 @@
         demand = self._demand.view(now)
         bucket = self._issuer.bucket
         store = StoreView(bucket.available(now), self._issuer.pace.at_once, self._issuer.warm)
-        views = self._views(now, fencing_token, engine)
+        views = self._views(now, engine)
         steps: list[Step] = []
         for order in plan(views, demand, engine, self._issuer.sizes, store):
             if order.operation is Operation.UNLOAD and now < self._unload_from:
@@ -341,13 +345,11 @@
             self._readiness.publish(now, self._records[order.server_id])
         return step
 
-    def _views(self, now: float, fencing_token: int, engine: Engine) -> list[ServerView]:
+    def _views(self, now: float, engine: Engine) -> list[ServerView]:
         dark = self._readiness.dark(now)
-        return [self._view(now, fencing_token, engine, record, dark) for record in self._records.values()]
+        return [self._view(now, engine, record, dark) for record in self._records.values()]
 
-    def _view(
-        self, now: float, fencing_token: int, engine: Engine, record: ServerRecord, dark: set[str]
-    ) -> ServerView:
+    def _view(self, now: float, engine: Engine, record: ServerRecord, dark: set[str]) -> ServerView:
         used = record.usage(self._issuer.sizes)
         listed = record.listed
         return ServerView(
@@ -355,7 +357,7 @@
             zone=listed.zone,
             slots=listed.slots,
             lasting=record.lasting and listed.id not in dark,
-            orderable=record.withdrawal is None and record.orderable(now, fencing_token),
+            orderable=record.withdrawal is None and record.orderable(now),
             loaded=record.loaded(),
             free_mb=engine.weights_mb - used.mb,
             free_adapters=engine.max_adapters - used.adapters,
@@ -364,6 +366,7 @@
             purpose=record.purpose(now),
             reserved_for=record.reserved_for(now),
             loaded_before=record.loaded_before,
+            outdated=self._versions.outdated(record.loaded(), record.loaded_at),
         )
 
     # Withdrawals
@@ -385,9 +388,7 @@
             if withdrawal is None or now < withdrawal.at or record.calling:
                 continue
             record.withdrawal = None
-            if record.orderable(now, fencing_token) and not self._wanted_again(
-                now, record, withdrawal.order.ref
-            ):
+            if record.orderable(now) and not self._wanted_again(now, record, withdrawal.order.ref):
                 step = self._begin(now, withdrawal.order, holder, fencing_token)
                 if step is not None:
                     steps.append(step)
--- a/granitewell/controlplane/placement/views.py
+++ b/granitewell/controlplane/placement/views.py
@@ -20,6 +20,7 @@
         coming: The current load.
         purpose: What the unload frees capacity for.
         reserved_for: What the free capacity is reserved for.
+        outdated: Models of which it has an older version than another server.
     """
 
     id: str
@@ -35,6 +36,7 @@
     purpose: ModelRef | None = None
     reserved_for: ModelRef | None = None
     loaded_before: frozenset[str] | set[str] = frozenset()
+    outdated: frozenset[str] = frozenset()
 
     def has(self, ref: ModelRef) -> bool:
         """Return whether the server has a model or adapter and keeps it."""
--- a/granitewell/dataplane/dispatch.py
+++ b/granitewell/dataplane/dispatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -39,6 +39,7 @@
         ref: The model; None if the service runs no models.
         passed_over: Ids of servers that have had the request.
         excluded: Ids of servers that must not get it again.
+        expected_version: Version of the model's weights that it needs, 0 for any.
         granted: Called with a server as soon as there is one.
     """
 
@@ -50,6 +51,7 @@
     granted: Callable[[ServerRecord], None]
     passed_over: set[str] = field(default_factory=set)
     excluded: set[str] = field(default_factory=set)
+    expected_version: int = 0
     careful: bool = False  # a failure of the next attempt would be final
     missing: bool = False  # it waits because no server has the model
 
@@ -189,7 +191,8 @@
         configured = self._configured.get(service)
         engine = configured.engine if configured is not None else None
         key = f"{service} {ref.model}/{ref.adapter}" if ref is not None else service
-        return Pool(key, engine.slots if engine else None, self.load_time_s(service, ref), self._rng)
+        slots, setup_s = engine.slots if engine else None, self.load_time_s(service, ref)
+        return Pool(key, slots, setup_s, self._rng, ref.model if ref is not None else "")
 
     def _forget_pools(self) -> None:
         if len(self._pools) <= MAX_POOLS:
@@ -221,12 +224,15 @@
         kept = (
             self._memory.cached_tokens(pool.key, dispatch_request.parts) if dispatch_request.parts else None
         )
+        excluded: Collection[str] = dispatch_request.excluded
+        if dispatch_request.expected_version and pool.has_several_versions:
+            excluded = dispatch_request.excluded | pool.with_other_version(dispatch_request.expected_version)
         capacity = self._capacity_check(dispatch_request, pool, now)
         record = pool.pick(
             now,
             self._edges,
             dispatch_request.passed_over,
-            dispatch_request.excluded,
+            excluded,
             kept,
             capacity,
             dispatch_request.careful,
--- a/granitewell/dataplane/edge.py
+++ b/granitewell/dataplane/edge.py
@@ -18,6 +18,7 @@
 from granitewell.dataplane.dispatch import Dispatcher
 from granitewell.dataplane.headers import (
     DEADLINE_MS,
+    EXPECT_VERSION,
     LAST_EVENT_ID,
     MODEL,
     PROMPT_PREFIX,
@@ -48,7 +49,7 @@
 from granitewell.dataplane.routes import RouteTable, choose_service, host_name, path_of
 from granitewell.dataplane.upstream_pool import UpstreamPool
 from granitewell.domain.configuration import Configuration, Limits, Route
-from granitewell.domain.servers import ModelDemand, ModelRef, Server
+from granitewell.domain.servers import ModelDemand, ModelRef, Server, parse_version
 from granitewell.domain.settings import Settings
 
 DEADLINE_MARGIN_S = 0.020  # our last word must reach the client before it gives up
@@ -296,6 +297,7 @@
             parts=parse_prompt_parts(headers.get(PROMPT_PREFIX)),
             arrived_at=arrived_at,
             deadline=arrived_at + max_ms / 1000.0 - DEADLINE_MARGIN_S,
+            expected_version=parse_version(headers.get(EXPECT_VERSION)),
         )
 
     async def _forwarded(
--- a/granitewell/dataplane/events.py
+++ b/granitewell/dataplane/events.py
@@ -9,9 +9,12 @@
 import re
 from dataclasses import dataclass
 
+from granitewell.domain.servers import parse_version
+
 MAX_EVENT_BYTES = 4 * 1024 * 1024  # of one event: beyond it the stream is held to be broken
 
 _END = re.compile(rb"\r\n\r\n|\r\n\n|\n\r\n|\n\n|\r\r\n|\r\r(?!\n)|\n\r(?=[^\n])")
+_VERSION_LINE = b"versions:"
 _ID = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*))?(?=[\r\n])")
 
 
@@ -21,10 +24,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """A complete event: its bytes with the blank line, and its id (None if it has none)."""
+    """A complete event.
+
+    Attributes:
+        data: Its bytes, with the blank line.
+        id: None if it has none.
+        version: Version of the weights that changes with it, 0 if none does.
+    """
 
     data: bytes
     id: str | None
+    version: int = 0
 
 
 def number_of(event_id: str | None) -> int | None:
@@ -55,7 +65,7 @@
         start, search = 0, self._searched
         while (match := _END.search(rest, search)) is not None:
             event = rest[start : match.end()]
-            events.append(Event(event, _id_of(event)))
+            events.append(Event(event, _id_of(event), _version_of(event)))
             start = search = match.end()
         self._rest = rest[start:]
         self._searched = max(len(self._rest) - 3, 0)
@@ -64,6 +74,14 @@
         return events
 
 
+def _version_of(event: bytes) -> int:
+    """Return what the first line says of the version; 0 if it says nothing."""
+    if not event.startswith(_VERSION_LINE):
+        return 0
+    line = event[len(_VERSION_LINE) :].splitlines()[0]
+    return parse_version(line.strip().decode("latin-1"))
+
+
 def _id_of(event: bytes) -> str | None:
     found = None
     if b"id" not in event:
--- a/granitewell/dataplane/headers.py
+++ b/granitewell/dataplane/headers.py
@@ -20,6 +20,8 @@
 SERVER_LOAD = "Granitewell-Server-Load"
 LAST_EVENT_ID = "Last-Event-Id"
 PRIORITY = "Priority"
+EXPECT_VERSION = "Expect-Version"
+VERSIONS = "Versions"
 
 _HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
--- a/granitewell/dataplane/request_forwarder.py
+++ b/granitewell/dataplane/request_forwarder.py
@@ -25,11 +25,13 @@
 from granitewell.dataplane.headers import (
     DEADLINE_MS,
     EXPECT_INSTANCE,
+    EXPECT_VERSION,
     LAST_EVENT_ID,
     NOT_EXECUTED,
     PRIORITY,
     SERVER_LOAD,
     SIGNATURE,
+    VERSIONS,
     PromptPart,
     end_to_end,
     parse_server_load,
@@ -43,7 +45,7 @@
 from granitewell.dataplane.upstream_pool import UpstreamPool
 from granitewell.domain.configuration import Route, RouteKind
 from granitewell.domain.errors import GranitewellError
-from granitewell.domain.servers import ModelRef
+from granitewell.domain.servers import ModelRef, parse_version
 
 SERVER_MARGIN_S = 0.010  # a server is told that it has less time: its last word must reach the client
 MISSING_PART = 0.45  # of its time that a request waits for a model: refused after half of it, it costs more
@@ -65,6 +67,7 @@
         headers: Headers to forward.
         body: None if there is none.
         deadline: End of its time, on the steady clock.
+        expected_version: Version of the model's weights that the client asks for, 0 for any.
     """
 
     method: str
@@ -76,6 +79,7 @@
     parts: tuple[PromptPart, ...]
     arrived_at: float
     deadline: float
+    expected_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +160,13 @@
         self.resume_at: str | None = None  # id of the last event passed on, None where it has none
         self._timeout: asyncio.Timeout | None = None
         self.dispatch_request = DispatchRequest(
-            service, ref, route.priority, self.target_s, request.parts, self._granted
+            service,
+            ref,
+            route.priority,
+            self.target_s,
+            request.parts,
+            self._granted,
+            expected_version=request.expected_version,
         )
         self._grant: asyncio.Future[ServerRecord] | None = None
         self._waited_for_model = False
@@ -183,6 +193,18 @@
                 return StreamEnd(is_complete=False)
             return LocalAnswer(self.attempts.overdue_status, "no answer in time")
 
+    def expects_version(self) -> bool:
+        """Return whether the next server must have a certain version of the weights.
+
+        The client has asked for it, or it is that of the first part of the stream and servers differ.
+        """
+        if not self.dispatch_request.expected_version:
+            return False
+        if not self.stream.began:
+            return True
+        pool = self.dispatcher.pool(self.dispatch_request.service, self.dispatch_request.ref, self.clock())
+        return pool.has_several_versions
+
     def expire(self) -> None:
         """End the request's time now."""
         if self._timeout is not None and not self._timeout.expired():
@@ -309,6 +331,7 @@
         self._connection: UpstreamConnection | None = None
         self._complete_answer: RawResponseMessage | None = None
         self._resumes_after = number_of(forwarder.resume_at)  # events up to here have been passed on
+        self._expects_version = forwarder.expects_version()
 
     async def run(self) -> Answer | None:
         """Return the final answer; None if this attempt gave none, in which case its end is recorded."""
@@ -374,6 +397,9 @@
         if x.resume_at is not None:
             headers = without(headers, LAST_EVENT_ID)
             extra.append((LAST_EVENT_ID, x.resume_at))
+            if self._expects_version:
+                headers = without(headers, EXPECT_VERSION)
+                extra.append((EXPECT_VERSION, str(x.dispatch_request.expected_version)))
         body = request.body
         head = request_head(
             request.method, request.target, headers, extra, len(body) if body is not None else None
@@ -415,7 +441,9 @@
         pool = x.dispatcher.pool(x.dispatch_request.service, x.dispatch_request.ref, now)
         self._ended(AttemptEnd.NOT_EXECUTED)
         pool.traffic.rejected_by_server((now - self._began_at) * 1000.0)
-        if message.code == 421:
+        if message.code == 421 and self._expects_version:  # others may not need that version
+            x.dispatch_request.excluded.add(self._record.id)
+        elif message.code == 421:
             pool.moved(self._record, now, MOVED_FOR_S)
         else:
             self._record.refused(now)
@@ -459,6 +487,8 @@
         """Forward complete events as they arrive, up to the proper end of the answer."""
         x, connection = self._x, self._connection
         assert connection is not None
+        if not x.stream.began and (version := parse_version(message.headers.get(VERSIONS))):
+            x.dispatch_request.expected_version = version
         cutter = EventCutter()
         while part := await connection.read_part(body):
             try:
@@ -483,6 +513,8 @@
                 continue  # the run that broke off had passed it on
             passed.append(event.data)
             self._x.resume_at = event.id
+            if event.version:
+                self._x.dispatch_request.expected_version = event.version
         await self._pass_bytes(message, b"".join(passed))
 
     async def _pass_bytes(self, message: RawResponseMessage, data: bytes) -> None:
--- a/granitewell/dataplane/server_selection.py
+++ b/granitewell/dataplane/server_selection.py
@@ -5,8 +5,8 @@
 (granitewell.balancing.prefix_sizing). A request goes to a random server of the prefix; a server with too many
 requests of this node is busy and passed over, and past a prefix of busy servers the rest of the order is
 used. Departures from this, each for a rule or a deployment: of two random picks the less loaded one is taken,
-servers where requests wait or that look unhealthy are passed over while others have capacity, and a server
-that may have kept the leading parts of the prompt is preferred.
+servers where requests wait, that look unhealthy or have older weights are passed over while others have
+capacity, and a server that may have kept the leading parts of the prompt is preferred.
 """
 
 from __future__ import annotations
@@ -115,16 +115,22 @@
 class Pool:
     """One pool. `key` names it, the same at every edge."""
 
-    def __init__(self, key: str, engine_slots: int | None, setup_s: float, rng: Random) -> None:
+    def __init__(
+        self, key: str, engine_slots: int | None, setup_s: float, rng: Random, model: str = ""
+    ) -> None:
         """Create the pool.
 
         Args:
             key: Name of the pool.
+            model: The model that its servers have loaded, "" for none.
             rng: Source of random numbers.
             engine_slots: Slots of the service's engine, None if it runs no models.
             setup_s: Time that another server takes to become available, in seconds.
         """
         self.key = key
+        self._model = model
+        self._versions: dict[str, int] = {}  # by server, where the servers' versions of the model differ
+        self._older: frozenset[str] = frozenset()  # servers with an older version than another
         self.runs_models = engine_slots is not None
         self.traffic = Traffic(setup_s)
         self.servers: Sequence[ServerRecord] = ()
@@ -145,6 +151,23 @@
         self._prefix.size = len(records) if full else min(self._prefix.size, len(records))
         ids = {record.id for record in records}
         self._moved = {key: until for key, until in self._moved.items() if key in ids}
+        self._compare_versions()
+
+    def _compare_versions(self) -> None:
+        versions = {record.id: record.version(self._model) for record in self.servers} if self._model else {}
+        known = {version for version in versions.values() if version}
+        self._versions = versions if len(known) > 1 else {}
+        newest = max(known, default=0)
+        self._older = frozenset(key for key, version in self._versions.items() if 0 < version < newest)
+
+    def with_other_version(self, expected: int) -> frozenset[str]:
+        """Return the servers that are known to have another version of the model than the expected one."""
+        return frozenset(key for key, version in self._versions.items() if version not in (0, expected))
+
+    @property
+    def has_several_versions(self) -> bool:
+        """Whether its servers have different versions of the model."""
+        return bool(self._versions)
 
     def empty(self, now: float) -> bool:
         """Whether no server may run its requests."""
@@ -215,7 +238,9 @@
         patience = self.patience
 
         def fits(record: ServerRecord) -> bool:
-            if record.id in passed_over or record.id in excluded or self._has_moved(record, now):
+            if record.id in passed_over or record.id in excluded or record.id in self._older:
+                return False
+            if self._has_moved(record, now):
                 return False
             if self._busy(record, edges) or not record.sound(now, patience, careful):
                 return False
@@ -275,12 +300,14 @@
     ) -> ServerRecord | None:
         """Search the complete order.
 
-        First past the prefix, then busy servers, then those that look unhealthy or have had the request.
+        First past the prefix, then busy servers, then those with older weights, then those that look
+        unhealthy or have had the request.
         """
         usable = self._usable(now, passed_over, excluded)
         open_ones = [record for record in usable if not record.full(now) and has_capacity(record)]
         if not open_ones:
             return None
+        open_ones = [record for record in open_ones if record.id not in self._older] or open_ones
         if careful:
             patience = self.patience
             open_ones = [r for r in open_ones if not r.suspicion.holds(now, patience)] or open_ones
--- a/granitewell/dataplane/servers.py
+++ b/granitewell/dataplane/servers.py
@@ -66,6 +66,11 @@
         """Id of the server, new with each of its starts."""
         return self.server.id
 
+    def version(self, model: str) -> int:
+        """Return the version of a model's weights there, 0 if it is not known."""
+        loaded = self.server.models.get(model)
+        return loaded.version if loaded is not None else 0
+
     # --- What happens there -----------------------------------------------------------------------------
     def sent(self, now: float) -> None:
         """Record that a request was sent."""
--- a/granitewell/domain/servers.py
+++ b/granitewell/domain/servers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
+MAX_VERSION = 2**53 - 1  # of a model's weights; anything above it is no version
+
 
 class ServerState(IntEnum):
     """State of a server in the platform's list."""
@@ -21,19 +23,41 @@
     Attributes:
         name: Name of the model.
         adapters: Its adapters that are loaded too.
+        version: Version of its weights, 0 if it is not known.
     """
 
     name: str
     adapters: frozenset[str] = frozenset()
+    version: int = 0
+
+    def without_adapter(self, adapter: str) -> LoadedModel:
+        """Return the model without one of its adapters."""
+        return replace(self, adapters=self.adapters - {adapter})
+
+    def with_adapter(self, adapter: str) -> LoadedModel:
+        """Return the model with one more adapter."""
+        return replace(self, adapters=self.adapters | {adapter})
 
     @classmethod
     def parse(cls, entry: Mapping[str, object]) -> LoadedModel:
-        """Parse an entry of a report or of the platform's list; raises KeyError and TypeError."""
+        """Parse an entry of a report or of the platform's list; raises KeyError and TypeError.
+
+        What is no version counts as not known: the model is there all the same.
+        """
         name = entry["name"]
         adapters = entry.get("adapters") or ()
         if not isinstance(name, str) or not isinstance(adapters, list | tuple):
             raise TypeError("a model's name or adapters are of another type")
-        return cls(name, frozenset(str(adapter) for adapter in adapters))
+        return cls(name, frozenset(str(adapter) for adapter in adapters), parse_version(entry.get("version")))
+
+
+def parse_version(value: object) -> int:
+    """Return a version of weights; 0 for anything that is none."""
+    if isinstance(value, str) and value.isascii() and value.isdigit() and len(value) < 17:
+        value = int(value)
+    if not isinstance(value, int) or isinstance(value, bool):
+        return 0
+    return value if 0 < value <= MAX_VERSION else 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -1,7 +1,8 @@
 // What nodes of the system say to each other. Read at run time by thriftpy2; fields are only ever added.
 namespace py granitewell.rpc.internal
 
-struct LoadedModel { 1: string name, 2: list<string> adapters }
+// version of the weights; absent if it is not known
+struct LoadedModel { 1: string name, 2: list<string> adapters, 3: optional i64 version }
 struct Server {
   1: string id, 2: string service_name, 3: string address, 4: string zone, 5: i32 slots,
   6: i32 state, 7: i32 remaining_ms, 8: list<LoadedModel> models
--- a/granitewell/rpc/translation.py
+++ b/granitewell/rpc/translation.py
@@ -4,7 +4,14 @@
 
 from typing import Any
 
-from granitewell.domain.servers import LoadedModel, ModelDemand, ModelRef, Server, ServerState
+from granitewell.domain.servers import (
+    LoadedModel,
+    ModelDemand,
+    ModelRef,
+    Server,
+    ServerState,
+    parse_version,
+)
 from granitewell.rpc.messages import Demand, LoadedModelMessage, ServerMessage
 
 
@@ -19,7 +26,9 @@
         state=int(server.state),
         remaining_ms=server.remaining_ms,
         models=[
-            LoadedModelMessage(name=loaded.name, adapters=sorted(loaded.adapters))
+            LoadedModelMessage(
+                name=loaded.name, adapters=sorted(loaded.adapters), version=loaded.version or None
+            )
             for loaded in server.models.values()
         ],
     )
@@ -27,7 +36,10 @@
 
 def server_from_message(message: Any) -> Server:
     """Convert a message to a server."""
-    loaded = [LoadedModel(entry.name, frozenset(entry.adapters or ())) for entry in message.models or ()]
+    loaded = [
+        LoadedModel(entry.name, frozenset(entry.adapters or ()), parse_version(entry.version))
+        for entry in message.models or ()
+    ]
     return Server(
         id=message.id,
         service=message.service_name,
--- a/tests/controlplane/test_placement_controller.py
+++ b/tests/controlplane/test_placement_controller.py
@@ -270,7 +270,7 @@
             server.status = status
             assert await client.send(address, ORDER, TICKET, _yes) is result
         report = await client.report("i-1", address)
-        assert report == Report(3, False, {"m1": LoadedModel("m1")})
+        assert report == Report(3, False, {"m1": LoadedModel("m1", version=1)})
         assert set(server.headers) == {"i-1"}
 
     _serve(scenario)
--- a/tests/controlplane/test_placement_faults.py
+++ b/tests/controlplane/test_placement_faults.py
@@ -260,7 +260,7 @@
 
 
 def count_no_loads_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ServerRecord, "orderable", lambda self, now, fencing_token: self.report is not None)
+    monkeypatch.setattr(ServerRecord, "orderable", lambda self, now: self.report is not None)
     monkeypatch.setattr(ServerRecord, "coming", lambda self: None)
 
 
@@ -275,7 +275,7 @@
         return seen
 
     monkeypatch.setattr(ServerRecord, "loaded", loaded)
-    monkeypatch.setattr(ServerRecord, "orderable", lambda self, now, fencing_token: self.report is not None)
+    monkeypatch.setattr(ServerRecord, "orderable", lambda self, now: self.report is not None)
 
 
 def no_bucket(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/controlplane/test_placement_fleet.py
+++ b/tests/controlplane/test_placement_fleet.py
@@ -70,6 +70,7 @@
         self.up = True
         self.dark = False
         self.held: dict[str, set[str]] = {}
+        self.versions: dict[str, int] = {}
         self.sequence = 0
         self.fencing_token = 0
         self.order: Order | None = None
@@ -86,7 +87,10 @@
         self.note(now)
 
     def models(self) -> tuple[LoadedModel, ...]:
-        return tuple(LoadedModel(name, frozenset(adapters)) for name, adapters in self.held.items())
+        return tuple(
+            LoadedModel(name, frozenset(adapters), self.versions.get(name, 0))
+            for name, adapters in self.held.items()
+        )
 
     def note(self, now: float) -> None:
         models = {model.name: model for model in self.models()}
@@ -147,6 +151,7 @@
         self.heed_revision = True
         self.may_order = True
         self.fencing_token = 7
+        self.newest: dict[str, int] = {}  # version that a load of a model brings
         self.judged = Judged()
         self.servers: dict[str, EngineServer] = {}
         self._names = 0
@@ -276,20 +281,20 @@
         if not self.may_order:
             self.judged.unfenced += 1
         if self.rng.random() < self.lose_orders:
-            self._answer_order(step.order, OrderResult.UNKNOWN, 0.8)
+            self._answer_order(step, OrderResult.UNKNOWN, 0.8)
             return
         if self.rng.random() < self.delay_orders:
-            self._answer_order(step.order, OrderResult.UNKNOWN, 0.8)
+            self._answer_order(step, OrderResult.UNKNOWN, 0.8)
             self.after(self.rng.uniform(0.3, 3.0), lambda: self._arrive_late(step))
             return
 
         def arrive() -> None:
             server = self._by_address(step.address)
             if server is None:
-                self._answer_order(step.order, OrderResult.NOT_SENT, NETWORK_S)
+                self._answer_order(step, OrderResult.NOT_SENT, NETWORK_S)
                 return
             if server.dark:
-                self._answer_order(step.order, OrderResult.UNKNOWN, 0.8)
+                self._answer_order(step, OrderResult.UNKNOWN, 0.8)
                 return
             if not self.delay_orders:
                 self._check_limit(server, step.order)
@@ -298,9 +303,9 @@
                 self._check_limit(server, step.order)
             self.judged.statuses[result] += 1
             if self.rng.random() < self.lose_answers:
-                self._answer_order(step.order, OrderResult.UNKNOWN, self.rng.choice((0.01, 0.8)))
+                self._answer_order(step, OrderResult.UNKNOWN, self.rng.choice((0.01, 0.8)))
             else:
-                self._answer_order(step.order, result, NETWORK_S)
+                self._answer_order(step, result, NETWORK_S)
 
         self.after(NETWORK_S, arrive)
 
@@ -309,9 +314,9 @@
         if server is not None and self._take(server, step.order, step.ticket) is OrderResult.TAKEN:
             self._check_limit(server, step.order)
 
-    def _answer_order(self, order: Order, result: OrderResult, delay: float) -> None:
-        asker = self.reconciler
-        self.after(delay, lambda: asker.on_order(self.now, order, result))
+    def _answer_order(self, step: Send, result: OrderResult, delay: float) -> None:
+        asker, token = self.reconciler, step.ticket.fencing_token
+        self.after(delay, lambda: asker.on_order(self.now, step.order, token, result))
 
     # A server at work
 
@@ -396,6 +401,8 @@
         ref = order.ref
         if order.operation is Operation.LOAD:
             server.held.setdefault(ref.model, set())
+            if not ref.adapter and ref.model in self.newest:
+                server.versions[ref.model] = self.newest[ref.model]
             if ref.adapter:
                 server.held[ref.model].add(ref.adapter)
             server.on_disk.add(ref.model)
--- a/tests/controlplane/test_placement_parts.py
+++ b/tests/controlplane/test_placement_parts.py
@@ -242,7 +242,7 @@
 
 
 def test_a_report_as_on_the_page() -> None:
-    held = {"daka510000": LoadedModel("daka510000", frozenset({"a3"}))}
+    held = {"daka510000": LoadedModel("daka510000", frozenset({"a3"}), version=1)}
     assert parse_report(REPORT) == Report(2, False, held, 12, 1)
 
 
@@ -257,13 +257,23 @@
     [b"[]", b"3", b"{}", b'{"models":3,"busy":false,"sequence":1}',
      b'{"models":[3],"busy":false,"sequence":1}',
      b'{"models":[{"name":3}],"busy":false,"sequence":1}', b'{"models":[],"busy":false,"sequence":"x"}',
-     b'{"models":[{"name":"m","adapters":7}],"busy":false,"sequence":1}', b"\xff\xfe"],
+     b'{"models":[{"name":"m","adapters":7}],"busy":false,"sequence":1}', b"\xff\xfe",
+     b'{"models":[],"busy":"false","sequence":1}', b'{"models":[],"busy":false,"sequence":-1}',
+     b'{"models":[],"busy":false,"sequence":1e400}', b'{"models":[],"busy":false,"sequence":true}'],
 )  # fmt: skip
 def test_a_report_of_another_shape_is_refused(body: bytes) -> None:
     with pytest.raises(MalformedReportError):
         parse_report(body)
 
 
+@pytest.mark.parametrize("number", ["-1", "1e30", '"many"', "null", "true", "1000000001"])
+def test_an_absurd_number_of_requests_or_version_is_none_and_the_report_holds(number: str) -> None:
+    version = number.replace("1000000001", "9007199254740992")
+    head = f'{{"models":[{{"name":"m","adapters":[],"version":{version}}}],"busy":false,"sequence":3'
+    body = f'{head},"running":{number},"queued":{number}}}'
+    assert parse_report(body.encode()) == Report(3, False, {"m": LoadedModel("m")}, 0, 0)
+
+
 @given(st.binary(max_size=80))
 def test_any_bytes_are_a_report_or_refused(body: bytes) -> None:
     with contextlib.suppress(MalformedReportError):
@@ -303,7 +313,7 @@
 
 def _record(order: Order, stage: OrderStage) -> ServerRecord:
     record = ServerRecord(ListedServer("i-1", "10.0.0.1:80", "z", ServerState.READY, 64), 0.0)
-    record.pending = PendingOrder(order, 4, 10.0, 0.7, 1, stage, 10.0)
+    record.pending = PendingOrder(order, 4, 7, 10.0, 0.7, 1, stage, 10.0)
     return record
 
 
@@ -350,7 +360,7 @@
     record = _record(UNLOAD, OrderStage.TAKEN)
     record.report = Report(4, False, {"m": LoadedModel("m"), "n": LoadedModel("n")})
     assert set(record.ready()) == {"n"}
-    record.pending = PendingOrder(Order("i-1", Operation.UNLOAD, ModelRef("m", "a1")), 4, 0.0, 0.1)
+    record.pending = PendingOrder(Order("i-1", Operation.UNLOAD, ModelRef("m", "a1")), 4, 7, 0.0, 0.1)
     record.report = Report(4, False, {"m": LoadedModel("m", frozenset({"a1", "a2"}))})
     assert record.ready() == {"m": LoadedModel("m", frozenset({"a2"}))}
 
