--- a/tests/controlplane/test_model_versions.py
+++ b/tests/controlplane/test_model_versions.py
@@ -62,7 +62,6 @@
     fleet = tiny_fleet(("m0",))
     fleet.start()
     (entry,) = fleet.listed()
-    from granitewell.domain.servers import Server
 
     whole = Server(
         entry.id, "llm", entry.address, entry.zone, 4, entry.state, -1, {"m0": NEW, "m1": LoadedModel("m1")}
