Lab: what a stopped node says before the director's next step counts

The director took the time at which it asked behind the signal: where it got no processor in between, the node's word was older than that and was left out.

Change: the time is taken before the signal. The new test fails on the program before.

--- a/granitewell/lab/fleet/rig.py
+++ b/granitewell/lab/fleet/rig.py
@@ -298,10 +298,11 @@
                 self._spawn(self._start(seat))
             elif seat.process is not None:
                 there = self.judge.is_member(name)  # one that nobody has heard of yet has nothing to say
-                self.judge.asked(self.now(), name)
+                asked_us = self.now()  # it may have said that it leaves before stop() is back
+                self.judge.asked(asked_us, name)
                 seat.stop()
                 if there and not self.schedule.inherits and self.schedule.cluster:
-                    self._spawn(self._knock(seat, self.now()))
+                    self._spawn(self._knock(seat, asked_us))
 
     async def _knock(self, seat: Seat, asked_us: int) -> None:
         """When is the listener of a node that stops gone, and had it said by then that it leaves?"""
--- a/tests/lab/test_loopback_timing.py
+++ b/tests/lab/test_loopback_timing.py
@@ -9,10 +9,15 @@
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
+from granitewell.lab.cluster.chaos import Trouble
 from granitewell.lab.emulator import types as t
 from granitewell.lab.emulator.front import Front
+from granitewell.lab.fleet.rig import Rig
 from granitewell.lab.loopback.agent import Agent
 from granitewell.lab.loopback.client_traffic import Street, Trip
 from granitewell.lab.loopback.clock import Agenda, DayClock
@@ -157,3 +162,34 @@
         ["node_down", 14_000_000, "n0", True, -signal.SIGKILL],
         ["node_down", 17_000_000, "n0", False, 70],
     ]
+
+
+class StoppedNode:
+    """A node that says at once that it leaves, while the director gets no processor for half a second."""
+
+    process = object()
+
+    def __init__(self, stopped: Callable[[], None]) -> None:
+        self.stop = stopped
+
+
+def test_what_a_node_says_between_its_signal_and_the_directors_next_step_counts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node was accused of having closed its listener before it said that it leaves: it had said so."""
+    now_us = 17_000_000
+
+    def half_a_second() -> None:
+        nonlocal now_us
+        now_us += 500_000
+
+    asked: list[int] = []
+    rig = Rig.__new__(Rig)
+    rig.schedule = SimpleNamespace(inherits=False, cluster=True)  # type: ignore[assignment]
+    rig.judge = SimpleNamespace(is_member=lambda _: True, asked=lambda at, _: asked.append(at))  # type: ignore[assignment]
+    monkeypatch.setattr(rig, "now", lambda: now_us)
+    monkeypatch.setattr(rig, "_seats", lambda: {"n1": StoppedNode(half_a_second)})
+    monkeypatch.setattr(rig, "_knock", lambda _seat, asked_us: asked.append(asked_us))
+    monkeypatch.setattr(rig, "_spawn", lambda _job: None)
+    rig._term(Trouble("term", 17_000_000, 20_000_000, ("n1",), 0.0, ""), True)
+    assert asked == [17_000_000, 17_000_000]
