--- a/granitewell/cli/system/configuration.py
+++ b/granitewell/cli/system/configuration.py
@@ -19,8 +19,7 @@
 from granitewell.controlplane.configuration.checks import ConfigurationPatch, read_patch
 from granitewell.controlplane.configuration.state import EMPTY, ConfigurationState, changed
 from granitewell.domain.errors import InvalidConfigurationError, InvalidSettingsError
-from granitewell.domain.process_settings import settings_path
-from granitewell.domain.settings import read_settings
+from granitewell.domain.settings import read_settings, settings_path
 
 MAX_FILE = 64 * 1024 * 1024  # bytes of a configuration
 
--- a/granitewell/cli/system/programs.py
+++ b/granitewell/cli/system/programs.py
@@ -19,9 +19,6 @@
         from granitewell.cli.system import edge
 
         return edge.main()
-    from granitewell.cli.system import deferred_start
-
-    deferred_start.defer_start()
     from granitewell.cli.system import control
 
     return control.main()
--- a/granitewell/domain/settings.py
+++ b/granitewell/domain/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
 from pathlib import Path
@@ -12,8 +13,9 @@
 from mashumaro.exceptions import InvalidFieldValue, MissingField
 
 from granitewell.domain.errors import InvalidSettingsError
-from granitewell.domain.process_settings import may_hold_replicas
 
+PATH_VARIABLE = "GRANITEWELL_NODE_FILE"
+DEFAULT_PATH = "/etc/granitewell/boot.json"
 LISTS = ("seeds", "internal-ports", "contracts")  # a string would be read as a list of its characters
 
 
@@ -128,9 +130,16 @@
     def may_vote(self) -> bool:
         """Whether a control process here may hold replicas.
 
-        See `process_settings.may_hold_replicas`.
+        That takes a disk, on a machine whose loss `fault-tolerance` limits; one that does not count for the
+        quorum may be lost at any time, together with any number of others. A file without the field is one
+        of before the field was used.
         """
-        return may_hold_replicas(self.data_dir, self.counts_for_quorum)
+        return self.data_dir is not None and self.counts_for_quorum is not False
+
+
+def settings_path() -> Path:
+    """Return the path of this process's settings file."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
 
 
 def read_settings(path: Path) -> Settings:
--- a/granitewell/nodes/process.py
+++ b/granitewell/nodes/process.py
@@ -13,8 +13,7 @@
 
 from granitewell import logs
 from granitewell.domain.errors import InvalidSettingsError
-from granitewell.domain.process_settings import settings_path
-from granitewell.domain.settings import Settings, read_settings
+from granitewell.domain.settings import Settings, read_settings, settings_path
 
 SETTINGS_LOOK_S = 1.0
 COLLECTOR_THRESHOLDS = (
--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -11,11 +11,13 @@
 from hypothesis import strategies as st
 
 from granitewell.domain.errors import InvalidSettingsError
-from granitewell.domain.process_settings import DEFAULT_PATH, PATH_VARIABLE, settings_path
 from granitewell.domain.settings import (
+    DEFAULT_PATH,
+    PATH_VARIABLE,
     Settings,
     parse_settings,
     read_settings,
+    settings_path,
 )
 
 LEAST: dict[str, Any] = {
