Control nodes announce themselves often after a start; gateways name them at once

Where seeds are gateways, edges learn of the replicas through them after a loss of all power. A voter announced itself 0.3 s after its start, when no gateway listens yet, and then each second; and a gateway named nobody until a voter had answered it.

--- a/granitewell/lab/system/processes.py
+++ b/granitewell/lab/system/processes.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from granitewell.domain.process_settings import PATH_VARIABLE
+from granitewell.domain.settings import PATH_VARIABLE
 
 ROOT = Path(__file__).resolve().parents[3]
 CONTROL_IPS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
--- a/granitewell/nodes/control_gateway.py
+++ b/granitewell/nodes/control_gateway.py
@@ -20,7 +20,7 @@
 from granitewell.controlplane.publication.publisher import members_digest
 from granitewell.domain.errors import GranitewellError, InvalidSettingsError, RpcError
 from granitewell.domain.settings import Settings
-from granitewell.nodes.control_nodes import ControlNodes
+from granitewell.nodes.control_nodes import MAX_SEEDS, ControlNodes
 from granitewell.nodes.operator_server import OperatorServer
 from granitewell.nodes.process import SettingsFile, Signals, follow_settings
 from granitewell.rpc.messages import (
@@ -64,6 +64,7 @@
         self._control_port = settings.listen.control.rpartition(":")[2]
         self._address = f"{settings.ip}:{settings.control_rpc_port}"
         self._replied_at = -float("inf")
+        self._announced_at: dict[str, float] = {}  # by internal address of a control node with replicas
         self.nodes = ControlNodes(settings.node_name)
         self.peers = RpcPeers()
         self.handlers: dict[int, Handler] = {
@@ -123,15 +124,26 @@
         node = self.nodes.current
         return node if node in self.nodes.known else None
 
+    def named_to_edges(self) -> list[str]:
+        """Return the control nodes that edges are referred to.
+
+        Before any of them has named all, these are the ones that have announced themselves lately: only nodes
+        with replicas do.
+        """
+        if self.nodes.known:
+            return self.nodes.known
+        now = self._clock()
+        return sorted(node for node, at in self._announced_at.items() if now - at <= RECENT_S)
+
     # --- Messages of other nodes
 
     async def _watch(self, payload: bytes, _peer: str) -> bytes:
         """Name the control nodes; the watcher goes on to one of them."""
         request = decode(WatchRequest, payload)
-        known = self.nodes.known
+        known = self.named_to_edges()
         if not known:
             raise NoControlNodeError(self._settings.node_name)
-        if not request.edge and request.members_digest == self.nodes.digest:
+        if not request.edge and request.members_digest == members_digest(known):
             await asyncio.sleep(min(max(request.hold_ms, 0) / 1000.0, HOLD_S))
         return encode(
             WatchReply(
@@ -158,8 +170,15 @@
         count = decode(EdgeCount, payload)
         if count.address:
             self.nodes.add_seed(count.address)
+            self._note_announced(count.address)
         return b""
 
+    def _note_announced(self, address: str) -> None:
+        self._announced_at.pop(address, None)
+        self._announced_at[address] = self._clock()
+        while len(self._announced_at) > MAX_SEEDS:
+            del self._announced_at[next(iter(self._announced_at))]
+
     # --- Operators
 
     def routes(self, app: web.Application) -> None:
--- a/granitewell/nodes/control_messages.py
+++ b/granitewell/nodes/control_messages.py
@@ -25,7 +25,13 @@
 from granitewell.rpc.translation import demand_from_message
 from granitewell.rpc.transport import Handler, Method, RpcPeers
 
-EDGE_COUNT_FIRST_S = 0.3  # a process that has restarted makes that known soon
+START_ANNOUNCED_EVERY_S = 0.1
+"""Time between announcements of a process that has started.
+
+After a loss of all power, gateways and through them edges learn of the replicas by these alone, and a gateway
+is there some time after the replicas.
+"""
+START_LASTS_S = 3.0
 
 
 class ControlMessages:
@@ -102,10 +108,10 @@
             listeners: Returns the internal addresses of the other control nodes, and of the seeds: one
                 without replicas learns from this who has some.
         """
-        pause = EDGE_COUNT_FIRST_S
+        started_at = time.monotonic()
         while True:
-            await asyncio.sleep(pause)
-            pause = ANNOUNCED_EVERY_S
+            is_new = time.monotonic() - started_at < START_LASTS_S
+            await asyncio.sleep(START_ANNOUNCED_EVERY_S if is_new else ANNOUNCED_EVERY_S)
             count = self._edges.here(time.monotonic())
             claimant = self._claimant
             message = encode(
--- /dev/null
+++ b/tests/nodes/test_announcements.py
@@ -0,0 +1,54 @@
+"""How often a control node with replicas announces itself: edges wait for it after a loss of power."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from granitewell.controlplane.ownership.processes import ANNOUNCED_EVERY_S
+from granitewell.nodes import control_messages
+from granitewell.nodes.control_messages import START_ANNOUNCED_EVERY_S, START_LASTS_S, ControlMessages
+from granitewell.rpc.messages import EdgeCount, decode
+from granitewell.rpc.transport import Method
+from tests.coordination import virtual_loop
+
+OWN, GATEWAY = "10.0.0.1:7660", "10.0.0.9:7660"
+SECONDS = START_LASTS_S + 5 * ANNOUNCED_EVERY_S
+
+
+def announced_at(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """When a gateway was told, in seconds since the start."""
+    told: list[float] = []
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(control_messages, "time", SimpleNamespace(monotonic=loop.time))
+        began_at = loop.time()
+
+        def send(method: Method, payload: bytes) -> None:
+            assert method is Method.EDGES and decode(EdgeCount, payload).address == OWN
+            told.append(loop.time() - began_at)
+
+        claimant: Any = SimpleNamespace(node_name="core-1", incarnation="i", address=OWN)
+        edges: Any = SimpleNamespace(here=lambda _: 0)
+        peers: Any = {GATEWAY: SimpleNamespace(send=send)}
+        made = ControlMessages(claimant, peers, {}, SimpleNamespace(), edges, {})  # type: ignore[arg-type]
+        task = asyncio.create_task(made.tell_edge_count(lambda: [OWN, GATEWAY]))
+        await asyncio.sleep(SECONDS)
+        task.cancel()
+
+    virtual_loop.run(play())
+    return told
+
+
+def test_a_started_node_announces_itself_often_and_then_each_second(monkeypatch: pytest.MonkeyPatch) -> None:
+    times = announced_at(monkeypatch)
+    pauses = [later - earlier for earlier, later in zip([0.0, *times], times, strict=False)]
+    fast = [pause for at, pause in zip(times, pauses, strict=True) if at <= START_LASTS_S]
+    assert max(fast) <= START_ANNOUNCED_EVERY_S + 0.01
+    assert len(fast) >= 0.9 * START_LASTS_S / START_ANNOUNCED_EVERY_S
+    slow = [pause for at, pause in zip(times, pauses, strict=True) if at > START_LASTS_S + ANNOUNCED_EVERY_S]
+    assert slow and min(slow) >= ANNOUNCED_EVERY_S - 0.01
--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -16,7 +16,7 @@
 from granitewell.domain.settings import Settings
 from granitewell.nodes.control import ControlNode
 from granitewell.nodes.control_gateway import RECENT_S, ControlGateway, NoControlNodeError
-from granitewell.nodes.control_nodes import ControlNodes
+from granitewell.nodes.control_nodes import MAX_SEEDS, ControlNodes
 from granitewell.rpc.messages import (
     DemandReport,
     EdgeCount,
@@ -176,6 +176,42 @@
     assert made.current() in VOTERS
 
 
+def announce(made: ControlGateway, address: str) -> None:
+    announced = EdgeCount(node="core-1", edges=0, incarnation="i", address=address)
+    asyncio.run(made.handlers[Method.EDGES](encode(announced), ""))  # type: ignore[arg-type]
+
+
+def named(made: ControlGateway, **more: Any) -> list[str]:
+    request = WatchRequest(
+        node="e", zone="z", configuration_version=0, tables=[], **({"edge": True, "hold_ms": 0} | more)
+    )
+    reply = decode(WatchReply, asyncio.run(made._watch(encode(request), "")))
+    assert reply.members_digest == members_digest(reply.control_nodes)
+    return list(reply.control_nodes)
+
+
+def test_nodes_that_announced_themselves_lately_are_named_until_one_of_them_has_named_all() -> None:
+    """After a loss of all power edges wait for this: seeds may be gateways alone."""
+    made, _, clock = gateway()
+    announce(made, "10.0.0.1:7660")
+    clock.now += 1.0
+    announce(made, "10.0.0.2:7660")
+    assert named(made) == ["10.0.0.1:7660", "10.0.0.2:7660"]
+    assert named(made, edge=False, hold_ms=60_000, members_digest=0) == named(made)  # it does not hold that
+    clock.now += RECENT_S - 0.5
+    assert named(made) == ["10.0.0.2:7660"]
+    asyncio.run(learn(made))
+    assert named(made) == VOTERS
+    assert made.current() in VOTERS
+
+
+def test_announcements_take_bounded_memory_and_operators_are_not_redirected_by_one_alone() -> None:
+    made, _, _ = gateway()
+    for number in range(2 * MAX_SEEDS):
+        announce(made, f"10.1.0.{number}:7660")
+    assert len(named(made)) == MAX_SEEDS and made.current() is None
+
+
 async def called(made: ControlGateway, call: Callable[[ClientSession, str], Awaitable[Any]]) -> Any:
     app = web.Application()
     made.routes(app)
