--- a/benchmarks/lab_speed.py
+++ b/benchmarks/lab_speed.py
@@ -159,7 +159,7 @@
     gc.disable()
     world.begin()
     world.engine.run(day.length_us)
-    return world.street.asked
+    return world.client_traffic.asked
 
 
 def main() -> None:
--- a/granitewell/cli/lab_fleet.py
+++ b/granitewell/cli/lab_fleet.py
@@ -124,14 +124,14 @@
 def _night(
     made: list[Schedule], plant: str, without: bool, jobs: int, out: Path | None, as_json: bool
 ) -> None:
-    from granitewell.lab.fleet.batch_run import Night, Shift, night
+    from granitewell.lab.fleet.batch_run import BatchResult, Shift, night
 
     _known(plant)
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # as SIGINT: no run goes on without its night
     place = out if out is not None else Path(tempfile.mkdtemp(prefix="granitewell-night-"))
     knows = not without
     shifts = [Shift(replace(s, cluster=knows), place / f"seed-{s.seed}", plant, knows) for s in made]
-    found = Night()
+    found = BatchResult()
     try:
         with show.progress("playing", len(shifts)) as bar:
             for so_far in night(shifts, place, jobs):
--- a/granitewell/lab/fleet/batch_run.py
+++ b/granitewell/lab/fleet/batch_run.py
@@ -41,7 +41,7 @@
 
 
 @dataclass(slots=True)
-class Night:
+class BatchResult:
     """What came of it.
 
     Attributes:
@@ -118,13 +118,13 @@
         told.send(one(shift))
 
 
-def night(shifts: list[Shift], out: Path, jobs: int) -> Iterator[Night]:
+def night(shifts: list[Shift], out: Path, jobs: int) -> Iterator[BatchResult]:
     """The joined figures after each run, the last ones whole.
 
     They are also in `night.json` there each time, so that a night which is cut short has not been for
     nothing. OSError: that can't be written.
     """
-    found, left = Night(), list(shifts)
+    found, left = BatchResult(), list(shifts)
     out.mkdir(parents=True, exist_ok=True)
     context = multiprocessing.get_context("spawn")
     works: dict[Connection, tuple[SpawnProcess, int]] = {}
--- a/granitewell/lab/fleet/rig.py
+++ b/granitewell/lab/fleet/rig.py
@@ -28,13 +28,13 @@
 from granitewell.lab.engine import stream
 from granitewell.lab.fleet import fault_effects
 from granitewell.lab.fleet.plan import Door, FleetPlan, doors
-from granitewell.lab.fleet.status_polling import ASK_COUNTS, Doors, Look, look_of
+from granitewell.lab.fleet.status_polling import ASK_COUNTS, Look, StatusPoller, look_of
 from granitewell.lab.fleet.types import KINDS, Schedule
 from granitewell.lab.judge.counts import Told
 from granitewell.lab.judge.view import ViewJudge
 from granitewell.lab.loopback.children import Child
 from granitewell.lab.loopback.director import Director
-from granitewell.lab.loopback.node_hosts import Seat, environment
+from granitewell.lab.loopback.node_hosts import NodeHost, environment
 from granitewell.lab.loopback.plan import SocksError
 from granitewell.lab.platform import node_config
 
@@ -68,7 +68,7 @@
         self._director: Director | None = None
         self._switch: Child | None = None
         self._bound = False
-        self._doors: list[Doors] = []
+        self._status_pollers: list[StatusPoller] = []
         self._places: dict[str, Door] = {}
         self._second: set[str] = set()  # nodes that stand at their second place
         self._names: dict[str, str] = {}  # other names under which nodes go
@@ -103,10 +103,12 @@
                     raise SocksError("the switch did not come up")
                 await asyncio.sleep(0.02)
             paths = {name: str(self._door_path(name)) for name in self.schedule.names}
-            self._doors = [Doors(paths, EVERY_S, self.now, self._saw)]
+            self._status_pollers = [StatusPoller(paths, EVERY_S, self.now, self._saw)]
             if self.schedule.window_s:
-                self._doors.append(Doors(paths, COUNTS_S, self.now, self._counted, ASK_COUNTS))
-            for door in self._doors:
+                self._status_pollers.append(
+                    StatusPoller(paths, COUNTS_S, self.now, self._counted, ASK_COUNTS)
+                )
+            for door in self._status_pollers:
                 door.begin()
 
     def _heard(self, words: dict[str, Any]) -> None:
@@ -145,8 +147,8 @@
 
     def _beside(self, name: str) -> bool:
         """Does a process of the node run already?"""
-        seat = self._director.seats.get(name) if self._director is not None else None
-        return seat is not None and seat.process is not None
+        node_host = self._director.node_hosts.get(name) if self._director is not None else None
+        return node_host is not None and node_host.process is not None
 
     def shared(self, name: str) -> bool:
         """Whether the platform holds the node's listener."""
@@ -177,9 +179,9 @@
         """The load is over: wait until all agree, or have had their time; then what the switch has seen."""
         while self.schedule.cluster and self.judge.waits(self.now()):
             await asyncio.sleep(EVERY_S)
-        for name, seat in self._seats().items():
-            if seat.process is not None:
-                self.cpu_s[name] = cpu_s(seat.process.pid)
+        for name, node_host in self._node_hosts().items():
+            if node_host.process is not None:
+                self.cpu_s[name] = cpu_s(node_host.process.pid)
         for twin in self._twins.values():
             twin.signal(signal.SIGKILL)
         if self._switch is not None:
@@ -193,7 +195,7 @@
             rule, _, what = text.partition(": ")
             self.judge.tell(self.now(), rule, what)
         self._chatter()
-        for door in self._doors:
+        for door in self._status_pollers:
             door.end()
 
     def _chatter(self) -> None:
@@ -206,7 +208,7 @@
 
     def down(self) -> None:
         """Nothing stays behind."""
-        for door in self._doors:
+        for door in self._status_pollers:
             door.end()
         shutil.rmtree(self._short, ignore_errors=True)
 
@@ -243,9 +245,9 @@
         return path
 
     # --- Troubles ---------------------------------------------------------------------------------------
-    def _seats(self) -> dict[str, Seat]:
+    def _node_hosts(self) -> dict[str, NodeHost]:
         assert self._director is not None
-        return self._director.seats
+        return self._director.node_hosts
 
     def _do(self, t: Trouble, on: bool) -> None:
         now = self.now()
@@ -271,11 +273,11 @@
 
     def _kill(self, t: Trouble, on: bool) -> None:
         for name in t.nodes:
-            seat = self._seats()[name]
+            node_host = self._node_hosts()[name]
             if on:
-                if seat.process is not None:
+                if node_host.process is not None:
                     self.judge.down(self.now(), name, t.kind == "lose" or not self.schedule.lasting)
-                seat.kill()
+                node_host.kill()
                 if t.kind == "lose":
                     shutil.rmtree(Path(self._short, name, "kept"), ignore_errors=True)
                 continue
@@ -283,36 +285,36 @@
                 self._second ^= {name}
             elif t.kind == "renamed":
                 self._names[name] = f"{self._names.get(name, name)}-b"
-            self._spawn(self._start(seat))
+            self._spawn(self._start(node_host))
 
-    async def _start(self, seat: Seat) -> None:
+    async def _start(self, node_host: NodeHost) -> None:
         """Once the process before is gone."""
-        while seat.process is not None and seat.process.code is None and seat.planned:
+        while node_host.process is not None and node_host.process.code is None and node_host.planned:
             await asyncio.sleep(0.01)
-        seat.start()
+        node_host.start()
 
     def _term(self, t: Trouble, on: bool) -> None:
         for name in t.nodes:
-            seat = self._seats()[name]
+            node_host = self._node_hosts()[name]
             if not on:
-                self._spawn(self._start(seat))
-            elif seat.process is not None:
+                self._spawn(self._start(node_host))
+            elif node_host.process is not None:
                 there = self.judge.is_member(name)  # one that nobody has heard of yet has nothing to say
                 asked_us = self.now()  # it may have said that it leaves before stop() is back
                 self.judge.asked(asked_us, name)
-                seat.stop()
+                node_host.stop()
                 if there and not self.schedule.inherits and self.schedule.cluster:
-                    self._spawn(self._knock(seat, asked_us))
+                    self._spawn(self._knock(node_host, asked_us))
 
-    async def _knock(self, seat: Seat, asked_us: int) -> None:
+    async def _knock(self, node_host: NodeHost, asked_us: int) -> None:
         """When is the listener of a node that stops gone, and had it said by then that it leaves?"""
         loop = asyncio.get_running_loop()
-        while seat.process is not None:
+        while node_host.process is not None:
             with socket.socket() as sock:
                 sock.setblocking(False)
                 try:
                     async with asyncio.timeout(1.0):
-                        await loop.sock_connect(sock, (seat.place.host, seat.place.port))
+                        await loop.sock_connect(sock, (node_host.place.host, node_host.place.port))
                 except ConnectionRefusedError:
                     break
                 except (OSError, TimeoutError):
@@ -327,11 +329,11 @@
             self._switch.tell(do="tell")
             while not self.seen:
                 await asyncio.sleep(0.02)
-            said = [at for at in self.seen["left_us"].get(seat.name, ()) if at >= asked_us]
+            said = [at for at in self.seen["left_us"].get(node_host.name, ()) if at >= asked_us]
             await asyncio.sleep(0.1)
         if not said or min(said) > closed_us:
-            self.judge.tell(closed_us, "first", f"{seat.name} closed its clients' listener before it said "
-                            "that it leaves")  # fmt: skip
+            self.judge.tell(closed_us, "first", f"{node_host.name} closed its clients' listener "
+                            "before it said that it leaves")  # fmt: skip
 
     def _stall(self, t: Trouble, on: bool) -> None:
         """The day does that itself, since its judge has to know of it."""
@@ -340,13 +342,13 @@
 
     def _cpu(self, t: Trouble, on: bool) -> None:
         for name in t.nodes:
-            self._seats()[name].limit_cpu(t.value if on else 1.0)
+            self._node_hosts()[name].limit_cpu(t.value if on else 1.0)
         self.judge.unclear(self.now(), (t.kind, t.at_us), on, t.nodes)
 
     def _files(self, t: Trouble, on: bool) -> None:
         """No more descriptors than it holds now, and value more."""
         for name in t.nodes:
-            process = self._seats()[name].process
+            process = self._node_hosts()[name].process
             if process is None:
                 continue
             held = len(os.listdir(f"/proc/{process.pid}/fd"))
@@ -356,7 +358,7 @@
 
     def _size(self, t: Trouble, on: bool) -> None:
         for name in t.nodes:
-            process = self._seats()[name].process
+            process = self._node_hosts()[name].process
             if process is not None:
                 soft = int(t.value) if on else resource.RLIM_INFINITY
                 resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (soft, resource.RLIM_INFINITY))
@@ -379,10 +381,10 @@
                 for slot in SLOTS:
                     with contextlib.suppress(OSError):
                         shutil.copy(Path(self._short, name, "kept", slot), folder / "kept" / slot)
-            seat = self._seats()[name]
-            listen = f"{self._places[f'{name}+'].bind.rpartition(':')[0]}:{seat.place.port}"
-            agent = "%s:%d" % seat.agent.address
-            config = self.config(node_config(director.day, name, listen, agent, seat.agent.held(), 99))
+            node_host = self._node_hosts()[name]
+            listen = f"{self._places[f'{name}+'].bind.rpartition(':')[0]}:{node_host.place.port}"
+            agent = "%s:%d" % node_host.agent.address
+            config = self.config(node_config(director.day, name, listen, agent, node_host.agent.held(), 99))
             path = folder / "config.json"
             path.write_text(json.dumps(config))
             env = environment() | {
@@ -396,21 +398,21 @@
 
     def _upgrade(self, t: Trouble, on: bool) -> None:
         for name in t.nodes:
-            seat = self._seats()[name]
+            node_host = self._node_hosts()[name]
             if on:
                 self.judge.upgrade(self.now(), name, True)
-                seat.upgrade()
+                node_host.upgrade()
                 continue
-            old, new = seat.process, seat.beside
+            old, new = node_host.process, node_host.beside
             if t.how in ("", "kill-old-late"):
-                seat.hand_over()
+                node_host.hand_over()
             if t.how == "kill-old" and old is not None:
                 old.signal(signal.SIGKILL)
             elif t.how == "kill-new" and new is not None:
                 new.signal(signal.SIGKILL)
             elif t.how == "kill-new-late" and new is not None:
                 self.judge.asked(self.now(), name)  # both end: it leaves
-                seat.stop()
+                node_host.stop()
                 self._later(20_000, new.signal, signal.SIGKILL)
             elif t.how == "kill-old-late" and old is not None:
                 self._later(20_000, old.signal, signal.SIGKILL)
@@ -429,7 +431,7 @@
 
     def _rekeyed(self, name: str, keys: list[str]) -> None:
         self._write_keys(name, keys)
-        process = self._seats()[name].process
+        process = self._node_hosts()[name].process
         if process is not None:
             process.signal(signal.SIGHUP)
 
--- a/granitewell/lab/fleet/status_polling.py
+++ b/granitewell/lab/fleet/status_polling.py
@@ -83,7 +83,7 @@
     return None
 
 
-class Doors:
+class StatusPoller:
     """All doors of a run, asked the same in turn, each so often.
 
     Attributes:
--- a/granitewell/lab/fleet/switch.py
+++ b/granitewell/lab/fleet/switch.py
@@ -38,7 +38,7 @@
 from granitewell.lab.engine import stream
 from granitewell.lab.fleet.observations import Seen
 from granitewell.lab.fleet.plan import Door, FleetPlan, load
-from granitewell.lab.loopback.standin import Talk, Words, main
+from granitewell.lab.loopback.standin import DirectorChannel, Words, main
 from granitewell.protocols.peers.frames import Splitter
 from granitewell.state_machine import Road
 
@@ -95,8 +95,8 @@
 class Switch:
     """All roads of a run."""
 
-    def __init__(self, talk: Talk, plan: FleetPlan) -> None:
-        self._talk, self._loop = talk, asyncio.get_running_loop()
+    def __init__(self, channel: DirectorChannel, plan: FleetPlan) -> None:
+        self._channel, self._loop = channel, asyncio.get_running_loop()
         base = {k: int(v) if k.endswith("_us") else v for k, v in plan.link.items()}
         self._base = Quality(**({"delay_us": 0, "jitter_us": 0} | base))  # type: ignore[arg-type]
         self._links = Links(stream(plan.seed, "switch"), replace(self._base))
@@ -127,7 +127,7 @@
         }  # fmt: skip
         for door in plan.doors:
             self._open(door)
-        talk.say(bound=len(plan.doors))
+        channel.say(bound=len(plan.doors))
 
     def _open(self, door: Door) -> None:
         at = _address(door.at)
@@ -152,13 +152,13 @@
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._talk.fail(task.exception() or RuntimeError())
+            self._channel.fail(task.exception() or RuntimeError())
 
     def close(self) -> None:
         """The run is over."""
         for task in list(self._tasks):
             task.cancel()
-        self._talk.say(notes={}, late_us=self._talk.agenda.lateness())
+        self._channel.say(notes={}, late_us=self._channel.agenda.lateness())
 
     # --- Orders -----------------------------------------------------------------------------------------
     def order(self, words: Words) -> None:
@@ -166,7 +166,7 @@
         if words["do"] == "tell":
             seen = self._seen
             counts = dict(sorted(seen.counts.items()))
-            self._talk.say(seen={"counts": counts, "offences": seen.offences, "left_us": seen.left_us})
+            self._channel.say(seen={"counts": counts, "offences": seen.offences, "left_us": seen.left_us})
             return
         raw = words["trouble"]
         trouble = Trouble(**{**raw, "nodes": tuple(raw["nodes"])})
@@ -268,7 +268,7 @@
             if door is None:
                 self._seen.counts["strangers"] += 1
                 continue
-            self._datagram(door.id, to, data, self._talk.agenda.clock.now() - _waited_us(told))
+            self._datagram(door.id, to, data, self._channel.agenda.clock.now() - _waited_us(told))
 
     def _datagram(self, source: str, to: str, data: bytes, came_us: int) -> None:
         seen, node, other = self._seen, node_of(source), node_of(to)
@@ -371,7 +371,7 @@
                     return
                 self._seen.counts[f"{node} bytes"] += len(data)
                 for frame in splitter.feed(data):
-                    self._seen.frame(self._talk.agenda.clock.now(), node, frame, Road.STREAM)
+                    self._seen.frame(self._channel.agenda.clock.now(), node, frame, Road.STREAM)
                 if splitter.broken is not None:
                     self._seen.spoilt(node, splitter.broken.text)
                     return
@@ -428,4 +428,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(lambda talk: Switch(talk, load(Path(sys.argv[2])))))
+    sys.exit(main(lambda channel: Switch(channel, load(Path(sys.argv[2])))))
--- a/granitewell/lab/loopback/clients_host.py
+++ b/granitewell/lab/loopback/clients_host.py
@@ -16,12 +16,12 @@
 
 from granitewell.lab.day_json import load_file
 from granitewell.lab.emulator.front import Front
-from granitewell.lab.loopback.client_traffic import Street
-from granitewell.lab.loopback.hostile_clients import Rabble
-from granitewell.lab.loopback.network_faults import Weather
+from granitewell.lab.loopback.client_traffic import ClientTraffic
+from granitewell.lab.loopback.hostile_clients import HostileClients
+from granitewell.lab.loopback.network_faults import NetworkFaults
 from granitewell.lab.loopback.plan import NodePlace
 from granitewell.lab.loopback.ready import until_ready
-from granitewell.lab.loopback.standin import Talk, Words, main
+from granitewell.lab.loopback.standin import DirectorChannel, Words, main
 from granitewell.lab.recording import Recorder
 
 OVER_S = 0.1  # between two looks at whether all is over
@@ -30,19 +30,19 @@
 class ClientsHost:
     """Clients, front, and those clients that break the protocol."""
 
-    def __init__(self, talk: Talk) -> None:
-        self._talk, plan = talk, talk.plan
+    def __init__(self, channel: DirectorChannel) -> None:
+        self._channel, plan = channel, channel.plan
         day = load_file(plan.day_file)
-        self._agenda = talk.agenda
+        self._agenda = channel.agenda
         self._recorder = Recorder(Path(plan.out, "seen-clients.jsonl"))
         self._front = Front(day)
-        self._weather = Weather(day, "clients")
+        self._network_faults = NetworkFaults(day, "clients")
         self._notes: Counter[str] = Counter()
         self._places = {p.name: p for p in plan.nodes}
-        self._street = Street(
-            day, talk.agenda, self._front, plan.nodes, self._weather, self._recorder, self._notes
+        self._client_traffic = ClientTraffic(
+            day, channel.agenda, self._front, plan.nodes, self._network_faults, self._recorder, self._notes
         )
-        self._rabble = Rabble(day, plan.nodes, plan.rude, self._notes)
+        self._hostile_clients = HostileClients(day, plan.nodes, plan.rude, self._notes)
         self._polls: dict[str, asyncio.Task[None]] = {}
         self._watch = asyncio.get_running_loop().create_task(self._until_over())
 
@@ -60,8 +60,8 @@
             self._stop_poll(words["name"])
             self._front.node_down(now, words["name"])
         elif do == "cut":
-            self._weather.cut(words["target"], words["way"], words["on"])
-            self._street.look()
+            self._network_faults.cut(words["target"], words["way"], words["on"])
+            self._client_traffic.look()
 
     def _stop_poll(self, name: str) -> None:
         task = self._polls.pop(name, None)
@@ -73,21 +73,23 @@
         now = self._agenda.clock.now()
         self._recorder.node_ready(now, place.name)
         self._front.node_ready(now, place.name)
-        self._talk.say(ready=place.name)
+        self._channel.say(ready=place.name)
 
     async def _until_over(self) -> None:
-        while not (self._agenda.clock.now() and self._street.clients.over and not self._street.owed):
+        while not (
+            self._agenda.clock.now() and self._client_traffic.clients.over and not self._client_traffic.owed
+        ):
             await asyncio.sleep(OVER_S)
-        self._talk.say(over=True)
+        self._channel.say(over=True)
 
     def close(self) -> None:
         """The run is over."""
         for task in [self._watch, *self._polls.values()]:
             task.cancel()
-        self._rabble.close()
-        self._street.close()
+        self._hostile_clients.close()
+        self._client_traffic.close()
         self._recorder.close()
-        self._talk.say(notes=dict(self._notes), late_us=self._agenda.lateness())
+        self._channel.say(notes=dict(self._notes), late_us=self._agenda.lateness())
 
 
 if __name__ == "__main__":
--- a/granitewell/lab/loopback/director.py
+++ b/granitewell/lab/loopback/director.py
@@ -25,9 +25,9 @@
 from granitewell.lab.emulator import types as t
 from granitewell.lab.loopback.children import Child, Children
 from granitewell.lab.loopback.clock import Agenda, DayClock
-from granitewell.lab.loopback.discovery_host import Bureau
+from granitewell.lab.loopback.discovery_host import DiscoveryHost
 from granitewell.lab.loopback.fleet import Fleet
-from granitewell.lab.loopback.node_hosts import PROGRAM, Seat, environment
+from granitewell.lab.loopback.node_hosts import PROGRAM, NodeHost, environment
 from granitewell.lab.loopback.plan import NodePlace, Plan, Range, SocksError, node_places, share_out
 from granitewell.lab.loopback.pulse import WINDOW_S, Pulse
 from granitewell.lab.loopback.ready import until_ready
@@ -104,9 +104,9 @@
         self.day, self.out, self._options = day, out, options
         self.children = Children()
         self.agenda = Agenda(DayClock(), asyncio.get_running_loop())
-        self.seats: dict[str, Seat] = {}
-        self.fleet = Fleet(day, lambda event: self.bureau.take(event))
-        self.bureau = Bureau(day, self.agenda, self.fleet.address, self._told)
+        self.node_hosts: dict[str, NodeHost] = {}
+        self.fleet = Fleet(day, lambda event: self.discovery_host.take(event))
+        self.discovery_host = DiscoveryHost(day, self.agenda, self.fleet.address, self._told)
         self.notes: Counter[str] = Counter()
         self.late_us: dict[str, tuple[int, int]] = {}
         self._troubles = Troubles(self)
@@ -160,16 +160,16 @@
         if beside is not None:
             await beside.up(self)
         for k, place in enumerate(self._plan.nodes):
-            agent = self.bureau.open(place.name, self._plan.agent_host(k))
-            self.seats[place.name] = Seat(
+            agent = self.discovery_host.open(place.name, self._plan.agent_host(k))
+            self.node_hosts[place.name] = NodeHost(
                 self.day, place, agent, self.agenda, self.children, self.out, self.witness, self._of_node,
                 self._options.program, beside, self._held(place),
             )  # fmt: skip
         if self._options.clients:
             self._clients = self._stand_in("clients", "clients_host")
-        for seat in self.seats.values():
-            seat.start()
-        await self._wait(READY_S, lambda: len(self._ready) == len(self.seats), self._not_ready)
+        for node_host in self.node_hosts.values():
+            node_host.start()
+        await self._wait(READY_S, lambda: len(self._ready) == len(self.node_hosts), self._not_ready)
 
     def _held(self, place: NodePlace) -> socket.socket | None:
         """The node's listener, where the platform holds it."""
@@ -258,16 +258,16 @@
         if self._options.beside is not None:
             await self._options.beside.over()
         self._ending = True
-        leaving = [s for s in self.seats.values() if s.process is not None]
-        for seat in leaving:
-            seat.release()
-            seat.stop()
+        leaving = [s for s in self.node_hosts.values() if s.process is not None]
+        for node_host in leaving:
+            node_host.release()
+            node_host.stop()
         until = time.monotonic() + LEAVE_S
         while any(s.process is not None for s in leaving) and time.monotonic() < until:
             await asyncio.sleep(STEP_S)
-        for seat in leaving:
-            if seat.process is not None:
-                self.notes[f"node {seat.name} did not leave when it was asked to"] += 1
+        for node_host in leaving:
+            if node_host.process is not None:
+                self.notes[f"node {node_host.name} did not leave when it was asked to"] += 1
         await self.children.end(*self._stand_ins())
         self._look()
 
@@ -284,9 +284,9 @@
             job.cancel()
         for listener in self._listeners:
             listener.close()
-        for seat in self.seats.values():
-            seat.close()
-        self.bureau.close()
+        for node_host in self.node_hosts.values():
+            node_host.close()
+        self.discovery_host.close()
         self.agenda.close()
         self._range.close()
         self.witness.close()
@@ -297,7 +297,9 @@
         if passed >= WINDOW_S:
             self._felt_s += passed
             pids = {c.name: c.pid for c in self._stand_ins()}
-            pids |= {f"node {s.name}": s.process.pid for s in self.seats.values() if s.process is not None}
+            pids |= {
+                f"node {s.name}": s.process.pid for s in self.node_hosts.values() if s.process is not None
+            }
             self.pulse.sample(pids | {"director": os.getpid()}, passed)
 
     @property
@@ -335,10 +337,10 @@
         until = time.monotonic() + seconds
         while not done():
             self._look()
-            for seat in self.seats.values():
-                if seat.exits:
-                    how = f"ended with code {seat.exits[0]} before it was ready"
-                    raise SocksError(f"node {seat.name} {how}: {_last_lines(seat.log)}")
+            for node_host in self.node_hosts.values():
+                if node_host.exits:
+                    how = f"ended with code {node_host.exits[0]} before it was ready"
+                    raise SocksError(f"node {node_host.name} {how}: {_last_lines(node_host.log)}")
             if time.monotonic() > until:
                 raise SocksError(why())
             await asyncio.sleep(STEP_S)
@@ -355,7 +357,7 @@
             task.cancel()
 
     def _not_ready(self) -> str:
-        late = [s for s in self.seats.values() if s.name not in self._ready]
+        late = [s for s in self.node_hosts.values() if s.name not in self._ready]
         return f"node {late[0].name} was not ready within {READY_S:.0f} s: {_last_lines(late[0].log)}"
 
     # --- Nodes and the front ------------------------------------------------------------------------------
@@ -368,16 +370,16 @@
             task = asyncio.get_running_loop().create_task(until_ready(place))
             task.add_done_callback(lambda x: None if x.cancelled() else self._is_ready(name))
         if do == "node_up":
-            self.bureau.take(t.NodeBegins(name))
+            self.discovery_host.take(t.NodeBegins(name))
 
     def _told(self, node: str, endpoint: str, state: str) -> None:
         """Discovery has written this to the node, if there is one."""
-        if self.seats[node].process is not None:
+        if self.node_hosts[node].process is not None:
             self.witness.told(self.agenda.clock.now(), node, endpoint, state)
 
     def _is_ready(self, name: str) -> None:
         self._ready.add(name)
-        self.seats[name].ready = True
+        self.node_hosts[name].ready = True
 
     def _stand_ins(self) -> list[Child]:
         return [*self._hosts, *([self._clients] if self._clients is not None else [])]
@@ -388,11 +390,11 @@
             {"name": s.name, "zone": self.day.zones[s.spec.zone], "address": f"{s.place.host}:{s.place.port}",
              "discovery": "%s:%d" % s.agent.address, "pid": s.process.pid if s.process is not None else 0,
              "log": str(s.log)}
-            for s in self.seats.values()
+            for s in self.node_hosts.values()
         ]  # fmt: skip
         endpoints = [
             {"id": e.id, "zone": self.day.zones[e.zone], "kind": self.day.kinds[e.kind].name,
-             "addresses": {n: "%s:%d" % self.fleet.address(e.id, n) for n in self.seats}}
+             "addresses": {n: "%s:%d" % self.fleet.address(e.id, n) for n in self.node_hosts}}
             for e in self.day.endpoints
         ]  # fmt: skip
         return {"nodes": nodes, "endpoints": endpoints, "out": str(self.out)}
--- a/granitewell/lab/loopback/discovery_host.py
+++ b/granitewell/lab/loopback/discovery_host.py
@@ -20,7 +20,7 @@
 Told = Callable[[str, str, str], None]  # node, endpoint, state
 
 
-class Bureau:
+class DiscoveryHost:
     """Discovery and its agents. told(node, endpoint, state) hears what a node has been told."""
 
     def __init__(self, day: Day, agenda: Agenda, address: Address, told: Told) -> None:
--- a/granitewell/lab/loopback/endpoint_host.py
+++ b/granitewell/lab/loopback/endpoint_host.py
@@ -21,9 +21,9 @@
 from granitewell.lab.day_json import load_file
 from granitewell.lab.emulator.types import Condition, Fall, Order
 from granitewell.lab.loopback.machine import Machine, Surroundings
-from granitewell.lab.loopback.network_faults import Weather
+from granitewell.lab.loopback.network_faults import NetworkFaults
 from granitewell.lab.loopback.plan import share_out, stands_at
-from granitewell.lab.loopback.standin import Talk, Words, main
+from granitewell.lab.loopback.standin import DirectorChannel, Words, main
 from granitewell.lab.recording import Recorder
 
 _ORDERS = {"drain": Order.DRAIN, "pause": Order.PAUSE, "resume": Order.RESUME}
@@ -33,13 +33,13 @@
 class Host:
     """The machines of this process."""
 
-    def __init__(self, talk: Talk, part: int, parts: int) -> None:
-        self._talk, plan = talk, talk.plan
+    def __init__(self, channel: DirectorChannel, part: int, parts: int) -> None:
+        self._channel, plan = channel, channel.plan
         day: Day = load_file(plan.day_file)
         self._recorder = Recorder(Path(plan.out, f"seen-endpoints-{part}.jsonl"))
         self._around = Surroundings(
-            day, talk.agenda, Weather(day, f"endpoints-{part}"), self._recorder, plan.fields, plan.rough,
-            Counter(),
+            day, channel.agenda, NetworkFaults(day, f"endpoints-{part}"), self._recorder, plan.fields,
+            plan.rough, Counter(),
         )  # fmt: skip
         self._machines: dict[str, Machine] = {}
         for k in share_out(day, parts)[part]:
@@ -52,18 +52,18 @@
             if machine.spec.started_us <= 0:
                 machine.start()
         doors = {i: {n: d.address for n, d in m.doors.items()} for i, m in self._machines.items() if m.doors}
-        talk.say(bound=doors)
+        channel.say(bound=doors)
 
     def _fallen(self, machine: Machine) -> Any:
-        return lambda: self._talk.say(fell=machine.spec.id)
+        return lambda: self._channel.say(fell=machine.spec.id)
 
     def order(self, words: Words) -> None:
         """See the module's paragraph."""
         do = words["do"]
         if do == "cut":
-            self._around.weather.cut(words["target"], words["way"], words["on"])
+            self._around.network_faults.cut(words["target"], words["way"], words["on"])
         elif do == "link":
-            self._around.weather.link(words["pairs"], words["what"], words["factor"], words["on"])
+            self._around.network_faults.link(words["pairs"], words["what"], words["factor"], words["on"])
         else:
             machine = self._machines.get(words["id"])
             if machine is not None:
@@ -92,8 +92,8 @@
         for machine in self._machines.values():
             machine.close()
         self._recorder.close()
-        self._talk.say(notes=dict(self._around.notes), late_us=self._talk.agenda.lateness())
+        self._channel.say(notes=dict(self._around.notes), late_us=self._channel.agenda.lateness())
 
 
 if __name__ == "__main__":
-    sys.exit(main(lambda talk: Host(talk, int(sys.argv[2]), int(sys.argv[3]))))
+    sys.exit(main(lambda channel: Host(channel, int(sys.argv[2]), int(sys.argv[3]))))
--- a/granitewell/lab/loopback/hostile_clients.py
+++ b/granitewell/lab/loopback/hostile_clients.py
@@ -149,7 +149,7 @@
 }  # fmt: skip
 
 
-class Rabble:
+class HostileClients:
     """So many of them."""
 
     def __init__(self, day: Day, places: tuple[NodePlace, ...], count: int, notes: Counter[str]) -> None:
--- a/granitewell/lab/loopback/machine.py
+++ b/granitewell/lab/loopback/machine.py
@@ -21,7 +21,7 @@
 from granitewell.lab.loopback import spoil
 from granitewell.lab.loopback.clock import Agenda
 from granitewell.lab.loopback.link import Link
-from granitewell.lab.loopback.network_faults import CLEAR, Way, Weather
+from granitewell.lab.loopback.network_faults import CLEAR, NetworkFaults, Way
 from granitewell.lab.loopback.platform_http import RUDE, Heard, head_bytes, reply_bytes
 from granitewell.lab.loopback.wire import Listener
 from granitewell.lab.witness import Witness
@@ -38,7 +38,7 @@
 
     day: Day
     agenda: Agenda
-    weather: Weather
+    network_faults: NetworkFaults
     witness: Witness
     fields: tuple[str, ...]
     rough: float
@@ -120,7 +120,7 @@
     def look(self) -> None:
         """Listeners and connections as the network and the process are now."""
         for name, node in self._nodes.items():
-            way = self._ways[name] = self.around.weather.between(node, self.spec)
+            way = self._ways[name] = self.around.network_faults.between(node, self.spec)
             door = self.doors.get(name)
             if door is None:
                 continue
@@ -152,7 +152,7 @@
 
     def leg_us(self, node: NodeDay) -> int:
         """One way between a node and this machine, drawn anew."""
-        return self.around.weather.leg_us(node.zone, self.spec.zone) + self._ways[node.name].more_us
+        return self.around.network_faults.leg_us(node.zone, self.spec.zone) + self._ways[node.name].more_us
 
     def hand(self, event: t.EndpointEvent) -> None:
         """Hand an event to the model and do what it says; then have it woken in its time."""
--- a/granitewell/lab/loopback/network_faults.py
+++ b/granitewell/lab/loopback/network_faults.py
@@ -35,7 +35,7 @@
 CLEAR = Way()
 
 
-class Weather:
+class NetworkFaults:
     """Cuts and bad links, and the usual delays between zones."""
 
     def __init__(self, day: Day, name: str) -> None:
--- a/granitewell/lab/loopback/node_hosts.py
+++ b/granitewell/lab/loopback/node_hosts.py
@@ -53,7 +53,7 @@
         """In its configuration."""
 
 
-class Seat:
+class NodeHost:
     """One node.
 
     Attributes:
--- a/granitewell/lab/loopback/play.py
+++ b/granitewell/lab/loopback/play.py
@@ -82,7 +82,7 @@
         "notes": dict(sorted(director.notes.items())),
         "late_us": director.late_us, "cores": director.pulse.as_dict(),
         "busy": director.pulse.busy(director.late_us),
-        "exits": {s.name: s.exits for s in director.seats.values() if s.exits}, "out": str(out),
+        "exits": {s.name: s.exits for s in director.node_hosts.values() if s.exits}, "out": str(out),
     }  # fmt: skip
     try:
         (out / PLAYED).write_text(json.dumps(played, indent=1))
--- a/granitewell/lab/loopback/standin.py
+++ b/granitewell/lab/loopback/standin.py
@@ -40,7 +40,7 @@
         """The process ends: write what is still to be written."""
 
 
-class Talk:
+class DirectorChannel:
     """The channel to the director, and the process's agenda."""
 
     def __init__(self, plan: Plan, agenda: Agenda) -> None:
@@ -63,27 +63,27 @@
         self.done.set()
 
 
-async def _play(make: Callable[[Talk], Part], plan: Plan) -> int:
+async def _play(make: Callable[[DirectorChannel], Part], plan: Plan) -> int:
     loop = asyncio.get_running_loop()
-    talk = Talk(plan, Agenda(DayClock(), loop))
-    loop.set_exception_handler(lambda _, c: talk.fail(c.get("exception") or RuntimeError(c["message"])))
+    channel = DirectorChannel(plan, Agenda(DayClock(), loop))
+    loop.set_exception_handler(lambda _, c: channel.fail(c.get("exception") or RuntimeError(c["message"])))
     part: Part | None = None
     try:
-        part = make(talk)
-        _listen(loop, talk, part)
+        part = make(channel)
+        _listen(loop, channel, part)
         gc.freeze()
-        await talk.done.wait()
+        await channel.done.wait()
     except (OSError, ValueError) as error:
-        talk.fail(error)
+        channel.fail(error)
     try:
         if part is not None:
             part.close()
     except OSError as error:
-        talk.fail(error)
-    return talk.code
+        channel.fail(error)
+    return channel.code
 
 
-def _listen(loop: asyncio.AbstractEventLoop, talk: Talk, part: Part) -> None:
+def _listen(loop: asyncio.AbstractEventLoop, channel: DirectorChannel, part: Part) -> None:
     """Have each line of standard input done as it comes."""
     os.set_blocking(0, False)
     held = bytearray()
@@ -92,23 +92,23 @@
         data = os.read(0, 65536)
         if not data:
             loop.remove_reader(0)
-            talk.done.set()
+            channel.done.set()
             return
         held.extend(data)
         while (end := held.find(b"\n")) >= 0:
             words = json.loads(bytes(held[:end]))
             del held[: end + 1]
             if "begin_ns" in words:
-                talk.agenda.begin(int(words["begin_ns"]))
+                channel.agenda.begin(int(words["begin_ns"]))
             elif words.get("do") == "end":
-                talk.done.set()
+                channel.done.set()
             else:
                 part.order(words)
 
     loop.add_reader(0, read)
 
 
-def main(make: Callable[[Talk], Part]) -> int:
+def main(make: Callable[[DirectorChannel], Part]) -> int:
     """Run a part under the plan that the first argument names.
 
     The exit code: 0 in good order, 3 where the machine does not give what is needed, 70 for a fault of the
--- a/granitewell/lab/loopback/troubles.py
+++ b/granitewell/lab/loopback/troubles.py
@@ -98,37 +98,37 @@
     # --- Nodes --------------------------------------------------------------------------------------------
     def _kill(self, _: int, fault: Fault) -> None:
         for name in _names(fault):
-            self._director.seats[name].kill()
+            self._director.node_hosts[name].kill()
 
     def _term(self, _: int, fault: Fault) -> None:
         for name in _names(fault):
-            self._director.seats[name].stop()
+            self._director.node_hosts[name].stop()
 
     def _node_back(self, _: int, fault: Fault) -> None:
         for name in _names(fault):
-            self._director.seats[name].start()
+            self._director.node_hosts[name].start()
 
     def _hup(self, _: int, fault: Fault) -> None:
         for name in _names(fault):
-            self._director.seats[name].reload()
+            self._director.node_hosts[name].reload()
 
     def _stall(self, index: int, fault: Fault) -> None:
         for name in _names(fault):
-            self._director.seats[name].hold(f"fault {index}", True)
+            self._director.node_hosts[name].hold(f"fault {index}", True)
 
     def _go_on(self, index: int, fault: Fault) -> None:
         for name in _names(fault):
-            self._director.seats[name].hold(f"fault {index}", False)
+            self._director.node_hosts[name].hold(f"fault {index}", False)
 
     def _cpu(self, _: int, fault: Fault) -> None:
         for name in _names(fault):
             self._cpus.setdefault(name, []).append(fault.get("factor", 1.0))
-            self._director.seats[name].limit_cpu(min(self._cpus[name]))
+            self._director.node_hosts[name].limit_cpu(min(self._cpus[name]))
 
     def _cpu_back(self, _: int, fault: Fault) -> None:
         for name in _names(fault):
             self._cpus[name].remove(fault.get("factor", 1.0))
-            self._director.seats[name].limit_cpu(min(self._cpus[name], default=1.0))
+            self._director.node_hosts[name].limit_cpu(min(self._cpus[name], default=1.0))
 
     # --- Network ------------------------------------------------------------------------------------------
     def _cut_on(self, _: int, fault: Fault) -> None:
@@ -150,22 +150,22 @@
     # --- Discovery ----------------------------------------------------------------------------------------
     def _silent(self, _: int, fault: Fault) -> None:
         self._silences += 1
-        self._director.bureau.hush(self._silences > 0)
+        self._director.discovery_host.hush(self._silences > 0)
 
     def _spoken(self, _: int, fault: Fault) -> None:
         self._silences -= 1
-        self._director.bureau.hush(self._silences > 0)
+        self._director.discovery_host.hush(self._silences > 0)
 
     def _late(self, _: int, fault: Fault) -> None:
         self._lates.append(round(fault.get("factor")))
-        self._director.bureau.delay(max(self._lates))
+        self._director.discovery_host.delay(max(self._lates))
 
     def _in_time(self, _: int, fault: Fault) -> None:
         self._lates.remove(round(fault.get("factor")))
-        self._director.bureau.delay(max(self._lates, default=0))
+        self._director.discovery_host.delay(max(self._lates, default=0))
 
     def _moved(self, _: int, fault: Fault) -> None:
-        self._director.bureau.move()
+        self._director.discovery_host.move()
 
 
 def condition(day: Day, index: int, fault: Fault) -> t.Condition:
--- a/granitewell/lab/simulation/client_traffic.py
+++ b/granitewell/lab/simulation/client_traffic.py
@@ -28,14 +28,14 @@
 }  # fmt: skip
 
 
-class Line:
+class ClientConnection:
     """One client connection to one node process.
 
     Attributes:
-        trip: What is asked on it; None: it is idle.
+        attempt: What is asked on it; None: it is idle.
     """
 
-    __slots__ = ("done", "id", "idle_us", "node", "open", "read", "trip", "zone")
+    __slots__ = ("attempt", "done", "id", "idle_us", "node", "open", "read", "zone")
 
     def __init__(self, number: int, node: Node, zone: int) -> None:
         self.id, self.node, self.zone = number, node, zone
@@ -43,31 +43,31 @@
         self.read = False  # whether the node's machine has something on it that is not answered
         self.done = True  # whether the node has written its answer
         self.idle_us = 0
-        self.trip: Trip | None = None
+        self.attempt: ClientAttempt | None = None
 
 
-class Trip:
+class ClientAttempt:
     """One try on its way.
 
     Attributes:
         taken: Its last byte went to a connection that a node's machine had accepted.
     """
 
-    __slots__ = ("again", "ask", "line", "taken")
+    __slots__ = ("again", "ask", "connection", "taken")
 
     def __init__(self, ask: t.Ask) -> None:
         self.ask = ask
-        self.line: Line | None = None
+        self.connection: ClientConnection | None = None
         self.taken = self.again = False
 
 
-class Street:
+class ClientTraffic:
     """All clients. `owed` counts the tries that have not ended."""
 
     def __init__(self, world: World, clients: Clients) -> None:
         self._world, self._engine, self._net, self._seen = world, world.engine, world.net, world.seen
         self.clients = clients
-        self._trips: dict[str, Trip] = {}
+        self._attempts: dict[str, ClientAttempt] = {}
         self._rng = stream(world.day.seed, "street")
         self._beside = Counter(n.zone for n in world.day.nodes)
         self.asked = 0
@@ -77,7 +77,7 @@
     @property
     def owed(self) -> int:
         """Tries without an end, and a try that a client is waiting to make."""
-        return len(self._trips) + (self.clients.wake_us >= 0)
+        return len(self._attempts) + (self.clients.wake_us >= 0)
 
     def tick(self) -> None:
         """The clients' time has come."""
@@ -90,144 +90,152 @@
 
     # --- There ------------------------------------------------------------------------------------------
     def _ask(self, ask: t.Ask) -> None:
-        trip = self._trips[ask.rid] = Trip(ask)
+        attempt = self._attempts[ask.rid] = ClientAttempt(ask)
         self.asked += 1
         self._seen.asked(self._engine.now_us, ask.rid, ask.first, ask.cls, ask.tenant, ask.key, ask.zone,
                          ask.timeout_us, ask.rebooks)  # fmt: skip
-        self._send(trip)
+        self._send(attempt)
 
-    def _send(self, trip: Trip) -> None:
-        zone, now = trip.ask.zone, self._engine.now_us
+    def _send(self, attempt: ClientAttempt) -> None:
+        zone, now = attempt.ask.zone, self._engine.now_us
         for old in self._world.leaving:  # new connections no longer go there, but what is open is used
-            line = self._kept(old, zone) if self._rng.random() * self._beside[old.zone] < 1.0 else None
-            if line is not None:
-                self._write(trip, line)
+            connection = self._kept(old, zone) if self._rng.random() * self._beside[old.zone] < 1.0 else None
+            if connection is not None:
+                self._write(attempt, connection)
                 return
         name = self._world.front.pick(now, zone)
         node = self._world.process(name) if name is not None else None
         if node is None:
             # a dead process's machine refuses; so does the front where it has no node
-            self._engine.at(now + self._world.client_rtt_us, self._broken, trip)
+            self._engine.at(now + self._world.client_rtt_us, self._broken, attempt)
             return
-        line = self._kept(node, zone)
-        if line is not None:
-            self._write(trip, line)
+        connection = self._kept(node, zone)
+        if connection is not None:
+            self._write(attempt, connection)
             return
         there, back = self._net.client(zone, node, True), self._net.client(zone, node, False)
         if there >= 0 and back >= 0:  # else it never comes up, and the client leaves in its time
-            self._engine.at(now + there + back, self._up, trip, node)
+            self._engine.at(now + there + back, self._up, attempt, node)
 
-    def _kept(self, node: Node, zone: int) -> Line | None:
+    def _kept(self, node: Node, zone: int) -> ClientConnection | None:
         """The connection used last to that node, if the node has not closed it for idleness."""
-        lines = node.kept.get(zone)
-        while lines:
-            line = lines.pop()
-            if line.open and self._engine.now_us - line.idle_us < IDLE_US:
-                return line
-            node.drop(line)
+        connections = node.kept.get(zone)
+        while connections:
+            connection = connections.pop()
+            if connection.open and self._engine.now_us - connection.idle_us < IDLE_US:
+                return connection
+            node.drop(connection)
         return None
 
-    def _up(self, trip: Trip, node: Node) -> None:
-        if trip.ask.rid not in self._trips:
+    def _up(self, attempt: ClientAttempt, node: Node) -> None:
+        if attempt.ask.rid not in self._attempts:
             return
         if not node.alive or not node.listening:
-            self._broken(trip)
+            self._broken(attempt)
             return
-        line = Line(self._world.number(), node, trip.ask.zone)
-        line.open = True
-        self._write(trip, line, new=True)
-
-    def _write(self, trip: Trip, line: Line, new: bool = False) -> None:
-        trip.line, line.trip, line.done = line, trip, False
-        now, name = self._engine.now_us, line.node.name
-        self._seen.taken(now, trip.ask.rid, name)
-        trip.taken = True
-        us = self._net.client(line.zone, line.node, True)
+        connection = ClientConnection(self._world.number(), node, attempt.ask.zone)
+        connection.open = True
+        self._write(attempt, connection, new=True)
+
+    def _write(self, attempt: ClientAttempt, connection: ClientConnection, new: bool = False) -> None:
+        attempt.connection, connection.attempt, connection.done = connection, attempt, False
+        now, name = self._engine.now_us, connection.node.name
+        self._seen.taken(now, attempt.ask.rid, name)
+        attempt.taken = True
+        us = self._net.client(connection.zone, connection.node, True)
         if us >= 0:
-            self._engine.at(now + us, self._arrive, trip, line, new)
+            self._engine.at(now + us, self._arrive, attempt, connection, new)
 
-    def _arrive(self, trip: Trip, line: Line, new: bool) -> None:
-        node = line.node
+    def _arrive(self, attempt: ClientAttempt, connection: ClientConnection, new: bool) -> None:
+        node = connection.node
         if not node.alive:
             if new:  # its end did not know of this connection
-                self._reset(trip, line)
+                self._reset(attempt, connection)
             return
-        if new and trip.line is not line:
+        if new and attempt.connection is not connection:
             return  # left before the node came to it
-        if new and not node.admit(line):
-            self._engine.at(self._engine.now_us + ADMIT_AGAIN_US, self._arrive, trip, line, new)
-        elif line.open:
-            line.read = True
-            node.post(node.arrived, line, trip.ask)
-        elif trip.line is line:
+        if new and not node.admit(connection):
+            self._engine.at(self._engine.now_us + ADMIT_AGAIN_US, self._arrive, attempt, connection, new)
+        elif connection.open:
+            connection.read = True
+            node.post(node.arrived, connection, attempt.ask)
+        elif attempt.connection is connection:
             # closed by the node between requests, which crossed this one: sent once more on a new connection
-            us = max(self._net.client(line.zone, node, False), 0)
-            self._engine.at(self._engine.now_us + us, self._crossed, trip, line)
+            us = max(self._net.client(connection.zone, node, False), 0)
+            self._engine.at(self._engine.now_us + us, self._crossed, attempt, connection)
 
-    def _crossed(self, trip: Trip, line: Line) -> None:
-        if trip.line is not line:
+    def _crossed(self, attempt: ClientAttempt, connection: ClientConnection) -> None:
+        if attempt.connection is not connection:
             return
-        if trip.again:
-            self._reset(trip, line)
+        if attempt.again:
+            self._reset(attempt, connection)
         else:
-            trip.again, trip.line, line.trip = True, None, None
-            self._send(trip)
+            attempt.again, attempt.connection, connection.attempt = True, None, None
+            self._send(attempt)
 
     # --- And back ---------------------------------------------------------------------------------------
-    def answer(self, line: Line, effect: c.Answer, close: bool) -> None:
+    def answer(self, connection: ClientConnection, effect: c.Answer, close: bool) -> None:
         """A node writes a final answer."""
-        line.done, line.read = True, False
-        us = self._net.client(line.zone, line.node, False)
+        connection.done, connection.read = True, False
+        us = self._net.client(connection.zone, connection.node, False)
         if us >= 0:
-            self._engine.at(self._engine.now_us + us, self._answered, line, line.trip, effect, close)
-
-    def _answered(self, line: Line, trip: Trip | None, effect: c.Answer, close: bool) -> None:
-        if trip is None or trip.line is not line:
+            self._engine.at(
+                self._engine.now_us + us, self._answered, connection, connection.attempt, effect, close
+            )
+
+    def _answered(
+        self, connection: ClientConnection, attempt: ClientAttempt | None, effect: c.Answer, close: bool
+    ) -> None:
+        if attempt is None or attempt.connection is not connection:
             return  # the client has left
-        rid, now = trip.ask.rid, self._engine.now_us
+        rid, now = attempt.ask.rid, self._engine.now_us
         verdict = VERDICTS[effect.verdict]
-        self._seen.answered(now, rid, line.node.name, verdict, effect.retry_after_us, effect.answer == rid)
-        trip.line = line.trip = None
-        if line.open and not close:
-            line.idle_us = now
-            lines = line.node.kept.get(line.zone)
-            if lines is None:
-                lines = line.node.kept[line.zone] = deque()
-            lines.append(line)
-        del self._trips[rid]
+        self._seen.answered(
+            now, rid, connection.node.name, verdict, effect.retry_after_us, effect.answer == rid
+        )
+        attempt.connection = connection.attempt = None
+        if connection.open and not close:
+            connection.idle_us = now
+            connections = connection.node.kept.get(connection.zone)
+            if connections is None:
+                connections = connection.node.kept[connection.zone] = deque()
+            connections.append(connection)
+        del self._attempts[rid]
         self._hand(t.Replied(rid, verdict, effect.retry_after_us))
 
     def _leave(self, effect: t.Leave) -> None:
-        trip = self._trips.pop(effect.rid, None)
-        if trip is None:
+        attempt = self._attempts.pop(effect.rid, None)
+        if attempt is None:
             return
         self._seen.left(self._engine.now_us, effect.rid)
-        line, trip.line = trip.line, None
-        if line is not None:
-            line.trip, line.open = None, False
-            us = self._net.client(line.zone, line.node, True)
+        connection, attempt.connection = attempt.connection, None
+        if connection is not None:
+            connection.attempt, connection.open = None, False
+            us = self._net.client(connection.zone, connection.node, True)
             if us >= 0:
-                self._engine.at(self._engine.now_us + us, line.node.post, line.node.client_gone, line)
+                self._engine.at(
+                    self._engine.now_us + us, connection.node.post, connection.node.client_gone, connection
+                )
 
     def ends(self, node: Node) -> None:
         """A node's process is gone, and its machine resets its connections."""
-        for line in list(node.lines.values()):
-            line.open = False
-            if not line.done and line.trip is not None:
-                us = self._net.client(line.zone, node, False)
+        for connection in list(node.connections.values()):
+            connection.open = False
+            if not connection.done and connection.attempt is not None:
+                us = self._net.client(connection.zone, node, False)
                 if us >= 0:
-                    self._engine.at(self._engine.now_us + us, self._reset, line.trip, line)
-        node.lines.clear()
+                    self._engine.at(self._engine.now_us + us, self._reset, connection.attempt, connection)
+        node.connections.clear()
         node.kept.clear()
 
-    def _reset(self, trip: Trip, line: Line) -> None:
-        if trip.line is line:
-            line.trip = None
-            self._seen.lost(self._engine.now_us, trip.ask.rid, line.node.name, "reset")
-            self._broken(trip)
-
-    def _broken(self, trip: Trip) -> None:
-        rid = trip.ask.rid
-        if self._trips.pop(rid, None) is not None:
-            trip.line = None
-            self._hand(t.Broken(rid, trip.taken))
+    def _reset(self, attempt: ClientAttempt, connection: ClientConnection) -> None:
+        if attempt.connection is connection:
+            connection.attempt = None
+            self._seen.lost(self._engine.now_us, attempt.ask.rid, connection.node.name, "reset")
+            self._broken(attempt)
+
+    def _broken(self, attempt: ClientAttempt) -> None:
+        rid = attempt.ask.rid
+        if self._attempts.pop(rid, None) is not None:
+            attempt.connection = None
+            self._hand(t.Broken(rid, attempt.taken))
--- a/granitewell/lab/simulation/node.py
+++ b/granitewell/lab/simulation/node.py
@@ -18,7 +18,7 @@
 from granitewell.lab.simulation.outbound import HEAD_START_US, MOST, Outbound
 
 if TYPE_CHECKING:
-    from granitewell.lab.simulation.client_traffic import Line
+    from granitewell.lab.simulation.client_traffic import ClientConnection
     from granitewell.lab.simulation.site import Site
     from granitewell.lab.simulation.world import World
 
@@ -39,8 +39,8 @@
         self.ready: bool = False
         self.hear: Callable[[bytes, bool, tuple[float, ...]], None] | None = None  # wants what probes bring
         self.notes: Counter[str] = Counter()
-        self.lines: dict[int, Line] = {}  # the clients' open connections, by number
-        self.kept: dict[int, deque[Line]] = {}  # by the client's zone: those idle, the latest used last
+        self.connections: dict[int, ClientConnection] = {}  # the clients' open connections, by number
+        self.kept: dict[int, deque[ClientConnection]] = {}  # by zone: the idle ones, the latest last
         self.out = Outbound(world, self)
         self._timer_us, self._timer = -1, 0
         self._cost_us = self._free_us = 0.0
@@ -161,55 +161,55 @@
         self._waiting.clear()
 
     # --- Inbounds ---------------------------------------------------------------------------------------
-    def admit(self, line: Line) -> bool:
+    def admit(self, connection: ClientConnection) -> bool:
         """Take a client's new connection; False while there is no room for it."""
-        while len(self.lines) >= MAX_LINES or len(self.lines) + len(self.out.conns) >= MOST:
+        while len(self.connections) >= MAX_LINES or len(self.connections) + len(self.out.conns) >= MOST:
             if not self.evict():
                 return False
-        self.lines[line.id] = line
+        self.connections[connection.id] = connection
         return True
 
     def evict(self) -> bool:
         """Close the client's connection that has been idle longest, or an idle one to an endpoint."""
-        oldest = [lines for lines in self.kept.values() if lines]
+        oldest = [connections for connections in self.kept.values() if connections]
         if oldest:
             self.drop(min(oldest, key=lambda x: (x[0].idle_us, x[0].id)).popleft())
             return True
-        return len(self.lines) < MAX_LINES and self.out.shed()
+        return len(self.connections) < MAX_LINES and self.out.shed()
 
-    def drop(self, line: Line) -> None:
+    def drop(self, connection: ClientConnection) -> None:
         """Close a client's connection."""
-        line.open = False
-        self.lines.pop(line.id, None)
+        connection.open = False
+        self.connections.pop(connection.id, None)
 
-    def arrived(self, line: Line, ask: Ask) -> None:
+    def arrived(self, connection: ClientConnection, ask: Ask) -> None:
         """A whole request has been read."""
-        if line.id not in self.lines:
+        if connection.id not in self.connections:
             return  # its client has left in the meantime
         self.dispatch(c.Arrived(
-            line.id, ask.cls, self._world.tenants[ask.tenant], ask.key, ask.timeout_us // 1000 * 1000, ask,
-            ask.retry, ask.rid.encode(),
+            connection.id, ask.cls, self._world.tenants[ask.tenant], ask.key, ask.timeout_us // 1000 * 1000,
+            ask, ask.retry, ask.rid.encode(),
         ))  # fmt: skip
 
-    def client_gone(self, line: Line) -> None:
+    def client_gone(self, connection: ClientConnection) -> None:
         """The client has closed."""
-        if self.lines.pop(line.id, None) is not None:
-            self.dispatch(c.InboundGone(line.id))
+        if self.connections.pop(connection.id, None) is not None:
+            self.dispatch(c.InboundGone(connection.id))
 
     def _answer(self, effect: c.Answer) -> None:
-        line = self.lines.get(effect.inbound)
-        if line is None:
+        connection = self.connections.get(effect.inbound)
+        if connection is None:
             return  # the client has left
         close = effect.close or not self.listening
         if close:
-            self.drop(line)
-        self._world.street.answer(line, effect, close)
+            self.drop(connection)
+        self._world.client_traffic.answer(connection, effect, close)
 
     def _stop_listening(self, _: c.StopListening) -> None:
         self.listening = False
-        for line in list(self.lines.values()):
-            if not line.read:  # a request on its way to it is sent once more elsewhere
-                self.drop(line)
+        for connection in list(self.connections.values()):
+            if not connection.read:  # a request on its way to it is sent once more elsewhere
+                self.drop(connection)
         self.kept.clear()
 
 
--- a/granitewell/lab/simulation/node_host.py
+++ b/granitewell/lab/simulation/node_host.py
@@ -56,7 +56,7 @@
         return made
 
 
-class Seat:
+class NodeHost:
     """The place of one node.
 
     Attributes:
--- a/granitewell/lab/simulation/oracle.py
+++ b/granitewell/lab/simulation/oracle.py
@@ -17,7 +17,7 @@
 from granitewell.lab.simulation.policies import Held, Plain
 
 if TYPE_CHECKING:
-    from granitewell.lab.simulation.node_host import Seat
+    from granitewell.lab.simulation.node_host import NodeHost
     from granitewell.lab.simulation.site import Site
     from granitewell.lab.simulation.world import World
 
@@ -42,9 +42,11 @@
 class Oracle(Plain):
     """Least expected time to the answer, over all endpoints as they truly are."""
 
-    def __init__(self, world: World, seat: Seat, ledger: Ledger, settings: Settings, seed: int) -> None:
+    def __init__(
+        self, world: World, node_host: NodeHost, ledger: Ledger, settings: Settings, seed: int
+    ) -> None:
         super().__init__(settings, seed)
-        self._world, self._node, self._zone, self._ledger = world, seat.name, seat.zone, ledger
+        self._world, self._node, self._zone, self._ledger = world, node_host.name, node_host.zone, ledger
         self._legs = (world.day.network.same_us, world.day.network.cross_us)
 
     def choose(self, held: Held) -> bytes | None:
--- a/granitewell/lab/simulation/outbound.py
+++ b/granitewell/lab/simulation/outbound.py
@@ -137,7 +137,7 @@
 
     def _room(self) -> bool:
         held = len(self.conns)
-        if held < MAX_CONNS and len(self._node.lines) + held < MOST:
+        if held < MAX_CONNS and len(self._node.connections) + held < MOST:
             return True
         return self.shed() or (held < MAX_CONNS and self._node.evict())
 
--- a/granitewell/lab/simulation/play.py
+++ b/granitewell/lab/simulation/play.py
@@ -19,7 +19,7 @@
 from granitewell.core import Decider
 from granitewell.lab.day import Day
 from granitewell.lab.simulation import policies, published
-from granitewell.lab.simulation.node_host import Seat
+from granitewell.lab.simulation.node_host import NodeHost
 from granitewell.lab.simulation.oracle import Ledger, Oracle
 from granitewell.lab.simulation.probing import Probing
 from granitewell.lab.simulation.world import Maker, World
@@ -78,11 +78,11 @@
     """What makes each node's decider. Raises ValueError for an unknown name."""
     if policy == "oracle":
         ledger = Ledger()
-        return lambda world, seat, settings, seed: Oracle(world, seat, ledger, settings, seed)
+        return lambda world, node_host, settings, seed: Oracle(world, node_host, ledger, settings, seed)
     if policy not in _OTHERS:
         raise ValueError(f"policy: found {policy!r}, allowed are {', '.join(POLICIES)}")
     made = _OTHERS[policy]
-    return lambda world, seat, settings, seed: made(settings, seed)
+    return lambda world, node_host, settings, seed: made(settings, seed)
 
 
 def play(
@@ -118,7 +118,7 @@
 
 
 def _by(decider: Callable[[Settings, int], Decider]) -> Maker:
-    def make(world: World, seat: Seat, settings: Settings, seed: int) -> Decider:
+    def make(world: World, node_host: NodeHost, settings: Settings, seed: int) -> Decider:
         return decider(settings, seed)
 
     return make
@@ -154,7 +154,7 @@
         report=report().as_dict() if report is not None else {},
         digest=world.engine.digest,
         events=world.engine.events,
-        requests=world.street.asked,
+        requests=world.client_traffic.asked,
         seconds=seconds,
         day_s=world.engine.now_us / 1e6,
         memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
--- a/granitewell/lab/simulation/troubles.py
+++ b/granitewell/lab/simulation/troubles.py
@@ -13,7 +13,7 @@
 from granitewell.lab.emulator import types as t
 
 if TYPE_CHECKING:
-    from granitewell.lab.simulation.node_host import Seat
+    from granitewell.lab.simulation.node_host import NodeHost
     from granitewell.lab.simulation.site import Site
     from granitewell.lab.simulation.world import World
 
@@ -62,7 +62,7 @@
         if fault.kind.startswith("discovery"):
             return
         world = self._world
-        there = (*world.sites, *world.seats, *world.day.zones, "*")
+        there = (*world.sites, *world.node_hosts, *world.day.zones, "*")
         for name in fault.target.replace(">", ",").split(","):
             if name not in there:
                 raise FaultError(f"fault {index} ({fault.kind}): found target {name!r}, not in the day")
@@ -76,8 +76,8 @@
     def _sites(self, fault: Fault) -> list[Site]:
         return [self._world.sites[name] for name in fault.target.split(",")]
 
-    def _seats(self, fault: Fault) -> list[Seat]:
-        return [self._world.seats[name] for name in fault.target.split(",")]
+    def _node_hosts(self, fault: Fault) -> list[NodeHost]:
+        return [self._world.node_hosts[name] for name in fault.target.split(",")]
 
     # --- Endpoints --------------------------------------------------------------------------------------
     def _condition(self, index: int, fault: Fault) -> t.Condition:
@@ -128,35 +128,35 @@
 
     # --- Nodes ------------------------------------------------------------------------------------------
     def _kill(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            seat.kill()
+        for node_host in self._node_hosts(fault):
+            node_host.kill()
 
     def _term(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            seat.stop()
+        for node_host in self._node_hosts(fault):
+            node_host.stop()
 
     def _node_back(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            if seat.process is None:
-                seat.start(at_once=False)
+        for node_host in self._node_hosts(fault):
+            if node_host.process is None:
+                node_host.start(at_once=False)
 
     def _hup(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            seat.reload()
+        for node_host in self._node_hosts(fault):
+            node_host.reload()
 
     def _stall(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            seat.stall(fault.until_us)
+        for node_host in self._node_hosts(fault):
+            node_host.stall(fault.until_us)
 
     def _cpu(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            self._cpus.setdefault(seat.name, []).append(fault.get("factor", 1.0))
-            seat.limit_cpu(min(self._cpus[seat.name]))
+        for node_host in self._node_hosts(fault):
+            self._cpus.setdefault(node_host.name, []).append(fault.get("factor", 1.0))
+            node_host.limit_cpu(min(self._cpus[node_host.name]))
 
     def _cpu_back(self, _: int, fault: Fault) -> None:
-        for seat in self._seats(fault):
-            self._cpus[seat.name].remove(fault.get("factor", 1.0))
-            seat.limit_cpu(min(self._cpus[seat.name], default=seat.spec.cpu))
+        for node_host in self._node_hosts(fault):
+            self._cpus[node_host.name].remove(fault.get("factor", 1.0))
+            node_host.limit_cpu(min(self._cpus[node_host.name], default=node_host.spec.cpu))
 
     # --- Network ----------------------------------------------------------------------------------------
     def _cut_on(self, _: int, fault: Fault) -> None:
--- a/granitewell/lab/simulation/world.py
+++ b/granitewell/lab/simulation/world.py
@@ -20,10 +20,10 @@
 from granitewell.lab.emulator.endpoint import Endpoint
 from granitewell.lab.emulator.front import Front
 from granitewell.lab.engine import Engine, stream
-from granitewell.lab.simulation.client_traffic import Street
+from granitewell.lab.simulation.client_traffic import ClientTraffic
 from granitewell.lab.simulation.net import Network
 from granitewell.lab.simulation.node import Node
-from granitewell.lab.simulation.node_host import Members, Seat
+from granitewell.lab.simulation.node_host import Members, NodeHost
 from granitewell.lab.simulation.observations import Seen
 from granitewell.lab.simulation.site import Alarm, Site
 from granitewell.lab.simulation.troubles import Troubles
@@ -31,7 +31,7 @@
 
 MAX_NOTES = 20  # kept of the lines that nodes write of their own faults
 
-Maker = Callable[["World", Seat, Settings, int], Decider]  # world, seat, settings, seed
+Maker = Callable[["World", NodeHost, Settings, int], Decider]  # world, seat, settings, seed
 
 
 class World:
@@ -60,10 +60,10 @@
         for spec in day.endpoints:
             site = Site(self, spec, Endpoint(spec, day, stream(day.seed, "endpoint", spec.id)))
             self.sites[site.name] = self.sites_by_key[site.key] = site
-        self.seats = {n.name: Seat(self, n, k) for k, n in enumerate(day.nodes)}
+        self.node_hosts = {n.name: NodeHost(self, n, k) for k, n in enumerate(day.nodes)}
         self.front = Front(day)
         self.leaving: list[Node] = []  # asked to stop, and still there
-        self.street = Street(self, Clients(day, day.seed))
+        self.client_traffic = ClientTraffic(self, Clients(day, day.seed))
         self.discovery = Discovery(day)
         self._telling = Alarm(self.engine, self.discovery, self._tell_due)
         self.troubles = Troubles(self, only)
@@ -75,10 +75,10 @@
                 self.start_endpoint(site)
             else:
                 self.engine.at(site.spec.started_us, self.start_endpoint, site)
-        for seat in self.seats.values():
-            seat.start(at_once=True)
+        for node_host in self.node_hosts.values():
+            node_host.start(at_once=True)
         self.troubles.plan()
-        self.street.tick()
+        self.client_traffic.tick()
 
     def number(self) -> int:
         """A number for a connection, unique in the day."""
@@ -88,15 +88,15 @@
     @property
     def owed(self) -> int:
         """Tries that have not ended, and attempts that an endpoint has not done with."""
-        return self.street.owed + sum(s.held for s in self.sites.values())
+        return self.client_traffic.owed + sum(s.held for s in self.sites.values())
 
-    def decider(self, seat: Seat, settings: Settings, seed: int) -> Decider:
+    def decider(self, node_host: NodeHost, settings: Settings, seed: int) -> Decider:
         """The decisions of a node's new process."""
-        return self._maker(self, seat, settings, seed)
+        return self._maker(self, node_host, settings, seed)
 
     def process(self, name: str) -> Node | None:
         """The process that listens at a node."""
-        node = self.seats[name].process
+        node = self.node_hosts[name].process
         return node if node is not None and node.listening else None
 
     def note(self, node: str, topic: str, line: str) -> None:
@@ -106,10 +106,10 @@
             self.faults_noted.append(f"{self.engine.now_us / 1e6:.3f} {node}: {line}")
 
     # --- Nodes ------------------------------------------------------------------------------------------
-    def node_up(self, seat: Seat) -> None:
+    def node_up(self, node_host: NodeHost) -> None:
         """A process has started there."""
-        self.seen.node_up(self.engine.now_us, seat.name, seat.zone)
-        self.front.node_up(self.engine.now_us, seat.name, seat.zone)
+        self.seen.node_up(self.engine.now_us, node_host.name, node_host.zone)
+        self.front.node_up(self.engine.now_us, node_host.name, node_host.zone)
 
     def node_ready(self, node: Node) -> None:
         """Its ready path says 200."""
@@ -118,10 +118,10 @@
 
     def node_ends(self, node: Node, planned: bool, code: int) -> None:
         """Its process is gone."""
-        self.seats[node.name].process = None
+        self.node_hosts[node.name].process = None
         self.leaving = [x for x in self.leaving if x is not node]
         node.end()
-        self.street.ends(node)
+        self.client_traffic.ends(node)
         self.seen.node_down(self.engine.now_us, node.name, planned, code)
         self.front.node_down(self.engine.now_us, node.name)
 
@@ -189,7 +189,7 @@
     def discover(self, event: t.DiscoveryEvent) -> None:
         """Hand discovery an event and its nodes what it tells."""
         for tell in self.discovery.handle(self.engine.now_us, event):
-            self.seats[tell.node].take(tell)
+            self.node_hosts[tell.node].take(tell)
         self._telling.look()
 
     def _tell_due(self) -> None:
@@ -197,7 +197,7 @@
 
     def move_discovery(self) -> None:
         """It has another address, which a node learns by a reload or a new start."""
-        for seat in self.seats.values():
-            seat.deafen()
+        for node_host in self.node_hosts.values():
+            node_host.deafen()
         self.discovery.moved(self.engine.now_us)
         self.discover(t.Tick())
--- a/tests/lab/test_loopback_timing.py
+++ b/tests/lab/test_loopback_timing.py
@@ -19,10 +19,10 @@
 from granitewell.lab.emulator.front import Front
 from granitewell.lab.fleet.rig import Rig
 from granitewell.lab.loopback.agent import Agent
-from granitewell.lab.loopback.client_traffic import Street, Trip
+from granitewell.lab.loopback.client_traffic import ClientAttempt, ClientTraffic
 from granitewell.lab.loopback.clock import Agenda, DayClock
-from granitewell.lab.loopback.network_faults import Weather
-from granitewell.lab.loopback.node_hosts import PROGRAM, Seat
+from granitewell.lab.loopback.network_faults import NetworkFaults
+from granitewell.lab.loopback.node_hosts import PROGRAM, NodeHost
 from granitewell.lab.loopback.plan import NodePlace
 from granitewell.lab.loopback.platform_http import reply_bytes
 from granitewell.lab.recording import Recorder
@@ -50,9 +50,9 @@
     return data
 
 
-async def answer(node: socket.socket, trip: Trip) -> None:
-    assert trip.ask.rid.encode() in await received(node)
-    node.sendall(reply_bytes("ok", trip.ask.rid, None))
+async def answer(node: socket.socket, attempt: ClientAttempt) -> None:
+    assert attempt.ask.rid.encode() in await received(node)
+    node.sendall(reply_bytes("ok", attempt.ask.rid, None))
 
 
 def test_a_client_does_not_write_on_a_connection_whose_end_has_come_in(tmp_path: Path) -> None:
@@ -72,28 +72,30 @@
             agenda, front, recorder = Agenda(DayClock(), loop), Front(day), Recorder(path)
             front.node_up(0, "n0", 0)
             front.node_ready(0, "n0")
-            street = Street(day, agenda, front, (place,), Weather(day, "clients"), recorder, Counter())
-            first, second = Trip(ask("first")), Trip(ask("second"))
-            street._trips = {trip.ask.rid: trip for trip in (first, second)}
-            street._send(first)
+            client_traffic = ClientTraffic(
+                day, agenda, front, (place,), NetworkFaults(day, "clients"), recorder, Counter()
+            )
+            first, second = ClientAttempt(ask("first")), ClientAttempt(ask("second"))
+            client_traffic._attempts = {attempt.ask.rid: attempt for attempt in (first, second)}
+            client_traffic._send(first)
             old, _ = await loop.sock_accept(listener)
             old.setblocking(False)
             await answer(old, first)
             async with asyncio.timeout(LIMIT_S):
-                while not street._idle.get(("n0", 0)):
+                while not client_traffic._idle.get(("n0", 0)):
                     await asyncio.sleep(0)
             old.shutdown(socket.SHUT_WR)
-            street._send(second)  # in this turn of the loop: what has come in has not been looked at
+            client_traffic._send(second)  # in this turn of the loop: what has come in has not been looked at
             async with asyncio.timeout(LIMIT_S):
                 new, _ = await loop.sock_accept(listener)
                 new.setblocking(False)
                 await answer(new, second)
-                while street.owed:
+                while client_traffic.owed:
                     await asyncio.sleep(0)
             assert old.recv(1) == b""  # the client has written nothing there, and closed it
             recorder.close()
             agenda.close()
-            street.close()
+            client_traffic.close()
             old.close()
             new.close()
 
@@ -136,23 +138,25 @@
         agenda = Agenda(clock, asyncio.get_running_loop())
         agent = Agent(agenda, "127.0.0.1", lambda *_: {}, lambda *_: None)
         told: list[str] = []
-        seat = Seat(
+        node_host = NodeHost(
             day, NodePlace("n0", 0, "127.0.0.1", 1), agent, agenda, processes, tmp_path, recorder,  # type: ignore[arg-type]
             lambda **words: told.append(words["do"]), PROGRAM,
         )  # fmt: skip
         at_us = 0
-        seat.start()
+        node_host.start()
         at_us = 14_000_000
-        seat.kill()
+        node_host.kill()
         at_us = 14_900_000
         (process,) = processes.started
         process.ended(-signal.SIGKILL)
-        assert process.signals == [signal.SIGKILL] and told == ["node_up", "node_down"] and not seat.exits
+        assert (
+            process.signals == [signal.SIGKILL] and told == ["node_up", "node_down"] and not node_host.exits
+        )
         at_us = 16_000_000
-        seat.start()
+        node_host.start()
         at_us = 17_000_000
         processes.started[-1].ended(70)
-        assert seat.exits == [70]
+        assert node_host.exits == [70]
         agent.close()
         recorder.close()
         agenda.close()
@@ -188,7 +192,7 @@
     rig.schedule = SimpleNamespace(inherits=False, cluster=True)  # type: ignore[assignment]
     rig.judge = SimpleNamespace(is_member=lambda _: True, asked=lambda at, _: asked.append(at))  # type: ignore[assignment]
     monkeypatch.setattr(rig, "now", lambda: now_us)
-    monkeypatch.setattr(rig, "_seats", lambda: {"n1": StoppedNode(half_a_second)})
+    monkeypatch.setattr(rig, "_node_hosts", lambda: {"n1": StoppedNode(half_a_second)})
     monkeypatch.setattr(rig, "_knock", lambda _seat, asked_us: asked.append(asked_us))
     monkeypatch.setattr(rig, "_spawn", lambda _job: None)
     rig._term(Trouble("term", 17_000_000, 20_000_000, ("n1",), 0.0, ""), True)
--- a/tests/lab/test_simulation.py
+++ b/tests/lab/test_simulation.py
@@ -279,10 +279,10 @@
     most = {"lines": 0, "all": 0}
 
     def watch(world: World) -> str:
-        node = world.seats["n0"].process
+        node = world.node_hosts["n0"].process
         if node is not None:
-            most["lines"] = max(most["lines"], len(node.lines))
-            most["all"] = max(most["all"], len(node.lines) + len(node.out.conns))
+            most["lines"] = max(most["lines"], len(node.connections))
+            most["all"] = max(most["all"], len(node.connections) + len(node.out.conns))
         return ""
 
     day = calm(arrivals=[1.0 + k / 1e5 for k in range(1500)], conn=replace(small_day().conn, cap=5000))
@@ -304,7 +304,7 @@
     played = play(day, invariants=[lambda world: looks.append(world.engine.now_us) or ""])  # type: ignore[func-returns-value]
     assert len(looks) == played.events
     with pytest.raises(ViolationError, match=r"at 1000\d+ us of seed 1: a request is there"):
-        play(day, invariants=[lambda world: "a request is there" if world.street.asked else ""])
+        play(day, invariants=[lambda world: "a request is there" if world.client_traffic.asked else ""])
 
 
 def test_a_fault_that_cannot_be_played_is_named() -> None:
