--- a/tests/discovery/test_instances.py
+++ b/tests/discovery/test_instances.py
@@ -25,7 +25,7 @@
     page = parse_page({"instances": [ENTRY], "next-page-token": None})
     (one,) = page.instances
     assert (one.id, one.slots, one.state, one.remaining_ms) == ("i-1", 64, ServerState.READY, -1)
-    assert one.models == (LoadedModel("m1", frozenset({"a1"})),)
+    assert one.models == (LoadedModel("m1", frozenset({"a1"}), version=1),)
     assert page.next_token is None
 
 
