--- a/review/standins.py
+++ b/review/standins.py
@@ -370,9 +370,18 @@
         self._folder = folder
         self.controls: list[Node] = []
         self.edges: list[Node] = []
-
-    async def start(self, servers: Sequence[Server]) -> None:
-        """Start everything."""
+        self.first_port = 0
+
+    async def start(
+        self, servers: Sequence[Server], seeds_of_edge: Callable[[int, int], Sequence[str]] | None = None
+    ) -> None:
+        """Start everything.
+
+        Args:
+            servers: The servers to start and to list.
+            seeds_of_edge: Returns the seeds of an edge, by its number and the first port; by default those of
+                all.
+        """
         for server in servers:
             await server.start()
             self.servers.append(server)
@@ -381,9 +390,17 @@
         seeds = [f"{ip}:{first + 2}" for ip in CORE_IPS]
         self.controls = self._nodes("control", CORE_IPS, first, seeds)
         self.edges = self._nodes("edge", EDGE_IPS, first, seeds)
+        self.first_port = first
+        if seeds_of_edge is not None:
+            for number, edge in enumerate(self.edges):
+                edge.seeds = seeds_of_edge(number, first)
+        await self.before_start()
         for node in (*self.controls, *self.edges):
             await node.start()
 
+    async def before_start(self) -> None:
+        """Do what a case needs once the ports are known."""
+
     def _nodes(self, role: str, ips: Sequence[str], first: int, seeds: Sequence[str]) -> list[Node]:
         return [
             Node(f"{role}-{n}", role, ip, first, self._folder / f"{role}-{n}", seeds, self.platform.address)
