Review: a new control node never joins where the gateways that it knows have just started

A gateway that starts polls a control node without members as if it were a good one and stays there; the node knows no other address than the gateways. The group goes on with two voters of three, and the next loss that fault-tolerance allows ends it: the acknowledged configuration can't be read any more.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 CONTROL_IPS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 EDGE_IPS = ("127.0.0.21", "127.0.0.22")
+NODE_IPS = (*CONTROL_IPS, "127.0.0.14", *EDGE_IPS, "127.0.0.23")
 SERVER_IP = "127.0.0.31"
 PLATFORM_IP = "127.0.0.41"
 PORTS_PER_NODE = 6
@@ -75,7 +76,7 @@
     rng = random.Random()
     for _ in range(200):
         first = rng.randrange(20_000, 30_000)
-        places = [(ip, first + offset) for ip in CONTROL_IPS + EDGE_IPS for offset in range(PORTS_PER_NODE)]
+        places = [(ip, first + offset) for ip in NODE_IPS for offset in range(PORTS_PER_NODE)]
         if all(_is_free(ip, port) for ip, port in places):
             return first
     raise OSError("no free ports on loopback")
@@ -102,8 +103,8 @@
     def __init__(self, role: str, ip: str, first_port: int, folder: Path, name: str) -> None:
         self.role, self.ip, self.name = role, ip, name
         self._port = first_port
-        self._folder = folder / name
-        self._folder.mkdir()
+        self.folder = folder / name
+        self.folder.mkdir()
         self.process: asyncio.subprocess.Process | None = None
 
     @property
@@ -126,15 +127,16 @@
         """Whether its process runs."""
         return self.process is not None and self.process.returncode is None
 
-    def write_settings(self, seeds: Sequence[str], platform: str) -> None:
-        """Write the settings file of a first start."""
-        is_control = self.role == "control"
-        data = self._folder / "data"
+    def write_settings(self, seeds: Sequence[str], platform: str, *, bootstrap: bool = True) -> None:
+        """Write the settings file; `bootstrap` is true at the first start of the whole system."""
+        is_control = self.role != "edge"
+        has_disk = self.role == "control"
+        data = self.folder / "data"
         data.mkdir(exist_ok=True)
         settings: dict[str, Any] = {
             "node-name": self.name,
             "role": self.role,
-            "machine-class": "core" if is_control else "edge",
+            "machine-class": "core" if has_disk else "edge",
             "serves": ["control_plane"] if is_control else ["edge"],
             "ip": self.ip,
             "zone": "utr-a",
@@ -143,10 +145,10 @@
             "listen": {"control": self.control} if is_control else {"front": self.front, "ready": self.ready},
             "internal-ports": [self._port, self._port + 1],
             "seeds": list(seeds),
-            "bootstrap": True,
-            "counts-for-quorum": is_control,
-            "limits": CONTROL_LIMITS if is_control else EDGE_LIMITS,
-            "data-dir": str(data) if is_control else None,
+            "bootstrap": bootstrap,
+            "counts-for-quorum": has_disk,
+            "limits": CONTROL_LIMITS if has_disk else EDGE_LIMITS,
+            "data-dir": str(data) if has_disk else None,
             "discovery": "cloud",
             "entry": "vip",
             "heartbeat-ms": 1200,
@@ -155,15 +157,17 @@
             "bounds": BOUNDS,
             "cloud": {"address": platform, "rate-per-s": 44.0, "duties": [], "lag-ms": 800},
         }
-        (self._folder / "boot.json").write_text(json.dumps(settings))
+        new = self.folder / "boot.new"
+        new.write_text(json.dumps(settings))
+        new.rename(self.folder / "boot.json")
 
     async def start(self) -> None:
         """Start the process."""
         kept = ("PATH", "HOME", "LANG")
         environment = {name: os.environ[name] for name in kept if name in os.environ}
-        environment["GRANITEWELL_NODE_FILE"] = str(self._folder / "boot.json")
+        environment["GRANITEWELL_NODE_FILE"] = str(self.folder / "boot.json")
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        with (self._folder / "log").open("ab") as log:
+        with (self.folder / "log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *_commands()[self.role],
                 cwd=ROOT,
@@ -179,6 +183,14 @@
             self.process.send_signal(signal.SIGKILL)
             await self.process.wait()
 
+    def processor_s(self) -> float:
+        """Return the processor time that the process has used, in seconds."""
+        if not self.running:
+            return 0.0
+        assert self.process is not None
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def memory_mb(self) -> float:
         """Return the private memory of the process, without its files' pages, in MB."""
         if not self.running:
