Log which control nodes a gateway knows, and replicas that nobody lets join

Three explanations look alike: gateways poll the new node; gateways believe each other; the leader gets the join and does not act on it.

Change: a gateway logs each new list of control nodes with the node that returned it; a replica that knows no members warns after 5 s, and each 5 s again, with the addresses that it asks.

--- a/granitewell/coordination/consensus/group.py
+++ b/granitewell/coordination/consensus/group.py
@@ -21,6 +21,7 @@
 
 from granitewell.coordination.consensus import codec
 from granitewell.coordination.consensus.identity import NodeIdentity, fresh_replica_id, joining_state
+from granitewell.coordination.consensus.join_wait import JoinWait
 from granitewell.coordination.consensus.log_compaction import LogFileSize, is_compaction_due
 from granitewell.coordination.consensus.pending_messages import PendingMessages
 from granitewell.coordination.consensus.proposals import Proposals
@@ -137,6 +138,7 @@
         self._changed = asyncio.Event()
         self._after_write: dict[int, Callable[[], None]] = {}
         self._disk_failing = False
+        self._join_wait = JoinWait(clock())
         self.halted_by: Exception | None = None
         """Error with which the state machine refused a snapshot or an entry; the replica has halted then."""
 
@@ -244,6 +246,7 @@
 
     def _begin(self, state: StoredState, *, fresh: bool) -> None:
         identity = self._identity
+        self._join_wait = JoinWait(self._clock())
         self._replica = Replica(
             me=Member(state.replica_id, identity.node_name, identity.address),
             state=state,
@@ -332,6 +335,17 @@
         if self._replica is not None:
             self._replica.tick(self._clock())
             self._pump()
+            self._warn_if_not_joined()
+
+    def _warn_if_not_joined(self) -> None:
+        waiting_s = self._join_wait.overdue_s(bool(self.members), self._clock())
+        if waiting_s is not None:
+            log.warning(
+                "replica waits to join its group",
+                group=self.name,
+                waiting_s=waiting_s,
+                asked=",".join(self._seeds),
+            )
 
     def _on_synced(self, write: int) -> None:
         self._disk_failing = False
--- a/granitewell/nodes/control_gateway.py
+++ b/granitewell/nodes/control_gateway.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 from aiohttp import web
@@ -116,7 +116,14 @@
         )
         self._replied_at = self._clock()
         if reply.control_nodes:
-            self.nodes.set_known([address for address in reply.control_nodes if address != self._address])
+            self._set_known(node, reply.control_nodes)
+
+    def _set_known(self, named_by: str, addresses: Sequence[str]) -> None:
+        """Take up the list of control nodes that a node has returned."""
+        before = set(self.nodes.known)
+        self.nodes.set_known([address for address in addresses if address != self._address])
+        if set(self.nodes.known) != before:
+            log.info("control nodes known", nodes=",".join(sorted(self.nodes.known)), named_by=named_by)
 
     def current(self) -> str | None:
         """Return the internal address of a control node with replicas that has replied recently, or None."""
--- a/tests/coordination/test_group.py
+++ b/tests/coordination/test_group.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import logbook
 import pytest
 
 from granitewell.coordination.consensus.group import ReplicatedGroup
+from granitewell.coordination.consensus.join_wait import JOIN_WARNING_S
 from granitewell.coordination.consensus.messages import AppendReply
 from granitewell.coordination.consensus.pending_messages import MAX_PENDING_MESSAGES, PendingMessages
 from granitewell.coordination.consensus.ready import Outgoing, Ready
@@ -443,3 +445,30 @@
         and released.batch == 10 * MAX_PENDING_MESSAGES - 1
     )
     assert held.release(2).batch == 10 * MAX_PENDING_MESSAGES
+
+
+def overdue_joins(handler: logbook.TestHandler) -> list[dict[str, Any]]:
+    return [r.kwargs for r in handler.records if r.message == "replica waits to join its group"]
+
+
+def test_a_replica_that_no_leader_answers_is_reported_until_it_joins() -> None:
+    """Otherwise a join that is lost on its way looks in the logs like a join that is under way."""
+
+    async def scenario() -> None:
+        cluster = Cluster(31)
+        late = cluster.nodes[ADDRESSES[2]] = Node(cluster, ADDRESSES[2], first=False)
+        with logbook.TestHandler() as log:
+            await late.start()
+            await asyncio.sleep(JOIN_WARNING_S - 0.5)
+            assert overdue_joins(log) == []
+            await asyncio.sleep(JOIN_WARNING_S)
+            (line,) = overdue_joins(log)
+            assert line["group"] == "group" and line["waiting_s"] == pytest.approx(JOIN_WARNING_S, abs=0.5)
+            assert line["asked"] == ",".join(ADDRESSES)
+            await cluster.start()
+            await until(lambda: bool(group_of(late).members))
+            reported = len(overdue_joins(log))
+            await asyncio.sleep(3 * JOIN_WARNING_S)
+            assert len(overdue_joins(log)) == reported
+
+    run(scenario())
--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 
+import logbook
 import pytest
 from aiohttp import ClientSession, web
 
@@ -108,6 +109,15 @@
     assert made.current() in VOTERS
 
 
+def test_a_new_list_is_logged_once_with_the_node_that_returned_it() -> None:
+    made, _, _ = gateway()
+    with logbook.TestHandler() as log:
+        for _ in range(2):
+            asyncio.run(learn(made))
+    (line,) = (r.kwargs for r in log.records if r.message == "control nodes known")
+    assert line == {"nodes": ",".join(VOTERS), "named_by": "10.0.0.8:7660"}
+
+
 def test_an_edge_that_asks_is_told_the_control_nodes_and_goes_on_to_one() -> None:
     made, _, _ = gateway()
     asyncio.run(learn(made))
