--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -117,8 +117,9 @@
             changed = self._changed
             if request.edge:
                 self._edges.record_request(request.node, self._clock())
-                if self._read_staleness_s() > MAX_READ_STALENESS_S:
-                    raise StaleReplicaError("no leader is known")
+                self._check_read_staleness()
+            elif request.members_only and not self._control_nodes():
+                raise StaleReplicaError("this replica has not joined its group")
             reply = self._reply(request)
             left = deadline - self._clock()
             if reply is not None or left <= 0:
@@ -130,6 +131,11 @@
                 continue
             await asyncio.sleep(min(BATCH_DELAY_S, left))
 
+    def _check_read_staleness(self) -> None:
+        """Raise StaleReplicaError if the data may be outdated."""
+        if self._read_staleness_s() > MAX_READ_STALENESS_S:
+            raise StaleReplicaError("no leader is known")
+
     def _reply(self, request: Any, allow_empty: bool = False) -> Any | None:
         """Return the updates for a watcher; None if there are none and `allow_empty` is false."""
         configuration = self._configuration_update(request)
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -133,9 +133,13 @@
         self._session = open_server_session()
         groups = {shard: self.groups[shard_group(shard)] for shard in range(SHARD_COUNT)}
         supervisor = ShardSupervisor(groups, self.tables, self.peers, self._shard_services(), self.owned)
-        self._tasks = [asyncio.create_task(self._messages.announce(self._announcement_targets))]
+        self._tasks = [asyncio.create_task(self._announce())]
         self._tasks += [asyncio.create_task(supervisor.run_shard(shard)) for shard in range(SHARD_COUNT)]
 
+    async def _announce(self) -> None:
+        """Announce this process until cancelled."""
+        await self._messages.announce(self._announcement_targets, lambda: bool(self.control_nodes()))
+
     def _shard_services(self) -> ShardServices:
         settings = self.settings
         reader = InstanceReader(settings.cloud.address, self._session)
--- a/granitewell/nodes/control_gateway.py
+++ b/granitewell/nodes/control_gateway.py
@@ -11,6 +11,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import logbook
 from aiohttp import web
@@ -64,8 +65,8 @@
         self._control_port = settings.listen.control.rpartition(":")[2]
         self._address = f"{settings.ip}:{settings.control_rpc_port}"
         self._replied_at = -float("inf")
-        self._announced_at: dict[str, float] = {}  # by internal address of a control node with replicas
-        self.nodes = ControlNodes(settings.node_name)
+        self._announced_at: dict[str, float] = {}  # by internal address of a control node with members
+        self.nodes = ControlNodes(settings.node_name, own_address=self._address)
         self.peers = RpcPeers()
         self.handlers: dict[int, Handler] = {
             Method.WATCH: self._watch,
@@ -79,8 +80,7 @@
         """Apply changed settings: the seeds."""
         self._settings = settings
         port = settings.control_rpc_port
-        seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds]
-        self.nodes.set_seeds([seed for seed in seeds if seed != self._address])
+        self.nodes.set_seeds([f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds])
 
     # --- Control nodes with replicas
 
@@ -88,19 +88,51 @@
         """Keep the list of control nodes up to date, until cancelled."""
         while True:
             node = self.nodes.current
-            if node is None:
-                await asyncio.sleep(RETRY_S)
-                continue
-            try:
-                await self._poll(node)
-            except RpcError as error:
-                log.debug("control node does not answer", node=node, error=str(error))
-                self.nodes.failed()
+            if node is None or not await self._poll_or_move_on(node):
                 await asyncio.sleep(RETRY_S)
 
-    async def _poll(self, node: str) -> None:
-        """Long-poll one control node; raises RpcError."""
-        request = WatchRequest(
+    async def _poll_or_move_on(self, node: str) -> bool:
+        """Poll a node; return whether the next poll may follow at once."""
+        try:
+            return await self._poll(node)
+        except RpcError as error:
+            log.debug("control node does not answer", node=node, error=str(error))
+            self.nodes.failed()
+            return False
+
+    async def _poll(self, node: str) -> bool:
+        """Long-poll one node, and move on unless it has replicas and knows their members.
+
+        Returns:
+            Whether the next poll may follow at once.
+
+        Raises:
+            RpcError: The node does not reply, or its data may be outdated.
+        """
+        request = self._watch_request()
+        reply = decode(
+            WatchReply,
+            await self.peers[node].call(Method.WATCH, encode(request), LONG_POLL_HOLD_S + REPLY_SLACK_S),
+        )
+        if reply.is_referral:
+            return self.nodes.follow_referral(reply.control_nodes or [])
+        if not self._names_members(request, reply):
+            self.nodes.failed()  # a replica of an older version that has not joined yet
+            return False
+        self._replied_at = self._clock()
+        if reply.control_nodes:
+            self._set_known(node, reply.control_nodes)
+        return True
+
+    def _names_members(self, request: Any, reply: Any) -> bool:
+        """Return whether the reply names the members, or confirms the list that this gateway has."""
+        if reply.control_nodes:
+            return True
+        return bool(self.nodes.known) and reply.members_digest == request.members_digest
+
+    def _watch_request(self) -> Any:
+        """Return a request for the list of control nodes."""
+        return WatchRequest(
             node=self._settings.node_name,
             zone=self._settings.zone,
             edge=False,
@@ -110,38 +142,35 @@
             members_digest=self.nodes.digest,
             members_only=True,
         )
-        reply = decode(
-            WatchReply,
-            await self.peers[node].call(Method.WATCH, encode(request), LONG_POLL_HOLD_S + REPLY_SLACK_S),
-        )
-        self._replied_at = self._clock()
-        if reply.control_nodes:
-            self._set_known(node, reply.control_nodes)
 
     def _set_known(self, named_by: str, addresses: Sequence[str]) -> None:
-        """Take up the list of control nodes that a node has returned."""
+        """Take up the list of control nodes that a control node with replicas has returned."""
         before = set(self.nodes.known)
-        self.nodes.set_known([address for address in addresses if address != self._address])
+        self.nodes.set_known(addresses)
         if set(self.nodes.known) != before:
             log.info("control nodes known", nodes=",".join(sorted(self.nodes.known)), named_by=named_by)
 
     def current(self) -> str | None:
         """Return the internal address of a control node with replicas that has replied recently, or None."""
-        if self._clock() - self._replied_at > CONTACT_TTL_S:
+        if not self._has_recent_reply():
             return None
         node = self.nodes.current
         return node if node in self.nodes.known else None
 
+    def _has_recent_reply(self) -> bool:
+        return self._clock() - self._replied_at <= CONTACT_TTL_S
+
     def advertised_nodes(self) -> list[str]:
-        """Return the control nodes that are named to edges.
+        """Return the control nodes that are named to edges and other gateways.
 
-        Until one of them has returned the complete list, these are the nodes that have announced themselves
-        recently; only nodes with replicas do.
+        While none of them replies, for example after a power loss, these are also the nodes that have
+        announced themselves recently and know the members of the control plane.
         """
-        if self.nodes.known:
+        if self.nodes.known and self._has_recent_reply():
             return self.nodes.known
         now = self._clock()
-        return sorted(node for node, at in self._announced_at.items() if now - at <= CONTACT_TTL_S)
+        announced = [node for node, at in self._announced_at.items() if now - at <= CONTACT_TTL_S]
+        return sorted({*self.nodes.known, *announced})
 
     # --- Messages of other nodes
 
@@ -155,7 +184,12 @@
             await asyncio.sleep(min(max(request.hold_ms, 0) / 1000.0, LONG_POLL_HOLD_S))
         return encode(
             WatchReply(
-                tables=[], control_nodes=known, members_digest=members_digest(known), edges=1, max_edges=1
+                tables=[],
+                control_nodes=known,
+                members_digest=members_digest(known),
+                edges=1,
+                max_edges=1,
+                is_referral=True,
             )
         )
 
@@ -176,7 +210,9 @@
 
     async def _announcement(self, payload: bytes, _peer: str) -> bytes:
         count = decode(EdgeCount, payload)
-        if count.address:
+        if count.address and count.has_members is False:
+            self._announced_at.pop(count.address, None)
+        elif count.address:
             self.nodes.add_seed(count.address)
             self._record_announcement(count.address)
         return b""
--- a/granitewell/nodes/control_messages.py
+++ b/granitewell/nodes/control_messages.py
@@ -102,12 +102,14 @@
             onward = DemandReport(node=report.node, zone=report.zone, demands=demands, forwarded=True)
             self._peers[leader].send(Method.DEMAND, encode(onward))
 
-    async def announce(self, targets: Callable[[], Sequence[str]]) -> None:
+    async def announce(self, targets: Callable[[], Sequence[str]], has_members: Callable[[], bool]) -> None:
         """Announce this process and its number of edges to other control nodes, until cancelled.
 
         Args:
             targets: Returns the internal addresses of the control nodes and of the seeds. A seed without
                 replicas learns by the announcement which nodes have some.
+            has_members: Returns whether this node knows the members of the configuration's group. Until it
+                has joined, no one is referred to it.
         """
         started_at = time.monotonic()
         while True:
@@ -121,6 +123,7 @@
                     edges=count,
                     incarnation=claimant.incarnation,
                     address=claimant.address,
+                    has_members=has_members(),
                 )
             )
             for address in targets():
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -24,7 +24,8 @@
 struct WatchReply {
   1: optional ConfigurationUpdate configuration, 2: list<TableUpdate> tables,
   3: list<string> control_nodes,   // `ip:port` of internal addresses; empty where members_digest is the same
-  4: i64 members_digest, 5: i32 edges, 6: i32 max_edges
+  4: i64 members_digest, 5: i32 edges, 6: i32 max_edges,
+  7: optional bool is_referral   // the sender has no replica: control_nodes is what it has heard of, to be asked instead
 }
 
 struct Demand {
@@ -40,5 +41,6 @@
 struct GroupMessage { 1: string group, 2: string sender_address, 3: binary payload }
 
 // How many edges a control node hears from, and which process of that node says so, told to the other control
-// nodes.
-struct EdgeCount { 1: string node, 2: i32 edges, 3: string incarnation, 4: string address }
+// nodes. has_members is false while the sender knows no members of its groups, as before it has joined; absent from
+// older versions.
+struct EdgeCount { 1: string node, 2: i32 edges, 3: string incarnation, 4: string address, 5: optional bool has_members }
--- a/tests/controlplane/test_publication.py
+++ b/tests/controlplane/test_publication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -219,6 +220,15 @@
     assert edges.local_count(clock.now) == 0
 
 
+def test_a_replica_that_has_not_joined_answers_no_watcher() -> None:
+    """An empty list of control nodes looked like an answer to gateways, which then stayed at the new node."""
+    store, clock = FakeStore(), Clock()
+    made = Publisher(store, {}, lambda: [], lambda: math.inf, EdgeCounter(), clock)
+    for asked in (request(), request(edge=False, members_only=True, hold_ms=1000)):
+        with pytest.raises(StaleReplicaError):
+            asyncio.run(made.watch(asked))
+
+
 def test_without_a_change_the_reply_after_the_hold_has_the_list_age() -> None:
     made, _, table, _, clock = publisher()
     table.begin(2)
--- a/tests/nodes/test_announcements.py
+++ b/tests/nodes/test_announcements.py
@@ -20,6 +20,7 @@
 from tests.coordination import virtual_loop
 
 OWN, GATEWAY = "10.0.0.1:7660", "10.0.0.9:7660"
+JOINED_AFTER_S = 1.05
 SECONDS = STARTUP_PERIOD_S + 5 * ANNOUNCEMENT_INTERVAL_S
 
 
@@ -33,14 +34,19 @@
         began_at = loop.time()
 
         def send(method: Method, payload: bytes) -> None:
-            assert method is Method.EDGES and decode(EdgeCount, payload).address == OWN
+            count = decode(EdgeCount, payload)
+            assert method is Method.EDGES and count.address == OWN
+            assert count.has_members is joined()
             told.append(loop.time() - began_at)
 
+        def joined() -> bool:
+            return loop.time() - began_at >= JOINED_AFTER_S
+
         claimant: Any = SimpleNamespace(node_name="core-1", incarnation="i", address=OWN)
         edges: Any = SimpleNamespace(local_count=lambda _: 0)
         peers: Any = {GATEWAY: SimpleNamespace(send=send)}
         made = ControlMessages(claimant, peers, {}, SimpleNamespace(), edges, {})  # type: ignore[arg-type]
-        task = asyncio.create_task(made.announce(lambda: [OWN, GATEWAY]))
+        task = asyncio.create_task(made.announce(lambda: [OWN, GATEWAY], joined))
         await asyncio.sleep(SECONDS)
         task.cancel()
 
--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -13,7 +13,7 @@
 
 from granitewell.controlplane.configuration import answers
 from granitewell.controlplane.publication.publisher import members_digest
-from granitewell.domain.errors import InvalidSettingsError
+from granitewell.domain.errors import InvalidSettingsError, PeerUnreachableError
 from granitewell.domain.settings import Settings
 from granitewell.nodes.control import ControlNode
 from granitewell.nodes.control_gateway import CONTACT_TTL_S, ControlGateway, NoControlNodeError
@@ -186,8 +186,8 @@
     assert made.current() in VOTERS
 
 
-def announce(made: ControlGateway, address: str) -> None:
-    announced = EdgeCount(node="core-1", edges=0, incarnation="i", address=address)
+def announce(made: ControlGateway, address: str, has_members: bool | None = None) -> None:
+    announced = EdgeCount(node="core-1", edges=0, incarnation="i", address=address, has_members=has_members)
     asyncio.run(made.handlers[Method.EDGES](encode(announced), ""))  # type: ignore[arg-type]
 
 
@@ -224,6 +224,98 @@
     assert len(named(made)) == MAX_SEEDS and made.current() is None
 
 
+@pytest.mark.parametrize("has_members", [True, None])
+def test_a_node_that_says_it_has_not_joined_is_named_to_no_one(has_members: bool | None) -> None:
+    """A node with an empty disk announces itself as often as one that has just started with its log."""
+    made, _, _ = gateway()
+    announce(made, "10.0.0.1:7660", has_members)  # older versions leave it out
+    announce(made, "10.0.0.4:7660", has_members=False)
+    assert named(made) == ["10.0.0.1:7660"]
+    announce(made, "10.0.0.1:7660", has_members=False)  # it has lost its disk
+    with pytest.raises(NoControlNodeError):
+        asyncio.run(made._watch(watch(members_digest=0), ""))
+    made.nodes.failed()
+    assert made.nodes.current != "10.0.0.4:7660"
+
+
+class GatewayPeers(FakePeers):
+    """Peers of which some are gateways that name control nodes, and the others do not answer."""
+
+    def __init__(self, named_by: dict[str, list[str]]) -> None:
+        super().__init__([])
+        self._named_by = named_by
+
+    def __getitem__(self, address: str) -> FakePeer:
+        return GatewayPeer(self, address, self._named_by.get(address))
+
+
+class GatewayPeer(FakePeer):
+    """A fake gateway, or a node that does not answer."""
+
+    def __init__(self, peers: FakePeers, address: str, named: list[str] | None) -> None:
+        super().__init__(peers, address)
+        self._named = named
+
+    async def call(self, method: Method, payload: bytes, timeout_s: float) -> bytes:
+        self._peers.asked.append((self._address, decode(WatchRequest, payload)))
+        if self._named is None:
+            raise PeerUnreachableError(self._address)
+        reply = WatchReply(
+            tables=[],
+            control_nodes=self._named,
+            members_digest=members_digest(self._named),
+            edges=1,
+            max_edges=1,
+            is_referral=True,
+        )
+        return encode(reply)
+
+
+def poll_times(made: ControlGateway, times: int) -> None:
+    for _ in range(times):
+        node = made.nodes.current
+        assert node is not None
+        asyncio.run(made._poll_or_move_on(node))
+
+
+def test_two_gateways_that_name_the_same_lost_node_do_not_keep_a_third_from_asking_others() -> None:
+    """Each took the other's list for the control plane's, and went back to its first node for ever."""
+    made, _, _ = gateway()
+    lost = ["10.0.0.4:7660"]
+    made.apply_settings(Settings.from_dict(FIELDS | {"seeds": ["10.0.0.7:8146", "10.0.0.8:8146"]}))
+    for address in VOTERS:
+        announce(made, address, has_members=True)
+    peers = GatewayPeers({"10.0.0.7:7660": lost, "10.0.0.8:7660": lost})
+    made.peers = peers  # type: ignore[assignment]
+    poll_times(made, 2 * len(VOTERS) + 3)
+    asked = [address for address, _ in peers.asked]
+    assert {*VOTERS, *lost, "10.0.0.7:7660", "10.0.0.8:7660"} == set(asked)
+    assert made.current() is None and made.nodes.known == []
+
+
+def test_a_referral_is_followed_and_makes_no_list_of_its_own() -> None:
+    made, _, _ = gateway()
+    made.peers = GatewayPeers({"10.0.0.8:7660": VOTERS})  # type: ignore[assignment]
+    poll_times(made, 1)
+    assert made.nodes.current in VOTERS
+    assert made.current() is None
+    with pytest.raises(NoControlNodeError):
+        asyncio.run(made._watch(watch(members_digest=0), ""))
+    peers = FakePeers(VOTERS)
+    made.peers = peers  # type: ignore[assignment]
+    poll_times(made, 1)
+    assert made.current() in VOTERS and named(made) == VOTERS
+
+
+def test_a_reply_that_names_no_members_is_no_contact() -> None:
+    """A control node of an older version answers so before it has joined."""
+    made, _, _ = gateway(members=[])
+    announce(made, "10.0.0.1:7660")
+    first = made.nodes.current
+    poll_times(made, 1)
+    assert made.nodes.current != first and made.current() is None
+
+
 async def called(made: ControlGateway, call: Callable[[ClientSession, str], Awaitable[Any]]) -> Any:
     app = web.Application()
     made.routes(app)
