Let edges try what a gateway names, and take nothing else from its reply

Callers saw (tests on virtual time, no deployment): an edge whose gateway names lost control nodes never asked its other seeds and had no configuration for good; while it polled a gateway it took itself for the only edge.

The reply of a gateway, which knows nothing of its own, was taken for a control node's: its list became the known one, each reply sent the poll back to the first of it, and its edges=1 was passed to the data plane.

Change: a reply marked as a referral is followed and not applied.

Measured: test_an_edge_asks_its_other_seeds_when_a_gateway_names_lost_nodes failed before (asked: the gateway, the three lost nodes, the gateway again, and so on; the fourth never), test_a_referral_changes_no_budget_... failed before ((1, 8) instead of (3, 8)); both pass now, with all of tests/nodes.

--- a/granitewell/nodes/control_watch.py
+++ b/granitewell/nodes/control_watch.py
@@ -81,7 +81,11 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             try:
-                self._apply_reply(await self._poll(node))
+                reply = await self._poll(node)
+                if not reply.is_referral:
+                    self._apply_reply(reply)
+                elif not self.nodes.follow_referral(reply.control_nodes or []):
+                    await asyncio.sleep(RETRY_S)
             except RpcError as error:
                 log.debug("control node does not answer", node=node, error=str(error))
                 self.nodes.failed()
--- a/tests/nodes/test_control_watch.py
+++ b/tests/nodes/test_control_watch.py
@@ -13,10 +13,11 @@
 from granitewell.coordination.rendezvous import shard_of
 from granitewell.discovery.instances import ListedInstance
 from granitewell.domain.configuration import Configuration
+from granitewell.domain.errors import PeerUnreachableError
 from granitewell.domain.servers import LoadedModel, Server, ServerState
 from granitewell.domain.settings import Settings
 from granitewell.nodes.control_nodes import ControlNodes
-from granitewell.nodes.control_watch import ControlWatch, FallbackListReader
+from granitewell.nodes.control_watch import RETRY_S, ControlWatch, FallbackListReader
 from granitewell.nodes.layout import SHARD_COUNT
 from granitewell.nodes.shards import list_interval_s
 from granitewell.rpc.messages import (
@@ -28,6 +29,7 @@
     encode,
 )
 from granitewell.rpc.translation import server_to_message
+from tests.coordination import virtual_loop
 
 FIELDS: dict[str, Any] = {
     "node-name": "edge-1",
@@ -205,6 +207,83 @@
     assert 300 / own._pause_s() <= SETTINGS.cloud.rate_per_s / 2
 
 
+GATEWAY = "10.0.0.7:7660"
+LOST_NODES = ["10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660"]
+NEW_NODE = "10.0.0.4:7660"
+REFERRAL = WatchReply(
+    tables=[],
+    control_nodes=LOST_NODES,
+    members_digest=members_digest(LOST_NODES),
+    edges=1,
+    max_edges=1,
+    is_referral=True,
+)
+
+
+class ReferringPeers:
+    """A gateway whose list is out of date, lost control nodes, and a new one."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self._address = ""
+
+    def __getitem__(self, address: str) -> ReferringPeers:
+        self._address = address
+        return self
+
+    async def call(self, method: object, payload: bytes, timeout_s: float) -> bytes:
+        self.asked.append(self._address)
+        if self._address == GATEWAY:
+            return encode(REFERRAL)
+        if self._address == NEW_NODE:
+            reply = WatchReply(tables=[], control_nodes=[NEW_NODE], members_digest=1, edges=5, max_edges=8)
+            await asyncio.sleep(1.0)
+            return encode(reply)
+        raise PeerUnreachableError(self._address)
+
+
+def test_an_edge_asks_its_other_seeds_when_a_gateway_names_lost_nodes(plane: FakePlane) -> None:
+    """It went back to the first of the lost nodes each time, and had no configuration for good."""
+    seeds = [f"{address.partition(':')[0]}:8146" for address in (GATEWAY, NEW_NODE)]
+    peers = ReferringPeers()
+
+    async def run_edge(name: str) -> list[str]:
+        fields = FIELDS | {"node-name": name, "seeds": seeds}
+        watch = ControlWatch(Settings.from_dict(fields), plane, asyncio.get_running_loop().time)  # type: ignore[arg-type]
+        watch.peers = peers  # type: ignore[assignment]
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(3.0)
+        task.cancel()
+        return watch.nodes.known
+
+    async def run_edges() -> None:
+        for number in range(8):
+            peers.asked.clear()
+            assert await run_edge(f"edge-{number}") == [NEW_NODE], peers.asked
+
+    virtual_loop.run(run_edges())
+
+
+def test_a_referral_changes_no_budget_and_is_asked_for_at_most_each_pause(plane: FakePlane) -> None:
+    """A gateway counts no edges; its reply made an edge take itself for the only one."""
+    peers = ReferringPeers()
+
+    async def run_edge() -> None:
+        fields = FIELDS | {"seeds": [f"{GATEWAY.partition(':')[0]}:8146"]}
+        watch = ControlWatch(Settings.from_dict(fields), plane, asyncio.get_running_loop().time)  # type: ignore[arg-type]
+        watch.peers = peers  # type: ignore[assignment]
+        watch._apply_reply(reply())
+        edges = plane.edges
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(5.0)
+        task.cancel()
+        assert plane.edges == edges and peers.asked.count(GATEWAY) >= 2
+        first, after_new_addresses = 1, 1  # polls that follow no pause
+        assert len(peers.asked) <= 5.0 / RETRY_S + first + after_new_addresses
+
+    virtual_loop.run(run_edge())
+
+
 class DelayedPeers:
     """Answers each call after the edge was suspended for a time."""
 
