Ask a control node for its list unless it has returned it before

Callers saw (by a test, no deployment): a gateway gave operators 503 and dropped joins for good after all members had failed to answer for a moment, though they were in order again.

Cause: a gateway polls with the digest of its list, whichever node it asks. A control node without a vote confirmed the list, which held the poll there; joins and operators are passed only to nodes of the list. A member that answered again held its first poll for a second in the same way.

Change: the digest is sent only to the node that has returned the list.

Measured: test_a_gateway_returns_from_a_replica_without_a_vote_to_the_members failed before (current() is None), test_after_a_failure_a_control_node_is_asked_for_its_list_at_once too (digest of the list instead of none); both pass.

--- a/granitewell/nodes/control_gateway.py
+++ b/granitewell/nodes/control_gateway.py
@@ -35,6 +35,7 @@
 )
 from granitewell.rpc.transport import Handler, Method, RpcPeers, RpcServer
 
+NO_LIST_DIGEST = 0  # of no list of control nodes
 LONG_POLL_HOLD_S = 1.0  # of a long-poll; a lost voter is noticed after it at the latest
 REPLY_SLACK_S = 0.4
 RETRY_S = 0.2
@@ -65,6 +66,7 @@
         self._control_port = settings.listen.control.rpartition(":")[2]
         self._address = f"{settings.ip}:{settings.control_rpc_port}"
         self._replied_at = -float("inf")
+        self._in_contact = False  # the polled node has returned the list of control nodes
         self._announced_at: dict[str, float] = {}  # by internal address of a control node with members
         self.nodes = ControlNodes(settings.node_name, own_address=self._address)
         self.peers = RpcPeers()
@@ -97,6 +99,7 @@
             return await self._poll(node)
         except RpcError as error:
             log.debug("control node does not answer", node=node, error=str(error))
+            self._in_contact = False
             self.nodes.failed()
             return False
 
@@ -115,10 +118,13 @@
             await self.peers[node].call(Method.WATCH, encode(request), LONG_POLL_HOLD_S + REPLY_SLACK_S),
         )
         if reply.is_referral:
+            self._in_contact = False
             return self.nodes.follow_referral(reply.control_nodes or [])
         if not self._names_members(request, reply):
+            self._in_contact = False
             self.nodes.failed()  # a replica of an older version that has not joined yet
             return False
+        self._in_contact = True
         self._replied_at = self._clock()
         if reply.control_nodes:
             self._set_known(node, reply.control_nodes)
@@ -131,7 +137,11 @@
         return bool(self.nodes.known) and reply.members_digest == request.members_digest
 
     def _watch_request(self) -> Any:
-        """Return a request for the list of control nodes."""
+        """Return a request for the list of control nodes.
+
+        Only a node that has returned the list holds the poll until it changes. Any other one is asked for the
+        list, so that a node without replicas, or with replicas but no vote, says at once whom to poll.
+        """
         return WatchRequest(
             node=self._settings.node_name,
             zone=self._settings.zone,
@@ -139,7 +149,7 @@
             configuration_version=0,
             tables=[],
             hold_ms=int(LONG_POLL_HOLD_S * 1000),
-            members_digest=self.nodes.digest,
+            members_digest=self.nodes.digest if self._in_contact else NO_LIST_DIGEST,
             members_only=True,
         )
 
--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -16,7 +16,12 @@
 from granitewell.domain.errors import InvalidSettingsError, PeerUnreachableError
 from granitewell.domain.settings import Settings
 from granitewell.nodes.control import ControlNode
-from granitewell.nodes.control_gateway import CONTACT_TTL_S, ControlGateway, NoControlNodeError
+from granitewell.nodes.control_gateway import (
+    CONTACT_TTL_S,
+    NO_LIST_DIGEST,
+    ControlGateway,
+    NoControlNodeError,
+)
 from granitewell.nodes.control_nodes import MAX_SEEDS, ControlNodes
 from granitewell.rpc.messages import (
     DemandReport,
@@ -316,6 +321,71 @@
     assert made.nodes.current != first and made.current() is None
 
 
+class ReplicaPeers(FakePeers):
+    """Control nodes that all know the members, of which some do not answer."""
+
+    def __init__(self, members: list[str], silent: set[str]) -> None:
+        super().__init__(members)
+        self.silent = silent
+
+    def __getitem__(self, address: str) -> FakePeer:
+        return ReplicaPeer(self, address)
+
+
+class ReplicaPeer(FakePeer):
+    """A fake control node, which leaves the list out where the watcher has it."""
+
+    _peers: ReplicaPeers
+
+    async def call(self, method: Method, payload: bytes, timeout_s: float) -> bytes:
+        request = decode(WatchRequest, payload)
+        self._peers.asked.append((self._address, request))
+        if self._address in self._peers.silent:
+            raise PeerUnreachableError(self._address)
+        members = self._peers.members
+        has_list = request.members_digest == members_digest(members)
+        return encode(
+            WatchReply(
+                tables=[],
+                control_nodes=[] if has_list else members,
+                members_digest=members_digest(members),
+                edges=1,
+            )
+        )
+
+
+def test_a_gateway_returns_from_a_replica_without_a_vote_to_the_members() -> None:
+    """It stayed there, as the replica confirmed the list, and had no node for operators and joins."""
+    made, _, clock = gateway()
+    made.apply_settings(Settings.from_dict(FIELDS | {"seeds": ["10.0.0.8:8146"]}))  # has no vote
+    peers = ReplicaPeers(VOTERS, silent=set())
+    made.peers = peers  # type: ignore[assignment]
+    poll_times(made, 2)
+    assert made.current() in VOTERS
+    peers.silent = set(VOTERS)
+    poll_times(made, len(VOTERS))
+    assert made.nodes.current == "10.0.0.8:7660"
+    peers.silent = set()
+    clock.now += CONTACT_TTL_S + 0.1
+    poll_times(made, 2)
+    assert made.current() in VOTERS
+
+
+def test_after_a_failure_a_control_node_is_asked_for_its_list_at_once() -> None:
+    """It held the poll, so that a gateway counted it as silent for another second."""
+    made, _, _ = gateway()
+    peers = ReplicaPeers(VOTERS, silent=set())
+    made.peers = peers  # type: ignore[assignment]
+    poll_times(made, 2)
+    assert peers.asked[-1][1].members_digest == members_digest(VOTERS)
+    peers.silent = set(VOTERS)
+    poll_times(made, 1)
+    peers.silent = set()
+    poll_times(made, 2)
+    assert peers.asked[-2][1].members_digest == NO_LIST_DIGEST
+    assert peers.asked[-1][1].members_digest == members_digest(VOTERS)
+
+
 async def called(made: ControlGateway, call: Callable[[ClientSession, str], Awaitable[Any]]) -> Any:
     app = web.Application()
     made.routes(app)
