Refuse polls of gateways at a control node whose data may be outdated

Cause: the check of the data's age held for edges only.

Change: Publisher.watch checks the age for polls for members too. This covers a replica that has not joined, whose age has no bound, so the separate check for it is gone.

--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -117,9 +117,8 @@
             changed = self._changed
             if request.edge:
                 self._edges.record_request(request.node, self._clock())
+            if request.edge or request.members_only:
                 self._check_read_staleness()
-            elif request.members_only and not self._control_nodes():
-                raise StaleReplicaError("this replica has not joined its group")
             reply = self._reply(request)
             left = deadline - self._clock()
             if reply is not None or left <= 0:
@@ -132,7 +131,10 @@
             await asyncio.sleep(min(BATCH_DELAY_S, left))
 
     def _check_read_staleness(self) -> None:
-        """Raise StaleReplicaError if the data may be outdated."""
+        """Raise StaleReplicaError if the group has no leader here, or this replica has not joined it yet.
+
+        A replica that has not joined knows neither the configuration nor the members of the group.
+        """
         if self._read_staleness_s() > MAX_READ_STALENESS_S:
             raise StaleReplicaError("no leader is known")
 
--- a/tests/nodes/test_joining_through_gateways.py
+++ b/tests/nodes/test_joining_through_gateways.py
@@ -9,6 +9,7 @@
 import pytest
 
 from granitewell.coordination.rendezvous import rank
+from granitewell.nodes.control_gateway import LONG_POLL_HOLD_S
 from tests.coordination import virtual_loop
 from tests.coordination.cluster import until
 from tests.nodes.control_world import CoreMachine, GatewayMachine, World, rpc_address, virtual_clocks
@@ -55,6 +56,12 @@
     raise AssertionError("no such name")
 
 
+def poll_only(gateway: GatewayMachine, address: str) -> None:
+    """Let a gateway's next poll go to one node."""
+    while gateway.gateway.nodes.current != address:
+        gateway.gateway.nodes.failed()
+
+
 async def begin(
     world: World, gateway_name: Callable[[int], str]
 ) -> tuple[list[CoreMachine], list[GatewayMachine]]:
@@ -139,3 +146,26 @@
         assert new.is_voter
 
     play(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_gateways_leave_a_control_node_that_is_cut_off_from_the_others(seed: int) -> None:
+    """It named the members, so gateways stayed with it, and it dropped each join that they passed on."""
+
+    async def scenario(world: World) -> None:
+        cores, gateways = await begin(world, lambda number: f"gateway-{number}")
+        cut_off, *others = cores
+        for gateway in gateways:
+            poll_only(gateway, cut_off.address)
+        await asyncio.sleep(2 * LONG_POLL_HOLD_S)
+        assert all(gateway.gateway.current() == cut_off.address for gateway in gateways)
+        world.cut |= {(cut_off.host, other.host) for other in others}
+        world.cut |= {(other.host, cut_off.host) for other in others}
+        await asyncio.sleep(CONTACT_S)
+        assert all(gateway.gateway.current() in [other.address for other in others] for gateway in gateways)
+        new = world.add_core(NEW_CORE)
+        new.set_seeds([gateway.host for gateway in gateways])
+        await new.start()
+        await until(lambda: new.is_voter, CATCH_UP_S)
+
+    play(scenario, seed)
