Keep the digest of a list of control nodes as it was returned

Change: ControlNodes keeps the digest of the whole list.

Measured: test_a_list_with_the_gateways_own_address_is_confirmed_like_any_other failed before (digests differ) and passes now; tests/nodes: 85 pass.

--- a/granitewell/nodes/control_nodes.py
+++ b/granitewell/nodes/control_nodes.py
@@ -31,6 +31,7 @@
         self._name = name
         self._own_address = own_address
         self._known: list[str] = []
+        self._digest = members_digest([])
         self._seeds: list[str] = []
         self._heard: dict[str, None] = {}  # the least recently heard of first
         self._order: list[str] = []
@@ -43,6 +44,7 @@
 
     def set_known(self, addresses: Sequence[str]) -> None:
         """Set the control nodes, as named by one that has replicas; poll one of them next."""
+        self._digest = members_digest(addresses)
         self._known = self._others(addresses)
         self._update_order()
         if self.current not in self._known:
@@ -76,7 +78,7 @@
     @property
     def digest(self) -> int:
         """Digest of the list of control nodes named by one that has replicas."""
-        return members_digest(self._known)
+        return self._digest
 
     @property
     def current(self) -> str | None:
--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -386,6 +386,18 @@
     assert peers.asked[-1][1].members_digest == members_digest(VOTERS)
 
 
+def test_a_list_with_the_gateways_own_address_is_confirmed_like_any_other() -> None:
+    """Where the machine had a vote once, its digest never fitted, and polls followed without a pause."""
+    own = "10.0.0.9:7660"
+    members = [*VOTERS, own]
+    made, _, _ = gateway()
+    peers = ReplicaPeers(members, silent=set())
+    made.peers = peers  # type: ignore[assignment]
+    poll_times(made, 3)
+    assert peers.asked[-1][1].members_digest == members_digest(members)
+    assert made.nodes.known == VOTERS and own not in named(made)
+
+
 async def called(made: ControlGateway, call: Callable[[ClientSession, str], Awaitable[Any]]) -> Any:
     app = web.Application()
     made.routes(app)
