Do not lower an edge's count at the word of a control node that has just started

Callers would see (by a test, no deployment): an edge that turns to a control node in its first second opens as many connections to each server as all edges may together, and the server refuses requests.

Cause: until the others' reports arrive, at most 1 s after its start, a control node counts only the edges that poll it, and its reply did not say so.

Change: replies of the first 1.3 s are marked as lower bounds; an edge raises its count by them and does not lower it.

--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hashlib
+import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
@@ -25,6 +26,7 @@
 MAX_HOLD_S = 2.0
 BATCH_DELAY_S = 0.015  # changes within this time are sent in one reply
 EDGE_TTL_S = 4.0  # after its last request; then an edge is no longer counted
+COUNT_COMPLETE_AFTER_S = 1.3  # since the start; then all other control nodes have reported their edges
 PEAK_TTL_S = 120.0  # of the recent maximum number of edges
 MAX_READ_STALENESS_S = 0.75  # of published data; 0.3 s normally, two lost heartbeats are tolerated
 
@@ -51,9 +53,14 @@
 
 
 class EdgeCounter:
-    """Counts the edges that poll this node, and those that other control nodes report."""
+    """Counts the edges that poll this node, and those that other control nodes report.
 
-    def __init__(self) -> None:
+    Args:
+        started_at: Time of the process's start; by default long ago.
+    """
+
+    def __init__(self, started_at: float = -math.inf) -> None:
+        self._started_at = started_at
         self._asked_at: dict[str, float] = {}
         self._others: dict[str, tuple[int, float]] = {}
         self._peak = 0
@@ -77,6 +84,10 @@
         others = sum(edges for edges, at in self._others.values() if now - at < EDGE_TTL_S)
         return max(self.local_count(now) + others, 1)
 
+    def is_partial(self, now: float) -> bool:
+        """Return whether other control nodes may not have reported yet, so that counts are lower bounds."""
+        return now - self._started_at < COUNT_COMPLETE_AFTER_S
+
     def recent_maximum(self, now: float) -> int:
         """Return the recent maximum of the total; shared budgets are divided by it."""
         count = self.total(now)
@@ -156,6 +167,7 @@
             members_digest=digest,
             edges=self._edges.total(now),
             max_edges=self._edges.recent_maximum(now),
+            edges_partial=self._edges.is_partial(now) or None,
         )
 
     def _configuration_update(self, request: Any) -> Any | None:
--- a/granitewell/nodes/control_watch.py
+++ b/granitewell/nodes/control_watch.py
@@ -62,6 +62,7 @@
         self._fallback_servers: dict[int, list[Server]] = {}  # by shard, until its first table arrives
         self.listed_at: dict[int, float] = {}
         self.max_edges = 1
+        self._edges = 1
         self.peers = RpcPeers()
         self.nodes = ControlNodes(settings.node_name)
         self._full_configuration_needed = False
@@ -121,9 +122,18 @@
             self._apply_configuration(reply.configuration)
         for message in reply.tables or ():
             self._apply_table(message)
-        # A control node that has just started knows few edges; shared budgets must not grow because of that.
+        self._apply_edge_count(reply)
+
+    def _apply_edge_count(self, reply: Any) -> None:
+        """Take up the number of edges.
+
+        A control node that has just started knows few edges. Neither shared budgets nor this edge's share of
+        a server's connections must grow because of that.
+        """
         self.max_edges = max(reply.max_edges, self.max_edges)
-        self._plane.set_edges(max(reply.edges, 1), self.max_edges)
+        counted = max(reply.edges, 1)
+        self._edges = max(counted, self._edges) if reply.edges_partial else counted
+        self._plane.set_edges(self._edges, self.max_edges)
 
     def _apply_configuration(self, message: Any) -> None:
         try:
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -25,7 +25,8 @@
   1: optional ConfigurationUpdate configuration, 2: list<TableUpdate> tables,
   3: list<string> control_nodes,   // `ip:port` of internal addresses; empty where members_digest is the same
   4: i64 members_digest, 5: i32 edges, 6: i32 max_edges,
-  7: optional bool is_referral   // the sender has no replica: control_nodes is what it has heard of, to be asked instead
+  7: optional bool is_referral,   // the sender has no replica: control_nodes is what it has heard of, to be asked instead
+  8: optional bool edges_partial   // the sender has just started: edges and max_edges are lower bounds
 }
 
 struct Demand {
--- a/tests/controlplane/test_publication.py
+++ b/tests/controlplane/test_publication.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from granitewell.controlplane.ownership.processes import ANNOUNCEMENT_INTERVAL_S
 from granitewell.controlplane.publication import table as table_module
 from granitewell.controlplane.publication.publisher import (
     EdgeCounter,
@@ -229,6 +230,16 @@
             asyncio.run(made.watch(asked))
 
 
+def test_a_node_that_has_just_started_says_that_it_may_count_too_few_edges() -> None:
+    store, clock = FakeStore(), Clock()
+    made = Publisher(store, {}, lambda: ["10.0.0.1:7660"], lambda: 0.0, EdgeCounter(clock.now), clock)
+    assert over_the_wire(asyncio.run(made.watch(request()))).edges_partial
+    clock.now += ANNOUNCEMENT_INTERVAL_S
+    assert over_the_wire(asyncio.run(made.watch(request()))).edges_partial  # reports take time to arrive
+    clock.now += ANNOUNCEMENT_INTERVAL_S
+    assert not over_the_wire(asyncio.run(made.watch(request()))).edges_partial
+
+
 def test_without_a_change_the_reply_after_the_hold_has_the_list_age() -> None:
     made, _, table, _, clock = publisher()
     table.begin(2)
--- a/tests/nodes/test_control_watch.py
+++ b/tests/nodes/test_control_watch.py
@@ -192,6 +192,26 @@
     assert plane.edges == (1, 8)
 
 
+def test_a_control_node_that_has_just_started_makes_no_share_of_connections_larger(
+    watch: ControlWatch, plane: FakePlane
+) -> None:
+    """Each edge opens its share of a server's connections; for a second the new node counted one edge."""
+
+    def counted(edges: int, max_edges: int, partial: bool | None) -> Any:
+        made = WatchReply(tables=[], edges=edges, max_edges=max_edges, edges_partial=partial)
+        return decode(WatchReply, encode(made))
+
+    watch._apply_reply(counted(1, 1, partial=True))
+    assert plane.edges == (1, 1)
+    watch._apply_reply(counted(5, 8, partial=None))
+    watch._apply_reply(counted(1, 1, partial=True))
+    assert plane.edges == (5, 8)
+    watch._apply_reply(counted(6, 6, partial=True))
+    assert plane.edges == (6, 8)
+    watch._apply_reply(counted(2, 8, partial=None))  # others have gone
+    assert plane.edges == (2, 8)
+
+
 def test_intervals_follow_from_the_bounds_of_the_deployment(plane: FakePlane) -> None:
     tight = Settings.from_dict(FIELDS | {"bounds": {"config-apply-ms": 500, "drain-ms": 600}})
     watch = ControlWatch(tight, plane)  # type: ignore[arg-type]
