--- a/tests/nodes/control_world.py
+++ b/tests/nodes/control_world.py
@@ -306,9 +306,11 @@
         try:
             reply = await answering
         except asyncio.CancelledError:
-            if target.running or not answering.cancelled():
+            caller = asyncio.current_task()
+            assert caller is not None
+            if caller.cancelling():  # the caller has given up, or was killed
                 answering.cancel()
-                raise  # this caller has given up
+                raise
             raise PeerUnreachableError(self.address) from None
         await world.latency()
         if not world.is_connected(self.address.partition(":")[0], rpc_address(self.sender.host)):
