Tell control nodes without a vote how many edges there are

Callers would see (virtual time, no deployment): an edge that polls a spare control node opens as many connections to each server as all edges may together, for as long as it stays there.

Cause: control nodes report their counts to members and seeds. A control node without a vote is neither, so it counted only the edges that poll it.

Change: reports also go to each node that has announced itself lately; counts are marked as lower bounds for 2.3 s after a control node has come into contact with a leader, in place of 1.3 s after its start.

--- a/granitewell/controlplane/ownership/processes.py
+++ b/granitewell/controlplane/ownership/processes.py
@@ -37,3 +37,7 @@
         announcement = self._announcements.get(address)
         announced_at = announcement.at if announcement is not None else self._since
         return self._clock() - announced_at >= PROCESS_UNRESPONSIVE_AFTER_S
+
+    def responsive_addresses(self) -> list[str]:
+        """Return the addresses whose announcements have not stopped."""
+        return [address for address in self._announcements if not self.is_unresponsive(address)]
--- a/granitewell/controlplane/publication/publisher.py
+++ b/granitewell/controlplane/publication/publisher.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import hashlib
-import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
@@ -26,7 +25,7 @@
 MAX_HOLD_S = 2.0
 BATCH_DELAY_S = 0.015  # changes within this time are sent in one reply
 EDGE_TTL_S = 4.0  # after its last request; then an edge is no longer counted
-COUNT_COMPLETE_AFTER_S = 1.3  # since the start; then all other control nodes have reported their edges
+COUNT_COMPLETE_AFTER_S = 2.3  # in contact: two intervals of reports, and the delay of a lost packet
 PEAK_TTL_S = 120.0  # of the recent maximum number of edges
 MAX_READ_STALENESS_S = 0.75  # of published data; 0.3 s normally, two lost heartbeats are tolerated
 
@@ -53,14 +52,9 @@
 
 
 class EdgeCounter:
-    """Counts the edges that poll this node, and those that other control nodes report.
+    """Counts the edges that poll this node, and those that other control nodes report."""
 
-    Args:
-        started_at: Time of the process's start; by default long ago.
-    """
-
-    def __init__(self, started_at: float = -math.inf) -> None:
-        self._started_at = started_at
+    def __init__(self) -> None:
         self._asked_at: dict[str, float] = {}
         self._others: dict[str, tuple[int, float]] = {}
         self._peak = 0
@@ -84,10 +78,6 @@
         others = sum(edges for edges, at in self._others.values() if now - at < EDGE_TTL_S)
         return max(self.local_count(now) + others, 1)
 
-    def is_partial(self, now: float) -> bool:
-        """Return whether other control nodes may not have reported yet, so that counts are lower bounds."""
-        return now - self._started_at < COUNT_COMPLETE_AFTER_S
-
     def recent_maximum(self, now: float) -> int:
         """Return the recent maximum of the total; shared budgets are divided by it."""
         count = self.total(now)
@@ -114,6 +104,7 @@
         self._read_staleness_s = read_staleness_s
         self._edges = edges
         self._clock = clock
+        self._in_contact_since: float | None = None
         self._changed = asyncio.Event()
 
     def changed(self) -> None:
@@ -147,7 +138,18 @@
         A replica that has not joined knows neither the configuration nor the members of the group.
         """
         if self._read_staleness_s() > MAX_READ_STALENESS_S:
+            self._in_contact_since = None
             raise StaleReplicaError("no leader is known")
+        if self._in_contact_since is None:
+            self._in_contact_since = self._clock()
+
+    def _counts_are_partial(self) -> bool:
+        """Return whether other control nodes may not have reported their edges yet.
+
+        That is so after this node has started, joined, or been cut off from the others.
+        """
+        since = self._in_contact_since
+        return since is None or self._clock() - since < COUNT_COMPLETE_AFTER_S
 
     def _reply(self, request: Any, allow_empty: bool = False) -> Any | None:
         """Return the updates for a watcher; None if there are none and `allow_empty` is false."""
@@ -167,7 +169,7 @@
             members_digest=digest,
             edges=self._edges.total(now),
             max_edges=self._edges.recent_maximum(now),
-            edges_partial=self._edges.is_partial(now) or None,
+            edges_partial=self._counts_are_partial() or None,
         )
 
     def _configuration_update(self, request: Any) -> Any | None:
--- a/granitewell/nodes/control.py
+++ b/granitewell/nodes/control.py
@@ -53,7 +53,7 @@
         self.tables = {shard: ServerTable() for shard in range(SHARD_COUNT)}
         self.groups = self._make_groups(Path(settings.data_dir))
         self.configuration_group = self.groups[CONFIGURATION_GROUP]
-        self.edges = EdgeCounter(time.monotonic())
+        self.edges = EdgeCounter()
         self.publisher = Publisher(
             self.store, self.tables, self.control_nodes, self.configuration_group.read_staleness_s, self.edges
         )
--- a/granitewell/nodes/control_messages.py
+++ b/granitewell/nodes/control_messages.py
@@ -105,6 +105,8 @@
     async def announce(self, targets: Callable[[], Sequence[str]], has_members: Callable[[], bool]) -> None:
         """Announce this process and its number of edges to other control nodes, until cancelled.
 
+        Control nodes without a vote are no members. They are told because they announce themselves.
+
         Args:
             targets: Returns the internal addresses of the control nodes and of the seeds. A seed without
                 replicas learns by the announcement which nodes have some.
@@ -126,6 +128,6 @@
                     has_members=has_members(),
                 )
             )
-            for address in targets():
+            for address in sorted({*targets(), *self.processes.responsive_addresses()}):
                 if address != claimant.address:
                     self._peers[address].send(Method.EDGES, message)
--- a/granitewell/rpc/internal.thrift
+++ b/granitewell/rpc/internal.thrift
@@ -26,7 +26,7 @@
   3: list<string> control_nodes,   // `ip:port` of internal addresses; empty where members_digest is the same
   4: i64 members_digest, 5: i32 edges, 6: i32 max_edges,
   7: optional bool is_referral,   // the sender has no replica: control_nodes is what it has heard of, to be asked instead
-  8: optional bool edges_partial   // the sender has just started: edges and max_edges are lower bounds
+  8: optional bool edges_partial   // edges and max_edges are lower bounds: the sender has just started, joined, or been cut off
 }
 
 struct Demand {
--- a/tests/controlplane/test_publication.py
+++ b/tests/controlplane/test_publication.py
@@ -230,14 +230,27 @@
             asyncio.run(made.watch(asked))
 
 
-def test_a_node_that_has_just_started_says_that_it_may_count_too_few_edges() -> None:
-    store, clock = FakeStore(), Clock()
-    made = Publisher(store, {}, lambda: ["10.0.0.1:7660"], lambda: 0.0, EdgeCounter(clock.now), clock)
-    assert over_the_wire(asyncio.run(made.watch(request()))).edges_partial
-    clock.now += ANNOUNCEMENT_INTERVAL_S
-    assert over_the_wire(asyncio.run(made.watch(request()))).edges_partial  # reports take time to arrive
-    clock.now += ANNOUNCEMENT_INTERVAL_S
-    assert not over_the_wire(asyncio.run(made.watch(request()))).edges_partial
+def test_a_node_says_that_it_may_count_too_few_edges_until_others_have_reported() -> None:
+    """It has just started, joined, or been cut off; others report each second once they know of it."""
+    store, clock, contact = FakeStore(), Clock(), [0.0]
+    made = Publisher(store, {}, lambda: ["10.0.0.1:7660"], lambda: contact[0], EdgeCounter(), clock)
+
+    def partial() -> bool:
+        return bool(over_the_wire(asyncio.run(made.watch(request()))).edges_partial)
+
+    def assert_partial_for_two_reports() -> None:
+        assert partial()
+        clock.now += 2 * ANNOUNCEMENT_INTERVAL_S
+        assert partial()  # reports take time to arrive
+        clock.now += ANNOUNCEMENT_INTERVAL_S
+        assert not partial()
+
+    assert_partial_for_two_reports()
+    contact[0] = 5.0
+    with pytest.raises(StaleReplicaError):
+        asyncio.run(made.watch(request()))
+    contact[0] = 0.0
+    assert_partial_for_two_reports()
 
 
 def test_without_a_change_the_reply_after_the_hold_has_the_list_age() -> None:
--- a/tests/nodes/test_joining_through_gateways.py
+++ b/tests/nodes/test_joining_through_gateways.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from granitewell.controlplane.ownership.processes import ANNOUNCEMENT_INTERVAL_S
+from granitewell.controlplane.publication.publisher import EDGE_TTL_S
 from granitewell.coordination.rendezvous import rank
 from granitewell.nodes.control_gateway import LONG_POLL_HOLD_S
 from tests.coordination import virtual_loop
@@ -20,6 +22,9 @@
 CONTACT_S = 3.0
 """After this time in contact an edge is expected to be up to date (`contact-ms`)."""
 
+COUNTS_EXPIRE_S = EDGE_TTL_S + 2 * ANNOUNCEMENT_INTERVAL_S
+"""After this time counts of edges are those of edges that run, as all control nodes report them."""
+
 GATEWAYS_DOWN_S = 0.5
 SEEDS_READ_S = 3.0
 MAX_POLLS_PER_S = 10.0
@@ -169,3 +174,27 @@
         await until(lambda: new.is_voter, CATCH_UP_S)
 
     play(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_control_node_without_a_vote_knows_how_many_edges_there_are(seed: int) -> None:
+    """It was told nothing by the others, so an edge that polled it opened all edges' connections."""
+
+    async def scenario(world: World) -> None:
+        cores, gateways = await begin(world, lambda number: f"gateway-{number}")
+        spare = world.add_core(NEW_CORE)
+        spare.set_seeds([gateway.host for gateway in gateways])
+        await spare.start()
+        edges = [world.add_edge(number) for number in range(1, 5)]
+        for edge in edges:
+            edge.set_seeds([core.host for core in cores])
+            await edge.start()
+        await asyncio.sleep(CONTACT_S)
+        edges[0].watch.nodes.add_seed(spare.address)
+        while edges[0].watch.nodes.current != spare.address:
+            edges[0].watch.nodes.failed()
+        await asyncio.sleep(COUNTS_EXPIRE_S)
+        assert edges[0].watch.nodes.current == spare.address and not spare.is_voter
+        assert [edge.plane.edges for edge in edges] == [len(edges)] * len(edges)
+
+    play(scenario, seed)
