--- a/granitewell/lab/system/processes.py
+++ b/granitewell/lab/system/processes.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -50,13 +50,13 @@
         return self.first + 4
 
 
-def free_ports() -> Ports:
-    """Ports that nobody uses at this moment."""
+def free_ports(ips: Sequence[str] = CONTROL_IPS + EDGE_IPS) -> Ports:
+    """Ports that nobody uses at this moment on the given addresses."""
     rng = random.Random()
     for _ in range(PORT_TRIES):
         ports = Ports(rng.randrange(FIRST_PORT, LAST_PORT - PORTS_NEEDED))
         needed = range(ports.first, ports.first + PORTS_NEEDED)
-        if all(_is_free(ip, port) for ip in CONTROL_IPS + EDGE_IPS for port in needed):
+        if all(_is_free(ip, port) for ip in ips for port in needed):
             return ports
     raise OSError("no free ports on loopback")
 
@@ -73,13 +73,22 @@
 
 @dataclass
 class NodeProcess:
-    """One process of a role."""
+    """One process of a role, which may be started again after its end.
+
+    Attributes:
+        has_disk: Whether a control process has a disk, and so may hold replicas.
+        bootstrap: Whether the next start is the first one of the whole system.
+        bounds: Bounds in its settings.
+    """
 
     name: str
     role: str
     ip: str
     ports: Ports
     folder: Path
+    has_disk: bool = True
+    bootstrap: bool = True
+    bounds: Mapping[str, int] = field(default_factory=lambda: BOUNDS)
     process: asyncio.subprocess.Process | None = None
     killed: bool = False
 
@@ -108,16 +117,35 @@
         path = self.folder / "log"
         return path.read_text(errors="replace") if path.exists() else ""
 
+    @property
+    def _settings_path(self) -> Path:
+        return self.folder / "boot.json"
+
+    @property
+    def data_dir(self) -> Path:
+        """The folder that outlives the process."""
+        return self.folder / "data"
+
+    def write_settings(self, seeds: Sequence[str], platform: str) -> None:
+        """Write the settings file, at once for a process that reads it."""
+        self.folder.mkdir(exist_ok=True)
+        written = self.folder / "boot.json.new"
+        written.write_text(json.dumps(self._settings(seeds, platform)))
+        written.rename(self._settings_path)
+
     async def start(self, seeds: Sequence[str], platform: str) -> None:
         """Write the settings file and start the process."""
-        self.folder.mkdir()
-        settings = self.folder / "boot.json"
-        settings.write_text(json.dumps(self._settings(seeds, platform)))
-        with (self.folder / "log").open("wb") as log:
+        self.write_settings(seeds, platform)
+        await self.start_again()
+
+    async def start_again(self) -> None:
+        """Start the process with the settings file as it is."""
+        self.killed = False
+        with (self.folder / "log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "granitewell.cli.system", self.role),
                 cwd=ROOT,
-                env={**os.environ, PATH_VARIABLE: str(settings)},
+                env={**os.environ, PATH_VARIABLE: str(self._settings_path)},
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -125,8 +153,7 @@
 
     def _settings(self, seeds: Sequence[str], platform: str) -> dict[str, object]:
         control = self.role == "control"
-        data_dir = self.folder / "data"
-        data_dir.mkdir()
+        self.data_dir.mkdir(exist_ok=True)
         return {
             "node-name": self.name,
             "role": self.role,
@@ -137,11 +164,11 @@
             "listen": {"control": self.control} if control else {"front": self.front, "ready": self.ready},
             "internal-ports": [self.ports.first, self.ports.first + 1],
             "seeds": list(seeds),
-            "bootstrap": True,
-            "counts-for-quorum": control,
-            "data-dir": str(data_dir) if control else None,
+            "bootstrap": self.bootstrap,
+            "counts-for-quorum": control and self.has_disk,
+            "data-dir": str(self.data_dir) if control and self.has_disk else None,
             "fault-tolerance": {"machines": 1},
-            "bounds": BOUNDS,
+            "bounds": dict(self.bounds),
             "cloud": {"address": platform, "rate-per-s": RATE_PER_S, "lag-ms": 100},
         }
 
--- a/granitewell/lab/system/standins.py
+++ b/granitewell/lab/system/standins.py
@@ -178,8 +178,8 @@
     async def _stream(self, request: web.Request, model: str, request_id: str) -> web.StreamResponse:
         answer = web.StreamResponse(headers={REQUEST_ID: request_id, SEAL: self.seal(request_id)})
         answer.content_type = "text/event-stream"
-        await answer.prepare(request)
         with contextlib.suppress(ConnectionResetError):  # the edge has left, as its own client has
+            await answer.prepare(request)
             for number in range(1, EVENTS + 1):
                 await answer.write(event(model, request_id, number))
                 await asyncio.sleep(EVENT_PAUSE_S)
