Let the wait hold the callback of a request, so that finished requests are freed

Cause: each forwarder gave its bound method to its own DispatchRequest, as the callback for a wait. So every request was part of a reference cycle with its body, and only the cyclic collector, which runs rarely, freed it.

Change: Dispatcher.wait takes the callback, and the position in the queue holds it until the request leaves it.

--- a/granitewell/dataplane/dispatch.py
+++ b/granitewell/dataplane/dispatch.py
@@ -39,7 +39,6 @@
         ref: The model; None if the service runs no models.
         target_s: Latency target, in seconds.
         parts: Parts of the prompt that a server may have cached.
-        on_assigned: Called with the server that a waiting request is assigned to.
         attempted: Ids of servers that earlier attempts were assigned to.
         excluded: Ids of servers that must not receive it again.
         expected_version: Version of the model's weights that it needs, 0 for any.
@@ -50,7 +49,6 @@
     priority: int
     target_s: float
     parts: Sequence[PromptPart]
-    on_assigned: Callable[[ServerRecord], None]
     attempted: set[str] = field(default_factory=set)
     excluded: set[str] = field(default_factory=set)
     expected_version: int = 0
@@ -58,13 +56,28 @@
     waits_for_model: bool = False  # it is queued because no server has loaded the model
 
 
+@dataclass(slots=True)
+class QueuedRequest:
+    """A request that waits in the queue for a server.
+
+    It alone holds the callback, and only the queue and the waiting coroutine hold it. If the request held it,
+    each request would be part of a reference cycle with its forwarder and its body.
+
+    Attributes:
+        on_assigned: Called with the server that the request is assigned to.
+    """
+
+    request: DispatchRequest
+    on_assigned: Callable[[ServerRecord], None]
+
+
 class _ServiceState:
     """Servers, queue and retry budget of one service."""
 
     def __init__(self, budget: RetryBudget) -> None:
         self.records: dict[str, ServerRecord] = {}
         self.generation = 0  # changes with `records`; pools of an older generation are refilled
-        self.queue: RequestQueue[DispatchRequest] = RequestQueue()
+        self.queue: RequestQueue[QueuedRequest] = RequestQueue()
         self.budget = budget
 
 
@@ -216,7 +229,7 @@
         """Assign a server to a request; None if it must wait, also behind others for the same model."""
         pool = self.pool(dispatch_request.service, dispatch_request.ref, now)
         for position in self._state(dispatch_request.service).queue:
-            first = position.request
+            first = position.request.request
             if position.priority <= dispatch_request.priority and first.ref == dispatch_request.ref:
                 return None
         return self._choose(pool, dispatch_request, now)
@@ -281,10 +294,18 @@
         self.ended(dispatch_request, record, now)
 
     # --- Queue ------------------------------------------------------------------------------------------
-    def wait(self, dispatch_request: DispatchRequest, now: float) -> QueuePosition[DispatchRequest]:
-        """Queue a request and return its position. Raises QueueFullError."""
+    def wait(
+        self, dispatch_request: DispatchRequest, now: float, on_assigned: Callable[[ServerRecord], None]
+    ) -> QueuePosition[QueuedRequest]:
+        """Queue a request and return its position. Raises QueueFullError.
+
+        Args:
+            dispatch_request: The request.
+            now: Current time, in seconds.
+            on_assigned: Called with the server that it is assigned to, unless it leaves before.
+        """
         position = self._state(dispatch_request.service).queue.join(
-            dispatch_request.priority, dispatch_request
+            dispatch_request.priority, QueuedRequest(dispatch_request, on_assigned)
         )
         dispatch_request.waits_for_model = dispatch_request.ref is not None and self.pool(
             dispatch_request.service, dispatch_request.ref, now
@@ -295,9 +316,9 @@
             )
         return position
 
-    def leave(self, position: QueuePosition[DispatchRequest]) -> None:
+    def leave(self, position: QueuePosition[QueuedRequest]) -> None:
         """Remove a request from the queue."""
-        dispatch_request = position.request
+        dispatch_request = position.request.request
         self._state(dispatch_request.service).queue.leave(position)
         if dispatch_request.waits_for_model and dispatch_request.ref is not None:
             dispatch_request.waits_for_model = False
@@ -310,7 +331,7 @@
             return
         models_without_server: set[ModelRef | None] = set()
         for position in queue:
-            dispatch_request = position.request
+            dispatch_request = position.request.request
             if dispatch_request.ref in models_without_server:
                 continue
             record = self._choose(self.pool(service, dispatch_request.ref, now), dispatch_request, now)
@@ -318,7 +339,7 @@
                 models_without_server.add(dispatch_request.ref)
                 continue
             self.leave(position)
-            dispatch_request.on_assigned(record)
+            position.request.on_assigned(record)
 
     def wake_all(self, now: float) -> bool:
         """Assign available servers to waiting requests of all services; return whether any still wait."""
--- a/granitewell/dataplane/request_forwarder.py
+++ b/granitewell/dataplane/request_forwarder.py
@@ -168,7 +168,6 @@
             route.priority,
             self.target_s,
             request.parts,
-            self._server_assigned,
             expected_version=request.expected_version,
         )
         self._assignment: asyncio.Future[ServerRecord] | None = None
@@ -283,7 +282,7 @@
         if self.dispatch_request.excluded:
             raise NoServerError("no other server")
         try:
-            position = self.dispatcher.wait(self.dispatch_request, now)
+            position = self.dispatcher.wait(self.dispatch_request, now, self._server_assigned)
         except QueueFullError as error:
             raise NoServerError("too many requests wait") from error
         self._waited_for_model = self.dispatch_request.waits_for_model
--- a/tests/dataplane/test_dispatch.py
+++ b/tests/dataplane/test_dispatch.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from granitewell.dataplane.dispatch import MAX_POOLS, Dispatcher, DispatchRequest
+from granitewell.dataplane.dispatch import MAX_POOLS, Dispatcher, DispatchRequest, QueuedRequest
 from granitewell.dataplane.headers import PromptPart, ServerLoad
-from granitewell.dataplane.request_queue import QueueFullError
+from granitewell.dataplane.request_queue import QueueFullError, QueuePosition
 from granitewell.dataplane.server_selection import TARGET_SLOT_RATIO, Pool
 from granitewell.dataplane.servers import MAX_EJECTION_S, REJECTION_BACKOFF_S, ServerRecord
 from granitewell.domain.configuration import Configuration, Engine, Model, Service
@@ -240,7 +240,10 @@
 
     def __init__(self, priority: int, service: str = "engine", ref: ModelRef | None = M1) -> None:
         self.got: list[ServerRecord] = []
-        super().__init__(service, ref, priority, 1.0, (), self.got.append)
+        super().__init__(service, ref, priority, 1.0, ())
+
+    def wait(self, dispatcher: Dispatcher) -> QueuePosition[QueuedRequest]:
+        return dispatcher.wait(self, 0.0, self.got.append)
 
 
 def test_pools_contain_ready_servers_with_the_model() -> None:
@@ -299,7 +302,7 @@
     waiters = [WaitingRequest(priority) for priority in (5, 0, 5, 1)]
     for waiter in waiters:
         assert made.choose(waiter, 0.0) is None
-        made.wait(waiter, 0.0)
+        waiter.wait(made)
     assert made.urgent_report_due(0.0)
     (demand,) = made.take_demand()
     assert (demand.ref, demand.waiting, demand.priority) == (M1, 4, 0)
@@ -318,7 +321,7 @@
     first = WaitingRequest(5)
     record = made.choose(first, 0.0)
     assert record is not None
-    made.wait(WaitingRequest(5), 0.0)
+    WaitingRequest(5).wait(made)
     record.response_started(0.0)
     made.pool("engine", M1, 0.0).ended(record)  # the queue has not been served yet
     assert made.choose(WaitingRequest(5), 0.0) is None
@@ -327,7 +330,7 @@
 
 def test_request_that_leaves_the_queue_is_not_assigned() -> None:
     made, waiter = dispatcher(), WaitingRequest(3)
-    position = made.wait(waiter, 0.0)
+    position = waiter.wait(made)
     made.leave(position)
     made.leave(position)
     assert made.take_demand()[0].waiting == 0
@@ -339,7 +342,7 @@
     made = dispatcher()
     with pytest.raises(QueueFullError):
         for _ in range(10_000):
-            made.wait(WaitingRequest(5), 0.0)
+            WaitingRequest(5).wait(made)
 
 
 def test_connections_of_all_nodes_stay_within_the_server_limit() -> None:
