--- a/tests/recorded/samples.py
+++ b/tests/recorded/samples.py
@@ -216,6 +216,17 @@
         edges=8,
         max_edges=9,
     ),
+    "watch-reply-referral": rpc.WatchReply(
+        tables=[],
+        control_nodes=["10.0.0.1:7001"],
+        members_digest=12,
+        edges=1,
+        max_edges=1,
+        is_referral=True,
+    ),
+    "watch-reply-partial-counts": rpc.WatchReply(
+        tables=[], control_nodes=[], members_digest=12, edges=1, max_edges=1, edges_partial=True
+    ),
     "demand": translation.demand_to_message(DEMAND),
     "demand-report": rpc.DemandReport(
         node="edge-4", zone="zone-b", demands=[translation.demand_to_message(DEMAND)], forwarded=True
@@ -226,6 +237,9 @@
     "edge-count": rpc.EdgeCount(
         node="core-1", edges=7, incarnation="9f8e7d6c5b4a3921", address="10.0.0.1:7001"
     ),
+    "edge-count-before-joining": rpc.EdgeCount(
+        node="core-4", edges=0, incarnation="9f8e7d6c5b4a3921", address="10.0.0.4:7001", has_members=False
+    ),
 }
 
 # The present node's fleet
