--- a/granitewell/lab/system/soak_clients.py
+++ b/granitewell/lab/system/soak_clients.py
@@ -125,6 +125,8 @@
             return True
         if isinstance(error, aiohttp.ClientConnectorError | TimeoutError):
             return False
+        if isinstance(error, aiohttp.ClientOSError) and error.errno is None:
+            return False  # the connection closed before the whole request was written
         return after_s > LOSS_SLACK_S
 
     def _check(self, request_id: str, answered_id: str | None, seal: str | None, body: bytes) -> None:
