Follow a referral that names more nodes than are remembered

Callers would see: a gateway or an edge stops polling for good after a referral that names over 32 nodes of which it had not heard, as a gateway with many announced control nodes sends.

Change: only addresses that are still in the order count as new.

Measured: test_a_referral_of_any_length_takes_bounded_memory_and_is_followed failed before with 33 and 160 nodes, all five pass now; tests/nodes without the soak: 95 pass.

--- a/granitewell/nodes/control_nodes.py
+++ b/granitewell/nodes/control_nodes.py
@@ -62,12 +62,14 @@
         Returns:
             Whether the referral has named a node of which this process had not heard.
         """
-        new = set(self._others(addresses)).difference(self._order)
+        before = set(self._order)
         self._hear(addresses)
-        if not new:
+        new = set(addresses).difference(before)
+        first = next((at for at, address in enumerate(self._order) if address in new), None)
+        if first is None:
             self.failed()
             return False
-        self._at = min(self._order.index(address) for address in new)
+        self._at = first
         return True
 
     @property
--- a/tests/nodes/test_control_gateway.py
+++ b/tests/nodes/test_control_gateway.py
@@ -298,6 +298,20 @@
     assert made.current() is None and made.nodes.known == []
 
 
+@pytest.mark.parametrize("named_nodes", [0, 1, MAX_SEEDS, MAX_SEEDS + 1, 5 * MAX_SEEDS])
+def test_a_referral_of_any_length_takes_bounded_memory_and_is_followed(named_nodes: int) -> None:
+    """One that named more nodes than are remembered ended the gateway's polls for good."""
+    made, _, _ = gateway()
+    referred = [f"10.2.{number // 200}.{number % 200}:7660" for number in range(named_nodes)]
+    peers = GatewayPeers({"10.0.0.8:7660": referred})
+    made.peers = peers  # type: ignore[assignment]
+    poll_times(made, 2)
+    asked = [address for address, _ in peers.asked]
+    assert asked[0] == "10.0.0.8:7660"
+    assert asked[1] in (referred or ["10.0.0.8:7660"])
+    assert len(made.nodes._order) <= MAX_SEEDS + 1
+
+
 def test_a_referral_is_followed_and_makes_no_list_of_its_own() -> None:
     made, _, _ = gateway()
     made.peers = GatewayPeers({"10.0.0.8:7660": VOTERS})  # type: ignore[assignment]
